--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+SHELL := /bin/bash
+SEED ?= 1
+export GOFLAGS := -buildvcs=false
+
+.PHONY: all build demo test lint bench soak
+
+all: build
+
+build:
+	@mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bin/godwitbend-demo --bin bin
+
+test:
+	go test -count=1 ./...
+
+lint:
+	@out="$$(gofmt -l cmd internal)"; if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
--- /dev/null
+++ b/cmd/godwitbendctl/main.go
@@ -0,0 +1,4 @@
+// Command godwitbendctl is the operators' command-line tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/godwitbendd/main.go
@@ -0,0 +1,4 @@
+// Command godwitbendd is the daemon of a godwitbend host.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/controlapi/messages.go
@@ -0,0 +1,312 @@
+// Package controlapi holds the typed messages between entry hosts and the
+// control group. The same messages are the commands of the replicated log.
+package controlapi
+
+import (
+	"context"
+
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+// BeginRequest opens the record of a request and reserves its worst case. A
+// request is dispatched only after its record is committed.
+type BeginRequest struct {
+	// RequestID is RequestIDFor(Caller, Key).
+	RequestID    string `cbor:"1,keyasint"`
+	Organisation string `cbor:"2,keyasint"`
+	Caller       string `cbor:"3,keyasint"`
+	Budget       string `cbor:"4,keyasint"`
+	Service      string `cbor:"5,keyasint"`
+	// BodyHash identifies the body together with the service and path.
+	BodyHash   string `cbor:"6,keyasint"`
+	Repeatable bool   `cbor:"7,keyasint,omitempty"`
+	// Tokens is the worst-case charge, which is reserved.
+	Tokens int64 `cbor:"8,keyasint"`
+	// Session is the session of the host that will own the request.
+	Session string `cbor:"9,keyasint"`
+	// Upstream is the id of the first upstream that will be tried.
+	Upstream string `cbor:"10,keyasint,omitempty"`
+	// UpstreamIncarnation is the incarnation of Upstream.
+	UpstreamIncarnation uint64 `cbor:"11,keyasint,omitempty"`
+	// Takeover asks to take over an open record even from an owner whose session lives,
+	// because that owner was asked and no longer serves the request.
+	Takeover bool `cbor:"12,keyasint,omitempty"`
+}
+
+// BeginStatus tells what a host does next with a request.
+type BeginStatus string
+
+// The results of Begin.
+const (
+	// BeginStarted: the record is new, or was released; run the request.
+	BeginStarted BeginStatus = "started"
+	// BeginTakenOver: the record was open under a dead owner; the caller now owns a later attempt.
+	BeginTakenOver BeginStatus = "taken_over"
+	// BeginInProgress: a live host owns the record.
+	BeginInProgress BeginStatus = "in_progress"
+	// BeginSettled: the request has run and is charged; see Answer.
+	BeginSettled BeginStatus = "settled"
+)
+
+// BeginReply is the result of Begin. A refusal is returned as an *errkind.Error.
+type BeginReply struct {
+	Status BeginStatus `cbor:"1,keyasint"`
+	// Attempt fences later Dispatch, Settle and Release of this request.
+	Attempt uint32 `cbor:"2,keyasint"`
+	// Owner is the session that owns the record if Status is BeginInProgress.
+	Owner string `cbor:"3,keyasint,omitempty"`
+	// MayHaveRun tells that an earlier attempt was dispatched and its fate is unknown.
+	MayHaveRun bool `cbor:"4,keyasint,omitempty"`
+	// Upstream and UpstreamIncarnation tell where the earlier attempt was dispatched.
+	Upstream            string `cbor:"5,keyasint,omitempty"`
+	UpstreamIncarnation uint64 `cbor:"6,keyasint,omitempty"`
+	// Answer is the stored answer if Status is BeginSettled; nil if none was kept.
+	Answer *StoredAnswer `cbor:"7,keyasint,omitempty"`
+	// Charged is the charge of a settled request, in tokens.
+	Charged int64 `cbor:"8,keyasint,omitempty"`
+	// Suspect asks to run the request alone on its upstream, because its body was in flight at a crash.
+	Suspect bool `cbor:"9,keyasint,omitempty"`
+}
+
+// StoredAnswer is a small answer that is kept in the record and given again.
+type StoredAnswer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint"`
+	Body        []byte `cbor:"3,keyasint"`
+}
+
+// DispatchRequest records that a further upstream is about to be tried.
+type DispatchRequest struct {
+	RequestID           string `cbor:"1,keyasint"`
+	Attempt             uint32 `cbor:"2,keyasint"`
+	Upstream            string `cbor:"3,keyasint"`
+	UpstreamIncarnation uint64 `cbor:"4,keyasint"`
+}
+
+// SettleRequest charges a request that ran and frees the rest of its reservation.
+type SettleRequest struct {
+	RequestID string        `cbor:"1,keyasint"`
+	Attempt   uint32        `cbor:"2,keyasint"`
+	Tokens    int64         `cbor:"3,keyasint"`
+	Answer    *StoredAnswer `cbor:"4,keyasint,omitempty"`
+	// Unknown closes the record of a non-repeatable request whose fate cannot be learnt.
+	// Its whole reservation is charged and later tries are told OutcomeUnknown.
+	Unknown bool `cbor:"5,keyasint,omitempty"`
+}
+
+// ReleaseRequest frees the reservation of a request that provably did not run.
+type ReleaseRequest struct {
+	RequestID string `cbor:"1,keyasint"`
+	Attempt   uint32 `cbor:"2,keyasint"`
+}
+
+// CrashReport tells that an upstream was lost with requests in flight.
+type CrashReport struct {
+	Upstream            string `cbor:"1,keyasint"`
+	UpstreamIncarnation uint64 `cbor:"2,keyasint"`
+	// BodyHashes are the bodies that the reporting host had in flight there.
+	BodyHashes []string `cbor:"3,keyasint"`
+}
+
+// OpenSession opens the session of an entry host.
+type OpenSession struct {
+	Session string `cbor:"1,keyasint"`
+	Host    string `cbor:"2,keyasint"`
+	Zone    string `cbor:"3,keyasint"`
+	// Address is the host's address for other hosts, as IP:port.
+	Address string `cbor:"4,keyasint"`
+	// SchemaMin and SchemaMax bound the schema versions that the host can serve under.
+	SchemaMin int `cbor:"5,keyasint"`
+	SchemaMax int `cbor:"6,keyasint"`
+}
+
+// EndSession ends a session, by drain or because its lease lapsed. Open
+// requests of the session may be taken over afterwards.
+type EndSession struct {
+	Session string `cbor:"1,keyasint"`
+	// Drained tells that the host ended it itself, with no request open.
+	Drained bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Heartbeat renews a session and its configuration lease. It is answered by the
+// confirmed leader only, and is not a command of the log.
+type Heartbeat struct {
+	Session string `cbor:"1,keyasint"`
+	// Revision is the configuration revision that the host serves under.
+	Revision uint64 `cbor:"2,keyasint"`
+}
+
+// HeartbeatReply carries the lease and the configuration changes after the host's revision.
+type HeartbeatReply struct {
+	// LeaseMS is the length of the lease, counted from the sending of the heartbeat, in milliseconds.
+	LeaseMS int64 `cbor:"1,keyasint"`
+	// Full tells that Records replaces the host's whole configuration.
+	Full    bool            `cbor:"2,keyasint,omitempty"`
+	Records []config.Record `cbor:"3,keyasint,omitempty"`
+	// Revision is the revision after Records are applied.
+	Revision     uint64 `cbor:"4,keyasint"`
+	ActiveSchema int    `cbor:"5,keyasint"`
+	// Hosts are the entry hosts with a live session.
+	Hosts []HostInfo `cbor:"6,keyasint,omitempty"`
+	// FencingNumber is the term of the leader that answered.
+	FencingNumber uint64 `cbor:"7,keyasint"`
+}
+
+// HostInfo describes an entry host with a live session.
+type HostInfo struct {
+	Session  string `json:"session" cbor:"1,keyasint"`
+	Host     string `json:"host" cbor:"2,keyasint"`
+	Zone     string `json:"zone" cbor:"3,keyasint"`
+	Address  string `json:"address" cbor:"4,keyasint"`
+	Revision uint64 `json:"revision" cbor:"5,keyasint"`
+}
+
+// ConfigureRequest writes configuration records, all or none.
+type ConfigureRequest struct {
+	// OperationID makes a resend safe: it gets the first result.
+	OperationID string        `cbor:"1,keyasint"`
+	Writes      []ConfigWrite `cbor:"2,keyasint"`
+	Operator    string        `cbor:"3,keyasint,omitempty"`
+}
+
+// ConfigWrite is one record of a ConfigureRequest.
+type ConfigWrite struct {
+	// Record is the new state; with Record.Deleted set the record is removed.
+	Record config.Record `cbor:"1,keyasint"`
+	// IfRevision must equal the record's present revision; 0 means that it must not exist.
+	IfRevision uint64 `cbor:"2,keyasint"`
+	// Force skips the comparison.
+	Force bool `cbor:"3,keyasint,omitempty"`
+}
+
+// ConfigureReply tells the revision of a change and whether it is in force on every live host.
+type ConfigureReply struct {
+	Revision uint64 `json:"revision" cbor:"1,keyasint"`
+	// Accepted is false while some live host may still serve under an older revision.
+	Accepted bool            `json:"accepted" cbor:"2,keyasint"`
+	Records  []config.Record `json:"records,omitempty" cbor:"3,keyasint,omitempty"`
+	// Winner is the present record if the error is Conflict.
+	Winner *config.Record `json:"winner,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// TopUpRequest pays tokens into a budget once per operation id.
+type TopUpRequest struct {
+	OperationID string `cbor:"1,keyasint"`
+	Budget      string `cbor:"2,keyasint"`
+	Tokens      int64  `cbor:"3,keyasint"`
+	Operator    string `cbor:"4,keyasint,omitempty"`
+}
+
+// BudgetStatus is the state of a budget in whole tokens.
+// Charged + Reserved + Granted never exceeds PaidIn.
+type BudgetStatus struct {
+	Budget       string `json:"budget" cbor:"1,keyasint"`
+	Organisation string `json:"organisation" cbor:"2,keyasint"`
+	PaidIn       int64  `json:"paid_in" cbor:"3,keyasint"`
+	Charged      int64  `json:"charged" cbor:"4,keyasint"`
+	Reserved     int64  `json:"reserved" cbor:"5,keyasint"`
+	Granted      int64  `json:"granted" cbor:"6,keyasint"`
+}
+
+// RequestStatus is the state of one request record.
+type RequestStatus struct {
+	RequestID    string `json:"request_id" cbor:"1,keyasint"`
+	Organisation string `json:"organisation" cbor:"2,keyasint"`
+	Caller       string `json:"caller" cbor:"3,keyasint"`
+	Service      string `json:"service" cbor:"4,keyasint"`
+	State        string `json:"state" cbor:"5,keyasint"`
+	Attempt      uint32 `json:"attempt" cbor:"6,keyasint"`
+	Reserved     int64  `json:"reserved" cbor:"7,keyasint"`
+	Charged      int64  `json:"charged" cbor:"8,keyasint"`
+	Session      string `json:"session,omitempty" cbor:"9,keyasint,omitempty"`
+}
+
+// QueryRequest asks for control state, read from the confirmed leader. Set one field.
+type QueryRequest struct {
+	// Records lists the configuration records of a kind; "*" means all kinds.
+	Records config.Kind `cbor:"1,keyasint,omitempty"`
+	// Name restricts Records to one name.
+	Name string `cbor:"2,keyasint,omitempty"`
+	// Budgets lists the state of all budgets, or of those of Organisation.
+	Budgets      bool   `cbor:"3,keyasint,omitempty"`
+	Organisation string `cbor:"4,keyasint,omitempty"`
+	// Request asks for one request record by id.
+	Request string `cbor:"5,keyasint,omitempty"`
+	// Requests lists all request records (of Organisation, if set).
+	Requests bool `cbor:"6,keyasint,omitempty"`
+	// History lists the configuration changes after this revision plus one.
+	History    bool   `cbor:"7,keyasint,omitempty"`
+	HistoryMin uint64 `cbor:"8,keyasint,omitempty"`
+	// Hosts lists the sessions of entry hosts.
+	Hosts bool `cbor:"9,keyasint,omitempty"`
+	// Replicas asks for the state of the control replicas.
+	Replicas bool `cbor:"10,keyasint,omitempty"`
+}
+
+// QueryReply answers a QueryRequest.
+type QueryReply struct {
+	Records  []config.Record `json:"records,omitempty" cbor:"1,keyasint,omitempty"`
+	Budgets  []BudgetStatus  `json:"budgets,omitempty" cbor:"2,keyasint,omitempty"`
+	Requests []RequestStatus `json:"requests,omitempty" cbor:"3,keyasint,omitempty"`
+	History  []HistoryEntry  `json:"history,omitempty" cbor:"4,keyasint,omitempty"`
+	Hosts    []HostInfo      `json:"hosts,omitempty" cbor:"5,keyasint,omitempty"`
+	Replicas []ReplicaStatus `json:"replicas,omitempty" cbor:"6,keyasint,omitempty"`
+	Revision uint64          `json:"revision" cbor:"7,keyasint"`
+	Schema   int             `json:"active_schema" cbor:"8,keyasint"`
+}
+
+// HistoryEntry is one change of the configuration.
+type HistoryEntry struct {
+	Revision    uint64      `json:"revision" cbor:"1,keyasint"`
+	OperationID string      `json:"operation_id" cbor:"2,keyasint"`
+	Operator    string      `json:"operator,omitempty" cbor:"3,keyasint,omitempty"`
+	Kind        config.Kind `json:"kind" cbor:"4,keyasint"`
+	Name        string      `json:"name" cbor:"5,keyasint"`
+	Deleted     bool        `json:"deleted,omitempty" cbor:"6,keyasint,omitempty"`
+	TimeMS      int64       `json:"time_ms" cbor:"7,keyasint"`
+}
+
+// ReplicaStatus is the state of one control replica as the leader sees it.
+type ReplicaStatus struct {
+	ID      uint64 `json:"id" cbor:"1,keyasint"`
+	Address string `json:"address" cbor:"2,keyasint"`
+	Role    string `json:"role" cbor:"3,keyasint"`
+	Term    uint64 `json:"term" cbor:"4,keyasint"`
+	Applied uint64 `json:"applied" cbor:"5,keyasint"`
+	Match   uint64 `json:"match" cbor:"6,keyasint"`
+}
+
+// Command is one entry of the replicated log. Exactly one body is set.
+type Command struct {
+	// TimeMS is the leader's clock at proposal, in milliseconds since 1970.
+	// The state machine's time never goes back.
+	TimeMS      int64             `cbor:"1,keyasint"`
+	Begin       *BeginRequest     `cbor:"2,keyasint,omitempty"`
+	Dispatch    *DispatchRequest  `cbor:"3,keyasint,omitempty"`
+	Settle      *SettleRequest    `cbor:"4,keyasint,omitempty"`
+	Release     *ReleaseRequest   `cbor:"5,keyasint,omitempty"`
+	Crash       *CrashReport      `cbor:"6,keyasint,omitempty"`
+	OpenSession *OpenSession      `cbor:"7,keyasint,omitempty"`
+	EndSession  *EndSession       `cbor:"8,keyasint,omitempty"`
+	Configure   *ConfigureRequest `cbor:"9,keyasint,omitempty"`
+	TopUp       *TopUpRequest     `cbor:"10,keyasint,omitempty"`
+}
+
+// Result is the outcome of a Command. Err is set on a refusal.
+type Result struct {
+	Err       *errkind.Error  `cbor:"1,keyasint,omitempty"`
+	Begin     *BeginReply     `cbor:"2,keyasint,omitempty"`
+	Settled   int64           `cbor:"3,keyasint,omitempty"`
+	Configure *ConfigureReply `cbor:"4,keyasint,omitempty"`
+	Budget    *BudgetStatus   `cbor:"5,keyasint,omitempty"`
+}
+
+// Client is the control group as an entry host sees it. Execute returns the
+// result of a committed command; the error is ControlUnavailable if it is not
+// known to be committed (it may still commit later). All commands are
+// idempotent, so they may be sent again.
+type Client interface {
+	Execute(ctx context.Context, cmd *Command) (*Result, error)
+	Query(ctx context.Context, req *QueryRequest) (*QueryReply, error)
+}
