--- /dev/null
+++ b/cmd/godwitbend-demo/demo.go
@@ -0,0 +1,255 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/fake"
+	"github.com/godwitbend/godwitbend/internal/harness"
+)
+
+const (
+	hosts           = 3
+	organisation    = "kiosk"
+	budget          = "kiosk-2026"
+	callerName      = "till"
+	class           = "counter"
+	model           = "assistant"
+	numbering       = "numbering"
+	numberingPath   = "/services/" + numbering + "/series/A/next"
+	paidIn          = 2000
+	numberingTokens = 5
+	chatLimit       = 40
+	dryAttempts     = 200
+)
+
+// step is one named part of the demo.
+type step struct {
+	name string
+	do   func(context.Context) error
+}
+
+// demo holds what later steps need of earlier ones.
+type demo struct {
+	bin    string
+	dir    string
+	fleet  *harness.Fleet
+	engine *harness.Upstream
+	series *harness.Upstream
+	caller harness.Caller
+	number string
+	billed int64
+}
+
+func (d *demo) steps() []step {
+	return []step{
+		{"start three daemons", d.startHosts},
+		{"start a model engine and a numbering service", d.startUpstreams},
+		{"write the configuration with godwitbendctl", d.configure},
+		{"upstreams serve", d.awaitUpstreams},
+		{"stream a model request through one host", d.streamChat},
+		{"take a number through another host", d.takeNumber},
+		{"repeat the call with the same key at a third host", d.repeatNumber},
+		{"run the budget dry", d.runDry},
+		{"the bill equals what the upstreams ran", d.compareBill},
+		{"stop all by SIGTERM", func(context.Context) error { return d.fleet.Stop() }},
+	}
+}
+
+func (d *demo) kill() {
+	if d.fleet != nil {
+		d.fleet.Kill()
+	}
+}
+
+func (d *demo) startHosts(ctx context.Context) error {
+	fleet, err := harness.NewFleet(harness.FleetOptions{
+		Bin: d.bin, Dir: d.dir, Hosts: hosts, Control: hosts, Zones: hosts,
+	})
+	if err != nil {
+		return err
+	}
+	d.fleet = fleet
+	if err := fleet.StartHosts(); err != nil {
+		return err
+	}
+	return fleet.AwaitReady(ctx)
+}
+
+func (d *demo) startUpstreams(context.Context) error {
+	var err error
+	d.engine, err = d.fleet.StartUpstream(harness.UpstreamOptions{
+		Kind: "engine", ID: "engine-1", Zone: "z1", Flags: []string{"--model", model},
+	})
+	if err != nil {
+		return err
+	}
+	d.series, err = d.fleet.StartUpstream(harness.UpstreamOptions{
+		Kind: "service", ID: "numbering-1", Zone: "z2", Flags: []string{"--name", numbering},
+	})
+	return err
+}
+
+func (d *demo) configure(ctx context.Context) error {
+	commands := [][]string{
+		{"organisation", "create", organisation},
+		{"class", "create", class, "--worth", "10", "--deadline", "10s"},
+		{"budget", "create", budget, "--organisation", organisation},
+		{"service", "create", model, "--kind", "model"},
+		{"service", "create", numbering, "--kind", "plain",
+			"--method", fmt.Sprintf("POST /series/*/next tokens=%d", numberingTokens),
+			"--method", "GET /series/* repeatable"},
+		{"policy", "create", "kiosk-work", "--organisation", organisation,
+			"--services", model + "," + numbering, "--upstreams", "*"},
+		{"budget", "top-up", budget, "--tokens", fmt.Sprint(paidIn), "--operation-id", "demo-top-up"},
+	}
+	for i, args := range commands {
+		if _, err := d.fleet.Ctl(ctx, d.fleet.Hosts[i%hosts], args...); err != nil {
+			return err
+		}
+	}
+	out, err := d.fleet.Ctl(ctx, d.fleet.Hosts[0], "caller", "create", callerName,
+		"--organisation", organisation, "--class", class, "--budget", budget, "-o", "json")
+	if err != nil {
+		return err
+	}
+	d.caller.Key, err = callerKey(out)
+	return err
+}
+
+// callerKey returns the key that the creation of a caller printed.
+func callerKey(out []byte) (string, error) {
+	var created struct {
+		Key string `json:"key"`
+	}
+	if err := json.Unmarshal(out, &created); err != nil || created.Key == "" {
+		return "", fmt.Errorf("no key in %q", out)
+	}
+	return created.Key, nil
+}
+
+// awaitUpstreams waits until each host knows both upstreams.
+func (d *demo) awaitUpstreams(ctx context.Context) error {
+	for _, h := range d.fleet.Hosts {
+		err := harness.Await(ctx, h.Name+" lists both upstreams", func(ctx context.Context) error {
+			out, err := d.fleet.Ctl(ctx, h, "upstreams", "-o", "json")
+			if err != nil {
+				return err
+			}
+			if !bytes.Contains(out, []byte("engine-1")) || !bytes.Contains(out, []byte("numbering-1")) {
+				return fmt.Errorf("got %s", out)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func chatBody(question string) []byte {
+	body, _ := json.Marshal(map[string]any{
+		"model":      model,
+		"stream":     true,
+		"max_tokens": chatLimit,
+		"messages":   []map[string]string{{"role": "user", "content": question}},
+	})
+	return body
+}
+
+func (d *demo) chat(ctx context.Context, host int, key, question string) (*harness.Answer, error) {
+	return d.caller.Do(ctx, harness.Call{
+		Method: http.MethodPost,
+		URL:    d.fleet.Hosts[host].CallersURL(),
+		Path:   harness.PathChat,
+		Key:    key,
+		Body:   chatBody(question),
+	})
+}
+
+func (d *demo) streamChat(ctx context.Context) error {
+	const question = "Describe twelve loaves of rye bread for an invoice."
+	a, err := d.chat(ctx, 0, "demo-chat", question)
+	if err != nil {
+		return err
+	}
+	if a.Status != http.StatusOK || a.Usage == nil {
+		return fmt.Errorf("status %d, usage %v, refusal %v", a.Status, a.Usage, a.Refusal)
+	}
+	req, err := fake.ParseChat(chatBody(question))
+	if err != nil {
+		return err
+	}
+	if want := req.AnswerText(a.RequestID, a.Usage.CompletionTokens); a.Text != want {
+		return fmt.Errorf("text %q, want %q", a.Text, want)
+	}
+	d.billed += a.Usage.TotalTokens
+	return nil
+}
+
+func (d *demo) callNumbering(ctx context.Context, host int) (string, error) {
+	a, err := d.caller.Do(ctx, harness.Call{
+		Method: http.MethodPost,
+		URL:    d.fleet.Hosts[host].CallersURL(),
+		Path:   numberingPath,
+		Key:    "demo-number",
+	})
+	if err != nil {
+		return "", err
+	}
+	if a.Status != http.StatusOK {
+		return "", fmt.Errorf("status %d: %s", a.Status, a.Body)
+	}
+	return strings.TrimSpace(string(a.Body)), nil
+}
+
+func (d *demo) takeNumber(ctx context.Context) error {
+	number, err := d.callNumbering(ctx, 1)
+	d.number = number
+	d.billed += numberingTokens
+	return err
+}
+
+func (d *demo) repeatNumber(ctx context.Context) error {
+	again, err := d.callNumbering(ctx, 2)
+	if err != nil {
+		return err
+	}
+	if again != d.number {
+		return fmt.Errorf("first %s, then %s", d.number, again)
+	}
+	return nil
+}
+
+// runDry sends model requests until one is refused for the budget, and checks the refusal.
+func (d *demo) runDry(ctx context.Context) error {
+	for i := range dryAttempts {
+		a, err := d.chat(ctx, i%hosts, fmt.Sprintf("demo-dry-%d", i), "And the next one?")
+		if err != nil {
+			return err
+		}
+		if a.Refusal != nil {
+			return checkDry(a)
+		}
+		if a.Usage == nil {
+			return fmt.Errorf("status %d without usage", a.Status)
+		}
+		d.billed += a.Usage.TotalTokens
+	}
+	return fmt.Errorf("no refusal in %d requests", dryAttempts)
+}
+
+func checkDry(a *harness.Answer) error {
+	if a.Status != http.StatusPaymentRequired ||
+		a.Refusal.Kind != errkind.BudgetExhausted ||
+		a.Refusal.Outcome() != errkind.NotRun {
+		return fmt.Errorf("refused by %d %+v", a.Status, a.Refusal)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fake/pipe_test.go
@@ -0,0 +1,50 @@
+package fake_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// pipeListener accepts connections that its dial method makes.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// serve serves h within the test's bubble and returns a client of it.
+func serve(t *testing.T, h http.Handler) *http.Client {
+	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	transport := &http.Transport{DialContext: l.dial}
+	t.Cleanup(func() {
+		close(l.closed)
+		transport.CloseIdleConnections()
+		_ = server.Close()
+	})
+	return &http.Client{Transport: transport}
+}
