--- a/cmd/godwitbend-demo/demo.go
+++ b/cmd/godwitbend-demo/demo.go
@@ -102,8 +102,8 @@
 		{"budget", "create", budget, "--organisation", organisation},
 		{"service", "create", model, "--kind", "model"},
 		{"service", "create", numbering, "--kind", "plain",
-			"--method", fmt.Sprintf("POST /series/*/next tokens=%d", numberingTokens),
-			"--method", "GET /series/* repeatable"},
+			"--method", fmt.Sprintf("POST /series/*/next,tokens=%d", numberingTokens),
+			"--method", "GET /series/*,repeatable"},
 		{"policy", "create", "kiosk-work", "--organisation", organisation,
 			"--services", model + "," + numbering, "--upstreams", "*"},
 		{"budget", "top-up", budget, "--tokens", fmt.Sprint(paidIn), "--operation-id", "demo-top-up"},
@@ -154,13 +154,7 @@
 }
 
 func chatBody(question string) []byte {
-	body, _ := json.Marshal(map[string]any{
-		"model":      model,
-		"stream":     true,
-		"max_tokens": chatLimit,
-		"messages":   []map[string]string{{"role": "user", "content": question}},
-	})
-	return body
+	return harness.ChatBody(model, chatLimit, question)
 }
 
 func (d *demo) chat(ctx context.Context, host int, key, question string) (*harness.Answer, error) {
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -95,6 +95,39 @@
 // PathChat is the path of chat requests.
 const PathChat = "/v1/chat/completions"
 
+// chatRequest is a streamed chat request.
+type chatRequest struct {
+	Model         string        `json:"model"`
+	Stream        bool          `json:"stream"`
+	StreamOptions streamOptions `json:"stream_options"`
+	MaxTokens     int64         `json:"max_tokens"`
+	Messages      []chatMessage `json:"messages"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatBody returns the body of a streamed chat request with one message, whose usage is told.
+func ChatBody(model string, maxTokens int64, text string) []byte {
+	body, err := json.Marshal(chatRequest{
+		Model:         model,
+		Stream:        true,
+		StreamOptions: streamOptions{IncludeUsage: true},
+		MaxTokens:     maxTokens,
+		Messages:      []chatMessage{{Role: "user", Content: text}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
 // Do sends call and reads the whole answer. An error tells that the answer was
 // lost or cut off; what arrived before is in the answer.
 func (c *Caller) Do(ctx context.Context, call Call) (*Answer, error) {
