--- a/cmd/godwitbend-demo/demo.go
+++ b/cmd/godwitbend-demo/demo.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -98,7 +97,7 @@
 func (d *demo) configure(ctx context.Context) error {
 	commands := [][]string{
 		{"organisation", "create", organisation},
-		{"class", "create", class, "--worth", "10", "--deadline", "10s"},
+		{"class", "create", class, "--worth", "10", "--deadline", "10s", "--queue-limit", "100"},
 		{"budget", "create", budget, "--organisation", organisation},
 		{"service", "create", model, "--kind", "model"},
 		{"service", "create", numbering, "--kind", "plain",
@@ -133,28 +132,8 @@
 	return created.Key, nil
 }
 
-// awaitUpstreams waits until each host knows both upstreams.
 func (d *demo) awaitUpstreams(ctx context.Context) error {
-	for _, h := range d.fleet.Hosts {
-		err := harness.Await(ctx, h.Name+" lists both upstreams", func(ctx context.Context) error {
-			out, err := d.fleet.Ctl(ctx, h, "upstreams", "-o", "json")
-			if err != nil {
-				return err
-			}
-			if !bytes.Contains(out, []byte("engine-1")) || !bytes.Contains(out, []byte("numbering-1")) {
-				return fmt.Errorf("got %s", out)
-			}
-			return nil
-		})
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func chatBody(question string) []byte {
-	return harness.ChatBody(model, chatLimit, question)
+	return d.fleet.AwaitUpstreams(ctx, len(d.fleet.Upstreams))
 }
 
 func (d *demo) chat(ctx context.Context, host int, key, question string) (*harness.Answer, error) {
@@ -163,7 +142,7 @@
 		URL:    d.fleet.Hosts[host].CallersURL(),
 		Path:   harness.PathChat,
 		Key:    key,
-		Body:   chatBody(question),
+		Body:   harness.ChatBody(model, chatLimit, question),
 	})
 }
 
@@ -176,7 +155,7 @@
 	if a.Status != http.StatusOK || a.Usage == nil {
 		return fmt.Errorf("status %d, usage %v, refusal %v", a.Status, a.Usage, a.Refusal)
 	}
-	req, err := fake.ParseChat(chatBody(question))
+	req, err := fake.ParseChat(harness.ChatBody(model, chatLimit, question))
 	if err != nil {
 		return err
 	}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -67,6 +67,8 @@
 	// budget still covers them, by kind; Refusals counts all refused ones.
 	FalseRefusals map[errkind.Kind]int
 	Refusals      map[errkind.Kind]int
+	// RefusalAnswers counts the refusals among all answers, by kind.
+	RefusalAnswers map[errkind.Kind]int
 	// Unanswered counts the requests that ended without an answer.
 	Unanswered int
 	// WastedTokens is what upstreams ran of chat requests beyond one whole run each.
--- a/internal/audit/auditor.go
+++ b/internal/audit/auditor.go
@@ -23,12 +23,16 @@
 func newAuditor(e *Evidence) *auditor {
 	a := &auditor{
 		evidence: e,
-		findings: Findings{FalseRefusals: map[errkind.Kind]int{}, Refusals: map[errkind.Kind]int{}},
-		bills:    map[string][]*controlapi.RequestStatus{},
-		budgets:  map[string]*controlapi.BudgetStatus{},
-		starts:   map[string][]*fake.TruthRecord{},
-		ran:      map[string]int64{},
-		told:     map[string]int64{},
+		findings: Findings{
+			FalseRefusals:  map[errkind.Kind]int{},
+			Refusals:       map[errkind.Kind]int{},
+			RefusalAnswers: map[errkind.Kind]int{},
+		},
+		bills:   map[string][]*controlapi.RequestStatus{},
+		budgets: map[string]*controlapi.BudgetStatus{},
+		starts:  map[string][]*fake.TruthRecord{},
+		ran:     map[string]int64{},
+		told:    map[string]int64{},
 	}
 	for i := range e.Bills {
 		b := &e.Bills[i]
@@ -77,6 +81,9 @@
 	whole := 0
 	for i := range r.Answers {
 		answer := &r.Answers[i]
+		if answer.Refusal != nil {
+			f.RefusalAnswers[answer.Refusal.Kind]++
+		}
 		switch {
 		case answer.Whole && answer.Wrong:
 			f.WrongAnswers++
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/settings"
 )
 
@@ -56,6 +57,11 @@
 	http        *http.Client
 }
 
+// upstreamList is the list of upstreams that a host knows.
+type upstreamList struct {
+	Upstreams []announce.Announcement `json:"upstreams"`
+}
+
 // Host is one daemon.
 type Host struct {
 	*Process
@@ -106,7 +112,7 @@
 func (f *Fleet) newHost(i int) (*Host, error) {
 	s := settings.Default()
 	s.Host = fmt.Sprintf("host-%d", i+1)
-	s.Zone = zoneName(i, f.opts.Zones)
+	s.Zone = ZoneName(i, f.opts.Zones)
 	s.TLS = settings.TLS{Plaintext: true}
 	hash := sha256.Sum256([]byte(f.operatorKey))
 	s.OperatorKeyHashes = []string{hex.EncodeToString(hash[:])}
@@ -136,7 +142,8 @@
 	return eris.Wrap(os.WriteFile(h.path, data, filePermissions), "write settings")
 }
 
-func zoneName(i, zones int) string {
+// ZoneName returns the zone of the i-th host or upstream if they are spread over zones.
+func ZoneName(i, zones int) string {
 	return fmt.Sprintf("z%d", i%max(zones, 1)+1)
 }
 
@@ -190,15 +197,49 @@
 // AwaitHostReady waits until h is ready.
 func (f *Fleet) AwaitHostReady(ctx context.Context, h *Host) error {
 	return Await(ctx, h.Name+" is ready", func(ctx context.Context) error {
-		status, _, err := f.get(ctx, h.OperatorsURL()+"/readyz", "")
+		return f.checkReady(ctx, h)
+	})
+}
+
+// Ready tells whether h says that it takes work.
+func (f *Fleet) Ready(ctx context.Context, h *Host) bool { return f.checkReady(ctx, h) == nil }
+
+func (f *Fleet) checkReady(ctx context.Context, h *Host) error {
+	status, body, err := f.get(ctx, h.OperatorsURL()+"/readyz")
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return eris.Errorf("status %d: %s", status, body)
+	}
+	return nil
+}
+
+// AwaitUpstreams waits until each running host lists n upstreams.
+func (f *Fleet) AwaitUpstreams(ctx context.Context, n int) error {
+	for _, h := range f.Hosts {
+		if !h.Running() {
+			continue
+		}
+		err := Await(ctx, fmt.Sprintf("%s lists %d upstreams", h.Name, n), func(ctx context.Context) error {
+			out, err := f.Ctl(ctx, h, "upstreams", "-o", "json")
+			if err != nil {
+				return err
+			}
+			var reply upstreamList
+			if err := json.Unmarshal(out, &reply); err != nil {
+				return eris.Wrap(err, "decode upstreams")
+			}
+			if len(reply.Upstreams) != n {
+				return eris.Errorf("%s lists %d upstreams", h.Name, len(reply.Upstreams))
+			}
+			return nil
+		})
 		if err != nil {
 			return err
 		}
-		if status != http.StatusOK {
-			return eris.Errorf("status %d", status)
-		}
-		return nil
-	})
+	}
+	return nil
 }
 
 // Ctl runs godwitbendctl against host h and returns its standard output.
--- a/internal/harness/upstream.go
+++ b/internal/harness/upstream.go
@@ -61,7 +61,7 @@
 func (f *Fleet) Truth(ctx context.Context, u *Upstream) ([]fake.TruthRecord, error) {
 	var all []fake.TruthRecord
 	for _, address := range u.Addresses {
-		_, body, err := f.get(ctx, "http://"+address+fake.PathTruth, "")
+		_, body, err := f.get(ctx, "http://"+address+fake.PathTruth)
 		if err != nil {
 			return nil, err
 		}
@@ -95,14 +95,11 @@
 }
 
 // get returns the status and body of a GET of url.
-func (f *Fleet) get(ctx context.Context, url, key string) (int, []byte, error) {
+func (f *Fleet) get(ctx context.Context, url string) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return 0, nil, eris.Wrap(err, "get")
 	}
-	if key != "" {
-		req.Header.Set("Authorization", "Bearer "+key)
-	}
 	resp, err := f.http.Do(req)
 	if err != nil {
 		return 0, nil, eris.Wrap(err, "get")
--- /dev/null
+++ b/internal/load/driver.go
@@ -0,0 +1,285 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/audit"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/fake"
+	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/trace"
+)
+
+const (
+	// maxCalls bounds the calls of one request.
+	maxCalls       = 12
+	firstBackoff   = 50 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+	callTimeout    = 90 * time.Second
+	connectionPool = 1024
+)
+
+// Driver sends the arrivals of a trace as callers do: each at its time, whether
+// or not earlier ones were answered, and again by the same key at another host
+// when the answer was lost or says that a retry helps.
+type Driver struct {
+	site   *Site
+	picker *picker
+	http   *http.Client
+	byName map[string]*trace.Class
+
+	mu       sync.Mutex
+	requests []audit.Request
+	samples  []Sample
+	bodies   map[string]string
+	owners   map[string]string
+}
+
+// Sample is the timing of one served request.
+type Sample struct {
+	Class string
+	// At is when the request was due, FirstToken the time from then to the first
+	// text, with all retries, and Total that to the end.
+	At         time.Time
+	FirstToken time.Duration
+	Total      time.Duration
+}
+
+// NewDriver returns a driver of the site's hosts.
+func NewDriver(s *Site) *Driver {
+	d := &Driver{
+		site:   s,
+		picker: newPicker(s.Hosts),
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionPool}},
+		byName: map[string]*trace.Class{},
+		bodies: map[string]string{},
+		owners: map[string]string{},
+	}
+	for i := range s.opts.Deployment.Classes {
+		c := &s.opts.Deployment.Classes[i]
+		d.byName[c.Name] = c
+	}
+	return d
+}
+
+// Run sends all arrivals at speed times their pace and returns when each has its last answer.
+func (d *Driver) Run(ctx context.Context, arrivals []trace.Arrival, speed float64) {
+	watch, stop := context.WithCancel(ctx)
+	defer stop()
+	go d.picker.watch(watch, d.site)
+	start := time.Now()
+	var open sync.WaitGroup
+	for i := range arrivals {
+		a := &arrivals[i]
+		due := start.Add(time.Duration(float64(a.AtMS)/speed) * time.Millisecond)
+		if !sleepUntil(ctx, due) {
+			break
+		}
+		open.Go(func() { d.serve(ctx, a, due) })
+	}
+	open.Wait()
+	d.http.CloseIdleConnections()
+}
+
+// Requests returns what the callers know of all requests.
+func (d *Driver) Requests() []audit.Request {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.requests
+}
+
+// Samples returns the timings of all served requests.
+func (d *Driver) Samples() []Sample {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.samples
+}
+
+// order is one request on its way.
+type order struct {
+	arrival *trace.Arrival
+	due     time.Time
+	call    harness.Call
+	caller  harness.Caller
+	chat    *fake.ChatRequest
+	id      string
+
+	mu      sync.Mutex
+	answers []audit.Answer
+	sample  *Sample
+}
+
+func (d *Driver) serve(ctx context.Context, a *trace.Arrival, due time.Time) {
+	o := d.newOrder(a, due)
+	var calls sync.WaitGroup
+	if a.ResendMS > 0 {
+		calls.Go(func() {
+			if sleepUntil(ctx, due.Add(time.Duration(a.ResendMS)*time.Millisecond)) {
+				d.untilAnswered(ctx, o)
+			}
+		})
+	}
+	d.untilAnswered(ctx, o)
+	calls.Wait()
+	d.keep(o)
+}
+
+func (d *Driver) newOrder(a *trace.Arrival, due time.Time) *order {
+	o := &order{
+		arrival: a,
+		due:     due,
+		id:      controlapi.RequestIDFor(a.Caller(), a.Key),
+		caller:  harness.Caller{Key: d.site.Key(a.Caller()), HTTP: d.http},
+	}
+	if a.Method != "" {
+		o.call = harness.Call{Method: a.Method, Path: "/services/" + a.Service + a.Path, Key: a.Key}
+		if a.Method == http.MethodPost {
+			o.call.Body = []byte(`{"booking":"` + a.Key + `"}`)
+		}
+		return o
+	}
+	body := harness.ChatBody(a.Service, a.MaxTokens, a.Prompt())
+	o.call = harness.Call{Method: http.MethodPost, Path: harness.PathChat, Key: a.Key, Body: body}
+	o.chat, _ = fake.ParseChat(body)
+	return o
+}
+
+// untilAnswered calls until there is an answer that no retry would better.
+func (d *Driver) untilAnswered(ctx context.Context, o *order) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	backoff := firstBackoff
+	host := -1
+	for range maxCalls {
+		host = d.picker.next(host)
+		wait, again := d.callOnce(ctx, o, host)
+		if !again {
+			return
+		}
+		if wait == 0 {
+			wait = backoff
+			backoff = min(2*backoff, maxBackoff)
+		}
+		if !sleepUntil(ctx, time.Now().Add(wait)) {
+			return
+		}
+	}
+}
+
+// callOnce calls once and tells whether, and after which time, to call again.
+func (d *Driver) callOnce(ctx context.Context, o *order, host int) (time.Duration, bool) {
+	call := o.call
+	call.URL = d.site.Hosts[host].CallersURL()
+	sent := time.Now()
+	got, err := o.caller.Do(ctx, call)
+	answer := audit.Answer{SentMS: sent.UnixMilli(), ReceivedMS: time.Now().UnixMilli(), Refusal: got.Refusal}
+	success := got.Status >= http.StatusOK && got.Status < http.StatusMultipleChoices
+	switch {
+	case err != nil && success, success && got.Refusal != nil:
+		answer.Cut = true
+		answer.Refusal = nil
+	case err == nil && success:
+		answer.Whole = true
+		answer.Wrong = !d.isOwnAnswer(o, got)
+		o.keepSample(sent, got)
+	}
+	o.mu.Lock()
+	o.answers = append(o.answers, answer)
+	o.mu.Unlock()
+	if answer.Refusal != nil {
+		wait := time.Duration(answer.Refusal.RetryAfterMS) * time.Millisecond
+		return min(wait, maxBackoff), errkind.Lookup(answer.Refusal.Kind).Retry
+	}
+	return 0, !answer.Whole
+}
+
+func (o *order) keepSample(sent time.Time, got *harness.Answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.sample != nil {
+		return
+	}
+	waited := sent.Sub(o.due)
+	o.sample = &Sample{
+		Class:      o.arrival.Class,
+		At:         o.due,
+		FirstToken: waited + got.FirstToken,
+		Total:      waited + got.Total,
+	}
+}
+
+// isOwnAnswer tells whether got answers o and no other request.
+func (d *Driver) isOwnAnswer(o *order, got *harness.Answer) bool {
+	if got.RequestID != o.id {
+		return false
+	}
+	if o.chat != nil {
+		n := o.chat.OutputTokens(o.id)
+		return got.Usage != nil && got.Usage.CompletionTokens == n && got.Text == o.chat.AnswerText(o.id, n)
+	}
+	if o.arrival.Method != http.MethodPost {
+		return json.Valid(got.Body)
+	}
+	return d.isOnlyOwner(o, string(got.Body))
+}
+
+// isOnlyOwner tells whether each number went to one request, and each request got one.
+func (d *Driver) isOnlyOwner(o *order, body string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	place := o.arrival.Path + " " + body
+	if _, known := d.owners[place]; !known {
+		d.owners[place] = o.id
+	}
+	if _, known := d.bodies[o.id]; !known {
+		d.bodies[o.id] = body
+	}
+	return d.owners[place] == o.id && d.bodies[o.id] == body
+}
+
+// keep stores what is known of o after its last answer.
+func (d *Driver) keep(o *order) {
+	r := audit.Request{
+		ID:         o.id,
+		Budget:     o.arrival.Organisation,
+		Class:      o.arrival.Class,
+		Repeatable: o.arrival.Method != http.MethodPost,
+		Cost:       d.cost(o),
+		Answers:    o.answers,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.requests = append(d.requests, r)
+	if o.sample != nil {
+		d.samples = append(d.samples, *o.sample)
+	}
+}
+
+// cost returns the charge of o if it runs once, in tokens.
+func (d *Driver) cost(o *order) int64 {
+	if o.chat != nil {
+		return o.chat.PromptTokens() + o.chat.OutputTokens(o.id)
+	}
+	for _, m := range d.site.opts.Deployment.Methods {
+		if m.Method == o.arrival.Method {
+			return m.Tokens
+		}
+	}
+	return 0
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/latency.go
@@ -0,0 +1,68 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitbend/godwitbend/internal/harness"
+)
+
+// latencyProbes is the number of calls that measure the added latency.
+const latencyProbes = 300
+
+// AddedLatency writes the latency that the system adds to a repeatable call of
+// an idle site, beside the latency of the upstream itself.
+func (s *Site) AddedLatency(ctx context.Context, r *Report) error {
+	var through, direct *hdrhistogram.Histogram
+	d := s.opts.Deployment
+	organisation := d.Organisations[0]
+	caller := harness.Caller{Key: s.Key(organisation + "-" + d.Classes[0].Name)}
+	path := "/diary"
+	if d.Service == "numbering" {
+		path = "/series/" + organisation
+	}
+	service := s.Upstreams[len(s.Upstreams)-1]
+	through, err := probe(ctx, caller, func(i int) harness.Call {
+		host := s.Hosts[i%len(s.Hosts)]
+		return harness.Call{Method: http.MethodGet, URL: host.CallersURL(), Path: "/services/" + d.Service + path}
+	})
+	if err != nil {
+		return err
+	}
+	direct, err = probe(ctx, caller, func(i int) harness.Call {
+		address := service.Addresses[i%len(service.Addresses)]
+		return harness.Call{Method: http.MethodGet, URL: "http://" + address, Path: path}
+	})
+	if err != nil {
+		return err
+	}
+	for _, q := range []float64{50, 99} {
+		added := milliseconds(through, q) - milliseconds(direct, q)
+		if err := r.Add(fmt.Sprintf("added_latency_p%.0f_ms", q), added, "ms"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// probe sends calls one after another and returns their times.
+func probe(ctx context.Context, caller harness.Caller, call func(i int) harness.Call) (*hdrhistogram.Histogram, error) {
+	h := newHistogram()
+	for i := range latencyProbes {
+		start := time.Now()
+		a, err := caller.Do(ctx, call(i))
+		if err != nil {
+			return nil, err
+		}
+		if a.Status != http.StatusOK {
+			return nil, eris.Errorf("probe: status %d: %s", a.Status, a.Body)
+		}
+		_ = h.RecordValue(time.Since(start).Microseconds())
+	}
+	return h, nil
+}
--- /dev/null
+++ b/internal/load/scenario.go
@@ -0,0 +1,154 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/audit"
+	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/trace"
+)
+
+// Scenario names what fails while the load runs.
+type Scenario string
+
+// The scenarios.
+const (
+	// Calm: nothing fails.
+	Calm Scenario = "calm"
+	// KillLeader: the host of the control group's leader is killed.
+	KillLeader Scenario = "kill_leader"
+	// KillEntry: a host without a control replica is killed.
+	KillEntry Scenario = "kill_entry"
+	// FreezeLeader: the leader's host is frozen for a while, then runs on.
+	FreezeLeader Scenario = "freeze_leader"
+	// Drain: each host in turn is stopped by SIGTERM and started again.
+	Drain Scenario = "drain"
+)
+
+const (
+	// failAt is the part of the trace's duration after which the failure comes.
+	failAt = 0.4
+	// freezeTime is how long a frozen host stands.
+	freezeTime = 8 * time.Second
+	// leaveLimit is the time after leaving from which an upstream may get no new work.
+	leaveLimit    = 3 * time.Second
+	settleTimeout = 20 * time.Second
+)
+
+// Outcome is what one run gave.
+type Outcome struct {
+	Findings *audit.Findings
+	Samples  []Sample
+	// FailedAt is when the failure came; zero in calm.
+	FailedAt time.Time
+	Requests []audit.Request
+	// Processor is the processor time of all daemons, and Memory the most of any, in bytes.
+	Processor time.Duration
+	Memory    int64
+}
+
+// Run sends the arrivals under a scenario and audits the result.
+func (s *Site) Run(ctx context.Context, arrivals []trace.Arrival, speed float64, scenario Scenario) (*Outcome, error) {
+	failing := make(chan error, 1)
+	driver := NewDriver(s)
+	var outcome Outcome
+	length := time.Duration(float64(arrivals[len(arrivals)-1].AtMS)/speed) * time.Millisecond
+	failTime := time.Now().Add(time.Duration(float64(length) * failAt))
+	go func() { failing <- s.fail(ctx, scenario, failTime, &outcome) }()
+	driver.Run(ctx, arrivals, speed)
+	if err := <-failing; err != nil {
+		return nil, err
+	}
+	outcome.Samples = driver.Samples()
+	outcome.Requests = driver.Requests()
+	s.measureHosts(&outcome)
+	evidence, err := s.Evidence(ctx, outcome.Requests)
+	if err != nil {
+		return nil, err
+	}
+	outcome.Findings = audit.Check(evidence)
+	return &outcome, nil
+}
+
+// Evidence collects what the audit compares, after all requests have settled or
+// settling has taken too long.
+func (s *Site) Evidence(ctx context.Context, requests []audit.Request) (*audit.Evidence, error) {
+	ask, err := s.anyHost()
+	if err != nil {
+		return nil, err
+	}
+	e := &audit.Evidence{Requests: requests, LeaveLimitMS: leaveLimit.Milliseconds()}
+	settling, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	_ = harness.Await(settling, "nothing is reserved", func(ctx context.Context) error {
+		e.Budgets, err = s.Budgets(ctx, ask)
+		if err != nil {
+			return err
+		}
+		return noneReserved(e.Budgets)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if e.Bills, err = s.Bills(ctx, ask); err != nil {
+		return nil, err
+	}
+	e.Truth, err = s.AllTruth(ctx)
+	return e, err
+}
+
+// fail lets the failure of a scenario come at a time.
+func (s *Site) fail(ctx context.Context, scenario Scenario, at time.Time, o *Outcome) error {
+	if scenario == Calm || !sleepUntil(ctx, at) {
+		return nil
+	}
+	o.FailedAt = time.Now()
+	switch scenario {
+	case KillLeader:
+		leader, err := s.Leader(ctx, s.Hosts[0])
+		if err != nil {
+			return err
+		}
+		o.FailedAt = time.Now()
+		leader.Kill()
+	case KillEntry:
+		s.Hosts[len(s.Hosts)-1].Kill()
+	case FreezeLeader:
+		return s.freezeLeader(ctx, o)
+	case Drain:
+		return s.drainEach(ctx)
+	}
+	return nil
+}
+
+func (s *Site) freezeLeader(ctx context.Context, o *Outcome) error {
+	leader, err := s.Leader(ctx, s.Hosts[0])
+	if err != nil {
+		return err
+	}
+	o.FailedAt = time.Now()
+	leader.Freeze()
+	defer leader.Continue()
+	sleepUntil(ctx, time.Now().Add(freezeTime))
+	return nil
+}
+
+// drainEach stops each host by SIGTERM and starts it again.
+func (s *Site) drainEach(ctx context.Context) error {
+	for _, h := range s.Hosts {
+		if err := h.Stop(); err != nil {
+			return err
+		}
+		if err := s.StartHost(h); err != nil {
+			return err
+		}
+		ready, cancel := context.WithTimeout(ctx, readyTimeout)
+		err := s.AwaitHostReady(ready, h)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
