Add the operators' HTTP API

Cause: operators drive the system by records, top-ups and queries over HTTP/JSON. Ruled out: generated operation ids on the server, because a change whose answer is lost could then not be sent again safely; operation_id is required. A change that the control group does not confirm is answered with outcome unknown, never not_run.

--- /dev/null
+++ b/internal/operatorapi/encoding.go
@@ -0,0 +1,117 @@
+package operatorapi
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+// Bounds of the input.
+const (
+	maxBodyBytes        = 4 << 20
+	maxWrites           = 1000
+	maxNameBytes        = 253
+	maxOperationIDBytes = 128
+)
+
+// conflictError is a conflict with the record that won.
+type conflictError struct {
+	cause  *errkind.Error
+	winner *config.Record
+}
+
+// Error implements error.
+func (e *conflictError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the listed error.
+func (e *conflictError) Unwrap() error { return e.cause }
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		klog.ErrorS(err, "answer to an operator not encoded")
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	listed := errkind.From(err)
+	row := errkind.Lookup(listed.Kind)
+	body := ErrorReply{Error: ErrorBody{
+		Kind:         listed.Kind,
+		Message:      listed.Message,
+		Outcome:      listed.Outcome(),
+		Retry:        row.Retry,
+		RetryAfterMS: listed.RetryAfterMS,
+	}}
+	var conflict *conflictError
+	if errors.As(err, &conflict) {
+		body.Winner = conflict.winner
+	}
+	if listed.RetryAfterMS > 0 {
+		wait := time.Duration(listed.RetryAfterMS) * time.Millisecond
+		seconds := int64((wait + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	writeJSON(w, row.Status, body)
+}
+
+// decode reads the JSON body of a call, of known fields only, into v.
+func decode(r *call, v any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(r.writer, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(v)
+	if err == nil {
+		_, err = decoder.Token()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("text behind the JSON value")
+		}
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return errkind.New(errkind.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	}
+	return errkind.New(errkind.InvalidRequest, "body: %v", err)
+}
+
+func checkName(name string) error {
+	if name == "" || len(name) > maxNameBytes {
+		return errkind.New(errkind.InvalidRequest, "a name has 1 to %d bytes", maxNameBytes)
+	}
+	return nil
+}
+
+func checkOperationID(id string) error {
+	if id == "" || len(id) > maxOperationIDBytes {
+		return errkind.New(errkind.InvalidRequest, "operation_id has 1 to %d bytes", maxOperationIDBytes)
+	}
+	return nil
+}
+
+// queryNumber returns a whole number of the query string, or nil if it is absent.
+func queryNumber(r *call, name string) (*uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return nil, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "%s: %q is no whole number", name, text)
+	}
+	return &n, nil
+}
--- /dev/null
+++ b/internal/operatorapi/records.go
@@ -0,0 +1,183 @@
+package operatorapi
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+// allKinds asks for the records of all kinds.
+const allKinds config.Kind = "*"
+
+func (s *server) listRecords(kind config.Kind) func(*call) (*reply, error) {
+	return func(r *call) (*reply, error) {
+		found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Records: kind})
+		if err != nil {
+			return nil, err
+		}
+		return ok(RecordsReply{Revision: found.Revision, Records: orEmpty(found.Records)}), nil
+	}
+}
+
+func (s *server) getRecord(kind config.Kind) func(*call) (*reply, error) {
+	return func(r *call) (*reply, error) {
+		name := r.PathValue("name")
+		if err := checkName(name); err != nil {
+			return nil, err
+		}
+		found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Records: kind, Name: name})
+		if err != nil {
+			return nil, err
+		}
+		if len(found.Records) == 0 {
+			return nil, errkind.New(errkind.NotFound, "no %s %q", kind, name)
+		}
+		return ok(found.Records[0]), nil
+	}
+}
+
+func (s *server) putRecord(kind config.Kind) func(*call) (*reply, error) {
+	return func(r *call) (*reply, error) {
+		var put PutRequest
+		if err := decode(r, &put); err != nil {
+			return nil, err
+		}
+		write := Write{
+			Record: config.Record{
+				Kind: kind, Name: r.PathValue("name"), SchemaVersion: put.SchemaVersion, Spec: put.Spec,
+			},
+			IfRevision: put.IfRevision,
+		}
+		return s.configure(r, &ApplyRequest{OperationID: put.OperationID, Writes: []Write{write}})
+	}
+}
+
+func (s *server) deleteRecord(kind config.Kind) func(*call) (*reply, error) {
+	return func(r *call) (*reply, error) {
+		ifRevision, err := queryNumber(r, "if_revision")
+		if err != nil {
+			return nil, err
+		}
+		write := Write{
+			Record:     config.Record{Kind: kind, Name: r.PathValue("name"), Deleted: true},
+			IfRevision: ifRevision,
+		}
+		id := r.URL.Query().Get("operation_id")
+		return s.configure(r, &ApplyRequest{OperationID: id, Writes: []Write{write}})
+	}
+}
+
+func (s *server) apply(r *call) (*reply, error) {
+	var request ApplyRequest
+	if err := decode(r, &request); err != nil {
+		return nil, err
+	}
+	return s.configure(r, &request)
+}
+
+// configure writes records and tells whether they are in force.
+func (s *server) configure(r *call, request *ApplyRequest) (*reply, error) {
+	if err := checkApply(request); err != nil {
+		return nil, err
+	}
+	command := &controlapi.ConfigureRequest{OperationID: request.OperationID, Operator: r.operator}
+	for _, w := range request.Writes {
+		write := controlapi.ConfigWrite{Record: w.Record, Force: w.IfRevision == nil}
+		if w.IfRevision != nil {
+			write.IfRevision = *w.IfRevision
+		}
+		command.Writes = append(command.Writes, write)
+	}
+	result, err := s.execute(r.Context(), &controlapi.Command{Configure: command})
+	if err != nil {
+		return nil, err
+	}
+	return changeReply(request.OperationID, result.Configure)
+}
+
+func changeReply(operationID string, done *controlapi.ConfigureReply) (*reply, error) {
+	if done == nil {
+		return nil, errkind.New(errkind.Internal, "the control group gave no result")
+	}
+	body := ChangeReply{
+		State: StateAccepted, OperationID: operationID, Revision: done.Revision, Records: done.Records,
+	}
+	if done.Accepted {
+		return ok(body), nil
+	}
+	body.State = StatePending
+	return &reply{status: http.StatusAccepted, body: body}, nil
+}
+
+func checkApply(request *ApplyRequest) error {
+	if err := checkOperationID(request.OperationID); err != nil {
+		return err
+	}
+	if n := len(request.Writes); n == 0 || n > maxWrites {
+		return errkind.New(errkind.InvalidRequest, "a change has 1 to %d records, not %d", maxWrites, n)
+	}
+	for _, w := range request.Writes {
+		if err := checkName(w.Record.Name); err != nil {
+			return err
+		}
+		if _, known := plurals[w.Record.Kind]; !known {
+			return errkind.New(errkind.InvalidRequest, "unknown kind of record %q", w.Record.Kind)
+		}
+		if !w.Record.Deleted && len(w.Record.Spec) == 0 {
+			return errkind.New(errkind.InvalidRequest, "%s %q has no spec", w.Record.Kind, w.Record.Name)
+		}
+	}
+	return nil
+}
+
+// execute runs a change. If it is not known to be committed, the error says that
+// its outcome is unknown: the operator sends it again with its operation id.
+func (s *server) execute(ctx context.Context, command *controlapi.Command) (*controlapi.Result, error) {
+	result, err := s.Control.Execute(ctx, command)
+	if err != nil {
+		return nil, errkind.From(listed(ctx, err)).WithOutcome(errkind.Unknown)
+	}
+	if result.Err == nil {
+		return result, nil
+	}
+	if result.Err.Kind == errkind.Conflict && result.Configure != nil {
+		return nil, &conflictError{cause: result.Err, winner: result.Configure.Winner}
+	}
+	return nil, result.Err
+}
+
+// topUp pays into a budget. It only widens what callers may do, so it waits for no host.
+func (s *server) topUp(r *call) (*reply, error) {
+	var request TopUpRequest
+	if err := decode(r, &request); err != nil {
+		return nil, err
+	}
+	name := r.PathValue("name")
+	if err := checkName(name); err != nil {
+		return nil, err
+	}
+	if err := checkOperationID(request.OperationID); err != nil {
+		return nil, err
+	}
+	if request.Tokens <= 0 {
+		return nil, errkind.New(errkind.InvalidRequest, "tokens must be 1 or more, not %d", request.Tokens)
+	}
+	result, err := s.execute(r.Context(), &controlapi.Command{TopUp: &controlapi.TopUpRequest{
+		OperationID: request.OperationID, Budget: name, Tokens: request.Tokens, Operator: r.operator,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return ok(result.Budget), nil
+}
+
+// orEmpty makes a list without items encode as an empty array.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/operatorapi/state.go
@@ -0,0 +1,136 @@
+package operatorapi
+
+import (
+	"github.com/google/uuid"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+func (s *server) usage(r *call) (*reply, error) {
+	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{
+		Budgets: true, Organisation: r.URL.Query().Get("organisation"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return ok(UsageReply{Budgets: orEmpty(found.Budgets)}), nil
+}
+
+func (s *server) requests(r *call) (*reply, error) {
+	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{
+		Requests: true, Organisation: r.URL.Query().Get("organisation"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return ok(RequestsReply{Requests: orEmpty(found.Requests)}), nil
+}
+
+func (s *server) request(r *call) (*reply, error) {
+	id := r.PathValue("id")
+	if err := checkName(id); err != nil {
+		return nil, err
+	}
+	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Request: id})
+	if err != nil {
+		return nil, err
+	}
+	if len(found.Requests) == 0 {
+		return nil, errkind.New(errkind.NotFound, "no request %q", id)
+	}
+	return ok(found.Requests[0]), nil
+}
+
+func (s *server) hosts(r *call) (*reply, error) {
+	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Hosts: true})
+	if err != nil {
+		return nil, err
+	}
+	return ok(HostsReply{Hosts: orEmpty(found.Hosts)}), nil
+}
+
+func (s *server) replicas(r *call) (*reply, error) {
+	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Replicas: true})
+	if err != nil {
+		return nil, err
+	}
+	return ok(ReplicasReply{Replicas: orEmpty(found.Replicas)}), nil
+}
+
+func (s *server) history(r *call) (*reply, error) {
+	query := &controlapi.QueryRequest{History: true}
+	after, err := queryNumber(r, "after")
+	if err != nil {
+		return nil, err
+	}
+	if after != nil {
+		query.HistoryMin = *after
+	}
+	found, err := s.Control.Query(r.Context(), query)
+	if err != nil {
+		return nil, err
+	}
+	return ok(HistoryReply{History: orEmpty(found.History)}), nil
+}
+
+func (s *server) status(r *call) (*reply, error) {
+	hosts, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Hosts: true})
+	if err != nil {
+		return nil, err
+	}
+	replicas, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Replicas: true})
+	if err != nil {
+		return nil, err
+	}
+	status := StatusReply{
+		Host:         s.Host,
+		Revision:     hosts.Revision,
+		ActiveSchema: hosts.Schema,
+		Hosts:        orEmpty(hosts.Hosts),
+		Replicas:     orEmpty(replicas.Replicas),
+	}
+	if s.Ready != nil {
+		if reason := s.Ready(); reason != nil {
+			status.NotReady = reason.Error()
+		}
+	}
+	return ok(status), nil
+}
+
+func (s *server) upstreams(*call) (*reply, error) {
+	if s.Upstreams == nil {
+		return ok(UpstreamsReply{Upstreams: []struct{}{}}), nil
+	}
+	return ok(UpstreamsReply{Upstreams: s.Upstreams()}), nil
+}
+
+// order passes an order on. An order without an id gets one.
+func (s *server) order(r *call) (*reply, error) {
+	var request OrderRequest
+	if err := decode(r, &request); err != nil {
+		return nil, err
+	}
+	if err := checkName(request.Upstream); err != nil {
+		return nil, err
+	}
+	switch request.Order.Action {
+	case "load", "unload", "role":
+	default:
+		return nil, errkind.New(errkind.InvalidRequest, "unknown action %q", request.Order.Action)
+	}
+	if request.Order.FencingNumber != 0 {
+		return nil, errkind.New(errkind.InvalidRequest, "the control group sets the fencing number")
+	}
+	if request.Order.ID == "" {
+		request.Order.ID = uuid.NewString()
+	}
+	if s.Order == nil {
+		return nil, errkind.New(errkind.NoUpstream, "this host passes no orders on")
+	}
+	done, err := s.Order(r.Context(), &request)
+	if err != nil {
+		return nil, err
+	}
+	return ok(done), nil
+}
