Add the operators' command-line tool

Cause: operators drive the fleet from scripts and by hand; a change whose answer is lost, or that is still pending, must be safe to send again. A record is read before it is written, so that fields of later schema versions survive and a racing change is seen. Ruled out: forced writes, and keys made by the server; only a key's hash is sent. Found on the way: kingpin hands a lone "-" on as an empty value; apply -f - has a test.

--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,175 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
+)
+
+// Waits between two tries, and the bound of one answer's size.
+const (
+	firstPause     = 100 * time.Millisecond
+	longestPause   = time.Second
+	maxAnswerBytes = 64 << 20
+)
+
+// attemptTimeout bounds one try, so that a silent server leaves time for the next one.
+const attemptTimeout = 5 * time.Second
+
+// client sends calls to the first server that answers.
+type client struct {
+	http    *http.Client
+	servers []string
+	key     string
+	next    int
+}
+
+func (c *command) client() (*client, error) {
+	if c.keyFile == "" {
+		return nil, &failure{code: exitUnauthorised, text: "error: --key-file is required"}
+	}
+	data, err := os.ReadFile(c.keyFile)
+	if err != nil {
+		return nil, err
+	}
+	cl := &client{http: &http.Client{Transport: c.Transport}, key: strings.TrimSpace(string(data))}
+	for _, list := range c.servers {
+		for _, server := range strings.Split(list, ",") {
+			cl.servers = append(cl.servers, baseURL(strings.TrimSpace(server)))
+		}
+	}
+	return cl, nil
+}
+
+func baseURL(server string) string {
+	if !strings.Contains(server, "://") {
+		server = "http://" + server
+	}
+	return strings.TrimSuffix(server, "/")
+}
+
+// call sends a request until a server gives a final answer or ctx ends. The request
+// must be safe to send again. A success is decoded into reply.
+func (cl *client) call(ctx context.Context, method, path string, body, reply any) error {
+	data, err := encodeBody(body)
+	if err != nil {
+		return err
+	}
+	var last error
+	for pause := firstPause; ; pause = min(2*pause, longestPause) {
+		for range cl.servers {
+			final, err := cl.try(ctx, method, path, data, reply)
+			if final {
+				return err
+			}
+			if last == nil || ctx.Err() == nil {
+				last = err
+			}
+			cl.next++
+		}
+		if !sleep(ctx, pause) {
+			return last
+		}
+	}
+}
+
+func encodeBody(body any) ([]byte, error) {
+	if body == nil {
+		return nil, nil
+	}
+	return json.Marshal(body)
+}
+
+// try sends a request once. The result is final unless another try may do better.
+func (cl *client) try(ctx context.Context, method, path string, body []byte, reply any) (final bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	server := cl.servers[cl.next%len(cl.servers)]
+	request, err := http.NewRequestWithContext(ctx, method, server+path, bytes.NewReader(body))
+	if err != nil {
+		return true, invalid("--server: %v", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+cl.key)
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := cl.http.Do(request)
+	if err != nil {
+		return false, noAnswer(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return false, noAnswer(err)
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		return true, json.Unmarshal(data, reply)
+	}
+	return decodeRefusal(response.StatusCode, data)
+}
+
+func noAnswer(err error) *failure {
+	return &failure{code: exitUnavailable, text: fmt.Sprintf("no answer: %v", err)}
+}
+
+// decodeRefusal reads an answer that is no success. One that is not of the API, such
+// as a balancer's, is final only if it blames the request.
+func decodeRefusal(status int, data []byte) (final bool, err error) {
+	var refused operatorapi.ErrorReply
+	if err := json.Unmarshal(data, &refused); err == nil && refused.Error.Kind != "" {
+		return !refused.Error.Retry, refusal(&refused)
+	}
+	text := fmt.Sprintf("answer %d is not of the operators' API: %.200s", status, data)
+	if status >= http.StatusInternalServerError {
+		return false, &failure{code: exitUnavailable, text: text}
+	}
+	return true, &failure{code: exitFailure, text: "error: " + text}
+}
+
+// change sends a change and, while it is pending, sends it again until it is
+// accepted or ctx ends. Both ends are successes that reply tells apart.
+func (cl *client) change(ctx context.Context, method, path string, body any, wait bool) (*operatorapi.ChangeReply, error) {
+	var pending *operatorapi.ChangeReply
+	for pause := firstPause; ; pause = min(2*pause, longestPause) {
+		var reply operatorapi.ChangeReply
+		err := cl.call(ctx, method, path, body, &reply)
+		switch {
+		case err != nil && pending != nil && isUnavailable(err):
+			return pending, nil
+		case err != nil:
+			return nil, err
+		case reply.State == operatorapi.StateAccepted || !wait:
+			return &reply, nil
+		}
+		pending = &reply
+		if !sleep(ctx, pause) {
+			return pending, nil
+		}
+	}
+}
+
+func isUnavailable(err error) bool {
+	var f *failure
+	return errors.As(err, &f) && f.code == exitUnavailable
+}
+
+// sleep waits for d and tells whether ctx still lives.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,348 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/ctl"
+	"github.com/godwitbend/godwitbend/internal/fakecontrol"
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
+)
+
+const operatorKey = "gwb_operator"
+
+// rig runs the tool against API servers without a network.
+type rig struct {
+	*WithT
+	control *fakecontrol.Control
+	servers map[string]http.Handler
+	calls   int
+	dir     string
+	stdin   string
+	stdout  bytes.Buffer
+	stderr  bytes.Buffer
+	ids     int
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{WithT: NewWithT(t), control: fakecontrol.New(), dir: t.TempDir()}
+	sum := sha256.Sum256([]byte(operatorKey))
+	api := operatorapi.New(operatorapi.Options{
+		Host: "a", Control: r.control, KeyHashes: []string{hex.EncodeToString(sum[:])},
+		Upstreams: func() any {
+			return []announce.Announcement{{
+				ID: "u1", Zone: "z1", Address: "http://127.0.0.9:9000", Kind: announce.KindEngine, State: announce.StateServing,
+				Capacity: 8, InFlight: 2, Services: []announce.ServiceOffer{{Name: "m"}, {Name: "n"}},
+			}}
+		},
+		Order: func(_ context.Context, o *operatorapi.OrderRequest) (*operatorapi.OrderReply, error) {
+			return &operatorapi.OrderReply{OrderID: o.Order.ID, FencingNumber: 3, State: "done"}, nil
+		},
+	})
+	r.servers = map[string]http.Handler{"127.0.0.1:8082": api}
+	r.write("operator.key", operatorKey+"\n")
+	return r
+}
+
+func (r *rig) write(name, text string) string {
+	path := filepath.Join(r.dir, name)
+	r.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+// RoundTrip implements http.RoundTripper.
+func (r *rig) RoundTrip(request *http.Request) (*http.Response, error) {
+	r.calls++
+	server, up := r.servers[request.URL.Host]
+	if !up {
+		return nil, errors.New("connection refused")
+	}
+	w := httptest.NewRecorder()
+	server.ServeHTTP(w, request)
+	return w.Result(), nil
+}
+
+// run runs a command line with the operator's key and returns the exit code.
+func (r *rig) run(args ...string) int {
+	return r.runBare(append([]string{"--key-file", filepath.Join(r.dir, "operator.key")}, args...)...)
+}
+
+func (r *rig) runBare(args ...string) int {
+	r.stdout.Reset()
+	r.stderr.Reset()
+	tool := &ctl.Tool{
+		Stdin: strings.NewReader(r.stdin), Stdout: &r.stdout, Stderr: &r.stderr,
+		Transport: r, Random: bytes.NewReader(make([]byte, 64)),
+		NewID: func() string { r.ids++; return fmt.Sprintf("op-%d", r.ids) },
+	}
+	return tool.Run(context.Background(), args)
+}
+
+func (r *rig) ok(args ...string) string {
+	r.Expect(r.run(args...)).To(Equal(0), r.stderr.String())
+	return r.stdout.String()
+}
+
+func (r *rig) golden(want string, args ...string) {
+	r.Expect(r.ok(args...)).To(Equal(strings.TrimPrefix(want, "\n")), strings.Join(args, " "))
+}
+
+func TestTables(t *testing.T) {
+	r := newRig(t)
+	r.control.Hosts = []controlapi.HostInfo{{Session: "s1", Host: "a", Zone: "z1", Address: "127.0.0.2:1", Revision: 1}}
+	r.control.Replicas = []controlapi.ReplicaStatus{{ID: 1, Address: "127.0.0.2:1", Role: "leader", Term: 3, Applied: 9, Match: 9}}
+	r.control.Requests = []controlapi.RequestStatus{{RequestID: "r1", Organisation: "o", Caller: "c", Service: "m", State: "settled", Attempt: 1, Charged: 7}}
+	r.golden(`
+STATE     REVISION  OPERATION
+accepted  1         op-1
+`, "organisation", "create", "o", "--display-name", "Carvalho")
+	r.golden(`
+STATE     REVISION  OPERATION
+accepted  2         op-2
+KEY (shown once)
+gwb_AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA
+`, "caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b")
+	r.golden(`
+KIND          NAME  REVISION  SCHEMA  SPEC
+organisation  o     1         1       {"display_name":"Carvalho"}
+`, "organisation", "get", "o")
+	r.ok("budget", "create", "b", "--organisation", "o")
+	r.golden(`
+BUDGET  ORGANISATION  PAID IN  CHARGED  RESERVED  GRANTED  FREE
+b                     100      0        0         0        100
+`, "budget", "top-up", "b", "--tokens", "100")
+	r.golden(`
+BUDGET  ORGANISATION  PAID IN  CHARGED  RESERVED  GRANTED  FREE
+b                     100      0        0         0        100
+`, "usage")
+	r.golden(`
+REQUEST  ORGANISATION  CALLER  SERVICE  STATE    ATTEMPT  RESERVED  CHARGED
+r1       o             c       m        settled  1        0         7
+`, "request", "get", "r1")
+	r.golden(`
+UPSTREAM  ZONE  KIND    STATE    IN FLIGHT  QUEUED  CAPACITY  SERVICES  ADDRESS
+u1        z1    engine  serving  2          0       8         m,n       http://127.0.0.9:9000
+`, "upstreams")
+	r.golden(`
+HOST  ZONE  ADDRESS      REVISION  SESSION
+a     z1    127.0.0.2:1  1         s1
+`, "hosts")
+	r.golden(`
+REPLICA  ADDRESS      ROLE    TERM  APPLIED  MATCH
+1        127.0.0.2:1  leader  3     9        9
+`, "replicas")
+	r.golden(`
+ORDER  FENCING NUMBER  STATE
+op-5   3               done
+`, "order", "u1", "--action", "load", "--model", "m")
+	r.golden(`
+answered by    a
+ready          yes
+revision       3
+active schema  1
+leader         replica 1, term 3
+replicas       1
+hosts          1
+hosts behind   1
+`, "status")
+	r.ok("budget", "delete", "b")
+	r.Expect(r.ok("config", "history", "--after", "3")).To(MatchRegexp(
+		`^REVISION  TIME                  KIND    NAME  CHANGE   OPERATOR      OPERATION\n4         1970-01-01T00:00:00Z  budget  b     deleted  key-[0-9a-f]{8}  op-6\n$`))
+}
+
+func TestJSON(t *testing.T) {
+	r := newRig(t)
+	r.golden(`
+{
+  "state": "accepted",
+  "operation_id": "op-1",
+  "revision": 1,
+  "records": [
+    {
+      "kind": "caller",
+      "name": "c",
+      "schema_version": 1,
+      "revision": 1,
+      "spec": {
+        "budget": "b",
+        "class": "k",
+        "key_hash": "08fc0da911a961492d4d764410166e7fcc5feb269c602b71bd6c31a96845b606",
+        "organisation": "o"
+      }
+    }
+  ],
+  "key": "gwb_AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
+}
+`, "-o", "json", "caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b")
+	r.golden("{\n  \"budgets\": []\n}\n", "usage", "-o", "json")
+}
+
+// spec returns the spec of a record as the API holds it.
+func (r *rig) spec(kind, name string) string {
+	var record struct {
+		Spec json.RawMessage `json:"spec"`
+	}
+	r.Expect(json.Unmarshal([]byte(r.ok("-o", "json", kind, "get", name)), &record)).To(Succeed())
+	return string(record.Spec)
+}
+
+func TestSpecsOfEachKind(t *testing.T) {
+	r := newRig(t)
+	for _, c := range []struct{ line, want string }{
+		{"organisation create o --disabled", `{"disabled": true}`},
+		{"class create k --worth 10 --deadline 30s --queue-limit 100", `{"worth": 10, "deadline_ms": 30000, "queue_limit": 100}`},
+		{"policy create p --organisation o --services a,b --upstreams * --zones z1", `{"organisation": "o", "services": ["a", "b"], "upstreams": ["*"], "zones": ["z1"]}`},
+		{"service create m --kind model --max-output-tokens 64", `{"kind": "model", "max_output_tokens": 64}`},
+		{"budget create b --organisation o", `{"organisation": "o"}`},
+	} {
+		args := strings.Fields(c.line)
+		r.ok(args...)
+		r.Expect(r.spec(args[0], args[2])).To(MatchJSON(c.want))
+	}
+	r.ok("service", "create", "numbers", "--kind", "plain", "--method", "POST /series/*/next", "--method", "GET /diary/*,repeatable,tokens=5")
+	r.Expect(r.spec("service", "numbers")).To(MatchJSON(`{"kind": "plain", "methods": [
+		{"method": "POST", "path": "/series/*/next"},
+		{"method": "GET", "path": "/diary/*", "repeatable": true, "tokens": 5}]}`))
+	for _, bad := range []string{"GET", "get /x", "GET x", "GET /x,often", "GET /x,tokens=-1", "GET /x,tokens=y"} {
+		r.Expect(r.run("service", "create", "x", "--kind", "plain", "--method", bad)).To(Equal(2), bad)
+	}
+	r.Expect(r.run("class", "create", "x", "--deadline", "1ns")).To(Equal(2))
+}
+
+func TestApplyKeepsFieldsThatItDoesNotKnow(t *testing.T) {
+	r := newRig(t)
+	r.stdin = `{"kind": "class", "name": "k", "schema_version": 1, "spec": {"worth": 1, "of_later_version": [1]}}`
+	r.ok("apply", "-f", "-")
+	r.ok("class", "apply", "k", "--queue-limit", "5")
+	r.Expect(r.spec("class", "k")).To(MatchJSON(`{"worth": 1, "queue_limit": 5, "of_later_version": [1]}`))
+}
+
+func TestApplyFileForms(t *testing.T) {
+	r := newRig(t)
+	record := func(name string) string { return `{"kind": "class", "name": "` + name + `", "spec": {}}` }
+	for _, text := range []string{
+		record("a"),
+		"[" + record("a") + "," + record("b") + "]",
+		record("a") + "\n" + record("b"),
+		`{"records": [` + record("a") + `]}`,
+	} {
+		r.ok("apply", "-f", r.write("records.json", text))
+	}
+	for _, text := range []string{"", "[]", "7", `{"kind": "class", "name": "a", "spce": {}}`, record("a") + "x"} {
+		r.Expect(r.run("apply", "-f", r.write("records.json", text))).To(Equal(2), text)
+	}
+	stale := `{"kind": "class", "name": "a", "revision": 1, "spec": {}}`
+	r.Expect(r.run("apply", "-f", r.write("records.json", stale))).To(Equal(4))
+}
+
+func TestCallerKeys(t *testing.T) {
+	r := newRig(t)
+	create := []string{"caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b"}
+	file := filepath.Join(r.dir, "caller.key")
+	r.ok(append(create, "--caller-key-file", file)...)
+	key, err := os.ReadFile(file)
+	r.Expect(err).NotTo(HaveOccurred())
+	r.stdin = string(key)
+	hash := strings.TrimSpace(r.ok("key", "hash"))
+	r.Expect(r.spec("caller", "c")).To(ContainSubstring(hash))
+	r.Expect(r.spec("caller", "c")).NotTo(ContainSubstring(strings.TrimSpace(string(key))))
+
+	r.Expect(r.ok("caller", "apply", "c", "--max-concurrent", "3")).NotTo(ContainSubstring("KEY"))
+	r.Expect(r.spec("caller", "c")).To(ContainSubstring(hash))
+	r.Expect(r.ok("caller", "apply", "c", "--new-key")).To(ContainSubstring("KEY"))
+	r.Expect(r.ok("key", "create")).To(HavePrefix("gwb_"))
+	r.stdin = "two words"
+	r.Expect(r.run("key", "hash")).To(Equal(2))
+}
+
+func TestExitCodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		create := []string{"organisation", "create", "o"}
+		r.Expect(r.run("--help")).To(Equal(0))
+		r.Expect(r.run("sing")).To(Equal(2))
+		r.Expect(r.run("organisation", "create")).To(Equal(2))
+		r.Expect(r.runBare("status")).To(Equal(6))
+		r.Expect(r.runBare("--key-file", r.write("other.key", "x"), "status")).To(Equal(6))
+		r.Expect(r.runBare("--key-file", filepath.Join(r.dir, "absent"), "status")).To(Equal(1))
+		r.Expect(r.run("organisation", "get", "o")).To(Equal(5))
+		r.Expect(r.run("organisation", "delete", "o")).To(Equal(5))
+		r.Expect(r.run(create...)).To(Equal(0))
+		r.Expect(r.run(create...)).To(Equal(4))
+		r.Expect(r.stderr.String()).To(ContainSubstring("present record: organisation o, revision 1: {}"))
+		r.Expect(r.run("organisation", "apply", "o", "--if-revision", "7")).To(Equal(4))
+		r.Expect(r.run("budget", "top-up", "b", "--tokens", "0")).To(Equal(2))
+		r.Expect(r.run("order", "u1", "--action", "sing")).To(Equal(2))
+		r.control.PendingReplies = 1000
+		r.Expect(r.run("organisation", "apply", "o", "--disabled")).To(Equal(3))
+		r.Expect(r.stderr.String()).To(ContainSubstring("--operation-id"))
+		r.Expect(r.run("--no-wait", "organisation", "apply", "o")).To(Equal(3))
+		r.control.Down = true
+		r.Expect(r.run("status")).To(Equal(7))
+	})
+}
+
+func TestPendingChangeIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.control.PendingReplies = 4
+		start := time.Now()
+		r.Expect(r.ok("organisation", "create", "o")).To(ContainSubstring("accepted"))
+		r.Expect(time.Since(start)).To(BeNumerically(">", 0))
+		r.Expect(r.ok("config", "history")).To(ContainSubstring("op-1"))
+		r.Expect(strings.Count(r.stdout.String(), "\n")).To(Equal(2))
+	})
+}
+
+func TestNextServerIsTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.servers["127.0.0.3:8082"] = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "bad gateway", http.StatusBadGateway)
+		})
+		r.ok("--server", "127.0.0.2:8082,127.0.0.3:8082", "--server", "http://127.0.0.1:8082/", "status")
+		r.Expect(r.calls).To(Equal(3))
+		r.Expect(r.run("--server", "127.0.0.2:8082", "--timeout", "2s", "status")).To(Equal(7))
+	})
+}
+
+func TestLostAnswerIsFoundBySendingAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.ok("budget", "create", "b", "--organisation", "o")
+		r.control.LostReplies = 2
+		r.Expect(r.ok("budget", "top-up", "b", "--tokens", "100")).To(ContainSubstring("100 "))
+		r.control.LostReplies = 1000
+		r.Expect(r.run("budget", "top-up", "b", "--tokens", "50")).To(Equal(7))
+		r.Expect(r.stderr.String()).To(ContainSubstring("--operation-id op-3"))
+		r.control.LostReplies = 0
+		r.Expect(r.ok("budget", "top-up", "b", "--tokens", "50", "--operation-id", "op-3")).To(ContainSubstring("150 "))
+		r.ok("budget", "delete", "b", "--operation-id", "op-9")
+		r.ok("budget", "delete", "b", "--operation-id", "op-9")
+	})
+}
+
+func TestRepeatedCreateDoesNotShowAKeyThatIsNotInForce(t *testing.T) {
+	r := newRig(t)
+	create := []string{"--operation-id", "x", "caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b"}
+	r.ok(append(create, "--caller-key-file", r.write("caller.key", "gwb_first"))...)
+	r.Expect(r.run(create...)).To(Equal(4))
+	r.Expect(r.stdout.String()).To(BeEmpty())
+}
--- /dev/null
+++ b/internal/ctl/state.go
@@ -0,0 +1,120 @@
+package ctl
+
+import (
+	"net/url"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
+)
+
+// upstreamsReply is an operatorapi.UpstreamsReply of announcements.
+type upstreamsReply struct {
+	Upstreams []announce.Announcement `json:"upstreams"`
+}
+
+// query prints what the API says at path. tabulate is called after reply is filled.
+func (c *command) query(path string, reply any, tabulate func() table) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.deadline()
+	defer cancel()
+	raw := &rawReply{into: reply}
+	if err := cl.call(ctx, "GET", path, nil, raw); err != nil {
+		return err
+	}
+	return c.print(raw, tabulate)
+}
+
+func (c *command) addState(app *kingpin.Application) {
+	c.addUsage(app)
+	c.addRequest(app)
+	c.addOrder(app)
+	c.does(app.Command("upstreams", "List the upstreams that the server knows."), func() error {
+		var reply upstreamsReply
+		return c.query(operatorapi.PathUpstream, &reply, func() table { return upstreamTable(reply.Upstreams) })
+	})
+	c.does(app.Command("hosts", "List the entry hosts with a live session."), func() error {
+		var reply operatorapi.HostsReply
+		return c.query(operatorapi.PathHosts, &reply, func() table { return hostTable(reply.Hosts) })
+	})
+	c.does(app.Command("replicas", "List the control replicas."), func() error {
+		var reply operatorapi.ReplicasReply
+		return c.query(operatorapi.PathReplicas, &reply, func() table { return replicaTable(reply.Replicas) })
+	})
+	c.does(app.Command("status", "Sum up the fleet."), func() error {
+		var reply operatorapi.StatusReply
+		return c.query(operatorapi.PathStatus, &reply, func() table { return statusTable(&reply) })
+	})
+	history := app.Command("config", "The configuration as a whole.").Command("history", "List the changes of records, oldest first.")
+	after := history.Flag("after", "List changes after this revision only.").Default("0").String()
+	c.does(history, func() error {
+		var reply operatorapi.HistoryReply
+		path := operatorapi.PathHistory + "?" + url.Values{"after": {*after}}.Encode()
+		return c.query(path, &reply, func() table { return historyTable(reply.History) })
+	})
+}
+
+func (c *command) addUsage(app *kingpin.Application) {
+	clause := app.Command("usage", "List what is paid in, charged, reserved and granted of each budget, in tokens.")
+	organisation := clause.Flag("organisation", "List the budgets of this organisation only.").String()
+	c.does(clause, func() error {
+		var reply operatorapi.UsageReply
+		path := operatorapi.PathUsage + organisationQuery(*organisation)
+		return c.query(path, &reply, func() table { return budgetTable(reply.Budgets) })
+	})
+}
+
+func (c *command) addRequest(app *kingpin.Application) {
+	group := app.Command("request", "Requests of callers.")
+	get := group.Command("get", "Show the record of a request.")
+	id := get.Arg("id", "Id of the request.").Required().String()
+	c.does(get, func() error {
+		var reply controlapi.RequestStatus
+		path := operatorapi.PathRequests + "/" + url.PathEscape(*id)
+		return c.query(path, &reply, func() table { return requestTable([]controlapi.RequestStatus{reply}) })
+	})
+	list := group.Command("list", "List the records of requests.")
+	organisation := list.Flag("organisation", "List the requests of this organisation only.").String()
+	c.does(list, func() error {
+		var reply operatorapi.RequestsReply
+		path := operatorapi.PathRequests + organisationQuery(*organisation)
+		return c.query(path, &reply, func() table { return requestTable(reply.Requests) })
+	})
+}
+
+func organisationQuery(name string) string {
+	if name == "" {
+		return ""
+	}
+	return "?" + url.Values{"organisation": {name}}.Encode()
+}
+
+func (c *command) addOrder(app *kingpin.Application) {
+	clause := app.Command("order", "Order an upstream to load or unload something, or to change its role.")
+	var request operatorapi.OrderRequest
+	clause.Arg("upstream", "Id of the upstream.").Required().StringVar(&request.Upstream)
+	clause.Flag("action", "load, unload or role.").Required().EnumVar(&request.Order.Action, "load", "unload", "role")
+	clause.Flag("model", "Model.").StringVar(&request.Order.Model)
+	clause.Flag("version", "Version of the model.").StringVar(&request.Order.Version)
+	clause.Flag("adapter", "Adapter of the model.").StringVar(&request.Order.Adapter)
+	clause.Flag("role", "New role.").StringVar(&request.Order.Role)
+	c.does(clause, func() error {
+		cl, err := c.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := c.deadline()
+		defer cancel()
+		request.Order.ID = c.id()
+		var done operatorapi.OrderReply
+		if err := cl.call(ctx, "POST", operatorapi.PathOrders, request, &done); err != nil {
+			return c.unknown(err)
+		}
+		return c.print(done, func() table { return orderTable(&done) })
+	})
+}
