Secure the connections between hosts by mutual TLS

Cause: hosts trust each other's messages, so only hosts may connect. Handshakes run beside each other with a bound and a timeout, so that a silent peer does not keep others waiting. godwitbendctl certs makes the files. Ruled out: the handshake at first read, which leaves a silent peer unbounded. Also: drain_delay in the settings, for the daemon's shutdown. Conclusion: go test -race -count=3 ./internal/hosttls passes.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -117,6 +117,7 @@
 	c.addRecords(app)
 	c.addState(app)
 	c.addKeys(app)
+	c.addCerts(app)
 	return app
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -23,7 +23,9 @@
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/ctl"
 	"github.com/godwitbend/godwitbend/internal/fakecontrol"
+	"github.com/godwitbend/godwitbend/internal/hosttls"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
+	"github.com/godwitbend/godwitbend/internal/settings"
 )
 
 const operatorKey = "gwb_operator"
@@ -121,7 +123,7 @@
 `, "caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b")
 	r.golden(`
 KIND          NAME  REVISION  SCHEMA  SPEC
-organisation  o     1         1       {"display_name":"Carvalho"}
+organisation  o     1         2       {"display_name":"Carvalho"}
 `, "organisation", "get", "o")
 	r.ok("budget", "create", "b", "--organisation", "o")
 	r.golden(`
@@ -178,7 +180,7 @@
     {
       "kind": "caller",
       "name": "c",
-      "schema_version": 1,
+      "schema_version": 2,
       "revision": 1,
       "spec": {
         "budget": "b",
@@ -346,3 +348,23 @@
 	r.Expect(r.run(create...)).To(Equal(4))
 	r.Expect(r.stdout.String()).To(BeEmpty())
 }
+
+func TestCertificates(t *testing.T) {
+	r := newRig(t)
+	dir := filepath.Join(r.dir, "certs")
+	certs := []string{"certs", "--dir", dir, "--host", "a=127.0.0.2,127.0.0.3"}
+	r.Expect(strings.Count(r.ok(certs...), ".pem")).To(Equal(4))
+	r.Expect(r.run(certs...)).To(Equal(2))
+	r.Expect(strings.Count(r.ok(append(certs, "--renew")...), ".pem")).To(Equal(2))
+	r.ok("certs", "--dir", dir, "--host", "b=127.0.0.4")
+	_, err := hosttls.New(settings.TLS{
+		CAFile: filepath.Join(dir, "ca.pem"), CertFile: filepath.Join(dir, "b.pem"), KeyFile: filepath.Join(dir, "b-key.pem"),
+	})
+	r.Expect(err).NotTo(HaveOccurred())
+	key, err := os.Stat(filepath.Join(dir, "ca-key.pem"))
+	r.Expect(err).NotTo(HaveOccurred())
+	r.Expect(key.Mode().Perm()).To(Equal(os.FileMode(0o600)))
+	for _, bad := range []string{"a", "a=", "a=host", "=127.0.0.2", "../a=127.0.0.2", "ca=127.0.0.2"} {
+		r.Expect(r.run("certs", "--dir", dir, "--host", bad)).To(Equal(2), bad)
+	}
+}
--- a/internal/ctl/records.go
+++ b/internal/ctl/records.go
@@ -16,7 +16,7 @@
 )
 
 // schemaVersion is the schema version of the specs that the tool writes.
-const schemaVersion = 1
+const schemaVersion = 2
 
 var recordKinds = []struct {
 	kind config.Kind
--- /dev/null
+++ b/internal/hosttls/hosttls_test.go
@@ -0,0 +1,162 @@
+package hosttls_test
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/hosttls"
+	"github.com/godwitbend/godwitbend/internal/settings"
+)
+
+// fixture makes authorities and networks in a directory of the test.
+type fixture struct {
+	*WithT
+	dir string
+}
+
+func newFixture(t *testing.T) *fixture { return &fixture{NewWithT(t), t.TempDir()} }
+
+func (f *fixture) authority() *hosttls.Authority {
+	a, err := hosttls.NewAuthority(time.Now(), time.Hour)
+	f.Expect(err).NotTo(HaveOccurred())
+	return a
+}
+
+// settings returns the settings of a host whose certificate a signed for ip.
+func (f *fixture) settings(a *hosttls.Authority, ip string, issued time.Time) settings.TLS {
+	pair, err := a.Issue("host", []netip.Addr{netip.MustParseAddr(ip)}, issued, time.Hour)
+	f.Expect(err).NotTo(HaveOccurred())
+	dir, err := os.MkdirTemp(f.dir, "")
+	f.Expect(err).NotTo(HaveOccurred())
+	write := func(name string, data []byte) string {
+		path := filepath.Join(dir, name)
+		f.Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+		return path
+	}
+	return settings.TLS{
+		CAFile: write("ca.pem", a.Cert), CertFile: write("cert.pem", pair.Cert), KeyFile: write("key.pem", pair.Key),
+	}
+}
+
+func (f *fixture) network(s settings.TLS) *hosttls.Network {
+	n, err := hosttls.New(s)
+	f.Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
+// echo listens on 127.0.0.1 and sends back what each accepted peer sends.
+func (f *fixture) echo(t *testing.T, n *hosttls.Network) net.Listener {
+	l, err := n.Listen("127.0.0.1:0")
+	f.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return l
+}
+
+// exchange sends a text to address and awaits it back.
+func exchange(n *hosttls.Network, address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	conn, err := n.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	text := []byte("longer than a TLS record's header")
+	if _, err := conn.Write(text); err != nil {
+		return err
+	}
+	_, err = io.ReadFull(conn, make([]byte, len(text)))
+	return err
+}
+
+func TestHostsOfOneAuthorityTalk(t *testing.T) {
+	f := newFixture(t)
+	a := f.authority()
+	server := f.network(f.settings(a, "127.0.0.1", time.Now()))
+	client := f.network(f.settings(a, "127.0.0.2", time.Now()))
+	l := f.echo(t, server)
+
+	silent, err := net.Dial("tcp", l.Addr().String())
+	f.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = silent.Close() }()
+	f.Expect(exchange(client, l.Addr().String())).To(Succeed())
+	f.Expect(exchange(client, l.Addr().String())).To(Succeed())
+	f.Expect(l.Close()).To(Succeed())
+	_, err = l.Accept()
+	f.Expect(err).To(MatchError(net.ErrClosed))
+}
+
+func TestPeersWithoutAValidCertificateAreRefused(t *testing.T) {
+	f := newFixture(t)
+	a, other := f.authority(), f.authority()
+	good := f.network(f.settings(a, "127.0.0.1", time.Now()))
+	l := f.echo(t, good)
+	address := l.Addr().String()
+
+	f.Expect(exchange(f.network(f.settings(other, "127.0.0.1", time.Now())), address)).NotTo(Succeed())
+	f.Expect(exchange(f.network(f.settings(a, "127.0.0.1", time.Now().Add(-3*time.Hour))), address)).NotTo(Succeed())
+	mixed := f.settings(other, "127.0.0.1", time.Now())
+	mixed.CAFile = f.settings(a, "127.0.0.1", time.Now()).CAFile
+	f.Expect(exchange(f.network(mixed), address)).NotTo(Succeed())
+	f.Expect(exchange(f.network(settings.TLS{Plaintext: true}), address)).NotTo(Succeed())
+
+	bare, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
+	if err == nil {
+		_, err = bare.Read(make([]byte, 1))
+		_ = bare.Close()
+	}
+	f.Expect(err).To(HaveOccurred())
+	f.Expect(exchange(good, address)).To(Succeed())
+}
+
+func TestCertificateOfAnotherAddressIsRefused(t *testing.T) {
+	f := newFixture(t)
+	a := f.authority()
+	l := f.echo(t, f.network(f.settings(a, "127.0.0.9", time.Now())))
+	client := f.network(f.settings(a, "127.0.0.1", time.Now()))
+	f.Expect(exchange(client, l.Addr().String())).To(MatchError(ContainSubstring("127.0.0.9")))
+}
+
+func TestPlaintext(t *testing.T) {
+	f := newFixture(t)
+	n := f.network(settings.TLS{Plaintext: true})
+	f.Expect(exchange(n, f.echo(t, n).Addr().String())).To(Succeed())
+}
+
+func TestUnusableFilesAreRefused(t *testing.T) {
+	f := newFixture(t)
+	s := f.settings(f.authority(), "127.0.0.1", time.Now())
+	swapped := s
+	swapped.CAFile = s.KeyFile
+	_, err := hosttls.New(swapped)
+	f.Expect(err).To(HaveOccurred())
+	swapped = s
+	swapped.CertFile = s.CAFile
+	_, err = hosttls.New(swapped)
+	f.Expect(err).To(HaveOccurred())
+	swapped = s
+	swapped.CAFile = filepath.Join(f.dir, "absent")
+	_, err = hosttls.New(swapped)
+	f.Expect(err).To(HaveOccurred())
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -204,6 +204,7 @@
 	c.duration("session_timeout", s.SessionTimeout, minLease, maxDuration)
 	c.duration("tick", s.Tick, minTick, maxTick)
 	c.duration("upstream_timeout", s.UpstreamTimeout, minUpstream, maxDuration)
+	c.duration("drain_delay", s.DrainDelay, 0, maxDuration)
 	c.number("heartbeat_ticks", int64(s.HeartbeatTicks), 1, maxTicks)
 	c.number("election_ticks", int64(s.ElectionTicks), 1, maxTicks)
 	if s.ElectionTicks <= s.HeartbeatTicks {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,9 @@
 	// UpstreamTimeout is the time after its last announcement during which an
 	// upstream gets new work. Default: 3s.
 	UpstreamTimeout Duration `json:"upstream_timeout"`
+	// DrainDelay is the time at a shutdown between failing the readiness check and
+	// refusing new work, in which the balancer moves callers away. Default: 2s.
+	DrainDelay Duration `json:"drain_delay"`
 	// Log holds the settings of the log.
 	Log Log `json:"log"`
 }
@@ -141,6 +144,7 @@
 			HostConcurrency:     4096,
 		},
 		UpstreamTimeout: Duration{3 * time.Second},
+		DrainDelay:      Duration{2 * time.Second},
 		Log:             Log{Level: "info"},
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -93,6 +93,7 @@
 		{`"config_lease": "2s"`, `"session_timeout": "2h"`, "session_timeout"},
 		{`"config_lease": "2s"`, `"tick": "0s"`, "tick"},
 		{`"config_lease": "2s"`, `"upstream_timeout": "1s"`, "upstream_timeout"},
+		{`"config_lease": "2s"`, `"drain_delay": "-1s"`, "drain_delay"},
 		{`"config_lease": "2s"`, `"election_ticks": 2`, "election_ticks"},
 		{`"config_lease": "2s"`, `"heartbeat_ticks": 0`, "heartbeat_ticks"},
 		{`"config_lease": "2s"`, `"snapshot_entries": 1.5`, "snapshot_entries"},
