--- /dev/null
+++ b/internal/replication/membership.go
@@ -0,0 +1,192 @@
+package replication
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitbend/godwitbend/internal/codec"
+)
+
+// Errors of membership changes that are refused without a trace.
+var (
+	ErrChangePending = eris.New("another membership change is not yet committed")
+	ErrNotCaughtUp   = eris.New("learner has not caught up")
+	ErrIDUsed        = eris.New("replica id was used before: a new replica needs a larger id")
+	ErrUnknownPeer   = eris.New("no such replica")
+	ErrRemoveLeader  = eris.New("the leader can't be removed: transfer leadership first")
+	ErrTooFewVoters  = eris.New("the change would leave no voter, or no quorum that is reachable")
+)
+
+// membershipAt is the membership in force from an entry on.
+type membershipAt struct {
+	index      uint64
+	membership Membership
+}
+
+// NewMembership returns the membership of the given peers.
+func NewMembership(peers []Peer) Membership {
+	m := Membership{Peers: slices.Clone(peers)}
+	slices.SortFunc(m.Peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	for _, p := range peers {
+		m.LargestID = max(m.LargestID, p.ID)
+	}
+	return m
+}
+
+func (m Membership) find(id uint64) int {
+	return slices.IndexFunc(m.Peers, func(p Peer) bool { return p.ID == id })
+}
+
+// membership returns the newest membership in the log, committed or not.
+func (n *Node) membership() Membership {
+	return n.memberships[len(n.memberships)-1].membership
+}
+
+// Membership returns the newest membership in the log, committed or not.
+func (n *Node) Membership() Membership { return n.membership() }
+
+func (n *Node) membershipAt(index uint64) Membership {
+	for i := len(n.memberships) - 1; i > 0; i-- {
+		if n.memberships[i].index <= index {
+			return n.memberships[i].membership
+		}
+	}
+	return n.memberships[0].membership
+}
+
+// AddLearner appends a change that adds a replica as a learner.
+func (n *Node) AddLearner(p Peer) (index uint64, err error) {
+	if err := n.mayChange(); err != nil {
+		return 0, err
+	}
+	m := n.membership()
+	if p.ID <= m.LargestID {
+		return 0, ErrIDUsed
+	}
+	p.Learner = true
+	return n.changeMembership(NewMembership(append(slices.Clone(m.Peers), p)))
+}
+
+// Promote appends a change that makes a learner a voter. The learner must have
+// synced every committed entry.
+func (n *Node) Promote(id uint64) (index uint64, err error) {
+	if err := n.mayChange(); err != nil {
+		return 0, err
+	}
+	m := n.membership()
+	at := m.find(id)
+	switch {
+	case at < 0:
+		return 0, ErrUnknownPeer
+	case !m.Peers[at].Learner:
+		return n.memberships[len(n.memberships)-1].index, nil
+	case !n.active(id) || n.progress[id].match < n.log.committed:
+		return 0, ErrNotCaughtUp
+	}
+	peers := slices.Clone(m.Peers)
+	peers[at].Learner = false
+	return n.changeMembership(Membership{Peers: peers, LargestID: m.LargestID})
+}
+
+// Remove appends a change that removes a replica.
+func (n *Node) Remove(id uint64) (index uint64, err error) {
+	if err := n.mayChange(); err != nil {
+		return 0, err
+	}
+	m := n.membership()
+	at := m.find(id)
+	switch {
+	case at < 0:
+		return n.memberships[len(n.memberships)-1].index, nil
+	case id == n.id:
+		return 0, ErrRemoveLeader
+	case !m.Peers[at].Learner && !n.quorumWithout(id):
+		return 0, ErrTooFewVoters
+	}
+	peers := slices.Delete(slices.Clone(m.Peers), at, at+1)
+	return n.changeMembership(Membership{Peers: peers, LargestID: m.LargestID})
+}
+
+func (n *Node) quorumWithout(id uint64) bool {
+	voters := slices.DeleteFunc(n.voters(), func(v uint64) bool { return v == id })
+	count := 0
+	for _, v := range voters {
+		if n.active(v) {
+			count++
+		}
+	}
+	return count >= len(voters)/2+1
+}
+
+// mayChange admits one change at a time, and none before the leader has
+// committed an entry of its term: two changes of different leaders could
+// otherwise yield quorums that do not overlap.
+func (n *Node) mayChange() error {
+	switch {
+	case n.role != Leader:
+		return ErrNotLeader
+	case n.transferee != None:
+		return ErrTransferring
+	case !n.committedOwnTerm() || n.memberships[len(n.memberships)-1].index > n.log.committed:
+		return ErrChangePending
+	}
+	return nil
+}
+
+func (n *Node) changeMembership(m Membership) (uint64, error) {
+	m.LargestID = max(m.LargestID, n.membership().LargestID)
+	data, err := codec.Marshal(m)
+	if err != nil {
+		return 0, err
+	}
+	index := n.appendOwn(EntryMembership, data)
+	n.memberships = append(n.memberships, membershipAt{index, m})
+	n.followMembership()
+	return index, nil
+}
+
+// noteMemberships records the memberships among entries new to the log.
+func (n *Node) noteMemberships(entries []Entry) error {
+	for _, e := range entries {
+		if e.Kind != EntryMembership {
+			continue
+		}
+		var m Membership
+		if err := codec.Unmarshal(e.Data, &m); err != nil {
+			return eris.Wrapf(err, "membership entry %d", e.Index)
+		}
+		n.memberships = append(n.memberships, membershipAt{e.Index, m})
+	}
+	return nil
+}
+
+// forgetMemberships drops the memberships of truncated entries, from index on.
+func (n *Node) forgetMemberships(index uint64) {
+	for len(n.memberships) > 1 && n.memberships[len(n.memberships)-1].index >= index {
+		n.memberships = n.memberships[:len(n.memberships)-1]
+	}
+}
+
+// compactMemberships drops the memberships superseded at index.
+func (n *Node) compactMemberships(index uint64) {
+	for len(n.memberships) > 1 && n.memberships[1].index <= index {
+		n.memberships = n.memberships[1:]
+	}
+}
+
+// followMembership brings the leader's progress in line with the membership.
+func (n *Node) followMembership() {
+	m := n.membership()
+	for id := range n.progress {
+		if m.find(id) < 0 {
+			delete(n.progress, id)
+		}
+	}
+	for _, p := range m.Peers {
+		if n.progress[p.ID] == nil {
+			n.progress[p.ID] = &progress{next: n.log.last() + 1, lastHeard: n.now}
+		}
+	}
+}
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,163 @@
+// Package snapshot keeps the snapshots of a replica in files. A snapshot is
+// written to a temporary file, synced and renamed, so that a crash leaves
+// either all of it or none. The one before the latest is kept.
+package snapshot
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitbend/godwitbend/internal/codec"
+	"github.com/godwitbend/godwitbend/internal/replication"
+	"github.com/godwitbend/godwitbend/internal/wal"
+)
+
+const (
+	suffix          = ".snapshot"
+	temporarySuffix = ".tmp"
+	// kept is the number of snapshots that stay.
+	kept     = 2
+	crcBytes = 4
+)
+
+var crcTable = crc32.MakeTable(crc32.Castagnoli)
+
+// ErrCorrupt reports a snapshot whose checksum does not fit.
+var ErrCorrupt = eris.New("snapshot is corrupt")
+
+// Store is a directory of snapshots. It is not safe for concurrent use.
+type Store struct {
+	fs  wal.FS
+	dir string
+}
+
+// Open returns the store in dir, which is made if absent. What a crash left of
+// an unfinished snapshot is removed.
+func Open(fs wal.FS, dir string) (*Store, error) {
+	if err := fs.MkdirAll(dir); err != nil {
+		return nil, err
+	}
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, temporarySuffix) {
+			continue
+		}
+		if err := fs.Remove(filepath.Join(dir, name)); err != nil {
+			return nil, err
+		}
+	}
+	return &Store{fs: fs, dir: dir}, nil
+}
+
+// Save makes s durable and removes snapshots older than the one before it.
+func (st *Store) Save(s replication.Snapshot) error {
+	data, err := codec.Marshal(s)
+	if err != nil {
+		return err
+	}
+	data = binary.LittleEndian.AppendUint32(data, crc32.Checksum(data, crcTable))
+	final := filepath.Join(st.dir, fmt.Sprintf("%020d%s", s.Meta.Index, suffix))
+	if err := st.writeSynced(final+temporarySuffix, data); err != nil {
+		return err
+	}
+	if err := st.fs.Rename(final+temporarySuffix, final); err != nil {
+		return err
+	}
+	if err := st.fs.SyncDir(st.dir); err != nil {
+		return err
+	}
+	return st.prune()
+}
+
+func (st *Store) writeSynced(name string, data []byte) error {
+	file, err := st.fs.Create(name)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(data); err != nil {
+		_ = file.Close()
+		return eris.Wrap(err, "write snapshot")
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return eris.Wrap(err, "sync snapshot")
+	}
+	return eris.Wrap(file.Close(), "close snapshot")
+}
+
+func (st *Store) prune() error {
+	names, err := st.list()
+	if err != nil {
+		return err
+	}
+	for len(names) > kept {
+		if err := st.fs.Remove(filepath.Join(st.dir, names[0])); err != nil {
+			return err
+		}
+		names = names[1:]
+	}
+	return nil
+}
+
+// list returns the names of the snapshots, the oldest first.
+func (st *Store) list() ([]string, error) {
+	names, err := st.fs.List(st.dir)
+	if err != nil {
+		return nil, err
+	}
+	var found []string
+	for _, name := range names {
+		if strings.HasSuffix(name, suffix) {
+			found = append(found, name)
+		}
+	}
+	return found, nil
+}
+
+// Load returns the intact snapshots, the latest first. The error wraps
+// ErrCorrupt if any is damaged; the intact ones are returned all the same, and
+// the caller decides whether its log still reaches back to one of them.
+func (st *Store) Load() (intact []replication.Snapshot, err error) {
+	names, err := st.list()
+	if err != nil {
+		return nil, err
+	}
+	slices.Reverse(names)
+	for _, name := range names {
+		s, readErr := st.read(name)
+		if readErr != nil {
+			err = readErr
+			continue
+		}
+		intact = append(intact, s)
+	}
+	return intact, err
+}
+
+func (st *Store) read(name string) (replication.Snapshot, error) {
+	data, err := st.fs.ReadFile(filepath.Join(st.dir, name))
+	if err != nil {
+		return replication.Snapshot{}, err
+	}
+	if len(data) < crcBytes {
+		return replication.Snapshot{}, eris.Wrapf(ErrCorrupt, "%s has %d bytes", name, len(data))
+	}
+	body, sum := data[:len(data)-crcBytes], binary.LittleEndian.Uint32(data[len(data)-crcBytes:])
+	if crc32.Checksum(body, crcTable) != sum {
+		return replication.Snapshot{}, eris.Wrapf(ErrCorrupt, "checksum of %s", name)
+	}
+	var s replication.Snapshot
+	if err := codec.Unmarshal(body, &s); err != nil {
+		return s, eris.Wrapf(ErrCorrupt, "%s: %v", name, err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/wal/fs.go
@@ -0,0 +1,111 @@
+package wal
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+)
+
+// File is an open file that is written at its end.
+type File interface {
+	io.Writer
+	// Sync makes what was written survive a crash.
+	Sync() error
+	Close() error
+}
+
+// FS is the part of a file system that the log and the snapshots need. Tests
+// inject faults through it.
+type FS interface {
+	MkdirAll(dir string) error
+	// List returns the names of the files in dir, sorted.
+	List(dir string) ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	// Create makes an empty file, or empties an existing one.
+	Create(name string) (File, error)
+	// OpenAppend opens an existing file and cuts it to size bytes.
+	OpenAppend(name string, size int64) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes the names in dir survive a crash.
+	SyncDir(dir string) error
+}
+
+const (
+	dirMode  = 0o750
+	fileMode = 0o640
+)
+
+// OS is the file system of the operating system.
+type OS struct{}
+
+var _ FS = OS{}
+
+// MkdirAll implements FS. It syncs the parent, so that the directory lasts.
+func (o OS) MkdirAll(dir string) error {
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return eris.Wrap(err, "make directory")
+	}
+	return o.SyncDir(filepath.Dir(dir))
+}
+
+// List implements FS.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, eris.Wrap(err, "list directory")
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	return names, nil
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(name)
+	return data, eris.Wrap(err, "read file")
+}
+
+// Create implements FS.
+func (OS) Create(name string) (File, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, eris.Wrap(err, "create file")
+	}
+	return f, nil
+}
+
+// OpenAppend implements FS.
+func (OS) OpenAppend(name string, size int64) (File, error) {
+	f, err := os.OpenFile(name, os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, eris.Wrap(err, "open file")
+	}
+	if err := f.Truncate(size); err != nil {
+		_ = f.Close()
+		return nil, eris.Wrap(err, "truncate file")
+	}
+	return f, nil
+}
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return eris.Wrap(os.Rename(from, to), "rename file") }
+
+// Remove implements FS.
+func (OS) Remove(name string) error { return eris.Wrap(os.Remove(name), "remove file") }
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return eris.Wrap(err, "open directory")
+	}
+	defer func() { _ = d.Close() }()
+	return eris.Wrap(d.Sync(), "sync directory")
+}
