Add the control state machine with its budgets, request records and configuration

The entry hosts need one deterministic ledger to reserve, charge and configure against. Messages gained fields: Begin.Try, Begin.Unkeyed, Dispatch.EarlierNotRun, Settle.Partial, Release.MayHaveRun, Session on Dispatch/Settle/Release, BeginReply.RunOn, Result.Overrun; the kind suspect_busy is new.

--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,234 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"path"
+	"slices"
+	"strings"
+)
+
+// Bounds of the fields of records.
+const (
+	// MaxSpecBytes bounds the JSON of one spec, in bytes.
+	MaxSpecBytes = 16 << 10
+	// MaxListItems bounds each list of a spec.
+	MaxListItems = 256
+	// MaxDisplayNameBytes bounds a display name, in bytes.
+	MaxDisplayNameBytes = 256
+	// MaxPatternBytes bounds a pattern, in bytes.
+	MaxPatternBytes = 128
+	// MaxDeadlineMS bounds the deadline of a class, in milliseconds.
+	MaxDeadlineMS = 3_600_000
+	// MaxQueueLimit bounds the queue of a class on one host.
+	MaxQueueLimit = 100_000
+	// MaxConcurrent bounds the open requests of a caller on one host.
+	MaxConcurrent = 100_000
+	// MaxRequestTokens bounds the tokens of one request.
+	MaxRequestTokens = 1 << 40
+)
+
+// keyHashBytes is the length of a SHA-256 sum.
+const keyHashBytes = 32
+
+// CheckRecord returns the faults of r taken alone, and its typed spec in the
+// newest schema version. References to other records are not followed.
+func CheckRecord(r Record) (spec any, faults Faults) {
+	l := &faultList{record: r}
+	l.addName("name", r.Name)
+	if !slices.Contains(Kinds(), r.Kind) {
+		l.add("kind", "%q is not a kind of record", r.Kind)
+		return nil, l.faults
+	}
+	if r.Deleted {
+		return nil, l.faults
+	}
+	if !KnownSchema(r.SchemaVersion) {
+		l.add("schema_version", "%d is not within %d to %d", r.SchemaVersion, MinSchema, MaxSchema)
+		return nil, l.faults
+	}
+	if len(r.Spec) > MaxSpecBytes {
+		l.add("spec", "has %d bytes, at most %d are allowed", len(r.Spec), MaxSpecBytes)
+		return nil, l.faults
+	}
+	return checkSpec(l), l.faults
+}
+
+// Kinds returns the kinds of record, those without references first.
+func Kinds() []Kind {
+	return []Kind{KindOrganisation, KindClass, KindService, KindBudget, KindCaller, KindPolicy}
+}
+
+func checkSpec(l *faultList) any {
+	switch l.record.Kind {
+	case KindOrganisation:
+		return checkOrganisation(l)
+	case KindCaller:
+		return checkCaller(l)
+	case KindBudget:
+		return checkBudget(l)
+	case KindClass:
+		return checkClass(l)
+	case KindPolicy:
+		return checkPolicy(l)
+	default:
+		return checkService(l)
+	}
+}
+
+func checkOrganisation(l *faultList) *OrganisationSpec {
+	spec := &OrganisationSpec{}
+	decodeSpec(l, l.record.Spec, spec)
+	if len(spec.DisplayName) > MaxDisplayNameBytes {
+		l.add("spec.display_name", "is longer than %d bytes", MaxDisplayNameBytes)
+	}
+	return spec
+}
+
+func checkCaller(l *faultList) *CallerSpec {
+	spec := &CallerSpec{}
+	decodeSpec(l, l.record.Spec, spec)
+	l.addName("spec.organisation", spec.Organisation)
+	l.addName("spec.class", spec.Class)
+	l.addName("spec.budget", spec.Budget)
+	sum, err := hex.DecodeString(spec.KeyHash)
+	if err != nil || len(sum) != keyHashBytes || spec.KeyHash != strings.ToLower(spec.KeyHash) {
+		l.add("spec.key_hash", "is not a SHA-256 sum in lower-case hex")
+	}
+	l.addRange("spec.max_concurrent", int64(spec.MaxConcurrent), 0, MaxConcurrent)
+	return spec
+}
+
+func checkBudget(l *faultList) *BudgetSpec {
+	spec := &BudgetSpec{}
+	decodeSpec(l, l.record.Spec, spec)
+	l.addName("spec.organisation", spec.Organisation)
+	return spec
+}
+
+func checkClass(l *faultList) *ClassSpec {
+	spec := &ClassSpec{}
+	if l.record.SchemaVersion == 1 {
+		old := &ClassSpecV1{}
+		decodeSpec(l, l.record.Spec, old)
+		l.addRange("spec.priority", int64(old.Priority), 1, MaxWorth)
+		spec = &ClassSpec{Worth: MaxWorth + 1 - old.Priority, DeadlineMS: old.DeadlineMS, QueueLimit: old.QueueLimit}
+	} else {
+		decodeSpec(l, l.record.Spec, spec)
+		l.addRange("spec.worth", int64(spec.Worth), 1, MaxWorth)
+	}
+	l.addRange("spec.deadline_ms", spec.DeadlineMS, 1, MaxDeadlineMS)
+	l.addRange("spec.queue_limit", int64(spec.QueueLimit), 1, MaxQueueLimit)
+	return spec
+}
+
+func checkPolicy(l *faultList) *PolicySpec {
+	if l.record.SchemaVersion == 1 {
+		return checkPolicyV1(l)
+	}
+	spec := &PolicySpec{}
+	decodeSpec(l, l.record.Spec, spec)
+	checkPolicyOrganisation(l, spec.Organisation)
+	checkList(l, "spec.services", len(spec.Services), 1)
+	for i, service := range spec.Services {
+		checkPolicyService(l, fmt.Sprintf("spec.services[%d]", i), service)
+	}
+	checkList(l, "spec.upstreams", len(spec.Upstreams), 1)
+	for i, upstream := range spec.Upstreams {
+		checkPattern(l, fmt.Sprintf("spec.upstreams[%d]", i), upstream)
+	}
+	checkList(l, "spec.zones", len(spec.Zones), 0)
+	for i, zone := range spec.Zones {
+		l.addName(fmt.Sprintf("spec.zones[%d]", i), zone)
+	}
+	return spec
+}
+
+func checkPolicyV1(l *faultList) *PolicySpec {
+	old := &PolicySpecV1{}
+	decodeSpec(l, l.record.Spec, old)
+	checkPolicyOrganisation(l, old.Organisation)
+	checkList(l, "spec.allow", len(old.Allow), 1)
+	for i, pair := range old.Allow {
+		field := fmt.Sprintf("spec.allow[%d]", i)
+		service, upstream, ok := strings.Cut(pair, pairSeparator)
+		if !ok {
+			l.add(field, "%q is not service@upstream-pattern", pair)
+			continue
+		}
+		checkPolicyService(l, field, service)
+		checkPattern(l, field, upstream)
+	}
+	services, upstreams, err := splitPairs(old.Allow)
+	if err != nil {
+		l.add("spec.allow", "%v", err)
+	}
+	return &PolicySpec{Organisation: old.Organisation, Services: services, Upstreams: upstreams}
+}
+
+func checkPolicyOrganisation(l *faultList, organisation string) {
+	if organisation != Wildcard {
+		l.addName("spec.organisation", organisation)
+	}
+}
+
+func checkPolicyService(l *faultList, field, service string) {
+	if service != Wildcard {
+		l.addName(field, service)
+	}
+}
+
+func checkService(l *faultList) *ServiceSpec {
+	spec := &ServiceSpec{}
+	decodeSpec(l, l.record.Spec, spec)
+	l.addRange("spec.max_output_tokens", spec.MaxOutputTokens, 0, MaxRequestTokens)
+	checkList(l, "spec.methods", len(spec.Methods), 0)
+	switch spec.Kind {
+	case ServiceModel:
+		if len(spec.Methods) > 0 {
+			l.add("spec.methods", "is for plain services only")
+		}
+	case ServicePlain:
+		if len(spec.Methods) == 0 {
+			l.add("spec.methods", "lists no call, so every call would be refused")
+		}
+	default:
+		l.add("spec.kind", "%q is neither %q nor %q", spec.Kind, ServiceModel, ServicePlain)
+	}
+	for i, method := range spec.Methods {
+		checkMethod(l, fmt.Sprintf("spec.methods[%d]", i), method)
+	}
+	return spec
+}
+
+var httpMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+func checkMethod(l *faultList, field string, method MethodSpec) {
+	if !slices.Contains(httpMethods, method.Method) {
+		l.add(field+".method", "%q is not one of %s", method.Method, strings.Join(httpMethods, ", "))
+	}
+	if !strings.HasPrefix(method.Path, "/") {
+		l.add(field+".path", "%q does not start with /", method.Path)
+	}
+	checkPattern(l, field+".path", method.Path)
+	l.addRange(field+".tokens", method.Tokens, 0, MaxRequestTokens)
+}
+
+func checkList(l *faultList, field string, length, least int) {
+	if length < least || length > MaxListItems {
+		l.add(field, "has %d items, %d to %d are allowed", length, least, MaxListItems)
+	}
+}
+
+func checkPattern(l *faultList, field, pattern string) {
+	if pattern == "" || len(pattern) > MaxPatternBytes {
+		l.add(field, "has %d bytes, 1 to %d are allowed", len(pattern), MaxPatternBytes)
+		return
+	}
+	if _, err := path.Match(pattern, ""); err != nil {
+		l.add(field, "%q is not a pattern", pattern)
+	}
+}
--- /dev/null
+++ b/internal/config/decode.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// decodeSpec decodes spec into v, a pointer to a struct, and lists each field
+// that has the wrong type or the wrong case.
+func decodeSpec(l *faultList, spec json.RawMessage, v any) {
+	var fields object
+	if err := json.Unmarshal(spec, &fields); err != nil || fields == nil {
+		l.add("spec", "is not a JSON object")
+		return
+	}
+	addCaseFaults(l, fields, reflect.TypeOf(v).Elem())
+	for {
+		raw, err := json.Marshal(fields)
+		if err != nil {
+			l.add("spec", "%v", err)
+			return
+		}
+		err = json.Unmarshal(raw, v)
+		if err == nil {
+			return
+		}
+		var typeError *json.UnmarshalTypeError
+		if !errors.As(err, &typeError) {
+			l.add("spec", "%v", err)
+			return
+		}
+		l.add("spec."+typeError.Field, "is a %s, want %s", typeError.Value, typeError.Type)
+		first, _, _ := strings.Cut(typeError.Field, ".")
+		if _, ok := fields[first]; !ok {
+			return
+		}
+		delete(fields, first)
+	}
+}
+
+// addCaseFaults lists the fields that differ from a known field only in case.
+// They would be decoded, but not converted.
+func addCaseFaults(l *faultList, fields object, known reflect.Type) {
+	for i := range known.NumField() {
+		name, _, _ := strings.Cut(known.Field(i).Tag.Get("json"), ",")
+		for _, field := range slices.Sorted(maps.Keys(fields)) {
+			if field != name && strings.EqualFold(field, name) {
+				l.add("spec."+field, "is written %q", name)
+			}
+		}
+	}
+}
+
+// decode returns the typed spec of r in the newest schema version.
+func decode(r Record, v any) error {
+	newest, err := Convert(r, MaxSchema)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(newest.Spec, v)
+}
--- /dev/null
+++ b/internal/config/fault.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing that is wrong with a record.
+type Fault struct {
+	Kind Kind
+	Name string
+	// Path is the field, such as "spec.methods[1].path".
+	Path    string
+	Message string
+}
+
+// String returns the fault as "kind/name path: message".
+func (f Fault) String() string {
+	return fmt.Sprintf("%s/%s %s: %s", f.Kind, f.Name, f.Path, f.Message)
+}
+
+// Faults are all the faults of a set of records.
+type Faults []Fault
+
+// Error implements error.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "; ")
+}
+
+// faultList collects the faults of one record.
+type faultList struct {
+	record Record
+	faults Faults
+}
+
+func (l *faultList) add(path, format string, args ...any) {
+	l.faults = append(l.faults, Fault{l.record.Kind, l.record.Name, path, fmt.Sprintf(format, args...)})
+}
+
+func (l *faultList) addName(path, name string) {
+	if !ValidName(name) {
+		l.add(path, "%q is not a name: 1 to %d letters, digits, '.', '_' or '-', starting with a letter or digit", name, MaxNameBytes)
+	}
+}
+
+func (l *faultList) addRange(path string, value, low, high int64) {
+	if value < low || value > high {
+		l.add(path, "%d is not within %d to %d", value, low, high)
+	}
+}
--- /dev/null
+++ b/internal/config/name.go
@@ -0,0 +1,24 @@
+package config
+
+// MaxNameBytes bounds the length of a name, in bytes.
+const MaxNameBytes = 64
+
+// Wildcard stands for all names where a record says so.
+const Wildcard = "*"
+
+// ValidName tells whether s may name a record.
+func ValidName(s string) bool {
+	if s == "" || len(s) > MaxNameBytes || !isAlphanumeric(s[0]) {
+		return false
+	}
+	for i := range len(s) {
+		if !isAlphanumeric(s[i]) && s[i] != '.' && s[i] != '_' && s[i] != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+func isAlphanumeric(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+}
--- /dev/null
+++ b/internal/config/rules.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"maps"
+	"path"
+	"slices"
+	"strings"
+)
+
+// rule is a policy made ready for matching.
+type rule struct {
+	allServices bool
+	services    []string
+	upstreams   []pattern
+	zones       []string
+}
+
+// pattern matches upstream ids. Without special characters it is compared as it is.
+type pattern struct {
+	text    string
+	literal bool
+}
+
+func (p pattern) match(upstream string) bool {
+	if p.literal {
+		return p.text == upstream
+	}
+	matched, err := path.Match(p.text, upstream)
+	return err == nil && matched
+}
+
+// compileRules returns the rules of each organisation, in the order of the policies' names.
+func compileRules(policies map[string]*PolicySpec) map[string][]rule {
+	rules := make(map[string][]rule)
+	for _, name := range slices.Sorted(maps.Keys(policies)) {
+		spec := policies[name]
+		rules[spec.Organisation] = append(rules[spec.Organisation], compileRule(spec))
+	}
+	return rules
+}
+
+func compileRule(spec *PolicySpec) rule {
+	r := rule{
+		allServices: slices.Contains(spec.Services, Wildcard),
+		services:    spec.Services,
+		zones:       spec.Zones,
+	}
+	for _, text := range spec.Upstreams {
+		r.upstreams = append(r.upstreams, pattern{text, !strings.ContainsAny(text, `*?[\`)})
+	}
+	return r
+}
+
+// Filter tells which upstreams may serve one organisation's requests to one service.
+type Filter struct {
+	rules []rule
+}
+
+// Filter returns the filter of organisation and service. It is worked out once
+// per request and then asked for each upstream.
+func (v *View) Filter(organisation, service string) Filter {
+	var f Filter
+	for _, rules := range [][]rule{v.rules[organisation], v.rules[Wildcard]} {
+		for _, r := range rules {
+			if r.allServices || slices.Contains(r.services, service) {
+				f.rules = append(f.rules, r)
+			}
+		}
+	}
+	return f
+}
+
+// Empty tells that no upstream at all is allowed.
+func (f Filter) Empty() bool { return len(f.rules) == 0 }
+
+// Allows tells whether the upstream in zone may serve the work.
+func (f Filter) Allows(upstream, zone string) bool {
+	for i := range f.rules {
+		r := &f.rules[i]
+		if len(r.zones) > 0 && !slices.Contains(r.zones, zone) {
+			continue
+		}
+		if slices.ContainsFunc(r.upstreams, func(p pattern) bool { return p.match(upstream) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Allowed tells whether a policy lets organisation use service on the upstream in zone.
+func (v *View) Allowed(organisation, service, upstream, zone string) bool {
+	return v.Filter(organisation, service).Allows(upstream, zone)
+}
--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,162 @@
+// Package control holds the state machine of the control group: the ledger of
+// budgets and requests, the configuration, the sessions of entry hosts and the
+// containment of crashes. The machine is deterministic: equal commands in
+// equal order give equal results and equal states on every replica.
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/godwitbend/godwitbend/internal/budget"
+	"github.com/godwitbend/godwitbend/internal/codec"
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/containment"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/request"
+)
+
+// account is a budget with the organisation that it belongs to. It outlives
+// the budget's configuration record once tokens were paid in.
+type account struct {
+	budget.Budget
+	organisation string
+}
+
+// Machine is the control state. It is owned by one goroutine.
+type Machine struct {
+	nowMS          int64
+	store          *config.Store
+	revision       uint64
+	schema         int
+	history        history
+	accounts       map[string]*account
+	requests       *request.Table
+	bodies         *containment.Tracker
+	sessions       sessions
+	configurations *operations
+	topUps         *operations
+}
+
+// NewMachine returns the machine before the first command.
+func NewMachine() *Machine {
+	return &Machine{
+		store:          config.NewStore(),
+		schema:         config.MinSchema,
+		accounts:       make(map[string]*account),
+		requests:       request.NewTable(),
+		bodies:         containment.New(),
+		sessions:       newSessions(),
+		configurations: newOperations(maxConfigurations, configurationRetentionMS),
+		topUps:         newOperations(maxTopUps, topUpRetentionMS),
+	}
+}
+
+// Apply executes an encoded command of the log and returns its
+// *controlapi.Result. A command that cannot be decoded changes nothing.
+func (m *Machine) Apply(_ uint64, command []byte) any {
+	var cmd controlapi.Command
+	if err := codec.Unmarshal(command, &cmd); err != nil {
+		return refuse(errkind.New(errkind.InvalidRequest, "command: %v", err))
+	}
+	return m.Execute(&cmd)
+}
+
+// Execute executes one command. Its state time is that of the command, or the
+// time of an earlier command if that is later.
+func (m *Machine) Execute(cmd *controlapi.Command) *controlapi.Result {
+	m.advance(cmd.TimeMS)
+	switch {
+	case cmd.Begin != nil:
+		return m.begin(cmd.Begin)
+	case cmd.Dispatch != nil:
+		return m.dispatch(cmd.Dispatch)
+	case cmd.Settle != nil:
+		return m.settle(cmd.Settle)
+	case cmd.Release != nil:
+		return m.release(cmd.Release)
+	case cmd.Crash != nil:
+		return m.crash(cmd.Crash)
+	case cmd.OpenSession != nil:
+		return m.openSession(cmd.OpenSession)
+	case cmd.EndSession != nil:
+		return m.endSession(cmd.EndSession)
+	case cmd.Configure != nil:
+		return m.configure(cmd.Configure)
+	case cmd.TopUp != nil:
+		return m.topUp(cmd.TopUp)
+	default:
+		return refuse(errkind.New(errkind.InvalidRequest, "command without a body"))
+	}
+}
+
+// advance moves the state time forward and does what has become due.
+func (m *Machine) advance(timeMS int64) {
+	m.nowMS = max(m.nowMS, timeMS)
+	for _, r := range m.requests.DueOrphans(m.nowMS) {
+		m.recoverOrphan(r)
+	}
+	m.requests.Expire(m.nowMS, func(*request.Record) bool { return false })
+	m.bodies.Advance(m.nowMS)
+	m.configurations.expire(m.nowMS)
+	m.topUps.expire(m.nowMS)
+}
+
+// Now returns the state time, in milliseconds since 1970.
+func (m *Machine) Now() int64 { return m.nowMS }
+
+// ActiveSchema returns the schema version in which records are stored.
+func (m *Machine) ActiveSchema() int { return m.schema }
+
+// CheckInvariants returns an Internal error if the state contradicts itself:
+// a budget is overspent, or its reservations are not those of its open requests.
+func (m *Machine) CheckInvariants() error {
+	reserved := make(map[string]int64)
+	for _, r := range m.requests.Sorted() {
+		if err := r.Check(); err != nil {
+			return err
+		}
+		reserved[r.Budget] += r.Reserved
+	}
+	for name, a := range m.accounts {
+		if err := a.Check(); err != nil {
+			return err
+		}
+		if a.State().Reserved != reserved[name] {
+			return errkind.New(errkind.Internal, "budget %s reserves %d tokens, its requests %d", name, a.State().Reserved, reserved[name])
+		}
+		delete(reserved, name)
+	}
+	for name, tokens := range reserved {
+		if tokens != 0 {
+			return errkind.New(errkind.Internal, "%d tokens are reserved on no budget %s", tokens, name)
+		}
+	}
+	return nil
+}
+
+// refuse returns the result of a refused command.
+func refuse(err error) *controlapi.Result {
+	return &controlapi.Result{Err: errkind.From(err)}
+}
+
+// must panics on an error of an aggregate that the machine's own checks rule
+// out: to go on would charge wrong amounts.
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func compareSessions(a, b controlapi.HostInfo) int { return cmp.Compare(a.Session, b.Session) }
+
+// Sessions returns the open sessions in the order of their ids.
+func (m *Machine) Sessions() []controlapi.HostInfo {
+	hosts := make([]controlapi.HostInfo, 0, len(m.sessions.open))
+	for _, s := range m.sessions.open {
+		hosts = append(hosts, controlapi.HostInfo{Session: s.Session, Host: s.Host, Zone: s.Zone, Address: s.Address})
+	}
+	slices.SortFunc(hosts, compareSessions)
+	return hosts
+}
--- /dev/null
+++ b/internal/control/query.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/request"
+)
+
+// allKinds in a query stands for the records of all kinds.
+const allKinds = config.Kind(config.Wildcard)
+
+// maxListedRequests bounds the request records of one reply.
+const maxListedRequests = 1000
+
+// Query reads the state. It changes nothing.
+func (m *Machine) Query(q *controlapi.QueryRequest) *controlapi.QueryReply {
+	reply := &controlapi.QueryReply{Revision: m.revision, Schema: m.schema}
+	switch {
+	case q.Records != "":
+		reply.Records = m.listRecords(q)
+	case q.Budgets:
+		reply.Budgets = m.listBudgets(q.Organisation)
+	case q.Request != "":
+		if r := m.requests.Get(q.Request); r != nil {
+			reply.Requests = []controlapi.RequestStatus{requestStatus(r)}
+		}
+	case q.Requests:
+		reply.Requests = m.listRequests(q.Organisation)
+	case q.History:
+		reply.History = m.history.after(q.HistoryMin)
+	case q.Hosts:
+		reply.Hosts = m.Sessions()
+	}
+	return reply
+}
+
+func (m *Machine) listRecords(q *controlapi.QueryRequest) []config.Record {
+	var records []config.Record
+	for _, r := range m.store.Records() {
+		if q.Records != allKinds && q.Records != r.Kind || q.Name != "" && q.Name != r.Name {
+			continue
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+func (m *Machine) listBudgets(organisation string) []controlapi.BudgetStatus {
+	var list []controlapi.BudgetStatus
+	for _, name := range slices.Sorted(maps.Keys(m.accounts)) {
+		if organisation == "" || organisation == m.accounts[name].organisation {
+			list = append(list, m.budgetStatus(name))
+		}
+	}
+	return list
+}
+
+func (m *Machine) budgetStatus(name string) controlapi.BudgetStatus {
+	a := m.accounts[name]
+	s := a.State()
+	return controlapi.BudgetStatus{
+		Budget: name, Organisation: a.organisation,
+		PaidIn: s.PaidIn, Charged: s.Charged, Reserved: s.Reserved, Granted: s.Granted,
+	}
+}
+
+func (m *Machine) listRequests(organisation string) []controlapi.RequestStatus {
+	var list []controlapi.RequestStatus
+	for _, r := range m.requests.Sorted() {
+		if len(list) == maxListedRequests {
+			break
+		}
+		if organisation == "" || organisation == r.Organisation {
+			list = append(list, requestStatus(r))
+		}
+	}
+	return list
+}
+
+func requestStatus(r *request.Record) controlapi.RequestStatus {
+	return controlapi.RequestStatus{
+		RequestID: r.ID, Organisation: r.Organisation, Caller: r.Caller, Service: r.Service,
+		State: string(r.State), Attempt: r.Attempt, Reserved: r.Reserved, Charged: r.Charged, Session: r.Session,
+	}
+}
--- /dev/null
+++ b/internal/control/release.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"github.com/godwitbend/godwitbend/internal/containment"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/request"
+)
+
+// release frees the reservation of a request that did not run, or that ran
+// without an answer and may be repeated.
+func (m *Machine) release(c *controlapi.ReleaseRequest) *controlapi.Result {
+	r, err := m.attempt(c.RequestID, c.Attempt, c.Session)
+	if err != nil {
+		return refuse(err)
+	}
+	if r.State == request.Released {
+		return &controlapi.Result{}
+	}
+	if err := r.CheckOpen(); err != nil {
+		return refuse(err)
+	}
+	if c.MayHaveRun && !r.Repeatable {
+		return refuse(errkind.New(errkind.OutcomeUnknown, "request %s may not be repeated and may have run", r.ID))
+	}
+	ending := containment.NotRun
+	if c.MayHaveRun {
+		ending = containment.NoEnd
+	}
+	m.closeRecord(r, ending, r.Release)
+	return &controlapi.Result{}
+}
+
+// recoverOrphan closes a record whose owner is gone and which nobody took
+// over. No answer of it was delivered whole, because that needs a Settle. A
+// request that may be repeated is free; the fate of another one is unknown.
+func (m *Machine) recoverOrphan(r *request.Record) {
+	switch {
+	case len(r.Dispatches) == 0:
+		m.closeRecord(r, containment.NotRun, r.Release)
+	case r.Repeatable:
+		m.closeRecord(r, containment.NoEnd, r.Release)
+	default:
+		m.closeRecord(r, containment.NoEnd, r.SettleUnknown)
+	}
+}
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -32,6 +32,12 @@
 	// Takeover asks to take over an open record even from an owner whose session lives,
 	// because that owner was asked and no longer serves the request.
 	Takeover bool `cbor:"12,keyasint,omitempty"`
+	// Try numbers the tries of one session for this request. A resend of a Begin carries the
+	// same number; another number from the owning session is told BeginInProgress.
+	Try uint64 `cbor:"13,keyasint,omitempty"`
+	// Unkeyed tells that RequestID was generated because the caller gave no idempotency key.
+	// Its record is kept only as long as the owner may send commands again.
+	Unkeyed bool `cbor:"14,keyasint,omitempty"`
 }
 
 // BeginStatus tells what a host does next with a request.
@@ -42,6 +48,7 @@
 	// BeginStarted: the record is new, or was released; run the request.
 	BeginStarted BeginStatus = "started"
 	// BeginTakenOver: the record was open under a dead owner; the caller now owns a later attempt.
+	// With MayHaveRun set, the named upstream is not counted as dispatched: send Dispatch first.
 	BeginTakenOver BeginStatus = "taken_over"
 	// BeginInProgress: a live host owns the record.
 	BeginInProgress BeginStatus = "in_progress"
@@ -67,6 +74,14 @@
 	Charged int64 `cbor:"8,keyasint,omitempty"`
 	// Suspect asks to run the request alone on its upstream, because its body was in flight at a crash.
 	Suspect bool `cbor:"9,keyasint,omitempty"`
+	// RunOn are upstreams on which the body may run now, if the error is SuspectBusy.
+	RunOn []Instance `cbor:"10,keyasint,omitempty"`
+}
+
+// Instance is one incarnation of an upstream.
+type Instance struct {
+	Upstream    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // StoredAnswer is a small answer that is kept in the record and given again.
@@ -82,6 +97,11 @@
 	Attempt             uint32 `cbor:"2,keyasint"`
 	Upstream            string `cbor:"3,keyasint"`
 	UpstreamIncarnation uint64 `cbor:"4,keyasint"`
+	// EarlierNotRun is the owner's word that the earlier dispatches of the record provably did
+	// not run. A request that may not be repeated is not dispatched again without it.
+	EarlierNotRun bool `cbor:"5,keyasint,omitempty"`
+	// Session is the sender's session; a command of another session than the owner's is refused.
+	Session string `cbor:"6,keyasint,omitempty"`
 }
 
 // SettleRequest charges a request that ran and frees the rest of its reservation.
@@ -93,12 +113,22 @@
 	// Unknown closes the record of a non-repeatable request whose fate cannot be learnt.
 	// Its whole reservation is charged and later tries are told OutcomeUnknown.
 	Unknown bool `cbor:"5,keyasint,omitempty"`
+	// Partial tells that the run was cut off before its end, so that it is no proof that the
+	// body is harmless to upstreams.
+	Partial bool `cbor:"6,keyasint,omitempty"`
+	// Session is the sender's session, as in DispatchRequest.
+	Session string `cbor:"7,keyasint,omitempty"`
 }
 
 // ReleaseRequest frees the reservation of a request that provably did not run.
 type ReleaseRequest struct {
 	RequestID string `cbor:"1,keyasint"`
 	Attempt   uint32 `cbor:"2,keyasint"`
+	// MayHaveRun tells that a repeatable request may have run, but no answer was delivered. It
+	// is refused for a request that may not be repeated, which is settled as unknown instead.
+	MayHaveRun bool `cbor:"3,keyasint,omitempty"`
+	// Session is the sender's session, as in DispatchRequest.
+	Session string `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashReport tells that an upstream was lost with requests in flight.
@@ -300,6 +330,8 @@
 	Settled   int64           `cbor:"3,keyasint,omitempty"`
 	Configure *ConfigureReply `cbor:"4,keyasint,omitempty"`
 	Budget    *BudgetStatus   `cbor:"5,keyasint,omitempty"`
+	// Overrun is what a settled request used beyond its reservation, in tokens. It is not charged.
+	Overrun int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Client is the control group as an entry host sees it. Execute returns the
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -31,6 +31,7 @@
 	Displaced          Kind = "displaced"
 	NoUpstream         Kind = "no_upstream"
 	Quarantined        Kind = "quarantined"
+	SuspectBusy        Kind = "suspect_busy"
 	Draining           Kind = "draining"
 	LeaseLapsed        Kind = "configuration_lease_lapsed"
 	ControlUnavailable Kind = "control_unavailable"
@@ -82,6 +83,7 @@
 	Displaced:          {http.StatusServiceUnavailable, NotRun, true},
 	NoUpstream:         {http.StatusServiceUnavailable, NotRun, true},
 	Quarantined:        {http.StatusUnprocessableEntity, NotRun, false},
+	SuspectBusy:        {http.StatusServiceUnavailable, NotRun, true},
 	Draining:           {http.StatusServiceUnavailable, NotRun, true},
 	LeaseLapsed:        {http.StatusServiceUnavailable, NotRun, true},
 	ControlUnavailable: {http.StatusServiceUnavailable, NotRun, true},
