--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -54,12 +54,3 @@
 		}
 	}
 }
-
-// decode returns the typed spec of r in the newest schema version.
-func decode(r Record, v any) error {
-	newest, err := Convert(r, MaxSchema)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(newest.Spec, v)
-}
