Serve callers through the control group, first cut

Cause: an entry host had no path from a caller to an upstream.

Change: a registry of upstreams ordered by incarnation and sequence; the callers' handler (chat completions streamed and whole, models, plain services), which dispatches only after Begin is committed, holds the end of an answer until Settle is committed, cuts a stream at its reservation, asks for the exact prompt count when the loose bound does not fit, takes calls over from lost hosts, and learns the fate of calls that may not be repeated from the upstream; JSON errors with outcome and Retry-After; counters per refusal kind and retry reason.

Conclusion: go test ./internal/entry ./internal/registry passes, also under -race -count=3. The failure paths still lack tests.

--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+// errAnswered tells that a failed try was answered to its end, or that nobody waits for an answer.
+var errAnswered = eris.New("the call is answered")
+
+// upstreamRetry is the time after which a caller is told to come back when upstreams failed.
+const upstreamRetry = time.Second
+
+// proceed goes on from the state of the record. It owns the place at t.
+func (x *exchange) proceed(reply *controlapi.BeginReply, t target) error {
+	x.h.budgets.earn(x.id.caller.Class)
+	switch reply.Status {
+	case controlapi.BeginStarted:
+		return x.run(t)
+	case controlapi.BeginTakenOver:
+		return x.takeOver(reply, t)
+	case controlapi.BeginSettled:
+		return x.repeatSettled(reply, t)
+	default:
+		t.leave()
+		return errkind.New(errkind.InProgress, "another host is serving the request").WithRetryAfter(inProgressRetry)
+	}
+}
+
+// run sends the call to t, and after failures to further upstreams.
+func (x *exchange) run(t target) error {
+	t, err := x.prepare(t)
+	if err != nil {
+		return err
+	}
+	for tries := 1; ; tries++ {
+		f := x.try(t)
+		if f == nil {
+			t.leave()
+			return nil
+		}
+		err := x.afterFailure(f, t, tries)
+		t.leave()
+		if err == errAnswered {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if t, err = x.next(f, t, tries); err != nil {
+			return err
+		}
+	}
+}
+
+// prepare commits the first dispatch, and finds an idle upstream for a suspect.
+// On an error it has given up the place at t.
+func (x *exchange) prepare(t target) (target, error) {
+	if x.suspect && !t.alone {
+		t.leave()
+		x.h.counters.retry(reasonSuspect)
+		var err error
+		if t, err = x.chooseAgain(); err != nil {
+			return target{}, err
+		}
+	}
+	if err := x.ensureDispatch(t); err != nil {
+		t.leave()
+		return target{}, err
+	}
+	return t, nil
+}
+
+// try sends the call to t once and delivers the answer. It returns nil if the
+// caller got an answer, or has gone.
+func (x *exchange) try(t target) *failure {
+	leave := x.h.crashes.enter(t, x.requestID, x.bodyHash)
+	defer leave()
+	var f *failure
+	switch x.kind {
+	case callChatStream:
+		f = x.tryStream(t)
+	case callChatWhole:
+		f = x.tryWhole(t)
+	case callPlain:
+		f = x.tryPlain(t)
+	}
+	if f != nil && f.broken {
+		x.reportCrash(t)
+	}
+	return f
+}
+
+// afterFailure decides whether another upstream may be tried. It returns the
+// final answer if not.
+func (x *exchange) afterFailure(f *failure, t target, tries int) error {
+	x.mayHaveRun = x.mayHaveRun || !f.notRun
+	x.h.Log.Info("try failed", "request_id", x.requestID, "organisation", x.id.caller.Organisation,
+		"upstream", t.entry.ID, "reason", f.reason, "detail", f.text)
+	if f.callerGone {
+		x.callerLeft(t, 0)
+		return errAnswered
+	}
+	if f.final != nil {
+		return f.final
+	}
+	x.failed[t.entry.ID] = true
+	if x.repeatable {
+		return x.mayRetry(f, t, tries)
+	}
+	if f.notRun {
+		return nil
+	}
+	return x.learnFate(t)
+}
+
+// mayRetry returns nil if a repeatable call may be sent again.
+func (x *exchange) mayRetry(f *failure, t target, tries int) error {
+	refusal := errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", f.reason).WithRetryAfter(upstreamRetry)
+	if f.notRun {
+		refusal = errkind.New(errkind.UpstreamRefused, "no upstream took the request: %s", f.reason).WithRetryAfter(upstreamRetry)
+	}
+	switch {
+	case !f.notRun && !x.h.budgets.spend(x.id.caller.Class):
+		x.h.counters.event("retry_budget_exhausted")
+	case tries >= maxTries, !x.h.Now().Before(x.deadline):
+	default:
+		return nil
+	}
+	x.cancelLater(f, t)
+	return refusal
+}
+
+// cancelLater ends what may still run at an upstream that failed.
+func (x *exchange) cancelLater(f *failure, t target) {
+	if !f.notRun && x.repeatable {
+		x.h.inBackground(func() { _, _ = x.cancel(t) })
+	}
+}
+
+// next waits the backoff, claims a place at another upstream and commits the dispatch.
+func (x *exchange) next(f *failure, last target, tries int) (target, error) {
+	x.h.counters.retry(f.reason)
+	ctx, cancel := context.WithDeadline(x.work, x.deadline)
+	defer cancel()
+	if tries > 1 || !f.notRun {
+		pause(ctx, backoff(tries))
+	}
+	t, err := x.chooseAgain()
+	if err != nil {
+		return target{}, err
+	}
+	if t.entry != last.entry {
+		x.cancelLater(f, last)
+	}
+	x.dispatched = target{}
+	if err := x.ensureDispatch(t); err != nil {
+		t.leave()
+		return target{}, err
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/admission"
+	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/registry"
+	"github.com/godwitbend/godwitbend/internal/routing"
+)
+
+// call is a checked request of a caller.
+type call struct {
+	service string
+	kind    callKind
+	// method, path and contentType are those of the request to the upstream.
+	method      string
+	path        string
+	contentType string
+	// body is what is sent to the upstream.
+	body       []byte
+	bodyHash   string
+	repeatable bool
+	// worst is the largest charge of the call, in tokens.
+	worst int64
+	// output is the output limit of a chat call, in tokens over all choices.
+	output int64
+	// keepUsage tells that the caller asked for the usage event of a stream.
+	keepUsage bool
+	prefix    []uint64
+}
+
+// callKind tells how an answer is passed on.
+type callKind int
+
+const (
+	callChatStream callKind = iota
+	callChatWhole
+	callPlain
+)
+
+// exchange is one call on its way through the host. One goroutine owns it.
+type exchange struct {
+	h  *Handler
+	w  http.ResponseWriter
+	id *identity
+	call
+	filter config.Filter
+	// ctx ends when the caller has gone.
+	ctx context.Context
+	// work ends with ctx, except for a call that may not be repeated.
+	work context.Context
+	// requestID is the id of the record.
+	requestID string
+	// key is the caller's idempotency key, or "".
+	key      string
+	deadline time.Time
+	// attempt fences the commands of the record.
+	attempt uint32
+	// consulted tells that the record was read or written, so that the outcome is known.
+	consulted bool
+	// begun tells that the record is open and owned by this exchange.
+	begun bool
+	// dispatched is the upstream that the record names as the next one to be tried.
+	dispatched target
+	// mayHaveRun tells that some dispatch of the record may have run.
+	mayHaveRun bool
+	// suspect tells that the call must run alone on its upstream.
+	suspect bool
+	// rerun tells that the call is charged already and runs again without a record.
+	rerun bool
+	// started tells that a byte of the answer has reached the caller.
+	started bool
+	// failed holds the upstreams that failed in this exchange.
+	failed map[string]bool
+}
+
+// target is the incarnation of an upstream that is tried.
+type target struct {
+	entry       *registry.Entry
+	incarnation uint64
+	address     string
+	// asks tells that the upstream can be asked about a request.
+	asks bool
+	// alone tells that the place was claimed for this call alone.
+	alone bool
+}
+
+func newTarget(e *registry.Entry, alone bool) target {
+	s := e.State()
+	return target{entry: e, incarnation: s.Incarnation, address: s.Address, asks: s.KnowsRequests, alone: alone}
+}
+
+// gone tells whether the incarnation has surely ended.
+func (t target) gone() bool { return t.entry.State().Incarnation > t.incarnation }
+
+// leave gives up the place at the upstream.
+func (t target) leave() { t.entry.Release(t.alone) }
+
+// Times after which a caller is told to come back.
+const (
+	concurrencyRetry = 100 * time.Millisecond
+	inProgressRetry  = 500 * time.Millisecond
+)
+
+// choicePoll is the time between two looks for an upstream.
+const choicePoll = 20 * time.Millisecond
+
+// serveCall runs a checked call. The error, if any, has not been answered yet.
+func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request, in *incoming, c call) error {
+	leave, ok := h.callers.enter(in.caller.Name, h.callerLimit(in.identity))
+	if !ok {
+		err := errkind.New(errkind.TooManyRequests, "the caller has too many open requests").WithRetryAfter(concurrencyRetry)
+		return h.truthful(r.Context(), w, in.key, err)
+	}
+	defer leave()
+	x := h.newExchange(w, r, in, c)
+	leaveOpen, ok := h.open.enter(x.requestID)
+	if !ok {
+		return errkind.New(errkind.InProgress, "the request is being served").WithRetryAfter(inProgressRetry)
+	}
+	defer leaveOpen()
+	err := x.serve()
+	if err == nil {
+		return nil
+	}
+	x.releaseSoon()
+	return x.truthful(errkind.From(err))
+}
+
+func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, in *incoming, c call) *exchange {
+	x := &exchange{
+		h: h, w: w, id: in.identity, call: c, ctx: r.Context(), work: r.Context(), key: in.key,
+		requestID: w.Header().Get(announce.HeaderRequestID),
+		deadline:  h.Now().Add(in.deadline()), failed: map[string]bool{},
+	}
+	x.filter, _ = in.allowed(c.service)
+	if !c.repeatable {
+		x.work = context.WithoutCancel(r.Context())
+	}
+	return x
+}
+
+func (h *Handler) callerLimit(id *identity) int {
+	if id.caller.MaxConcurrent > 0 {
+		return id.caller.MaxConcurrent
+	}
+	return h.Limits.CallerConcurrent
+}
+
+// serve admits the call, opens its record and runs it.
+func (x *exchange) serve() error {
+	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
+	defer cancel()
+	release, err := x.h.Admission.Acquire(ctx, x.ticket())
+	if err != nil {
+		return err
+	}
+	defer release()
+	t, err := x.choose()
+	if err != nil {
+		return err
+	}
+	reply, err := x.begin(ctx, t)
+	if err != nil {
+		t.leave()
+		return err
+	}
+	return x.proceed(reply, t)
+}
+
+func (x *exchange) ticket() admission.Ticket {
+	return admission.Ticket{
+		Service:      x.service,
+		Organisation: x.id.caller.Organisation,
+		Class:        x.id.caller.Class,
+		Worth:        x.id.class.Worth,
+		QueueLimit:   x.id.class.QueueLimit,
+		Arrived:      x.h.Now(),
+		Deadline:     x.deadline,
+	}
+}
+
+// choose claims a place at an upstream that has not failed in this exchange.
+func (x *exchange) choose() (target, error) {
+	req := &routing.Request{
+		Service: x.service,
+		Allowed: x.filter.Allows,
+		Exclude: x.failed,
+		Alone:   x.suspect,
+		Prefix:  x.prefix,
+	}
+	for {
+		e, err := x.h.Router.Choose(req, x.h.Registry.Snapshot(), x.h.Now(), globalRandom{})
+		if err != nil {
+			return target{}, err
+		}
+		if e.Claim(x.suspect) {
+			return newTarget(e, x.suspect), nil
+		}
+	}
+}
+
+// chooseAgain claims a place after a failure. It waits for one until the
+// deadline, and comes back to upstreams that failed before if no other is left.
+func (x *exchange) chooseAgain() (target, error) {
+	ctx, cancel := context.WithDeadline(x.work, x.deadline)
+	defer cancel()
+	for {
+		t, err := x.choose()
+		if err == nil {
+			return t, nil
+		}
+		clear(x.failed)
+		if !pause(ctx, choicePoll) {
+			return target{}, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/record.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+const (
+	// recordTimeout bounds the tries to commit the end of a record.
+	recordTimeout = 30 * time.Second
+	// recordRetryDelay is the time between two tries.
+	recordRetryDelay = 100 * time.Millisecond
+	// releaseGrace is how long a refusal waits for the release of its reservation.
+	releaseGrace = 300 * time.Millisecond
+	// reservedPoll is the time between two looks at a budget whose rest is reserved.
+	reservedPoll = 50 * time.Millisecond
+)
+
+// setRequestID puts the id of a call with an idempotency key into the answer.
+func setRequestID(w http.ResponseWriter, caller, key string) {
+	w.Header().Set(announce.HeaderRequestID, controlapi.RequestIDFor(caller, key))
+}
+
+// begin opens the record of the call. A refusal for a budget is answered by a
+// tighter bound on the prompt, or by waiting for reservations to be freed.
+func (x *exchange) begin(ctx context.Context, t target) (*controlapi.BeginReply, error) {
+	tightened := false
+	for {
+		reply, err := x.executeBegin(ctx, t, false)
+		if err == nil && reply.Status == controlapi.BeginInProgress && x.ownerGone(ctx, reply.Owner) {
+			reply, err = x.executeBegin(ctx, t, true)
+		}
+		switch {
+		case err == nil:
+			return reply, nil
+		case !errkind.Is(err, errkind.BudgetExhausted) && !errkind.Is(err, errkind.BudgetReserved):
+			return nil, err
+		case !tightened && x.tighten(ctx, t):
+			tightened = true
+		case errkind.Is(err, errkind.BudgetExhausted) || !pause(ctx, reservedPoll):
+			return nil, err
+		}
+	}
+}
+
+func (x *exchange) executeBegin(ctx context.Context, t target, takeover bool) (*controlapi.BeginReply, error) {
+	cmd := &controlapi.Command{Begin: &controlapi.BeginRequest{
+		RequestID:           x.requestID,
+		Organisation:        x.id.caller.Organisation,
+		Caller:              x.id.caller.Name,
+		Budget:              x.id.caller.Budget,
+		Service:             x.service,
+		BodyHash:            x.bodyHash,
+		Repeatable:          x.repeatable,
+		Tokens:              x.worst,
+		Session:             x.h.Session(),
+		Upstream:            t.entry.ID,
+		UpstreamIncarnation: t.incarnation,
+		Takeover:            takeover,
+		Try:                 x.h.tries.Add(1),
+		Unkeyed:             x.key == "",
+	}}
+	res, err := x.h.Control.Execute(ctx, cmd)
+	if err != nil {
+		x.h.inBackground(func() { x.h.abandon(cmd) })
+		return nil, errkind.New(errkind.ControlUnavailable, "the record can't be opened").WithRetryAfter(controlRetry)
+	}
+	x.consulted = true
+	if res.Err != nil {
+		return nil, res.Err
+	}
+	x.takeBegin(res.Begin, t)
+	return res.Begin, nil
+}
+
+func (x *exchange) takeBegin(reply *controlapi.BeginReply, t target) {
+	x.attempt = reply.Attempt
+	x.suspect = x.suspect || reply.Suspect
+	x.begun = reply.Status == controlapi.BeginStarted || reply.Status == controlapi.BeginTakenOver
+	x.mayHaveRun = reply.Status != controlapi.BeginStarted && (reply.MayHaveRun || reply.Status != controlapi.BeginTakenOver)
+	if x.begun && !reply.MayHaveRun {
+		x.dispatched = t
+	}
+}
+
+// ownerGone tells whether the owner of an open record surely no longer serves
+// it, though its session lives. This host's own requests are known: open.enter
+// let this one in, so no other is being served here under its id.
+func (x *exchange) ownerGone(ctx context.Context, owner string) bool {
+	if owner == x.h.Session() {
+		return true
+	}
+	if x.h.OwnerServes == nil {
+		return false
+	}
+	serves, known := x.h.OwnerServes(ctx, owner, x.requestID)
+	return known && !serves
+}
+
+// tighten replaces the bound on the prompt by the exact count of an upstream.
+func (x *exchange) tighten(ctx context.Context, t target) bool {
+	if x.kind == callPlain {
+		return false
+	}
+	prompt, err := x.h.upstreams.tokenize(ctx, t.address, x.body)
+	if err != nil || prompt+x.output >= x.worst {
+		return false
+	}
+	x.h.counters.event("prompts_tokenized")
+	x.worst = prompt + x.output
+	return true
+}
+
+// ensureDispatch commits that t is about to be tried, unless the record says so.
+func (x *exchange) ensureDispatch(t target) error {
+	if x.rerun || x.dispatched.entry == t.entry && x.dispatched.incarnation == t.incarnation {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(x.work, x.deadline)
+	defer cancel()
+	err := x.commit(ctx, &controlapi.Command{Dispatch: &controlapi.DispatchRequest{
+		RequestID: x.requestID, Attempt: x.attempt, Upstream: t.entry.ID,
+		UpstreamIncarnation: t.incarnation, EarlierNotRun: !x.mayHaveRun,
+	}})
+	if err == nil {
+		x.dispatched = t
+	}
+	return err
+}
+
+// settle charges the tokens that were used and closes the record. It returns
+// nil only when the charge is committed. Partial tells that the run was cut off.
+func (x *exchange) settle(tokens int64, answer *controlapi.StoredAnswer, partial bool) error {
+	if x.rerun {
+		return nil
+	}
+	return x.finish(&controlapi.Command{Settle: &controlapi.SettleRequest{
+		RequestID: x.requestID, Attempt: x.attempt, Tokens: max(tokens, 0), Answer: answer, Partial: partial,
+	}})
+}
+
+// settleUnknown closes the record of a call whose fate can't be learnt.
+func (x *exchange) settleUnknown() error {
+	return x.finish(&controlapi.Command{Settle: &controlapi.SettleRequest{
+		RequestID: x.requestID, Attempt: x.attempt, Tokens: x.worst, Unknown: true,
+	}})
+}
+
+// release frees the reservation of a call that did not run, or of a repeatable
+// call whose runs delivered nothing.
+func (x *exchange) release(mayHaveRun bool) error {
+	if x.rerun || !x.begun {
+		return nil
+	}
+	return x.finish(&controlapi.Command{Release: &controlapi.ReleaseRequest{
+		RequestID: x.requestID, Attempt: x.attempt, MayHaveRun: mayHaveRun,
+	}})
+}
+
+// releaseSoon frees what the record still reserves if the call did not run, or
+// may be repeated and delivered nothing. The answer waits for it only briefly.
+func (x *exchange) releaseSoon() {
+	if !x.begun || x.rerun || x.mayHaveRun && !x.repeatable {
+		return
+	}
+	done := x.h.inBackground(func() { _ = x.release(x.mayHaveRun) })
+	timer := time.NewTimer(releaseGrace)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// inBackground runs f as part of the host's open work and closes the channel at its end.
+func (h *Handler) inBackground(f func()) <-chan struct{} {
+	done := make(chan struct{})
+	h.background.Add(1)
+	go func() {
+		defer close(done)
+		defer h.background.Add(-1)
+		f()
+	}()
+	return done
+}
+
+// finish commits the end of the record, also when the caller has gone.
+func (x *exchange) finish(cmd *controlapi.Command) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), recordTimeout)
+	defer cancel()
+	err := x.commit(ctx, cmd)
+	if err == nil || !errkind.Is(err, errkind.ControlUnavailable) {
+		x.begun = false
+	}
+	return err
+}
+
+// commit executes an idempotent command until its result is known or ctx ends.
+func (x *exchange) commit(ctx context.Context, cmd *controlapi.Command) error {
+	_, err := x.h.commit(ctx, cmd)
+	return err
+}
+
+func (h *Handler) commit(ctx context.Context, cmd *controlapi.Command) (*controlapi.Result, error) {
+	for {
+		res, err := h.Control.Execute(ctx, cmd)
+		if err == nil && res.Err != nil {
+			return nil, res.Err
+		}
+		if err == nil {
+			return res, nil
+		}
+		if !pause(ctx, recordRetryDelay) {
+			return nil, errkind.New(errkind.ControlUnavailable, "the record can't be written").WithRetryAfter(controlRetry)
+		}
+	}
+}
+
+// abandon learns the result of a Begin that was not answered, by sending it
+// again, and frees what it reserved. Nothing was dispatched under it.
+func (h *Handler) abandon(begin *controlapi.Command) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	res, err := h.commit(ctx, begin)
+	if err != nil || res.Begin.MayHaveRun {
+		return
+	}
+	if s := res.Begin.Status; s != controlapi.BeginStarted && s != controlapi.BeginTakenOver {
+		return
+	}
+	_, _ = h.commit(ctx, &controlapi.Command{Release: &controlapi.ReleaseRequest{
+		RequestID: begin.Begin.RequestID, Attempt: res.Begin.Attempt,
+	}})
+}
+
+// pause waits for d; it returns false if ctx ended before.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/refusal.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+// errorBody is the JSON form of an error towards callers.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Kind         errkind.Kind    `json:"kind"`
+	Message      string          `json:"message"`
+	Outcome      errkind.Outcome `json:"outcome"`
+	Retry        bool            `json:"retry"`
+	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+	RequestID    string          `json:"request_id"`
+	// Type and Code repeat the kind for client libraries that read these names.
+	Type string `json:"type"`
+	Code string `json:"code"`
+}
+
+func newErrorBody(e *errkind.Error, requestID string) errorBody {
+	return errorBody{Error: errorDetail{
+		Kind:         e.Kind,
+		Message:      e.Message,
+		Outcome:      e.Outcome(),
+		Retry:        errkind.Lookup(e.Kind).Retry,
+		RetryAfterMS: e.RetryAfterMS,
+		RequestID:    requestID,
+		Type:         string(e.Kind),
+		Code:         string(e.Kind),
+	}}
+}
+
+// refuse answers with the error and counts it.
+func (h *Handler) refuse(w http.ResponseWriter, err error) {
+	e := errkind.From(err)
+	h.counters.refusal(e.Kind)
+	id := w.Header().Get(announce.HeaderRequestID)
+	h.Log.Info("request refused", "request_id", id, "kind", e.Kind, "outcome", e.Outcome(), "message", e.Message)
+	if e.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((e.RetryAfterMS+999)/1000, 10))
+	}
+	body, _ := json.Marshal(newErrorBody(e, id))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(errkind.Lookup(e.Kind).Status)
+	_, _ = w.Write(body)
+}
+
+// counters counts refusals by kind and retries by reason.
+type counters struct {
+	scope tally.Scope
+}
+
+func (c *counters) refusal(k errkind.Kind) {
+	c.scope.Tagged(map[string]string{"kind": string(k)}).Counter("refusals").Inc(1)
+}
+
+func (c *counters) retry(r retryReason) {
+	c.scope.Tagged(map[string]string{"reason": string(r)}).Counter("retries").Inc(1)
+}
+
+func (c *counters) event(name string) {
+	c.scope.Counter(name).Inc(1)
+}
--- /dev/null
+++ b/internal/entry/site_test.go
@@ -0,0 +1,352 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/godwitbend/godwitbend/internal/admission"
+	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/fake"
+	"github.com/godwitbend/godwitbend/internal/registry"
+	"github.com/godwitbend/godwitbend/internal/routing"
+)
+
+// pipeNetwork connects clients to servers by address inside a synctest bubble.
+type pipeNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	servers   []*http.Server
+	client    *http.Client
+}
+
+type pipeListener struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+	mu      sync.Mutex
+	open    []net.Conn
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func newPipeNetwork() *pipeNetwork {
+	n := &pipeNetwork{listeners: map[string]*pipeListener{}}
+	n.client = &http.Client{Transport: &http.Transport{DialContext: n.dial, DisableCompression: true}}
+	return n
+}
+
+func (n *pipeNetwork) dial(_ context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, eris.Errorf("connection to %s refused", address)
+	}
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		l.mu.Lock()
+		l.open = append(l.open, server)
+		l.mu.Unlock()
+		return client, nil
+	case <-l.closed:
+		return nil, eris.Errorf("connection to %s refused", address)
+	}
+}
+
+// serve serves handler at address.
+func (n *pipeNetwork) serve(address string, handler http.Handler) {
+	l := &pipeListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	n.mu.Lock()
+	n.listeners[address] = l
+	n.servers = append(n.servers, server)
+	n.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+}
+
+// kill ends the server at address: its connections break and new ones are refused.
+func (n *pipeNetwork) kill(address string) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	delete(n.listeners, address)
+	n.mu.Unlock()
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+}
+
+func (n *pipeNetwork) close() {
+	n.client.CloseIdleConnections()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+}
+
+// site is one entry host with its control group and upstreams.
+type site struct {
+	*GomegaWithT
+	t        *testing.T
+	net      *pipeNetwork
+	control  *memoryControl
+	registry *registry.Registry
+	scope    tally.TestScope
+	options  Options
+	host     *Handler
+	view     *config.View
+	sequence uint64
+	draining bool
+	lapsed   bool
+}
+
+const callerKey = "the caller's key"
+
+// inSite runs a test with one entry host in virtual time.
+func inSite(t *testing.T, paidIn int64, test func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, paidIn)
+		defer func() {
+			time.Sleep(2 * recordTimeout)
+			s.net.close()
+			synctest.Wait()
+		}()
+		s.Expect(s.view.Faults()).To(BeEmpty())
+		test(s)
+	})
+}
+
+func newSite(t *testing.T, paidIn int64) *site {
+	s := &site{
+		GomegaWithT: NewWithT(t), t: t, net: newPipeNetwork(), control: newMemoryControl(paidIn),
+		registry: registry.New(time.Hour), scope: tally.NewTestScope("", nil),
+	}
+	s.view = config.NewView(records(), 1)
+	s.options = Options{
+		Control: s.control, Session: func() string { return "session-1" }, LeaseValid: func() bool { return !s.lapsed },
+		Draining: func() bool { return s.draining }, View: func() *config.View { return s.view },
+		Registry: s.registry, Admission: admission.Open{}, Router: routing.New(routing.Settings{Freshness: time.Hour}),
+		Metrics: s.scope, HTTPClient: s.net.client, Log: slog.New(slog.DiscardHandler),
+	}
+	s.host = s.addHost("10.0.0.1:80", "session-1")
+	return s
+}
+
+// addHost starts an entry host with a session of its own.
+func (s *site) addHost(address, session string) *Handler {
+	o := s.options
+	o.Session = func() string { return session }
+	h := New(o)
+	s.net.serve(address, h)
+	s.t.Cleanup(func() { h.upstreams.once.CloseIdleConnections() })
+	return h
+}
+
+func records() []config.Record {
+	hash := sha256.Sum256([]byte(callerKey))
+	spec := func(kind config.Kind, name string, v any) config.Record {
+		data, _ := json.Marshal(v)
+		return config.Record{Kind: kind, Name: name, SchemaVersion: 2, Revision: 1, Spec: data}
+	}
+	return []config.Record{
+		spec(config.KindOrganisation, "org", config.OrganisationSpec{}),
+		spec(config.KindCaller, "caller", config.CallerSpec{Organisation: "org", KeyHash: hex.EncodeToString(hash[:]), Class: "gold", Budget: "b", MaxConcurrent: 4}),
+		spec(config.KindBudget, "b", config.BudgetSpec{Organisation: "org"}),
+		spec(config.KindClass, "gold", config.ClassSpec{Worth: 10, DeadlineMS: 5000, QueueLimit: 10}),
+		spec(config.KindPolicy, "p", config.PolicySpec{Organisation: "org", Services: []string{"m", "numbers", "absent"}, Upstreams: []string{"*"}}),
+		spec(config.KindService, "m", config.ServiceSpec{Kind: config.ServiceModel, MaxOutputTokens: 20}),
+		spec(config.KindService, "absent", config.ServiceSpec{Kind: config.ServiceModel, MaxOutputTokens: 20}),
+		spec(config.KindService, "hidden", config.ServiceSpec{Kind: config.ServiceModel, MaxOutputTokens: 20}),
+		spec(config.KindService, "numbers", config.ServiceSpec{Kind: config.ServicePlain, Methods: []config.MethodSpec{
+			{Method: "POST", Path: "/series/*/next", Tokens: 5}, {Method: "GET", Path: "/series/*", Repeatable: true, Tokens: 1},
+		}}),
+	}
+}
+
+// announced is a stand-in that can announce itself.
+type announced interface {
+	http.Handler
+	Announcement() announce.Announcement
+}
+
+// addUpstream serves and announces a stand-in.
+func (s *site) addUpstream(address string, u announced) {
+	s.net.serve(address, u)
+	s.Expect(s.registry.Apply(u.Announcement(), time.Now())).To(BeTrue())
+}
+
+func (s *site) addEngine(n int, change func(*fake.EngineOptions)) *fake.Engine {
+	address := fmt.Sprintf("10.0.1.%d:80", n)
+	o := fake.EngineOptions{
+		Identity: fake.Identity{ID: fmt.Sprintf("engine-%d", n), Zone: "a", Address: "http://" + address, Incarnation: 1},
+		Models:   []announce.ServiceOffer{{Name: "m"}}, TokenTime: time.Millisecond,
+	}
+	if change != nil {
+		change(&o)
+	}
+	e := fake.NewEngine(o)
+	s.addUpstream(address, e)
+	return e
+}
+
+func (s *site) addService(n int, change func(*fake.ServiceOptions)) *fake.Service {
+	address := fmt.Sprintf("10.0.2.%d:80", n)
+	o := fake.ServiceOptions{
+		Identity: fake.Identity{ID: fmt.Sprintf("service-%d", n), Zone: "a", Address: "http://" + address, Incarnation: 1},
+		Names:    []string{"numbers"},
+	}
+	if change != nil {
+		change(&o)
+	}
+	v := fake.NewService(o)
+	s.addUpstream(address, v)
+	return v
+}
+
+// addFunc announces a plain handler as an upstream of service.
+func (s *site) addFunc(id, address, service string, asks bool, f http.HandlerFunc) {
+	s.net.serve(address, f)
+	s.registry.Apply(announce.Announcement{
+		ID: id, Incarnation: 1, Sequence: 1, Address: "http://" + address, Kind: announce.KindEngine, Capacity: 8,
+		Services: []announce.ServiceOffer{{Name: service}}, State: announce.StateServing, KnowsRequests: asks,
+	}, time.Now())
+}
+
+// answer is what a caller received.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error
+	refusal errorDetail
+}
+
+// whole tells whether a stream came to its end marker.
+func (a answer) whole() bool { return strings.HasSuffix(a.body, "data: [DONE]\n\n") }
+
+// text returns the content of a stream.
+func (a answer) text() string {
+	var b strings.Builder
+	events := newEventReader(strings.NewReader(a.body))
+	for {
+		data, err := events.next()
+		if err != nil {
+			return b.String()
+		}
+		var c chunk
+		if json.Unmarshal(data, &c) != nil || len(c.Choices) == 0 {
+			continue
+		}
+		var content string
+		_ = json.Unmarshal(c.Choices[0].Delta["content"], &content)
+		b.WriteString(content)
+	}
+}
+
+type option func(*http.Request)
+
+func key(k string) option {
+	return func(r *http.Request) { r.Header.Set("Idempotency-Key", k) }
+}
+
+func bearer(k string) option {
+	return func(r *http.Request) { r.Header.Set("Authorization", "Bearer "+k) }
+}
+
+func via(address string) option {
+	return func(r *http.Request) { r.URL.Host = address }
+}
+
+func within(ctx context.Context) option {
+	return func(r *http.Request) { *r = *r.WithContext(ctx) }
+}
+
+// call sends a request of the caller to the first host.
+func (s *site) call(method, path, body string, options ...option) answer {
+	req, err := http.NewRequest(method, "http://10.0.0.1:80"+path, bytes.NewReader([]byte(body)))
+	s.Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Content-Type", "application/json")
+	bearer(callerKey)(req)
+	for _, o := range options {
+		o(req)
+	}
+	resp, err := s.net.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+	var e errorBody
+	_ = json.Unmarshal(data, &e)
+	a.refusal = e.Error
+	return a
+}
+
+const (
+	streamBody = `{"model":"m","stream":true,"messages":[{"role":"user","content":"draft a proclamation"}]}`
+	wholeBody  = `{"model":"m","messages":[{"role":"user","content":"draft a proclamation"}]}`
+)
+
+func (s *site) stream(options ...option) answer {
+	return s.call(http.MethodPost, chatPath, streamBody, options...)
+}
+
+func (s *site) nextNumber(options ...option) answer {
+	return s.call(http.MethodPost, "/services/numbers/series/a/next", "{}", options...)
+}
+
+// counter returns the value of a counter with one tag value, or "" for none.
+func (s *site) counter(name, tag string) int64 {
+	var total int64
+	for _, c := range s.scope.Snapshot().Counters() {
+		if c.Name() != name {
+			continue
+		}
+		for _, v := range c.Tags() {
+			if v == tag {
+				total += c.Value()
+			}
+		}
+		if tag == "" {
+			total += c.Value()
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/entry/takeover.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+// takeOver goes on with a call whose earlier owner is gone. It owns the place at t.
+func (x *exchange) takeOver(reply *controlapi.BeginReply, t target) error {
+	if !reply.MayHaveRun {
+		return x.run(t)
+	}
+	x.h.counters.retry(reasonTakeover)
+	earlier, found := x.earlierTarget(reply)
+	if !x.repeatable {
+		t.leave()
+		return x.takeOverOnce(earlier, found)
+	}
+	if found && x.kind == callChatStream && earlier.asks && !earlier.gone() && !x.suspect && earlier.entry.Claim(false) {
+		f := x.resumeTakenOver(earlier)
+		earlier.leave()
+		if f == nil {
+			t.leave()
+			return nil
+		}
+		x.mayHaveRun = true
+	}
+	return x.run(t)
+}
+
+// earlierTarget returns where the earlier attempt was dispatched.
+func (x *exchange) earlierTarget(reply *controlapi.BeginReply) (target, bool) {
+	e, found := x.h.Registry.Snapshot().Entries[reply.Upstream]
+	if !found {
+		return target{}, false
+	}
+	earlier := newTarget(e, false)
+	earlier.incarnation = reply.UpstreamIncarnation
+	return earlier, true
+}
+
+// resumeTakenOver streams from its start what the earlier attempt's engine still has.
+func (x *exchange) resumeTakenOver(earlier target) *failure {
+	leave := x.h.crashes.enter(earlier, x.requestID, x.bodyHash)
+	defer leave()
+	ctx, watch := newWatch(x.work, x.untilDeadline())
+	defer watch.stop()
+	resp, f := x.resume(ctx, earlier, 0)
+	if f != nil {
+		return f
+	}
+	return x.relayAll(ctx, watch, earlier, resp)
+}
+
+// takeOverOnce goes on with a call that may not be repeated: only when the
+// earlier dispatch provably did not run it is sent.
+func (x *exchange) takeOverOnce(earlier target, found bool) error {
+	if !found {
+		return errkind.New(errkind.OutcomeUnknown, "the upstream that the call was sent to is not known here; ask again with the same key").
+			WithRetryAfter(upstreamRetry)
+	}
+	if err := x.learnFate(earlier); err == errAnswered {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	t, err := x.chooseAgain()
+	if err != nil {
+		return err
+	}
+	return x.run(t)
+}
+
+// repeatSettled answers a call that has run and is charged. It owns the place at t.
+func (x *exchange) repeatSettled(reply *controlapi.BeginReply, t target) error {
+	if reply.Answer != nil {
+		t.leave()
+		x.write(reply.Answer)
+		return nil
+	}
+	if !x.repeatable {
+		t.leave()
+		return errkind.New(errkind.OutcomeUnknown, "the call ran; its answer is no longer kept").WithOutcome(errkind.Ran)
+	}
+	x.h.counters.event("reruns")
+	x.rerun = true
+	return x.run(t)
+}
--- /dev/null
+++ b/internal/entry/truth.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+// outcomeTimeout bounds the look at the record of a refused request.
+const outcomeTimeout = 500 * time.Millisecond
+
+// truthful states the outcome of a refused call by what is known of its record.
+func (x *exchange) truthful(e *errkind.Error) error {
+	if x.consulted {
+		if x.mayHaveRun && e.Outcome() == errkind.NotRun {
+			return e.WithOutcome(errkind.Unknown)
+		}
+		return e
+	}
+	return x.h.truthful(x.ctx, x.w, x.key, e)
+}
+
+// truthful states the outcome of a refused request that was not begun here. An
+// earlier try with the same key may have run, so its record is looked up.
+func (h *Handler) truthful(ctx context.Context, w http.ResponseWriter, key string, err error) error {
+	e := errkind.From(err)
+	if key == "" || e.Outcome() != errkind.NotRun {
+		return e
+	}
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	reply, queryErr := h.Control.Query(ctx, &controlapi.QueryRequest{Request: w.Header().Get(announce.HeaderRequestID)})
+	if queryErr != nil {
+		return e.WithOutcome(errkind.Unknown)
+	}
+	for i := range reply.Requests {
+		switch reply.Requests[i].State {
+		case "released":
+		case "settled":
+			return e.WithOutcome(errkind.Ran)
+		default:
+			return e.WithOutcome(errkind.Unknown)
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,135 @@
+package registry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/announce"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func announcement(incarnation, sequence uint64) announce.Announcement {
+	return announce.Announcement{
+		ID: "engine-1", Incarnation: incarnation, Sequence: sequence, Zone: "a", Address: "http://127.0.0.1:9",
+		Kind: announce.KindEngine, Services: []announce.ServiceOffer{{Name: "m"}}, Capacity: 4, State: announce.StateServing,
+	}
+}
+
+func TestAnnouncementsAreOrdered(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	g.Expect(r.Apply(announcement(2, 5), start)).To(BeTrue())
+	g.Expect(r.Apply(announcement(2, 5), start)).To(BeFalse(), "a repeat")
+	g.Expect(r.Apply(announcement(2, 4), start)).To(BeFalse(), "an earlier sequence")
+	g.Expect(r.Apply(announcement(1, 9), start)).To(BeFalse(), "an earlier incarnation")
+	g.Expect(r.Apply(announcement(3, 1), start.Add(time.Second))).To(BeTrue())
+	state := r.Snapshot().Entries["engine-1"].State()
+	g.Expect(state.Incarnation).To(Equal(uint64(3)))
+	g.Expect(state.Restarted).To(BeTrue())
+	g.Expect(state.Since).To(Equal(start.Add(time.Second)))
+}
+
+func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	leaving := announcement(1, 2)
+	leaving.State = announce.StateLeaving
+	r.Apply(leaving, start)
+	r.Apply(announcement(1, 3), start)
+	entry := r.Snapshot().Entries["engine-1"]
+	g.Expect(entry.Usable(start, r.Freshness())).To(BeFalse())
+	r.Apply(announcement(2, 1), start)
+	g.Expect(entry.Usable(start, r.Freshness())).To(BeTrue())
+	g.Expect(entry.State().Restarted).To(BeFalse(), "it had left before")
+}
+
+func TestSilentUpstreamGetsNoNewWork(t *testing.T) {
+	g := NewWithT(t)
+	r := New(3 * time.Second)
+	r.Apply(announcement(1, 1), start)
+	entry := r.Snapshot().Entries["engine-1"]
+	g.Expect(entry.Usable(start.Add(3*time.Second-1), r.Freshness())).To(BeTrue())
+	r.Apply(announcement(1, 1), start.Add(2*time.Second))
+	g.Expect(entry.Usable(start.Add(3*time.Second), r.Freshness())).To(BeFalse(), "a repeat is no sign of life")
+	r.Expire(start.Add(retention))
+	g.Expect(r.Snapshot().Entries).To(BeEmpty())
+}
+
+func TestBrokenUpstreamWaitsForItsNextAnnouncement(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	r.Apply(announcement(1, 1), start)
+	entry := r.Snapshot().Entries["engine-1"]
+	entry.MarkBroken()
+	g.Expect(entry.Usable(start, r.Freshness())).To(BeFalse())
+	r.Apply(announcement(1, 2), start)
+	g.Expect(entry.Usable(start, r.Freshness())).To(BeTrue())
+}
+
+func TestLoadAddsWhatTheHostOpenedSinceTheReport(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	r.Apply(announcement(1, 1), start)
+	entry := r.Snapshot().Entries["engine-1"]
+	entry.Claim(false)
+	entry.Claim(false)
+	report := announcement(1, 2)
+	report.InFlight = 3
+	r.Apply(report, start)
+	g.Expect(entry.Load()).To(Equal(int64(3)))
+	entry.Claim(false)
+	g.Expect(entry.Load()).To(Equal(int64(4)))
+	for range 3 {
+		entry.Release(false)
+	}
+	g.Expect(entry.Load()).To(Equal(int64(1)))
+}
+
+func TestClaimAloneKeepsOthersOut(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	r.Apply(announcement(1, 1), start)
+	entry := r.Snapshot().Entries["engine-1"]
+	g.Expect(entry.Claim(false)).To(BeTrue())
+	g.Expect(entry.Claim(true)).To(BeFalse())
+	entry.Release(false)
+	g.Expect(entry.Claim(true)).To(BeTrue())
+	g.Expect(entry.Usable(start, r.Freshness())).To(BeFalse())
+	g.Expect(entry.Claim(false)).To(BeFalse())
+	entry.Release(true)
+	g.Expect(entry.Claim(false)).To(BeTrue())
+}
+
+func TestHandlerChecksAndForwardsNews(t *testing.T) {
+	g := NewWithT(t)
+	forwarded := 0
+	h := &Handler{Registry: New(0), Forward: func(announce.Announcement) { forwarded++ }}
+	post := func(body string) int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, announce.PathAnnounce, strings.NewReader(body)))
+		return w.Code
+	}
+	const good = `{"id":"e","incarnation":1,"sequence":1,"address":"http://127.0.0.1:1","kind":"engine","state":"serving","capacity":1}`
+	g.Expect(post(good)).To(Equal(http.StatusNoContent))
+	g.Expect(post(good)).To(Equal(http.StatusNoContent))
+	g.Expect(forwarded).To(Equal(1))
+	g.Expect(post(strings.Replace(good, "127.0.0.1", "example.org", 1))).To(Equal(http.StatusBadRequest))
+	g.Expect(post(strings.Replace(good, "serving", "asleep", 1))).To(Equal(http.StatusBadRequest))
+	g.Expect(post("{")).To(Equal(http.StatusBadRequest))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(`{"id":"e","incarnation":1,"sequence":1,"address":"http://127.0.0.1:1","kind":"engine","state":"serving"}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		a, err := Decode(strings.NewReader(body))
+		if err == nil && (a.ID == "" || a.Capacity < 0) {
+			t.Fatalf("accepted %q", body)
+		}
+	})
+}
