--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -89,6 +89,9 @@
 type RequestState struct {
 	// State is "unknown", "running", "done", "failed" or "cancelled".
 	State string `json:"state"`
+	// Incarnation is that of the upstream that answers. Only the incarnation that
+	// a request was sent to can tell that it does not know the request.
+	Incarnation uint64 `json:"incarnation"`
 	// Status, ContentType and Body are the answer of a plain service's finished call.
 	Status      int    `json:"status,omitempty"`
 	ContentType string `json:"content_type,omitempty"`
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -3,235 +3,147 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/godwitbend/godwitbend/internal/control"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 )
 
-// record is one request record of memoryControl.
-type record struct {
-	begin      controlapi.BeginRequest
-	attempt    uint32
-	state      string
-	dispatched *controlapi.DispatchRequest
-	earlier    *controlapi.DispatchRequest
-	charged    int64
-	answer     *controlapi.StoredAnswer
-}
-
-// memoryControl is a control group in memory: one budget, and the rules of
-// request records as far as the traffic path depends on them.
-type memoryControl struct {
-	mu          sync.Mutex
-	paidIn      int64
-	records     map[string]*record
-	dead        map[string]bool
-	crashes     []controlapi.CrashReport
-	suspects    map[string]int
-	log         []string
-	unreachable bool
-	// loseAnswer commits the next command of the kind and loses its answer.
+// localControl is the control group's state machine in memory, without replicas.
+type localControl struct {
+	mu      sync.Mutex
+	machine *control.Machine
+	// down makes every call fail before it commits.
+	down bool
+	// loseAnswer names a command whose next answer is lost after it committed.
 	loseAnswer string
 	// onSettle, if set, is called before a Settle is committed.
 	onSettle func()
+	// log holds the names of the commands that committed.
+	log []string
+	// reserved holds the reservations that the committed Begins asked for.
+	reserved map[string]int64
 }
 
-func newMemoryControl(paidIn int64) *memoryControl {
-	return &memoryControl{paidIn: paidIn, records: map[string]*record{}, dead: map[string]bool{}, suspects: map[string]int{}}
+func newLocalControl() *localControl {
+	return &localControl{machine: control.NewMachine(), reserved: map[string]int64{}}
 }
 
-func (m *memoryControl) Execute(_ context.Context, cmd *controlapi.Command) (*controlapi.Result, error) {
-	if cmd.Settle != nil && m.onSettle != nil {
-		m.onSettle()
+// Execute implements controlapi.Client.
+func (c *localControl) Execute(_ context.Context, cmd *controlapi.Command) (*controlapi.Result, error) {
+	if cmd.Settle != nil && c.onSettle != nil {
+		c.onSettle()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return nil, errkind.New(errkind.ControlUnavailable, "no leader")
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	unavailable := errkind.New(errkind.ControlUnavailable, "cut off")
-	if m.unreachable {
-		return nil, unavailable
+	cmd.TimeMS = time.Now().UnixMilli()
+	result := c.machine.Execute(cmd)
+	if err := c.machine.CheckInvariants(); err != nil {
+		panic(err)
 	}
-	name, result := m.apply(cmd)
-	m.log = append(m.log, name)
-	if m.loseAnswer == name {
-		m.loseAnswer = ""
-		return nil, unavailable
+	name := commandName(cmd)
+	c.log = append(c.log, name)
+	if cmd.Begin != nil && result.Err == nil {
+		c.reserved[cmd.Begin.RequestID] = cmd.Begin.Tokens
+	}
+	if c.loseAnswer == name {
+		c.loseAnswer = ""
+		return nil, errkind.New(errkind.ControlUnavailable, "the answer was lost")
 	}
 	return result, nil
 }
 
-func (m *memoryControl) apply(cmd *controlapi.Command) (string, *controlapi.Result) {
+func commandName(cmd *controlapi.Command) string {
 	switch {
 	case cmd.Begin != nil:
-		return "begin", m.begin(cmd.Begin)
+		return "begin"
 	case cmd.Dispatch != nil:
-		return "dispatch", m.dispatch(cmd.Dispatch)
+		return "dispatch"
 	case cmd.Settle != nil:
-		return "settle", m.settle(cmd.Settle)
+		return "settle"
 	case cmd.Release != nil:
-		return "release", m.release(cmd.Release)
+		return "release"
+	case cmd.Crash != nil:
+		return "crash"
 	default:
-		m.crashes = append(m.crashes, *cmd.Crash)
-		for _, hash := range cmd.Crash.BodyHashes {
-			m.suspects[hash]++
-		}
-		return "crash", &controlapi.Result{}
+		return "other"
 	}
 }
 
-func refused(k errkind.Kind) *controlapi.Result {
-	return &controlapi.Result{Err: errkind.New(k, "refused by control")}
-}
-
-func (m *memoryControl) begin(b *controlapi.BeginRequest) *controlapi.Result {
-	r := m.records[b.RequestID]
-	switch {
-	case m.suspects[b.BodyHash] > 1:
-		return refused(errkind.Quarantined)
-	case r == nil || r.state == "released":
-		return m.start(b, r)
-	case r.begin.BodyHash != b.BodyHash:
-		return refused(errkind.KeyReused)
-	case r.state == "settled":
-		return begun(&controlapi.BeginReply{Status: controlapi.BeginSettled, Attempt: r.attempt, Answer: r.answer, Charged: r.charged})
-	case r.state == "unknown":
-		return refused(errkind.OutcomeUnknown)
-	case r.begin.Session == b.Session && r.begin.Try == b.Try:
-		return begun(&controlapi.BeginReply{Status: controlapi.BeginStarted, Attempt: r.attempt})
-	case !m.dead[r.begin.Session] && !b.Takeover:
-		return begun(&controlapi.BeginReply{Status: controlapi.BeginInProgress, Owner: r.begin.Session})
+// Query implements controlapi.Client.
+func (c *localControl) Query(_ context.Context, q *controlapi.QueryRequest) (*controlapi.QueryReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return nil, errkind.New(errkind.ControlUnavailable, "no leader")
 	}
-	r.attempt++
-	if r.dispatched != nil {
-		r.earlier = r.dispatched
-	}
-	r.dispatched = nil
-	r.begin.Session, r.begin.Try = b.Session, b.Try
-	return begun(&controlapi.BeginReply{
-		Status: controlapi.BeginTakenOver, Attempt: r.attempt, MayHaveRun: true, Upstream: r.earlier.Upstream,
-		UpstreamIncarnation: r.earlier.UpstreamIncarnation, Suspect: m.suspects[b.BodyHash] > 0,
-	})
+	return c.machine.Query(q), nil
 }
 
-func begun(reply *controlapi.BeginReply) *controlapi.Result { return &controlapi.Result{Begin: reply} }
-
-func (m *memoryControl) start(b *controlapi.BeginRequest, old *record) *controlapi.Result {
-	var charged, reserved int64
-	for _, r := range m.records {
-		charged += r.charged
-		if r.state == "open" {
-			reserved += r.begin.Tokens
-		}
-	}
-	if charged+b.Tokens > m.paidIn {
-		return refused(errkind.BudgetExhausted)
-	}
-	if charged+reserved+b.Tokens > m.paidIn {
-		return refused(errkind.BudgetReserved)
-	}
-	r := &record{begin: *b, attempt: 1, state: "open"}
-	if old != nil {
-		r.attempt = old.attempt + 1
-	}
-	r.dispatched = &controlapi.DispatchRequest{Upstream: b.Upstream, UpstreamIncarnation: b.UpstreamIncarnation}
-	m.records[b.RequestID] = r
-	return begun(&controlapi.BeginReply{Status: controlapi.BeginStarted, Attempt: r.attempt, Suspect: m.suspects[b.BodyHash] > 0})
+// hostControl is the control group as one host reaches it.
+type hostControl struct {
+	*localControl
+	dead atomic.Bool
 }
 
-// owned returns the open record if attempt is its present one.
-func (m *memoryControl) owned(id string, attempt uint32) *record {
-	r := m.records[id]
-	if r == nil || r.state != "open" || r.attempt != attempt {
-		return nil
+// Execute implements controlapi.Client.
+func (c *hostControl) Execute(ctx context.Context, cmd *controlapi.Command) (*controlapi.Result, error) {
+	if c.dead.Load() {
+		return nil, errkind.New(errkind.ControlUnavailable, "the host is lost")
 	}
-	return r
+	return c.localControl.Execute(ctx, cmd)
 }
 
-func (m *memoryControl) dispatch(d *controlapi.DispatchRequest) *controlapi.Result {
-	r := m.owned(d.RequestID, d.Attempt)
-	switch {
-	case r == nil:
-		return refused(errkind.StaleAttempt)
-	case m.suspects[r.begin.BodyHash] > 1:
-		return refused(errkind.Quarantined)
-	case !r.begin.Repeatable && !d.EarlierNotRun:
-		return refused(errkind.OutcomeUnknown)
-	}
-	r.dispatched = d
-	return &controlapi.Result{}
+// setDown cuts the group off or brings it back.
+func (c *localControl) setDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
 }
 
-func (m *memoryControl) settle(s *controlapi.SettleRequest) *controlapi.Result {
-	r := m.owned(s.RequestID, s.Attempt)
-	if r == nil {
-		return refused(errkind.StaleAttempt)
-	}
-	r.state = "settled"
-	if s.Unknown {
-		r.state = "unknown"
-	}
-	r.charged = min(s.Tokens, r.begin.Tokens)
-	if !r.begin.Repeatable {
-		r.answer = s.Answer
-	}
-	return &controlapi.Result{Settled: r.charged}
-}
-
-func (m *memoryControl) release(s *controlapi.ReleaseRequest) *controlapi.Result {
-	r := m.owned(s.RequestID, s.Attempt)
-	if r == nil {
-		return refused(errkind.StaleAttempt)
-	}
-	if s.MayHaveRun && !r.begin.Repeatable {
-		return refused(errkind.InvalidRequest)
+// count returns how many commands of a name committed.
+func (c *localControl) count(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, entry := range c.log {
+		if entry == name {
+			n++
+		}
 	}
-	r.state = "released"
-	return &controlapi.Result{}
+	return n
 }
 
-func (m *memoryControl) Query(_ context.Context, q *controlapi.QueryRequest) (*controlapi.QueryReply, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.unreachable {
-		return nil, errkind.New(errkind.ControlUnavailable, "cut off")
+// status returns the record of a request; its state is "" if there is none.
+func (c *localControl) status(id string) controlapi.RequestStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := c.machine.Query(&controlapi.QueryRequest{Request: id})
+	if len(reply.Requests) == 0 {
+		return controlapi.RequestStatus{}
 	}
-	reply := &controlapi.QueryReply{}
-	if r := m.records[q.Request]; r != nil {
-		reply.Requests = append(reply.Requests, controlapi.RequestStatus{RequestID: q.Request, State: r.state})
-	}
-	return reply, nil
+	return reply.Requests[0]
 }
 
 // only returns the single record.
-func (m *memoryControl) only() record {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, r := range m.records {
-		if len(m.records) == 1 {
-			return *r
-		}
+func (c *localControl) only() controlapi.RequestStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := c.machine.Query(&controlapi.QueryRequest{Requests: true})
+	if len(reply.Requests) != 1 {
+		return controlapi.RequestStatus{}
 	}
-	panic("not one record")
+	return reply.Requests[0]
 }
 
-// stateOf returns the state and charge of a record.
-func (m *memoryControl) stateOf(id string) (string, int64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r := m.records[id]
-	if r == nil {
-		return "", 0
-	}
-	return r.state, r.charged
-}
-
-func (m *memoryControl) count(name string) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n := 0
-	for _, entry := range m.log {
-		if entry == name {
-			n++
-		}
-	}
-	return n
+// charged returns the charge of the budget.
+func (c *localControl) charged() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Query(&controlapi.QueryRequest{Budgets: true}).Budgets[0].Charged
 }
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -4,10 +4,15 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
 )
 
+// crashReportTimeout bounds the tries to commit a crash report.
+const crashReportTimeout = 5 * time.Second
+
 // incarnationKey names one incarnation of an upstream.
 type incarnationKey struct {
 	upstream    string
@@ -25,6 +30,8 @@
 // crashReport is a report that is being committed; done is closed at its end.
 type crashReport struct {
 	done chan struct{}
+	// err is set before done is closed if the report is not committed.
+	err *errkind.Error
 }
 
 func newCrashReports() *crashReports {
@@ -79,12 +86,12 @@
 
 // reportCrash tells the control group that the connection to t broke with the
 // call in flight, unless the upstream still knows the call. The report is
-// committed before any of the calls is sent again.
-func (x *exchange) reportCrash(t target) {
+// committed before any of the calls is sent again; the error is set if it is not.
+func (x *exchange) reportCrash(t target) *errkind.Error {
 	if t.asks && !t.gone() {
 		state, err := x.h.upstreams.ask(x.work, http.MethodGet, t.address, x.requestID)
-		if err == nil && state.State != "unknown" {
-			return
+		if err == nil && state.Incarnation == t.incarnation {
+			return nil
 		}
 	}
 	x.suspect = true
@@ -92,13 +99,17 @@
 	report, bodies := x.h.crashes.claim(t)
 	if bodies == nil {
 		<-report.done
-		return
+		return report.err
 	}
 	defer close(report.done)
 	x.h.counters.event("crashes_reported")
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), recordTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), crashReportTimeout)
 	defer cancel()
-	_ = x.commit(ctx, &controlapi.Command{Crash: &controlapi.CrashReport{
+	err := x.commit(ctx, &controlapi.Command{Crash: &controlapi.CrashReport{
 		Upstream: t.entry.ID, UpstreamIncarnation: t.incarnation, BodyHashes: bodies,
 	}})
+	if err != nil {
+		report.err = errkind.From(err)
+	}
+	return report.err
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -17,7 +17,7 @@
 const upstreamRetry = time.Second
 
 // proceed goes on from the state of the record. It owns the place at t.
-func (x *exchange) proceed(reply *controlapi.BeginReply, t target) error {
+func (x *exchange) proceed(ctx context.Context, reply *controlapi.BeginReply, t target) error {
 	x.h.budgets.earn(x.id.caller.Class)
 	switch reply.Status {
 	case controlapi.BeginStarted:
@@ -25,7 +25,7 @@
 	case controlapi.BeginTakenOver:
 		return x.takeOver(reply, t)
 	case controlapi.BeginSettled:
-		return x.repeatSettled(reply, t)
+		return x.repeatSettled(ctx, reply, t)
 	default:
 		t.leave()
 		return errkind.New(errkind.InProgress, "another host is serving the request").WithRetryAfter(inProgressRetry)
@@ -61,6 +61,12 @@
 // prepare commits the first dispatch, and finds an idle upstream for a suspect.
 // On an error it has given up the place at t.
 func (x *exchange) prepare(t target) (target, error) {
+	if t.entry == nil {
+		var err error
+		if t, err = x.choose(); err != nil {
+			return target{}, err
+		}
+	}
 	if x.suspect && !t.alone {
 		t.leave()
 		x.h.counters.retry(reasonSuspect)
@@ -69,11 +75,27 @@
 			return target{}, err
 		}
 	}
-	if err := x.ensureDispatch(t); err != nil {
+	return x.dispatchTo(t)
+}
+
+// dispatchTo commits the dispatch to t, or to another upstream where the body
+// of t may run. On an error it has given up its place.
+func (x *exchange) dispatchTo(t target) (target, error) {
+	ctx, cancel := context.WithDeadline(x.work, x.deadline)
+	defer cancel()
+	for wait := recordPollFirst; ; wait = min(2*wait, recordPollLast) {
+		err := x.ensureDispatch(t)
+		if err == nil {
+			return t, nil
+		}
 		t.leave()
-		return target{}, err
+		if !errkind.Is(err, errkind.SuspectBusy) || !pause(ctx, wait) {
+			return target{}, err
+		}
+		if t, err = x.chooseAgain(); err != nil {
+			return target{}, err
+		}
 	}
-	return t, nil
 }
 
 // try sends the call to t once and delivers the answer. It returns nil if the
@@ -91,7 +113,7 @@
 		f = x.tryPlain(t)
 	}
 	if f != nil && f.broken {
-		x.reportCrash(t)
+		f.stop = x.reportCrash(t)
 	}
 	return f
 }
@@ -110,25 +132,33 @@
 		return f.final
 	}
 	x.failed[t.entry.ID] = true
-	if x.repeatable {
-		return x.mayRetry(f, t, tries)
+	var err error
+	switch {
+	case x.repeatable:
+		err = x.mayRetry(f, t, tries)
+	case !f.notRun:
+		err = x.learnFate(t)
+	case tries >= maxTries:
+		err = notTaken(f)
 	}
-	if f.notRun {
-		return nil
+	if err == nil && f.stop != nil {
+		return f.stop
 	}
-	return x.learnFate(t)
+	return err
 }
 
 // mayRetry returns nil if a repeatable call may be sent again.
 func (x *exchange) mayRetry(f *failure, t target, tries int) error {
 	refusal := errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", f.reason).WithRetryAfter(upstreamRetry)
 	if f.notRun {
-		refusal = errkind.New(errkind.UpstreamRefused, "no upstream took the request: %s", f.reason).WithRetryAfter(upstreamRetry)
+		refusal = notTaken(f)
 	}
 	switch {
 	case !f.notRun && !x.h.budgets.spend(x.id.caller.Class):
 		x.h.counters.event("retry_budget_exhausted")
-	case tries >= maxTries, !x.h.Now().Before(x.deadline):
+	case tries >= maxTries:
+	case !x.h.Now().Before(x.deadline):
+		refusal = errkind.New(errkind.DeadlineUnmet, "no answer began within the deadline").WithRetryAfter(upstreamRetry)
 	default:
 		return nil
 	}
@@ -136,6 +166,11 @@
 	return refusal
 }
 
+// notTaken returns the refusal of a call that no upstream ran.
+func notTaken(f *failure) *errkind.Error {
+	return errkind.New(errkind.UpstreamRefused, "no upstream took the request: %s", f.reason).WithRetryAfter(upstreamRetry)
+}
+
 // cancelLater ends what may still run at an upstream that failed.
 func (x *exchange) cancelLater(f *failure, t target) {
 	if !f.notRun && x.repeatable {
@@ -159,9 +194,5 @@
 		x.cancelLater(f, last)
 	}
 	x.dispatched = target{}
-	if err := x.ensureDispatch(t); err != nil {
-		t.leave()
-		return target{}, err
-	}
-	return t, nil
+	return x.dispatchTo(t)
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -23,7 +23,7 @@
 		ran := e.Truth().Records()
 		last := ran[len(ran)-1]
 		s.Expect(last.Event).To(Equal(fake.TruthFinished))
-		s.Expect(s.control.only().charged).To(Equal(last.PromptTokens + last.OutputTokens))
+		s.Expect(s.control.only().Charged).To(Equal(last.PromptTokens + last.OutputTokens))
 		s.Expect(a.header.Get(announce.HeaderRequestID)).To(Equal(last.RequestID))
 		s.Expect(a.body).NotTo(ContainSubstring(`"usage"`), "the caller did not ask for it")
 	})
@@ -36,7 +36,7 @@
 		s.Expect(a.status).To(Equal(http.StatusOK), a.body)
 		s.Expect(a.body).To(ContainSubstring(`"chat.completion"`))
 		last := e.Truth().Records()[1]
-		s.Expect(s.control.only().charged).To(Equal(last.PromptTokens + last.OutputTokens))
+		s.Expect(s.control.only().Charged).To(Equal(last.PromptTokens + last.OutputTokens))
 	})
 }
 
@@ -58,7 +58,7 @@
 		s.Expect(first.status).To(Equal(http.StatusOK), first.body)
 		s.Expect(second.body).To(Equal(first.body))
 		s.Expect(v.Truth().Records()).To(HaveLen(1))
-		s.Expect(s.control.only().charged).To(Equal(int64(5)))
+		s.Expect(s.control.only().Charged).To(Equal(int64(5)))
 	})
 }
 
@@ -67,7 +67,7 @@
 		s.addService(1, nil)
 		a := s.call(http.MethodGet, "/services/numbers/series/a", "")
 		s.Expect(a.status).To(Equal(http.StatusOK), a.body)
-		s.Expect(s.control.only().charged).To(Equal(int64(1)))
+		s.Expect(s.control.only().Charged).To(Equal(int64(1)))
 	})
 }
 
@@ -75,11 +75,13 @@
 	inSite(t, 10_000, func(s *site) {
 		s.addEngine(1, nil)
 		first := s.stream(key("k"))
-		charged := s.control.only().charged
+		charged := s.control.charged()
 		second := s.stream(key("k"))
-		s.Expect(second.text()).To(Equal(first.text()))
+		s.Expect(first.whole()).To(BeTrue())
 		s.Expect(second.whole()).To(BeTrue())
-		s.Expect(s.control.only().charged).To(Equal(charged))
+		s.Expect(second.header.Get(announce.HeaderRequestID)).To(Equal(first.header.Get(announce.HeaderRequestID)))
+		s.Expect(charged).To(BeNumerically(">", 0))
+		s.Expect(s.control.charged()).To(Equal(charged))
 	})
 }
 
@@ -102,11 +104,7 @@
 func TestStreamIsNotCompletedWithoutItsCharge(t *testing.T) {
 	inSite(t, 10_000, func(s *site) {
 		s.addEngine(1, nil)
-		s.control.onSettle = func() {
-			s.control.mu.Lock()
-			defer s.control.mu.Unlock()
-			s.control.unreachable = true
-		}
+		s.control.onSettle = func() { s.control.setDown(true) }
 		a := s.stream()
 		s.Expect(a.whole()).To(BeFalse())
 		s.Expect(a.body).To(ContainSubstring(`"finish_reason":null`))
@@ -122,7 +120,7 @@
 		s.Expect(a.whole()).To(BeTrue())
 		s.Expect(a.body).To(ContainSubstring(`"finish_reason":"length"`))
 		s.Expect(strings.Fields(a.text())).To(HaveLen(20))
-		s.Expect(s.control.only().charged).To(BeNumerically("<=", s.control.only().begin.Tokens))
+		s.Expect(s.control.charged()).To(BeNumerically("<=", s.control.reserved[s.control.only().RequestID]))
 		time.Sleep(time.Second)
 		records := e.Truth().Records()
 		s.Expect(records[len(records)-1].Event).To(Equal(fake.TruthCancelled))
@@ -140,8 +138,8 @@
 		records := e.Truth().Records()
 		last := records[len(records)-1]
 		s.Expect(last.Event).To(Equal(fake.TruthCancelled))
-		s.Expect(s.control.only().state).To(Equal("settled"))
-		s.Expect(s.control.only().charged).To(Equal(last.PromptTokens + last.OutputTokens))
+		s.Expect(s.control.only().State).To(Equal("settled"))
+		s.Expect(s.control.only().Charged).To(Equal(last.PromptTokens + last.OutputTokens))
 		s.Expect(s.host.OpenRequests()).To(BeZero())
 	})
 }
@@ -165,19 +163,21 @@
 		a := s.stream()
 		s.Expect(a.whole()).To(BeTrue(), a.body)
 		s.Expect(s.counter("prompts_tokenized", "")).To(Equal(int64(1)))
-		s.Expect(s.control.only().charged).To(BeNumerically("<=", 40))
+		s.Expect(s.control.only().Charged).To(BeNumerically("<=", 40))
 	})
 }
 
 func TestReservedBudgetIsWaitedFor(t *testing.T) {
 	inSite(t, 40, func(s *site) {
 		s.addEngine(1, func(o *fake.EngineOptions) { o.TokenTime = 20 * time.Millisecond })
-		s.control.records["other"] = &record{state: "open", begin: controlapi.BeginRequest{Tokens: 30}}
+		other := controlapi.BeginRequest{
+			RequestID: "other", Organisation: "org", Caller: "caller", Budget: "b", Service: "m", BodyHash: "other",
+			Repeatable: true, Tokens: 30, Session: "session-1",
+		}
+		s.execute(&controlapi.Command{Begin: &other})
 		go func() {
 			time.Sleep(time.Second)
-			s.control.mu.Lock()
-			defer s.control.mu.Unlock()
-			s.control.records["other"].state = "released"
+			s.execute(&controlapi.Command{Release: &controlapi.ReleaseRequest{RequestID: "other", Attempt: 1}})
 		}()
 		s.Expect(s.stream().whole()).To(BeTrue())
 	})
@@ -191,6 +191,6 @@
 		s.Expect(a.refusal.Kind).To(BeEquivalentTo("control_unavailable"))
 		s.Expect(a.refusal.Outcome).To(BeEquivalentTo("not_run"))
 		time.Sleep(time.Second)
-		s.Expect(s.control.only().state).To(Equal("released"))
+		s.Expect(s.control.only().State).To(Equal("released"))
 	})
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -59,6 +60,8 @@
 	// key is the caller's idempotency key, or "".
 	key      string
 	deadline time.Time
+	// session is the host's session that owns the record.
+	session string
 	// attempt fences the commands of the record.
 	attempt uint32
 	// consulted tells that the record was read or written, so that the outcome is known.
@@ -71,15 +74,20 @@
 	mayHaveRun bool
 	// suspect tells that the call must run alone on its upstream.
 	suspect bool
-	// rerun tells that the call is charged already and runs again without a record.
-	rerun bool
+	// isRerun tells that the call is charged already, under another record.
+	isRerun bool
+	// runOn are the only upstreams that containment lets the call run on, if any.
+	runOn []string
 	// started tells that a byte of the answer has reached the caller.
 	started bool
 	// failed holds the upstreams that failed in this exchange.
 	failed map[string]bool
+	// fenced holds the upstreams that were told never to run this call.
+	fenced map[string]bool
 }
 
-// target is the incarnation of an upstream that is tried.
+// target is the incarnation of an upstream that is tried. Its zero value names
+// none: with an idempotency key the record may have the answer nevertheless.
 type target struct {
 	entry       *registry.Entry
 	incarnation uint64
@@ -99,7 +107,19 @@
 func (t target) gone() bool { return t.entry.State().Incarnation > t.incarnation }
 
 // leave gives up the place at the upstream.
-func (t target) leave() { t.entry.Release(t.alone) }
+func (t target) leave() {
+	if t.entry != nil {
+		t.entry.Release(t.alone)
+	}
+}
+
+// id returns the upstream's id, or "" without an upstream.
+func (t target) id() string {
+	if t.entry == nil {
+		return ""
+	}
+	return t.entry.ID
+}
 
 // Times after which a caller is told to come back.
 const (
@@ -107,8 +127,12 @@
 	inProgressRetry  = 500 * time.Millisecond
 )
 
-// choicePoll is the time between two looks for an upstream.
-const choicePoll = 20 * time.Millisecond
+const (
+	// choicePoll is the time between two looks for an upstream.
+	choicePoll = 20 * time.Millisecond
+	// choiceTime bounds the wait for a first upstream.
+	choiceTime = 2 * time.Second
+)
 
 // serveCall runs a checked call. The error, if any, has not been answered yet.
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request, in *incoming, c call) error {
@@ -134,9 +158,9 @@
 
 func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, in *incoming, c call) *exchange {
 	x := &exchange{
-		h: h, w: w, id: in.identity, call: c, ctx: r.Context(), work: r.Context(), key: in.key,
+		h: h, w: w, id: in.identity, call: c, session: h.Session(), ctx: r.Context(), work: r.Context(), key: in.key,
 		requestID: w.Header().Get(announce.HeaderRequestID),
-		deadline:  h.Now().Add(in.deadline()), failed: map[string]bool{},
+		deadline:  h.Now().Add(in.deadline()), failed: map[string]bool{}, fenced: map[string]bool{},
 	}
 	x.filter, _ = in.allowed(c.service)
 	if !c.repeatable {
@@ -161,16 +185,15 @@
 		return err
 	}
 	defer release()
-	t, err := x.choose()
-	if err != nil {
+	t, err := x.chooseFirst()
+	if err != nil && !(x.key != "" && errkind.Is(err, errkind.NoUpstream)) {
 		return err
 	}
-	reply, err := x.begin(ctx, t)
+	reply, t, err := x.begin(ctx, t)
 	if err != nil {
-		t.leave()
 		return err
 	}
-	return x.proceed(reply, t)
+	return x.proceed(ctx, reply, t)
 }
 
 func (x *exchange) ticket() admission.Ticket {
@@ -185,11 +208,28 @@
 	}
 }
 
+// chooseFirst claims a place for the first dispatch. While upstreams of the
+// service are known but none is usable it waits, though not for long.
+func (x *exchange) chooseFirst() (target, error) {
+	ctx, cancel := context.WithTimeout(x.work, min(x.untilDeadline(), choiceTime))
+	defer cancel()
+	for {
+		t, err := x.choose()
+		if err == nil || !errkind.Is(err, errkind.NoUpstream) {
+			return t, err
+		}
+		known := len(x.h.Registry.Snapshot().Pool(x.service).All) > 0
+		if !known || !pause(ctx, choicePoll) {
+			return target{}, err
+		}
+	}
+}
+
 // choose claims a place at an upstream that has not failed in this exchange.
 func (x *exchange) choose() (target, error) {
 	req := &routing.Request{
 		Service: x.service,
-		Allowed: x.filter.Allows,
+		Allowed: x.mayRunOn,
 		Exclude: x.failed,
 		Alone:   x.suspect,
 		Prefix:  x.prefix,
@@ -205,10 +245,14 @@
 	}
 }
 
-// chooseAgain claims a place after a failure. It waits for one until the
-// deadline, and comes back to upstreams that failed before if no other is left.
+// chooseAgain claims a place after a failure. It waits for one, a suspect until
+// the deadline, and comes back to upstreams that failed before if no other is left.
 func (x *exchange) chooseAgain() (target, error) {
-	ctx, cancel := context.WithDeadline(x.work, x.deadline)
+	limit := x.untilDeadline()
+	if !x.suspect {
+		limit = min(limit, choiceTime)
+	}
+	ctx, cancel := context.WithTimeout(x.work, limit)
 	defer cancel()
 	for {
 		t, err := x.choose()
@@ -216,6 +260,7 @@
 			return t, nil
 		}
 		clear(x.failed)
+		maps.Copy(x.failed, x.fenced)
 		if !pause(ctx, choicePoll) {
 			return target{}, err
 		}
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -32,7 +32,9 @@
 	callerGone bool
 	// final, if set, is the answer; no other upstream is tried.
 	final *errkind.Error
-	text  string
+	// stop, if set, is the answer unless the call can be completed without being sent again.
+	stop *errkind.Error
+	text string
 }
 
 func (f *failure) Error() string { return string(f.reason) + ": " + f.text }
--- a/internal/entry/fate.go
+++ b/internal/entry/fate.go
@@ -29,24 +29,23 @@
 		case err != nil:
 		case state.State == "done" && state.Status != 0:
 			return x.deliverFate(state)
-		case t.gone():
+		case state.Incarnation != t.incarnation || state.State == "failed":
 			return x.closeUnknown()
 		case state.State == "cancelled":
 			x.mayHaveRun = false
+			x.fenced[t.entry.ID] = true
+			x.failed[t.entry.ID] = true
 			return nil
-		case state.State == "failed":
-			return x.closeUnknown()
 		}
 		if !pause(ctx, fatePoll) {
-			break
-		}
-		if err != nil && t.gone() && !t.entry.State().KnowsRequests {
-			return x.closeUnknown()
+			return x.fatePending()
 		}
 	}
-	if !t.asks {
-		return x.closeUnknown()
-	}
+	return x.closeUnknown()
+}
+
+// fatePending leaves the record open, so that a later try can learn the fate.
+func (x *exchange) fatePending() error {
 	return errkind.New(errkind.OutcomeUnknown, "the upstream does not tell what became of the call; ask again with the same key").
 		WithRetryAfter(upstreamRetry)
 }
@@ -56,7 +55,7 @@
 func (x *exchange) askFate(ctx context.Context, t target) (announce.RequestState, error) {
 	address := t.entry.State().Address
 	state, err := x.h.upstreams.ask(ctx, http.MethodGet, address, x.requestID)
-	if err != nil || state.State != "unknown" {
+	if err != nil || state.State != "unknown" || state.Incarnation != t.incarnation {
 		return state, err
 	}
 	return x.h.upstreams.ask(ctx, http.MethodDelete, address, x.requestID)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -129,7 +129,12 @@
 func (h *Handler) guard(serve func(w http.ResponseWriter, r *http.Request) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(announce.HeaderRequestID, newRequestID())
-		if err := serve(w, r); err != nil {
+		err := serve(w, r)
+		switch {
+		case err == nil:
+		case r.Context().Err() != nil:
+			h.counters.event("callers_gone")
+		default:
 			h.refuse(w, err)
 		}
 	}
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
@@ -17,8 +18,10 @@
 	recordRetryDelay = 100 * time.Millisecond
 	// releaseGrace is how long a refusal waits for the release of its reservation.
 	releaseGrace = 300 * time.Millisecond
-	// reservedPoll is the time between two looks at a budget whose rest is reserved.
-	reservedPoll = 50 * time.Millisecond
+	// recordPollFirst and recordPollLast bound the time between two tries of a
+	// Begin that waits for a reservation to be freed, or for a suspect's turn.
+	recordPollFirst = 50 * time.Millisecond
+	recordPollLast  = 400 * time.Millisecond
 )
 
 // setRequestID puts the id of a call with an idempotency key into the answer.
@@ -26,28 +29,46 @@
 	w.Header().Set(announce.HeaderRequestID, controlapi.RequestIDFor(caller, key))
 }
 
-// begin opens the record of the call. A refusal for a budget is answered by a
-// tighter bound on the prompt, or by waiting for reservations to be freed.
-func (x *exchange) begin(ctx context.Context, t target) (*controlapi.BeginReply, error) {
+// begin opens the record of the call with t as the first upstream, and returns
+// the upstream that the record names in the end. A refusal for a budget is
+// answered by a tighter bound on the prompt, or by waiting for reservations to
+// be freed; a refusal of a suspect by waiting for its turn. On an error it has
+// given up the place at t.
+func (x *exchange) begin(ctx context.Context, t target) (*controlapi.BeginReply, target, error) {
 	tightened := false
-	for {
-		reply, err := x.executeBegin(ctx, t, false)
-		if err == nil && reply.Status == controlapi.BeginInProgress && x.ownerGone(ctx, reply.Owner) {
-			reply, err = x.executeBegin(ctx, t, true)
+	for wait := recordPollFirst; ; wait = min(2*wait, recordPollLast) {
+		reply, err := x.beginOrTakeOver(ctx, t)
+		if err == nil {
+			return reply, t, nil
 		}
-		switch {
-		case err == nil:
-			return reply, nil
-		case !errkind.Is(err, errkind.BudgetExhausted) && !errkind.Is(err, errkind.BudgetReserved):
-			return nil, err
-		case !tightened && x.tighten(ctx, t):
+		short := errkind.Is(err, errkind.BudgetExhausted) || errkind.Is(err, errkind.BudgetReserved)
+		if short && !tightened && x.tighten(ctx, t) {
 			tightened = true
-		case errkind.Is(err, errkind.BudgetExhausted) || !pause(ctx, reservedPoll):
-			return nil, err
+			continue
+		}
+		suspect := errkind.Is(err, errkind.SuspectBusy)
+		if !suspect && !errkind.Is(err, errkind.BudgetReserved) || !pause(ctx, wait) {
+			t.leave()
+			return nil, target{}, err
+		}
+		if !suspect {
+			continue
+		}
+		t.leave()
+		if t, err = x.chooseAgain(); err != nil {
+			return nil, target{}, err
 		}
 	}
 }
 
+func (x *exchange) beginOrTakeOver(ctx context.Context, t target) (*controlapi.BeginReply, error) {
+	reply, err := x.executeBegin(ctx, t, false)
+	if err == nil && reply.Status == controlapi.BeginInProgress && x.ownerGone(ctx, reply.Owner) {
+		return x.executeBegin(ctx, t, true)
+	}
+	return reply, err
+}
+
 func (x *exchange) executeBegin(ctx context.Context, t target, takeover bool) (*controlapi.BeginReply, error) {
 	cmd := &controlapi.Command{Begin: &controlapi.BeginRequest{
 		RequestID:           x.requestID,
@@ -58,12 +79,12 @@
 		BodyHash:            x.bodyHash,
 		Repeatable:          x.repeatable,
 		Tokens:              x.worst,
-		Session:             x.h.Session(),
-		Upstream:            t.entry.ID,
+		Session:             x.session,
+		Upstream:            t.id(),
 		UpstreamIncarnation: t.incarnation,
 		Takeover:            takeover,
 		Try:                 x.h.tries.Add(1),
-		Unkeyed:             x.key == "",
+		Unkeyed:             x.key == "" || x.isRerun,
 	}}
 	res, err := x.h.Control.Execute(ctx, cmd)
 	if err != nil {
@@ -71,6 +92,7 @@
 		return nil, errkind.New(errkind.ControlUnavailable, "the record can't be opened").WithRetryAfter(controlRetry)
 	}
 	x.consulted = true
+	x.confine(res)
 	if res.Err != nil {
 		return nil, res.Err
 	}
@@ -83,7 +105,7 @@
 	x.suspect = x.suspect || reply.Suspect
 	x.begun = reply.Status == controlapi.BeginStarted || reply.Status == controlapi.BeginTakenOver
 	x.mayHaveRun = reply.Status != controlapi.BeginStarted && (reply.MayHaveRun || reply.Status != controlapi.BeginTakenOver)
-	if x.begun && !reply.MayHaveRun {
+	if x.begun && !reply.MayHaveRun && t.entry != nil {
 		x.dispatched = t
 	}
 }
@@ -92,7 +114,7 @@
 // it, though its session lives. This host's own requests are known: open.enter
 // let this one in, so no other is being served here under its id.
 func (x *exchange) ownerGone(ctx context.Context, owner string) bool {
-	if owner == x.h.Session() {
+	if owner == x.session {
 		return true
 	}
 	if x.h.OwnerServes == nil {
@@ -104,7 +126,7 @@
 
 // tighten replaces the bound on the prompt by the exact count of an upstream.
 func (x *exchange) tighten(ctx context.Context, t target) bool {
-	if x.kind == callPlain {
+	if x.kind == callPlain || t.entry == nil {
 		return false
 	}
 	prompt, err := x.h.upstreams.tokenize(ctx, t.address, x.body)
@@ -118,54 +140,75 @@
 
 // ensureDispatch commits that t is about to be tried, unless the record says so.
 func (x *exchange) ensureDispatch(t target) error {
-	if x.rerun || x.dispatched.entry == t.entry && x.dispatched.incarnation == t.incarnation {
+	if t.entry == x.dispatched.entry && x.dispatched.incarnation == t.incarnation {
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(x.work, x.deadline)
 	defer cancel()
-	err := x.commit(ctx, &controlapi.Command{Dispatch: &controlapi.DispatchRequest{
-		RequestID: x.requestID, Attempt: x.attempt, Upstream: t.entry.ID,
+	res, err := x.h.commit(ctx, &controlapi.Command{Dispatch: &controlapi.DispatchRequest{
+		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, Upstream: t.entry.ID,
 		UpstreamIncarnation: t.incarnation, EarlierNotRun: !x.mayHaveRun,
 	}})
+	if res != nil {
+		x.confine(res)
+	}
 	if err == nil {
 		x.dispatched = t
 	}
 	return err
 }
 
+// confine takes in where a suspect body may run.
+func (x *exchange) confine(res *controlapi.Result) {
+	x.runOn = nil
+	if res.Begin == nil {
+		return
+	}
+	x.suspect = x.suspect || res.Begin.Suspect
+	for _, instance := range res.Begin.RunOn {
+		x.runOn = append(x.runOn, instance.Upstream)
+	}
+}
+
+// mayRunOn tells whether policy and containment let the call run on an upstream.
+func (x *exchange) mayRunOn(upstream, zone string) bool {
+	if len(x.runOn) > 0 && !slices.Contains(x.runOn, upstream) {
+		return false
+	}
+	return x.filter.Allows(upstream, zone)
+}
+
 // settle charges the tokens that were used and closes the record. It returns
 // nil only when the charge is committed. Partial tells that the run was cut off.
 func (x *exchange) settle(tokens int64, answer *controlapi.StoredAnswer, partial bool) error {
-	if x.rerun {
-		return nil
-	}
 	return x.finish(&controlapi.Command{Settle: &controlapi.SettleRequest{
-		RequestID: x.requestID, Attempt: x.attempt, Tokens: max(tokens, 0), Answer: answer, Partial: partial,
+		RequestID: x.requestID, Attempt: x.attempt, Session: x.session,
+		Tokens: max(tokens, 0), Answer: answer, Partial: partial,
 	}})
 }
 
 // settleUnknown closes the record of a call whose fate can't be learnt.
 func (x *exchange) settleUnknown() error {
 	return x.finish(&controlapi.Command{Settle: &controlapi.SettleRequest{
-		RequestID: x.requestID, Attempt: x.attempt, Tokens: x.worst, Unknown: true,
+		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, Tokens: x.worst, Unknown: true,
 	}})
 }
 
 // release frees the reservation of a call that did not run, or of a repeatable
 // call whose runs delivered nothing.
 func (x *exchange) release(mayHaveRun bool) error {
-	if x.rerun || !x.begun {
+	if !x.begun {
 		return nil
 	}
 	return x.finish(&controlapi.Command{Release: &controlapi.ReleaseRequest{
-		RequestID: x.requestID, Attempt: x.attempt, MayHaveRun: mayHaveRun,
+		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, MayHaveRun: mayHaveRun,
 	}})
 }
 
 // releaseSoon frees what the record still reserves if the call did not run, or
 // may be repeated and delivered nothing. The answer waits for it only briefly.
 func (x *exchange) releaseSoon() {
-	if !x.begun || x.rerun || x.mayHaveRun && !x.repeatable {
+	if !x.begun || x.mayHaveRun && !x.repeatable {
 		return
 	}
 	done := x.h.inBackground(func() { _ = x.release(x.mayHaveRun) })
@@ -210,7 +253,7 @@
 	for {
 		res, err := h.Control.Execute(ctx, cmd)
 		if err == nil && res.Err != nil {
-			return nil, res.Err
+			return res, res.Err
 		}
 		if err == nil {
 			return res, nil
@@ -234,7 +277,7 @@
 		return
 	}
 	_, _ = h.commit(ctx, &controlapi.Command{Release: &controlapi.ReleaseRequest{
-		RequestID: begin.Begin.RequestID, Attempt: res.Begin.Attempt,
+		RequestID: begin.Begin.RequestID, Attempt: res.Begin.Attempt, Session: begin.Begin.Session,
 	}})
 }
 
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -11,6 +12,9 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 )
 
+// defaultRetryAfter is told for an error that does not know when to come back.
+const defaultRetryAfter = time.Second
+
 // errorBody is the JSON form of an error towards callers.
 type errorBody struct {
 	Error errorDetail `json:"error"`
@@ -45,6 +49,9 @@
 func (h *Handler) refuse(w http.ResponseWriter, err error) {
 	e := errkind.From(err)
 	h.counters.refusal(e.Kind)
+	if errkind.Lookup(e.Kind).Retry && e.RetryAfterMS == 0 {
+		e = e.WithRetryAfter(defaultRetryAfter)
+	}
 	id := w.Header().Get(announce.HeaderRequestID)
 	h.Log.Info("request refused", "request_id", id, "kind", e.Kind, "outcome", e.Outcome(), "message", e.Message)
 	if e.RetryAfterMS > 0 {
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -24,6 +24,7 @@
 	"github.com/godwitbend/godwitbend/internal/admission"
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
@@ -35,6 +36,7 @@
 	listeners map[string]*pipeListener
 	servers   []*http.Server
 	client    *http.Client
+	clients   []*http.Client
 }
 
 type pipeListener struct {
@@ -60,14 +62,61 @@
 	return nil
 }
 
+func (l *pipeListener) breakAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+	l.open = nil
+}
+
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 func newPipeNetwork() *pipeNetwork {
 	n := &pipeNetwork{listeners: map[string]*pipeListener{}}
-	n.client = &http.Client{Transport: &http.Transport{DialContext: n.dial, DisableCompression: true}}
+	n.client = n.newClient(&link{})
 	return n
 }
 
+// link is the way from one process to all servers.
+type link struct {
+	mu   sync.Mutex
+	cut  bool
+	open []net.Conn
+}
+
+// lose breaks all connections of the process and refuses new ones.
+func (l *link) lose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+}
+
+func (n *pipeNetwork) newClient(from *link) *http.Client {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		from.mu.Lock()
+		cut := from.cut
+		from.mu.Unlock()
+		if cut {
+			return nil, eris.New("the process is cut off")
+		}
+		c, err := n.dial(ctx, network, address)
+		if err == nil {
+			from.mu.Lock()
+			defer from.mu.Unlock()
+			from.open = append(from.open, c)
+		}
+		return c, err
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
+	n.clients = append(n.clients, client)
+	return client
+}
+
 func (n *pipeNetwork) dial(_ context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
@@ -105,15 +154,21 @@
 	delete(n.listeners, address)
 	n.mu.Unlock()
 	_ = l.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.open {
-		_ = c.Close()
-	}
+	l.breakAll()
+}
+
+// breakConnections ends the connections to the server at address; it still takes new ones.
+func (n *pipeNetwork) breakConnections(address string) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	l.breakAll()
 }
 
 func (n *pipeNetwork) close() {
-	n.client.CloseIdleConnections()
+	for _, c := range n.clients {
+		c.CloseIdleConnections()
+	}
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
@@ -124,14 +179,16 @@
 	*GomegaWithT
 	t        *testing.T
 	net      *pipeNetwork
-	control  *memoryControl
+	control  *localControl
 	registry *registry.Registry
 	scope    tally.TestScope
 	options  Options
 	host     *Handler
+	// lost ends a host by address, as a power cut does.
+	lost     map[string]func()
 	view     *config.View
-	sequence uint64
 	draining bool
+	atEnd    []func()
 	lapsed   bool
 }
 
@@ -144,6 +201,9 @@
 		s := newSite(t, paidIn)
 		defer func() {
 			time.Sleep(2 * recordTimeout)
+			for _, f := range s.atEnd {
+				f()
+			}
 			s.net.close()
 			synctest.Wait()
 		}()
@@ -154,30 +214,70 @@
 
 func newSite(t *testing.T, paidIn int64) *site {
 	s := &site{
-		GomegaWithT: NewWithT(t), t: t, net: newPipeNetwork(), control: newMemoryControl(paidIn),
-		registry: registry.New(time.Hour), scope: tally.NewTestScope("", nil),
+		GomegaWithT: NewWithT(t), t: t, net: newPipeNetwork(), control: newLocalControl(),
+		lost: map[string]func(){}, registry: registry.New(time.Hour), scope: tally.NewTestScope("", nil),
 	}
 	s.view = config.NewView(records(), 1)
 	s.options = Options{
 		Control: s.control, Session: func() string { return "session-1" }, LeaseValid: func() bool { return !s.lapsed },
 		Draining: func() bool { return s.draining }, View: func() *config.View { return s.view },
 		Registry: s.registry, Admission: admission.Open{}, Router: routing.New(routing.Settings{Freshness: time.Hour}),
-		Metrics: s.scope, HTTPClient: s.net.client, Log: slog.New(slog.DiscardHandler),
+		Metrics: s.scope, Log: slog.New(slog.DiscardHandler),
 	}
+	s.configure()
+	s.topUp(paidIn)
 	s.host = s.addHost("10.0.0.1:80", "session-1")
 	return s
 }
 
 // addHost starts an entry host with a session of its own.
 func (s *site) addHost(address, session string) *Handler {
+	s.execute(&controlapi.Command{OpenSession: &controlapi.OpenSession{
+		Session: session, Host: session, Zone: "a", Address: address, SchemaMin: config.MinSchema, SchemaMax: config.MaxSchema,
+	}})
 	o := s.options
 	o.Session = func() string { return session }
+	control, way := &hostControl{localControl: s.control}, &link{}
+	o.Control, o.HTTPClient = control, s.net.newClient(way)
 	h := New(o)
 	s.net.serve(address, h)
+	s.lost[address] = func() {
+		control.dead.Store(true)
+		way.lose()
+		s.net.kill(address)
+	}
 	s.t.Cleanup(func() { h.upstreams.once.CloseIdleConnections() })
 	return h
 }
 
+// execute commits a command that must succeed.
+func (s *site) execute(cmd *controlapi.Command) {
+	result, err := s.control.Execute(context.Background(), cmd)
+	s.Expect(err).NotTo(HaveOccurred())
+	if result.Err != nil {
+		s.t.Fatal(result.Err)
+	}
+}
+
+// configure writes the records, in the schema version of a fleet that has joined.
+func (s *site) configure() {
+	s.execute(&controlapi.Command{OpenSession: &controlapi.OpenSession{
+		Session: "setup", Host: "setup", SchemaMin: config.MaxSchema, SchemaMax: config.MaxSchema,
+	}})
+	writes := make([]controlapi.ConfigWrite, 0, len(records()))
+	for _, r := range records() {
+		r.Revision = 0
+		writes = append(writes, controlapi.ConfigWrite{Record: r})
+	}
+	s.execute(&controlapi.Command{Configure: &controlapi.ConfigureRequest{OperationID: "setup", Writes: writes}})
+}
+
+func (s *site) topUp(tokens int64) {
+	if tokens > 0 {
+		s.execute(&controlapi.Command{TopUp: &controlapi.TopUpRequest{OperationID: "paid", Budget: "b", Tokens: tokens}})
+	}
+}
+
 func records() []config.Record {
 	hash := sha256.Sum256([]byte(callerKey))
 	spec := func(kind config.Kind, name string, v any) config.Record {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -121,7 +121,7 @@
 	if c.Usage != nil {
 		state.used = max(state.used, c.Usage.TotalTokens)
 	}
-	if state.output+c.tokens() > x.output || state.used > x.worst {
+	if state.output+c.tokens() > x.output || x.worst > 0 && state.used > x.worst {
 		return true, x.cutStream(t, &c, state)
 	}
 	state.output += c.tokens()
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 )
@@ -23,7 +25,9 @@
 			t.leave()
 			return nil
 		}
-		x.mayHaveRun = true
+	}
+	if found {
+		_, _ = x.cancel(earlier)
 	}
 	return x.run(t)
 }
@@ -72,7 +76,7 @@
 }
 
 // repeatSettled answers a call that has run and is charged. It owns the place at t.
-func (x *exchange) repeatSettled(reply *controlapi.BeginReply, t target) error {
+func (x *exchange) repeatSettled(ctx context.Context, reply *controlapi.BeginReply, t target) error {
 	if reply.Answer != nil {
 		t.leave()
 		x.write(reply.Answer)
@@ -82,7 +86,23 @@
 		t.leave()
 		return errkind.New(errkind.OutcomeUnknown, "the call ran; its answer is no longer kept").WithOutcome(errkind.Ran)
 	}
+	return x.rerun(ctx, t)
+}
+
+// rerun runs a repeatable call that is charged already once more, under a
+// record of its own that charges nothing.
+func (x *exchange) rerun(ctx context.Context, t target) error {
+	if x.isRerun {
+		t.leave()
+		return errkind.New(errkind.Internal, "the record of a rerun is settled")
+	}
 	x.h.counters.event("reruns")
-	x.rerun = true
-	return x.run(t)
+	x.isRerun = true
+	x.requestID = newRequestID()
+	x.worst = 0
+	reply, t, err := x.begin(ctx, t)
+	if err != nil {
+		return err
+	}
+	return x.proceed(ctx, reply, t)
 }
--- a/internal/entry/truth.go
+++ b/internal/entry/truth.go
@@ -15,6 +15,9 @@
 
 // truthful states the outcome of a refused call by what is known of its record.
 func (x *exchange) truthful(e *errkind.Error) error {
+	if x.isRerun && e.Outcome() != errkind.Ran {
+		return e.WithOutcome(errkind.Ran)
+	}
 	if x.consulted {
 		if x.mayHaveRun && e.Outcome() == errkind.NotRun {
 			return e.WithOutcome(errkind.Unknown)
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -201,15 +201,18 @@
 	return resp, x.checkIdentity(resp)
 }
 
-// cancel ends the request at the upstream, also when the caller has gone, and
-// returns the tokens that it has used; known is false if they can't be learnt.
+// cancel ends the request if it runs at the upstream, also when the caller has
+// gone, and returns the tokens that it has used; known is false if they can't
+// be learnt. A request that is not known there is left alone: to cancel it
+// would keep the upstream from running it later.
 func (x *exchange) cancel(t target) (tokens int64, known bool) {
 	if !t.asks {
 		return 0, false
 	}
-	state, err := x.h.upstreams.ask(context.WithoutCancel(x.ctx), http.MethodDelete, t.address, x.requestID)
-	if err != nil {
-		return 0, false
+	ctx := context.WithoutCancel(x.ctx)
+	state, err := x.h.upstreams.ask(ctx, http.MethodGet, t.address, x.requestID)
+	if err == nil && state.State == "running" {
+		state, err = x.h.upstreams.ask(ctx, http.MethodDelete, t.address, x.requestID)
 	}
-	return state.Tokens, true
+	return state.Tokens, err == nil && state.State != "unknown"
 }
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -247,10 +247,10 @@
 func (e *Engine) serveState(w http.ResponseWriter, r *http.Request) {
 	found := e.find(r.PathValue("id"))
 	if found == nil {
-		writeJSON(w, http.StatusOK, announce.RequestState{State: stateUnknown})
+		e.writeState(w, announce.RequestState{State: stateUnknown})
 		return
 	}
-	writeJSON(w, http.StatusOK, found.requestState())
+	e.writeState(w, found.requestState())
 }
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
@@ -262,12 +262,12 @@
 	}
 	e.runsMu.Unlock()
 	if found == nil {
-		writeJSON(w, http.StatusOK, announce.RequestState{State: stateCancelled})
+		e.writeState(w, announce.RequestState{State: stateCancelled})
 		return
 	}
 	found.stop(errCancelled)
 	found.awaitEnd(r.Context())
-	writeJSON(w, http.StatusOK, found.requestState())
+	e.writeState(w, found.requestState())
 }
 
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
--- a/internal/fake/member.go
+++ b/internal/fake/member.go
@@ -233,3 +233,9 @@
 
 // dropConnection ends the request without an answer.
 func dropConnection() { panic(http.ErrAbortHandler) }
+
+// writeState answers a question about a request as the present incarnation.
+func (m *member) writeState(w http.ResponseWriter, state announce.RequestState) {
+	state.Incarnation = m.currentIncarnation()
+	writeJSON(w, http.StatusOK, state)
+}
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -257,10 +257,10 @@
 	defer s.callsMu.Unlock()
 	c := s.calls[r.PathValue("id")]
 	if c == nil {
-		writeJSON(w, http.StatusOK, announce.RequestState{State: stateUnknown})
+		s.writeState(w, announce.RequestState{State: stateUnknown})
 		return
 	}
-	writeJSON(w, http.StatusOK, c.state)
+	s.writeState(w, c.state)
 }
 
 // serveCancel cancels a call that has not taken effect, and tells how it stands.
@@ -271,7 +271,7 @@
 	c := s.calls[id]
 	if c == nil {
 		s.cancelled[id] = true
-		writeJSON(w, http.StatusOK, announce.RequestState{State: stateCancelled})
+		s.writeState(w, announce.RequestState{State: stateCancelled})
 		return
 	}
 	if c.state.State == stateRunning {
@@ -279,7 +279,7 @@
 		c.state.State = stateCancelled
 		s.cancelled[id] = true
 	}
-	writeJSON(w, http.StatusOK, c.state)
+	s.writeState(w, c.state)
 }
 
 // pause waits for d and tells whether ctx still lives.
