Wire the hosts: control server, session, relays and the daemon

Cause: the parts existed apart; nothing ran as a process. An empty disk may start a group only after every peer has said that it never heard of its replica id. Hosts that cannot reach the control group relay through another host. A class without a queue limit takes the host's default (ruled out: a default in the tool only, since records also come from files).

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -119,7 +119,7 @@
 		l.addRange("spec.worth", int64(spec.Worth), 1, MaxWorth)
 	}
 	l.addRange("spec.deadline_ms", spec.DeadlineMS, 1, MaxDeadlineMS)
-	l.addRange("spec.queue_limit", int64(spec.QueueLimit), 1, MaxQueueLimit)
+	l.addRange("spec.queue_limit", int64(spec.QueueLimit), 0, MaxQueueLimit)
 	return spec
 }
 
--- a/internal/config/records.go
+++ b/internal/config/records.go
@@ -59,7 +59,7 @@
 	Worth int `json:"worth"`
 	// DeadlineMS bounds the time from arrival to the first byte of the answer, in milliseconds.
 	DeadlineMS int64 `json:"deadline_ms"`
-	// QueueLimit bounds the requests of the class that wait on one host.
+	// QueueLimit bounds the requests of the class that wait on one host; 0 means the host's default.
 	QueueLimit int `json:"queue_limit"`
 }
 
--- /dev/null
+++ b/internal/daemon/replica.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/control"
+	"github.com/godwitbend/godwitbend/internal/controlgroup"
+	"github.com/godwitbend/godwitbend/internal/replica"
+	"github.com/godwitbend/godwitbend/internal/replication"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/settings"
+)
+
+const (
+	replicaDirectory = "replica"
+	directoryPerm    = 0o700
+	// healthInterval is the time between two looks at the replica's storage.
+	healthInterval = 500 * time.Millisecond
+)
+
+// controlReplica is the control role of a host.
+type controlReplica struct {
+	replica   *replica.Replica
+	server    *controlgroup.Server
+	transport *controlgroup.Transport
+	seen      *controlgroup.SeenReplicas
+	// failed receives the error of the replica's storage.
+	failed chan error
+}
+
+// startReplica starts the control role. The server of hosts must be serving
+// already, because peers ask each other whether a replica is new.
+func startReplica(ctx context.Context, s *settings.Settings, client *rpc.Client, c *controlReplica) error {
+	directory := filepath.Join(s.DataDir, replicaDirectory)
+	fresh, err := prepareDirectory(directory)
+	if err != nil {
+		return err
+	}
+	if fresh && s.Bootstrap {
+		if err := controlgroup.ConfirmNew(ctx, client, s.ReplicaID, peerAddresses(s)); err != nil {
+			return err
+		}
+	}
+	address := replicaAddresses(s)
+	machine := control.NewMachine()
+	c.transport = controlgroup.NewTransport(ctx, client, address)
+	c.server.Configure(controlgroup.ServerOptions{
+		Machine:   machine,
+		Addresses: address,
+		Lease:     s.ConfigLease.Duration,
+	})
+	c.replica, err = replica.Start(replica.Options{
+		ID:              s.ReplicaID,
+		Peers:           initialPeers(s),
+		Bootstrap:       s.Bootstrap,
+		Directory:       directory,
+		Machine:         machine,
+		Transport:       c.transport,
+		TickInterval:    s.Tick.Duration,
+		ElectionTicks:   s.ElectionTicks,
+		HeartbeatTicks:  s.HeartbeatTicks,
+		SnapshotEntries: uint64(s.SnapshotEntries),
+		Seed:            s.ReplicaID,
+		OnLeadership:    c.server.OnLeadership,
+	})
+	if err != nil {
+		return eris.Wrap(err, "start the control replica")
+	}
+	c.server.Bind(c.replica)
+	return nil
+}
+
+// prepareDirectory makes the directory and tells whether it is empty.
+func prepareDirectory(path string) (bool, error) {
+	if err := os.MkdirAll(path, directoryPerm); err != nil {
+		return false, eris.Wrap(err, "make the data directory")
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return false, eris.Wrap(err, "read the data directory")
+	}
+	return len(entries) == 0, nil
+}
+
+func initialPeers(s *settings.Settings) []replication.Peer {
+	if !s.Bootstrap {
+		return nil
+	}
+	peers := make([]replication.Peer, 0, len(s.Replicas))
+	for _, r := range s.Replicas {
+		peers = append(peers, replication.Peer{ID: r.ID, Address: r.Address})
+	}
+	return peers
+}
+
+func peerAddresses(s *settings.Settings) []string {
+	var out []string
+	for _, r := range s.Replicas {
+		if r.ID != s.ReplicaID {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
+
+func replicaAddresses(s *settings.Settings) func(id uint64) string {
+	addresses := make(map[uint64]string, len(s.Replicas))
+	for _, r := range s.Replicas {
+		addresses[r.ID] = r.Address
+	}
+	return func(id uint64) string { return addresses[id] }
+}
+
+// deliver passes messages of other replicas on once the replica has started.
+func (c *controlReplica) deliver(msgs []replication.Message) {
+	if r := c.server.Replica(); r != nil {
+		r.Deliver(c.seen.Filter(msgs))
+	}
+}
+
+// watchHealth reports the first failure of the replica's storage.
+func (c *controlReplica) watchHealth(ctx context.Context) {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := c.replica.Status().Healthy; err != nil {
+			c.failed <- eris.Wrap(err, "control replica storage")
+			return
+		}
+	}
+}
+
+// stop hands leadership over and closes the log.
+func (c *controlReplica) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := c.server.HandOver(ctx); err != nil {
+		klog.InfoS("leadership not handed over", "error", err.Error())
+	}
+	if err := c.replica.Stop(); err != nil {
+		klog.ErrorS(err, "control replica not closed cleanly")
+	}
+}
--- /dev/null
+++ b/internal/daemon/start.go
@@ -0,0 +1,238 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/admission"
+	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/controlgroup"
+	"github.com/godwitbend/godwitbend/internal/entry"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
+	"github.com/godwitbend/godwitbend/internal/registry"
+	"github.com/godwitbend/godwitbend/internal/routing"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/session"
+	"github.com/godwitbend/godwitbend/internal/settings"
+	"github.com/godwitbend/godwitbend/internal/telemetry"
+)
+
+const (
+	// readHeaderTimeout bounds the reading of a request's header.
+	readHeaderTimeout = 10 * time.Second
+	// schemaMin and schemaMax bound the schema versions that this program serves under.
+	schemaMin = 1
+	schemaMax = 2
+)
+
+// start opens the listeners and starts every role of the host.
+func (d *Daemon) start(ctx context.Context) error {
+	var err error
+	if d.metrics, err = telemetry.NewMetrics(); err != nil {
+		return err
+	}
+	d.rpc = rpc.NewClient(d.network.DialHost)
+	d.registry = registry.New(d.settings.UpstreamTimeout.Duration)
+	hostsListener, err := d.network.ListenHosts(d.settings.Listen.Hosts)
+	if err != nil {
+		return err
+	}
+	return d.startRoles(ctx, hostsListener)
+}
+
+func (d *Daemon) startRoles(ctx context.Context, hostsListener net.Listener) error {
+	srv := rpc.NewServer()
+	if d.settings.HasRole(settings.RoleControl) {
+		if err := d.prepareControl(srv); err != nil {
+			return err
+		}
+	}
+	d.startSession(ctx)
+	announcements := d.announcements(ctx)
+	handler := d.callerHandler()
+	d.registerHostMethods(srv, announcements, handler)
+	d.goRun(func() { _ = srv.Serve(ctx, hostsListener) })
+	if err := d.startHTTP(handler, announcements); err != nil {
+		return err
+	}
+	if d.replica == nil {
+		return nil
+	}
+	return d.startControl(ctx)
+}
+
+func (d *Daemon) prepareControl(srv *rpc.Server) error {
+	if _, err := prepareDirectory(d.settings.DataDir); err != nil {
+		return err
+	}
+	seen, err := controlgroup.OpenSeenReplicas(d.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	d.replica = &controlReplica{
+		server: controlgroup.NewServer(),
+		seen:   seen,
+		failed: make(chan error, 1),
+	}
+	d.replica.server.Register(srv)
+	seen.Register(srv)
+	controlgroup.RegisterDeliver(srv, d.replica.deliver)
+	return nil
+}
+
+func (d *Daemon) startControl(ctx context.Context) error {
+	if err := startReplica(ctx, d.settings, d.rpc, d.replica); err != nil {
+		return err
+	}
+	d.goRun(func() { d.replica.server.ExpireSessions(ctx) })
+	d.goRun(func() { d.replica.watchHealth(ctx) })
+	return nil
+}
+
+func (d *Daemon) startSession(ctx context.Context) {
+	d.group = controlgroup.NewClient(controlgroup.ClientOptions{
+		RPC:      d.rpc,
+		Replicas: d.replicaList,
+		Relays:   d.relayList,
+	})
+	d.session = session.New(session.Options{
+		Group:     d.group,
+		Host:      d.settings.Host,
+		Zone:      d.settings.Zone,
+		Address:   d.settings.Listen.Hosts,
+		SchemaMin: schemaMin,
+		SchemaMax: schemaMax,
+		Lease:     d.settings.ConfigLease.Duration,
+	})
+	ctx, d.stopSession = context.WithCancel(ctx)
+	d.sessionDone = make(chan struct{})
+	go func() {
+		defer close(d.sessionDone)
+		d.session.Run(ctx)
+	}()
+}
+
+func (d *Daemon) replicaList() []string {
+	out := make([]string, 0, len(d.settings.Replicas))
+	for _, r := range d.settings.Replicas {
+		out = append(out, r.Address)
+	}
+	return out
+}
+
+// relayList returns the other entry hosts.
+func (d *Daemon) relayList() []string {
+	var out []string
+	for _, host := range d.session.Hosts() {
+		if host.Address != d.settings.Listen.Hosts {
+			out = append(out, host.Address)
+		}
+	}
+	return out
+}
+
+// announcements returns the handler that takes upstreams' announcements in.
+func (d *Daemon) announcements(ctx context.Context) *registry.Handler {
+	d.forward = newForwarder(ctx, d.settings.Listen.Hosts, d.rpc, d.session.Hosts)
+	return &registry.Handler{Registry: d.registry, Forward: d.forward.forward}
+}
+
+func (d *Daemon) callerHandler() *entry.Handler {
+	return entry.New(entry.Options{
+		Control:     d.group,
+		Session:     d.session.ID,
+		LeaseValid:  d.session.LeaseValid,
+		Draining:    d.draining.Load,
+		View:        d.session.View,
+		Registry:    d.registry,
+		Admission:   admission.Open{},
+		Router:      routing.New(routing.Settings{
+			Zone:      d.settings.Zone,
+			Freshness: d.settings.UpstreamTimeout.Duration,
+		}),
+		Metrics:     d.metrics.Scope,
+		OwnerServes: d.ownerServes,
+		HTTPClient:  d.network.UpstreamClient(),
+		Limits: entry.Limits{
+			BodyBytes:        d.settings.Limits.BodyBytes,
+			KeyBytes:         d.settings.Limits.IdempotencyKeyBytes,
+			HeaderBytes:      d.settings.Limits.HeaderBytes,
+			CallerConcurrent: d.settings.Limits.CallerConcurrency,
+		},
+	})
+}
+
+// registerHostMethods adds what entry hosts ask of each other.
+func (d *Daemon) registerHostMethods(srv *rpc.Server, announcements *registry.Handler, handler *entry.Handler) {
+	rpc.Handle(srv, methodAnnounce, func(_ context.Context, batch *announceBatch) (*empty, error) {
+		for _, a := range batch.Announcements {
+			announcements.Take(a, false)
+		}
+		return &empty{}, nil
+	})
+	controlgroup.RegisterRelay(srv, controlgroup.NewClient(controlgroup.ClientOptions{
+		RPC:      d.rpc,
+		Replicas: d.replicaList,
+	}))
+	rpc.Handle(srv, methodServes, func(_ context.Context, req *servesRequest) (*servesReply, error) {
+		serves := req.Session == d.session.ID() && handler.Serving(req.RequestID)
+		return &servesReply{Serves: serves}, nil
+	})
+}
+
+// startHTTP serves callers, upstreams and operators.
+func (d *Daemon) startHTTP(handler http.Handler, announcements http.Handler) error {
+	operators, err := d.network.Listen(d.settings.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	telemetry.Register(mux, d.metrics.Handler, d.ready)
+	mux.Handle("/", operatorapi.New(operatorapi.Options{
+		Host:      d.settings.Host,
+		Control:   d.group,
+		Ready:     d.ready,
+		KeyHashes: d.settings.OperatorKeyHashes,
+		Upstreams: d.upstreams,
+	}))
+	d.operators = d.serveHTTP(operators, mux)
+	if !d.settings.HasRole(settings.RoleEntry) {
+		return nil
+	}
+	callers, err := d.network.Listen(d.settings.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	front := http.NewServeMux()
+	front.Handle(announce.PathAnnounce, announcements)
+	front.HandleFunc("GET "+telemetry.PathReady, telemetry.ReadyHandler(d.ready))
+	front.Handle("/", handler)
+	d.callers = d.serveHTTP(callers, front)
+	return nil
+}
+
+// ready returns why the host takes no new work, or nil.
+func (d *Daemon) ready() error {
+	switch {
+	case d.leaving.Load():
+		return errkind.New(errkind.Draining, "the host is draining")
+	case !d.session.LeaseValid():
+		return errkind.New(errkind.LeaseLapsed, "the host holds no configuration lease")
+	}
+	return nil
+}
+
+// upstreams returns the latest announcement of each upstream, in order of id.
+func (d *Daemon) upstreams() any {
+	entries := d.registry.Snapshot().Entries
+	out := make([]announce.Announcement, 0, len(entries))
+	for _, id := range slices.Sorted(maps.Keys(entries)) {
+		out = append(out, entries[id].State().Announcement)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rpc/client.go
@@ -0,0 +1,93 @@
+package rpc
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/godwitbend/godwitbend/internal/codec"
+)
+
+const (
+	dialTimeout      = time.Second
+	idleConnLifetime = time.Minute
+	idleConnsPerHost = 64
+)
+
+// Client calls methods of other hosts over pooled connections.
+type Client struct {
+	dial Dialer
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewClient returns a client that connects with dial.
+func NewClient(dial Dialer) *Client {
+	options := drpcpool.Options{Expiration: idleConnLifetime, KeyCapacity: idleConnsPerHost}
+	return &Client{dial: dial, pool: drpcpool.New[string, drpcpool.Conn](options)}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	return c.pool.Close()
+}
+
+func (c *Client) connect(ctx context.Context, address string) (drpcpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to host %s", address)
+	}
+	options := drpcconn.Options{Manager: managerOptions()}
+	return drpcconn.NewWithOptions(&onceCloser{Conn: conn}, options), nil
+}
+
+// Call makes a unary call. An error that the method returned is an
+// *errkind.Error; any other error is one of the connection, and the call may
+// or may not have been served.
+func Call[Req, Resp any](ctx context.Context, c *Client, address, method string, req *Req) (*Resp, error) {
+	conn := c.pool.Get(ctx, address, c.connect)
+	defer func() { _ = conn.Close() }()
+	var out reply[Resp]
+	if err := conn.Invoke(ctx, method, codec.Encoding{}, req, &out); err != nil {
+		return nil, eris.Wrapf(err, "call %s of %s", method, address)
+	}
+	if out.Err != nil {
+		return out.Value, out.Err
+	}
+	return out.Value, nil
+}
+
+// Stream sends messages one way to one host.
+type Stream struct {
+	conn   drpcpool.Conn
+	stream drpc.Stream
+}
+
+// OpenStream opens a stream of messages to method of the host at address.
+func (c *Client) OpenStream(ctx context.Context, address, method string) (*Stream, error) {
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.NewStream(ctx, method, codec.Encoding{})
+	if err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrapf(err, "open stream %s to %s", method, address)
+	}
+	return &Stream{conn: conn, stream: stream}, nil
+}
+
+// Send sends one message.
+func (s *Stream) Send(msg any) error {
+	return s.stream.MsgSend(msg, codec.Encoding{})
+}
+
+// Close closes the stream and its connection.
+func (s *Stream) Close() error {
+	return s.conn.Close()
+}
--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,110 @@
+// Package rpc carries typed messages between hosts over drpc, encoded as CBOR.
+package rpc
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/godwitbend/godwitbend/internal/codec"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+// maxMessageBytes bounds one message between hosts.
+const maxMessageBytes = 256 << 20
+
+// reply is the answer of a unary call: an error of a listed kind, or a value.
+type reply[T any] struct {
+	Err   *errkind.Error `cbor:"1,keyasint,omitempty"`
+	Value *T             `cbor:"2,keyasint,omitempty"`
+}
+
+type handler func(stream drpc.Stream) error
+
+// Server serves the registered methods. Methods are registered before Serve.
+type Server struct {
+	methods map[string]handler
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server {
+	return &Server{methods: make(map[string]handler)}
+}
+
+// Handle registers a unary method.
+func Handle[Req, Resp any](s *Server, method string, fn func(context.Context, *Req) (*Resp, error)) {
+	s.methods[method] = func(stream drpc.Stream) error {
+		req := new(Req)
+		if err := stream.MsgRecv(req, codec.Encoding{}); err != nil {
+			return err
+		}
+		value, err := fn(stream.Context(), req)
+		out := reply[Resp]{Value: value}
+		if err != nil {
+			out.Err = errkind.From(err)
+		}
+		return stream.MsgSend(&out, codec.Encoding{})
+	}
+}
+
+// HandleStream registers a method that receives messages until the client closes the stream.
+func HandleStream[Msg any](s *Server, method string, fn func(*Msg)) {
+	s.methods[method] = func(stream drpc.Stream) error {
+		for {
+			msg := new(Msg)
+			if err := stream.MsgRecv(msg, codec.Encoding{}); err != nil {
+				return err
+			}
+			fn(msg)
+		}
+	}
+}
+
+// HandleRPC implements drpc.Handler.
+func (s *Server) HandleRPC(stream drpc.Stream, method string) error {
+	h, ok := s.methods[method]
+	if !ok {
+		return eris.Errorf("method %q is not served here", method)
+	}
+	return h(stream)
+}
+
+// Serve accepts connections from listener until ctx ends, and returns when all have closed.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	srv := drpcserver.NewWithOptions(s, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(error) {},
+	})
+	err := srv.Serve(ctx, listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrap(err, "serve hosts")
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+	}
+}
+
+// Dialer opens a connection to a host's address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// onceCloser makes Close of a connection safe to call more than once.
+type onceCloser struct {
+	net.Conn
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *onceCloser) Close() (err error) {
+	c.once.Do(func() { err = c.Conn.Close() })
+	return err
+}
