--- a/internal/fake/run.go
+++ b/internal/fake/run.go
@@ -65,6 +65,7 @@
 	}
 	r.record(TruthStarted)
 	if r.crashes {
+		r.record(TruthCrashed)
 		r.end(stateFailed)
 		go r.engine.Crash()
 		return
--- a/internal/harness/upstream.go
+++ b/internal/harness/upstream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,7 @@
 	*Process
 	// Addresses are those of its replicas, as IP:port.
 	Addresses []string
+	truthPath string
 }
 
 // UpstreamOptions describe a stand-in.
@@ -40,7 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	args := []string{opts.Kind, "--id", opts.ID, "--zone", opts.Zone}
+	truthPath := filepath.Join(f.opts.Dir, opts.ID+".truth")
+	args := []string{opts.Kind, "--id", opts.ID, "--zone", opts.Zone, "--truth-file", truthPath}
 	for _, address := range addresses {
 		args = append(args, "--listen", address)
 	}
@@ -52,13 +55,16 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{Process: p, Addresses: addresses}
+	u := &Upstream{Process: p, Addresses: addresses, truthPath: truthPath}
 	f.Upstreams = append(f.Upstreams, u)
 	return u, nil
 }
 
-// Truth returns the ground truth of all replicas of u.
+// Truth returns the ground truth of all replicas of u, also if u has ended.
 func (f *Fleet) Truth(ctx context.Context, u *Upstream) ([]fake.TruthRecord, error) {
+	if !u.Running() {
+		return u.truthFile()
+	}
 	var all []fake.TruthRecord
 	for _, address := range u.Addresses {
 		_, body, err := f.get(ctx, "http://"+address+fake.PathTruth)
@@ -74,6 +80,25 @@
 	return all, nil
 }
 
+// truthFile returns the ground truth that u has written to its file.
+func (u *Upstream) truthFile() ([]fake.TruthRecord, error) {
+	file, err := os.Open(u.truthPath)
+	if err != nil {
+		return nil, eris.Wrap(err, "open the ground truth")
+	}
+	defer file.Close()
+	var all []fake.TruthRecord
+	decoder := json.NewDecoder(file)
+	for decoder.More() {
+		var r fake.TruthRecord
+		if err := decoder.Decode(&r); err != nil {
+			return nil, eris.Wrap(err, "decode the ground truth")
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
+
 // SetFaults replaces the faults of all replicas of u.
 func (f *Fleet) SetFaults(ctx context.Context, u *Upstream, faults fake.Faults) error {
 	body, err := json.Marshal(faults)
