Run the naive way beside the system and give the load as a share of the capacity

The baseline sends callers straight to the upstreams in turn, with resends and retries as they come, so that double runs and waits can be set side by side.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,7 @@
 	@out="$$(gofmt -l cmd internal tests)"; if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
+
+# Drives the real programs with the traces of both deployments; prints JSON lines.
+bench: build
+	bin/godwitbend-load --bin bin --seed $(SEED) bench
--- a/cmd/godwitbend-load/bench.go
+++ b/cmd/godwitbend-load/bench.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -15,73 +15,103 @@
 // controlReplicas is the number of control replicas of a site.
 const controlReplicas = 3
 
+// engine is the speed of the engines of all runs.
+var engine = load.Engine{Capacity: 4, TokenTime: 5 * time.Millisecond, PromptTokenTime: 50 * time.Microsecond}
+
+// planned is one run.
+type planned struct {
+	scenario load.Scenario
+	// share is the load as a part of the engines' capacity.
+	share float64
+	// naive tells to run the naive way too.
+	naive bool
+}
+
+// standardPlan are the runs of the bench.
+var standardPlan = []planned{
+	{load.Calm, 0.7, true},
+	{load.Calm, 1.5, true},
+	{load.KillLeader, 0.7, false},
+	{load.KillEntry, 0.7, false},
+}
+
 // bench runs scenarios on fresh sites.
 type bench struct {
-	bin      string
-	hosts    int
-	budget   int64
-	seed     uint64
-	requests int
-	rate     float64
-	speed    float64
-	traceDir string
+	deployments []string
+	bin         string
+	hosts       int
+	budget      int64
+	seed        uint64
+	requests    int
+	rate        float64
 }
 
-func (b *bench) run(ctx context.Context, deployments, scenarios []string) error {
-	for _, name := range deployments {
-		arrivals, err := b.arrivals(name)
-		if err != nil {
+func (b *bench) arrivals(d *trace.Deployment) []trace.Arrival {
+	return trace.Generate(d, b.seed, b.requests, b.rate)
+}
+
+func (b *bench) writeTraces() error {
+	for _, name := range b.deployments {
+		if err := trace.Write(os.Stdout, b.arrivals(trace.Find(name))); err != nil {
 			return err
 		}
-		for _, scenario := range scenarios {
-			if err := b.runScenario(ctx, trace.Find(name), arrivals, load.Scenario(scenario)); err != nil {
-				return eris.Wrapf(err, "%s/%s", name, scenario)
-			}
-		}
 	}
 	return nil
 }
 
-// arrivals returns the recorded trace of a deployment, or a generated one.
-func (b *bench) arrivals(name string) ([]trace.Arrival, error) {
-	if b.traceDir == "" {
-		return trace.Generate(trace.Find(name), b.seed, b.requests, b.rate), nil
-	}
-	file, err := os.Open(filepath.Join(b.traceDir, name+".jsonl"))
-	if err != nil {
-		return nil, eris.Wrap(err, "open trace")
+func (b *bench) run(ctx context.Context, plan []planned) error {
+	for _, name := range b.deployments {
+		for _, p := range plan {
+			if err := b.runOne(ctx, trace.Find(name), p); err != nil {
+				return eris.Wrapf(err, "%s/%s", name, p.scenario)
+			}
+		}
 	}
-	defer file.Close()
-	return trace.Read(file)
+	return nil
 }
 
-func (b *bench) runScenario(ctx context.Context, d *trace.Deployment, arrivals []trace.Arrival, scenario load.Scenario) error {
+func (b *bench) runOne(ctx context.Context, d *trace.Deployment, p planned) error {
 	dir, err := os.MkdirTemp("", "godwitbend-load-")
 	if err != nil {
 		return eris.Wrap(err, "make a directory")
 	}
 	defer os.RemoveAll(dir)
 	site, err := load.Start(ctx, load.SiteOptions{
-		Deployment: d,
-		Bin:        b.bin,
-		Dir:        dir,
-		Hosts:      b.hosts,
-		Control:    controlReplicas,
-		Budget:     b.budget,
+		Deployment:  d,
+		Bin:         b.bin,
+		Dir:         dir,
+		Hosts:       b.hosts,
+		Control:     controlReplicas,
+		Budget:      b.budget,
+		EngineFlags: engine.Flags(),
 	})
 	if err != nil {
 		return err
 	}
 	defer site.Kill()
-	report := load.Report{Out: os.Stdout, Scenario: fmt.Sprintf("%s/%s", d.Name, scenario), Seed: b.seed}
-	if scenario == load.Calm {
-		if err := site.AddedLatency(ctx, &report); err != nil {
+	name := fmt.Sprintf("%s/%s/%.1f", d.Name, p.scenario, p.share)
+	report := load.Report{Out: os.Stdout, Scenario: name, Seed: b.seed}
+	return b.measure(ctx, site, d, p, &report)
+}
+
+// measure runs the scenario, and the naive way after it on the same site.
+func (b *bench) measure(ctx context.Context, site *load.Site, d *trace.Deployment, p planned, r *load.Report) error {
+	if p.naive && p.share < 1 {
+		if err := site.AddedLatency(ctx, r); err != nil {
 			return err
 		}
 	}
-	outcome, err := site.Run(ctx, arrivals, b.speed, scenario)
+	arrivals := b.arrivals(d)
+	speed := engine.Speed(arrivals, d.Engines, p.share)
+	outcome, err := site.Run(ctx, arrivals, speed, p.scenario)
 	if err != nil {
 		return err
 	}
-	return report.AddOutcome(outcome)
+	var naive *load.Outcome
+	if p.naive {
+		if naive, err = site.RunNaive(ctx, arrivals, speed); err != nil {
+			return err
+		}
+	}
+	return r.AddOutcome(outcome, naive)
 }
--- a/cmd/godwitbend-load/main.go
+++ b/cmd/godwitbend-load/main.go
@@ -11,25 +11,27 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/godwitbend/godwitbend/internal/load"
 	"github.com/godwitbend/godwitbend/internal/trace"
 )
 
 func main() {
 	app := kingpin.New("godwitbend-load", "Drives the real programs with the traces of both deployments.")
-	deployment := app.Flag("deployment", "Deployment; may be repeated.").
-		Default(trace.Heraut, trace.Carvalho).Enums(trace.Heraut, trace.Carvalho)
-	seed := app.Flag("seed", "Seed of the arrivals.").Default("1").Uint64()
-	requests := app.Flag("requests", "Number of arrivals.").Default("1000").Int()
-	rate := app.Flag("rate", "Arrivals per second.").Default("50").Float64()
-	write := app.Command("trace", "Write the generated trace to the standard output.")
-	run := app.Command("run", "Run scenarios and print the measures.")
-	bin := run.Flag("bin", "Directory of the programs.").Default("bin").String()
-	scenarios := run.Flag("scenario", "Scenario; may be repeated.").Default("calm", "kill_leader").
-		Enums("calm", "kill_leader", "kill_entry", "freeze_leader", "drain")
-	recorded := run.Flag("trace-dir", "Directory of recorded traces, used instead of generated ones.").String()
-	speed := run.Flag("speed", "Pace of the arrivals.").Default("1").Float64()
-	hosts := run.Flag("hosts", "Number of daemons.").Default("7").Int()
-	budget := run.Flag("budget", "Tokens paid in for each organisation.").Default("100000000").Int64()
+	var b bench
+	app.Flag("deployment", "Deployment; may be repeated.").
+		Default(trace.Heraut, trace.Carvalho).EnumsVar(&b.deployments, trace.Heraut, trace.Carvalho)
+	app.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&b.seed)
+	app.Flag("requests", "Number of arrivals.").Default("1000").IntVar(&b.requests)
+	app.Flag("rate", "Arrivals per second of the trace.").Default("50").Float64Var(&b.rate)
+	app.Flag("bin", "Directory of the programs.").Default("bin").StringVar(&b.bin)
+	app.Flag("hosts", "Number of daemons.").Default("7").IntVar(&b.hosts)
+	app.Flag("budget", "Tokens paid in for each organisation.").Default("100000000").Int64Var(&b.budget)
+	write := app.Command("trace", "Write the generated traces to the standard output.")
+	all := app.Command("bench", "Run the standard scenarios and print the measures.")
+	run := app.Command("run", "Run one scenario and print the measures.")
+	scenario := run.Flag("scenario", "Scenario.").Default(string(load.Calm)).Enum(load.ScenarioNames()...)
+	share := run.Flag("load", "Load as a part of the engines' capacity.").Default("0.7").Float64()
+	naive := run.Flag("naive", "Run the naive way too.").Bool()
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -37,26 +39,14 @@
 	var err error
 	switch chosen {
 	case write.FullCommand():
-		err = writeTraces(*deployment, *seed, *requests, *rate)
-	default:
-		b := bench{
-			bin: *bin, hosts: *hosts, budget: *budget, seed: *seed, requests: *requests,
-			rate: *rate, speed: *speed, traceDir: *recorded,
-		}
-		err = b.run(ctx, *deployment, *scenarios)
+		err = b.writeTraces()
+	case all.FullCommand():
+		err = b.run(ctx, standardPlan)
+	case run.FullCommand():
+		err = b.run(ctx, []planned{{load.Scenario(*scenario), *share, *naive}})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
-
-func writeTraces(deployments []string, seed uint64, requests int, rate float64) error {
-	for _, name := range deployments {
-		arrivals := trace.Generate(trace.Find(name), seed, requests, rate)
-		if err := trace.Write(os.Stdout, arrivals); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -12,13 +12,13 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 )
 
 const (
 	maxEventBytes        = 1 << 20
 	headerIdempotencyKey = "Idempotency-Key"
-	headerRequestID      = "X-Request-Id"
 	eventPrefix          = "data: "
 	endOfStream          = "[DONE]"
 )
@@ -90,6 +90,8 @@
 	// Key is the idempotency key, if any.
 	Key  string
 	Body []byte
+	// RequestID is sent to stand-ins that are called directly.
+	RequestID string
 }
 
 // PathChat is the path of chat requests.
@@ -140,6 +142,9 @@
 	if call.Key != "" {
 		req.Header.Set(headerIdempotencyKey, call.Key)
 	}
+	if call.RequestID != "" {
+		req.Header.Set(announce.HeaderRequestID, call.RequestID)
+	}
 	client := c.HTTP
 	if client == nil {
 		client = http.DefaultClient
@@ -152,7 +157,7 @@
 	defer resp.Body.Close()
 	a := &Answer{
 		Status:     resp.StatusCode,
-		RequestID:  resp.Header.Get(headerRequestID),
+		RequestID:  resp.Header.Get(announce.HeaderRequestID),
 		RetryAfter: resp.Header.Get("Retry-After"),
 	}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
--- /dev/null
+++ b/internal/load/demand.go
@@ -0,0 +1,53 @@
+package load
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/fake"
+	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/trace"
+)
+
+// Engine describes the speed of the engines of a site.
+type Engine struct {
+	Capacity        int
+	TokenTime       time.Duration
+	PromptTokenTime time.Duration
+}
+
+// Flags returns the flags of an engine stand-in.
+func (e Engine) Flags() []string {
+	return []string{
+		"--capacity", fmt.Sprint(e.Capacity),
+		"--token-time", e.TokenTime.String(),
+		"--prompt-token-time", e.PromptTokenTime.String(),
+	}
+}
+
+// Speed returns the pace at which the chat requests of arrivals need share of
+// the capacity of n engines. Shared prefixes count as cached.
+func (e Engine) Speed(arrivals []trace.Arrival, n int, share float64) float64 {
+	var work time.Duration
+	for i := range arrivals {
+		work += e.work(&arrivals[i])
+	}
+	length := time.Duration(arrivals[len(arrivals)-1].AtMS) * time.Millisecond
+	needed := work.Seconds() / length.Seconds()
+	return share * float64(n*e.Capacity) / needed
+}
+
+// work returns the time for which a occupies an engine's place.
+func (e Engine) work(a *trace.Arrival) time.Duration {
+	if a.Method != "" {
+		return 0
+	}
+	req, err := fake.ParseChat(harness.ChatBody(a.Service, a.MaxTokens, a.Prompt()))
+	if err != nil {
+		return 0
+	}
+	output := req.OutputTokens(controlapi.RequestIDFor(a.Caller(), a.Key))
+	prompt := req.PromptTokens() * int64(a.TextBytes) / int64(a.PrefixBytes+a.TextBytes)
+	return time.Duration(output)*e.TokenTime + time.Duration(prompt)*e.PromptTokenTime
+}
--- a/internal/load/driver.go
+++ b/internal/load/driver.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/audit"
-	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/harness"
@@ -28,10 +27,9 @@
 // or not earlier ones were answered, and again by the same key at another host
 // when the answer was lost or says that a retry helps.
 type Driver struct {
-	site   *Site
-	picker *picker
-	http   *http.Client
-	byName map[string]*trace.Class
+	site    *Site
+	targets targets
+	http    *http.Client
 
 	mu       sync.Mutex
 	requests []audit.Request
@@ -50,28 +48,34 @@
 	Total      time.Duration
 }
 
-// NewDriver returns a driver of the site's hosts.
-func NewDriver(s *Site) *Driver {
-	d := &Driver{
-		site:   s,
-		picker: newPicker(s.Hosts),
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionPool}},
-		byName: map[string]*trace.Class{},
-		bodies: map[string]string{},
-		owners: map[string]string{},
-	}
-	for i := range s.opts.Deployment.Classes {
-		c := &s.opts.Deployment.Classes[i]
-		d.byName[c.Name] = c
+// targets is where a driver sends its calls.
+type targets interface {
+	// next returns the number of the target of a call of a, other than before.
+	next(a *trace.Arrival, before int) int
+	// address sets the address of call for target i.
+	address(call *harness.Call, o *order, i int)
+	// watch follows the state of the targets until ctx ends.
+	watch(ctx context.Context)
+	// requestID returns the id under which the upstreams know a.
+	requestID(a *trace.Arrival) string
+}
+
+// newDriver returns a driver of the targets.
+func newDriver(s *Site, t targets) *Driver {
+	return &Driver{
+		site:    s,
+		targets: t,
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionPool}},
+		bodies:  map[string]string{},
+		owners:  map[string]string{},
 	}
-	return d
 }
 
 // Run sends all arrivals at speed times their pace and returns when each has its last answer.
 func (d *Driver) Run(ctx context.Context, arrivals []trace.Arrival, speed float64) {
 	watch, stop := context.WithCancel(ctx)
 	defer stop()
-	go d.picker.watch(watch, d.site)
+	go d.targets.watch(watch)
 	start := time.Now()
 	var open sync.WaitGroup
 	for i := range arrivals {
@@ -133,11 +137,11 @@
 	o := &order{
 		arrival: a,
 		due:     due,
-		id:      controlapi.RequestIDFor(a.Caller(), a.Key),
+		id:      d.targets.requestID(a),
 		caller:  harness.Caller{Key: d.site.Key(a.Caller()), HTTP: d.http},
 	}
 	if a.Method != "" {
-		o.call = harness.Call{Method: a.Method, Path: "/services/" + a.Service + a.Path, Key: a.Key}
+		o.call = harness.Call{Method: a.Method, Path: a.Path, Key: a.Key}
 		if a.Method == http.MethodPost {
 			o.call.Body = []byte(`{"booking":"` + a.Key + `"}`)
 		}
@@ -156,7 +160,7 @@
 	backoff := firstBackoff
 	host := -1
 	for range maxCalls {
-		host = d.picker.next(host)
+		host = d.targets.next(o.arrival, host)
 		wait, again := d.callOnce(ctx, o, host)
 		if !again {
 			return
@@ -174,7 +178,7 @@
 // callOnce calls once and tells whether, and after which time, to call again.
 func (d *Driver) callOnce(ctx context.Context, o *order, host int) (time.Duration, bool) {
 	call := o.call
-	call.URL = d.site.Hosts[host].CallersURL()
+	d.targets.address(&call, o, host)
 	sent := time.Now()
 	got, err := o.caller.Do(ctx, call)
 	answer := audit.Answer{SentMS: sent.UnixMilli(), ReceivedMS: time.Now().UnixMilli(), Refusal: got.Refusal}
--- a/internal/load/latency.go
+++ b/internal/load/latency.go
@@ -18,7 +18,6 @@
 // AddedLatency writes the latency that the system adds to a repeatable call of
 // an idle site, beside the latency of the upstream itself.
 func (s *Site) AddedLatency(ctx context.Context, r *Report) error {
-	var through, direct *hdrhistogram.Histogram
 	d := s.opts.Deployment
 	organisation := d.Organisations[0]
 	caller := harness.Caller{Key: s.Key(organisation + "-" + d.Classes[0].Name)}
@@ -34,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	direct, err = probe(ctx, caller, func(i int) harness.Call {
+	direct, err := probe(ctx, caller, func(i int) harness.Call {
 		address := service.Addresses[i%len(service.Addresses)]
 		return harness.Call{Method: http.MethodGet, URL: "http://" + address, Path: path}
 	})
@@ -42,8 +41,9 @@
 		return err
 	}
 	for _, q := range []float64{50, 99} {
-		added := milliseconds(through, q) - milliseconds(direct, q)
-		if err := r.Add(fmt.Sprintf("added_latency_p%.0f_ms", q), added, "ms"); err != nil {
+		base := milliseconds(direct, q)
+		added := milliseconds(through, q) - base
+		if err := r.Add(fmt.Sprintf("added_latency_p%.0f_ms", q), added, "ms", &base); err != nil {
 			return err
 		}
 	}
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -37,9 +37,11 @@
 	Seed     uint64
 }
 
-// Add writes one measure.
-func (r *Report) Add(name string, value float64, unit string) error {
-	line, err := json.Marshal(Measure{Measure: name, Value: value, Unit: unit, Scenario: r.Scenario, Seed: r.Seed})
+// Add writes one measure; baseline may be nil.
+func (r *Report) Add(name string, value float64, unit string, baseline *float64) error {
+	line, err := json.Marshal(Measure{
+		Measure: name, Value: value, Unit: unit, Baseline: baseline, Scenario: r.Scenario, Seed: r.Seed,
+	})
 	if err != nil {
 		return eris.Wrap(err, "encode measure")
 	}
@@ -54,19 +56,42 @@
 	unit  string
 }
 
-// AddOutcome writes the measures of a run.
-func (r *Report) AddOutcome(o *Outcome) error {
+// AddOutcome writes the measures of a run beside those of the naive way, which may be nil.
+func (r *Report) AddOutcome(o, naive *Outcome) error {
 	figures := findingFigures(o.Findings)
 	figures = append(figures, timeFigures(o)...)
 	figures = append(figures, costFigures(o)...)
+	baselines := naiveFigures(naive)
 	for _, f := range figures {
-		if err := r.Add(f.name, f.value, f.unit); err != nil {
+		var baseline *float64
+		if value, ok := baselines[f.name]; ok {
+			baseline = &value
+		}
+		if err := r.Add(f.name, f.value, f.unit, baseline); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// naiveFigures returns the figures that the naive way has too, by name. It has no bills.
+func naiveFigures(naive *Outcome) map[string]float64 {
+	values := map[string]float64{}
+	if naive == nil {
+		return values
+	}
+	for _, f := range timeFigures(naive) {
+		values[f.name] = f.value
+	}
+	for _, f := range findingFigures(naive.Findings) {
+		switch f.name {
+		case "served_share", "double_runs", "wrong_answers", "wasted_tokens", "unanswered":
+			values[f.name] = f.value
+		}
+	}
+	return values
+}
+
 func findingFigures(f *audit.Findings) []figure {
 	figures := []figure{
 		{"requests", float64(f.Requests), "requests"},
--- a/internal/load/picker.go
+++ b/internal/load/picker.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/trace"
 )
 
 const (
@@ -14,16 +16,17 @@
 	probeTimeout  = 500 * time.Millisecond
 )
 
-// picker chooses hosts in turn among those that are ready, as the platform's balancer does.
+// picker sends calls to entry hosts; it chooses hosts in turn among those that are ready, as the platform's balancer does.
 type picker struct {
+	site  *Site
 	hosts []*harness.Host
 	mu    sync.Mutex
 	ready []bool
 	last  int
 }
 
-func newPicker(hosts []*harness.Host) *picker {
-	p := &picker{hosts: hosts, ready: make([]bool, len(hosts))}
+func newPicker(s *Site) *picker {
+	p := &picker{site: s, hosts: s.Hosts, ready: make([]bool, len(s.Hosts))}
 	for i := range p.ready {
 		p.ready[i] = true
 	}
@@ -31,7 +34,7 @@
 }
 
 // next returns the number of a ready host other than before, or of any if none is ready.
-func (p *picker) next(before int) int {
+func (p *picker) next(_ *trace.Arrival, before int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for range p.hosts {
@@ -44,19 +47,30 @@
 	return p.last
 }
 
+func (p *picker) address(call *harness.Call, o *order, i int) {
+	call.URL = p.hosts[i].CallersURL()
+	if o.chat == nil {
+		call.Path = "/services/" + o.arrival.Service + call.Path
+	}
+}
+
+func (p *picker) requestID(a *trace.Arrival) string {
+	return controlapi.RequestIDFor(a.Caller(), a.Key)
+}
+
 // watch checks the hosts until ctx ends.
-func (p *picker) watch(ctx context.Context, s *Site) {
+func (p *picker) watch(ctx context.Context) {
 	var probes sync.WaitGroup
 	for i, h := range p.hosts {
-		probes.Go(func() { p.watchHost(ctx, s, i, h) })
+		probes.Go(func() { p.watchHost(ctx, i, h) })
 	}
 	probes.Wait()
 }
 
-func (p *picker) watchHost(ctx context.Context, s *Site, i int, h *harness.Host) {
+func (p *picker) watchHost(ctx context.Context, i int, h *harness.Host) {
 	for sleepUntil(ctx, time.Now().Add(probeInterval)) {
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		ready := s.Ready(probe, h)
+		ready := p.site.Ready(probe, h)
 		cancel()
 		p.mu.Lock()
 		p.ready[i] = ready
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -26,6 +26,11 @@
 	Drain Scenario = "drain"
 )
 
+// ScenarioNames returns the names of all scenarios.
+func ScenarioNames() []string {
+	return []string{string(Calm), string(KillLeader), string(KillEntry), string(FreezeLeader), string(Drain)}
+}
+
 const (
 	// failAt is the part of the trace's duration after which the failure comes.
 	failAt = 0.4
@@ -51,7 +56,7 @@
 // Run sends the arrivals under a scenario and audits the result.
 func (s *Site) Run(ctx context.Context, arrivals []trace.Arrival, speed float64, scenario Scenario) (*Outcome, error) {
 	failing := make(chan error, 1)
-	driver := NewDriver(s)
+	driver := newDriver(s, newPicker(s))
 	var outcome Outcome
 	length := time.Duration(float64(arrivals[len(arrivals)-1].AtMS)/speed) * time.Millisecond
 	failTime := time.Now().Add(time.Duration(float64(length) * failAt))
@@ -71,6 +76,19 @@
 	return &outcome, nil
 }
 
+// RunNaive sends the arrivals past the system, straight to the upstreams.
+func (s *Site) RunNaive(ctx context.Context, arrivals []trace.Arrival, speed float64) (*Outcome, error) {
+	driver := newDriver(s, newNaive(s))
+	driver.Run(ctx, arrivals, speed)
+	truth, err := s.AllTruth(ctx)
+	if err != nil {
+		return nil, err
+	}
+	requests := driver.Requests()
+	findings := audit.Check(&audit.Evidence{Requests: requests, Truth: truth, LeaveLimitMS: leaveLimit.Milliseconds()})
+	return &Outcome{Findings: findings, Samples: driver.Samples(), Requests: requests}, nil
+}
+
 // Evidence collects what the audit compares, after all requests have settled or
 // settling has taken too long.
 func (s *Site) Evidence(ctx context.Context, requests []audit.Request) (*audit.Evidence, error) {
