Find a change by its operation id, and test against the state machine

Cause: the state machine tells operations apart by content too, so a repeated apply or delete, which rests on the present record, came back as a conflict instead of the first result. The tests of the operators' side now run on the real state machine in place of a simplified copy of its rules. Specs are written in config.MaxSchema, and a record in an older schema version is converted before a change.

--- a/internal/ctl/applyfile.go
+++ b/internal/ctl/applyfile.go
@@ -33,6 +33,9 @@
 	}
 	ctx, cancel := c.deadline()
 	defer cancel()
+	if done, err := c.earlier(ctx, cl); done != nil || err != nil {
+		return c.changed(done, err, "")
+	}
 	var present operatorapi.RecordsReply
 	if err := cl.call(ctx, "GET", operatorapi.PathRecords, nil, &present); err != nil {
 		return err
@@ -116,7 +119,7 @@
 func fillVersions(records []config.Record) []config.Record {
 	for i := range records {
 		if records[i].SchemaVersion == 0 {
-			records[i].SchemaVersion = schemaVersion
+			records[i].SchemaVersion = config.MaxSchema
 		}
 	}
 	return records
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -157,6 +158,21 @@
 	}
 }
 
+// earlier returns what became of the operation that the operator names, or nil if
+// it has made no change yet. A change that rests on what was read before it would
+// not be the same request when sent again.
+func (c *command) earlier(ctx context.Context, cl *client) (*operatorapi.ChangeReply, error) {
+	if c.operationID == "" {
+		return nil, nil
+	}
+	done, err := cl.change(ctx, "GET", operatorapi.PathChanges+"/"+url.PathEscape(c.operationID), nil, !c.noWait)
+	var f *failure
+	if errors.As(err, &f) && f.code == exitNotFound {
+		return nil, nil
+	}
+	return done, err
+}
+
 func isUnavailable(err error) bool {
 	var f *failure
 	return errors.As(err, &f) && f.code == exitUnavailable
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -106,37 +106,42 @@
 	r.Expect(r.ok(args...)).To(Equal(strings.TrimPrefix(want, "\n")), strings.Join(args, " "))
 }
 
+// setup writes the records that callers refer to: organisation o, class k and budget b.
+func (r *rig) setup() {
+	r.ok("organisation", "create", "o", "--display-name", "Carvalho")
+	r.ok("class", "create", "k", "--worth", "10", "--deadline", "30s", "--queue-limit", "100")
+	r.ok("budget", "create", "b", "--organisation", "o")
+}
+
+var createCaller = []string{"caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b"}
+
 func TestTables(t *testing.T) {
 	r := newRig(t)
-	r.control.Hosts = []controlapi.HostInfo{{Session: "s1", Host: "a", Zone: "z1", Address: "127.0.0.2:1", Revision: 1}}
+	r.setup()
+	r.control.HostRevision = 2
 	r.control.Replicas = []controlapi.ReplicaStatus{{ID: 1, Address: "127.0.0.2:1", Role: "leader", Term: 3, Applied: 9, Match: 9}}
-	r.control.Requests = []controlapi.RequestStatus{{RequestID: "r1", Organisation: "o", Caller: "c", Service: "m", State: "settled", Attempt: 1, Charged: 7}}
 	r.golden(`
 STATE     REVISION  OPERATION
-accepted  1         op-1
-`, "organisation", "create", "o", "--display-name", "Carvalho")
-	r.golden(`
-STATE     REVISION  OPERATION
-accepted  2         op-2
+accepted  4         op-4
 KEY (shown once)
 gwb_AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA
-`, "caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b")
+`, createCaller...)
 	r.golden(`
 KIND          NAME  REVISION  SCHEMA  SPEC
 organisation  o     1         2       {"display_name":"Carvalho"}
 `, "organisation", "get", "o")
-	r.ok("budget", "create", "b", "--organisation", "o")
 	r.golden(`
 BUDGET  ORGANISATION  PAID IN  CHARGED  RESERVED  GRANTED  FREE
-b                     100      0        0         0        100
+b       o             100      0        0         0        100
 `, "budget", "top-up", "b", "--tokens", "100")
+	r.begin("r1", 30)
 	r.golden(`
 BUDGET  ORGANISATION  PAID IN  CHARGED  RESERVED  GRANTED  FREE
-b                     100      0        0         0        100
-`, "usage")
+b       o             100      0        30        0        70
+`, "usage", "--organisation", "o")
 	r.golden(`
-REQUEST  ORGANISATION  CALLER  SERVICE  STATE    ATTEMPT  RESERVED  CHARGED
-r1       o             c       m        settled  1        0         7
+REQUEST  ORGANISATION  CALLER  SERVICE  STATE  ATTEMPT  RESERVED  CHARGED
+r1       o             c       m        open   1        30        0
 `, "request", "get", "r1")
 	r.golden(`
 UPSTREAM  ZONE  KIND    STATE    IN FLIGHT  QUEUED  CAPACITY  SERVICES  ADDRESS
@@ -144,7 +149,7 @@
 `, "upstreams")
 	r.golden(`
 HOST  ZONE  ADDRESS      REVISION  SESSION
-a     z1    127.0.0.2:1  1         s1
+a     z1    127.0.0.2:1  2         s1
 `, "hosts")
 	r.golden(`
 REPLICA  ADDRESS      ROLE    TERM  APPLIED  MATCH
@@ -152,36 +157,49 @@
 `, "replicas")
 	r.golden(`
 ORDER  FENCING NUMBER  STATE
-op-5   3               done
+op-6   3               done
 `, "order", "u1", "--action", "load", "--model", "m")
 	r.golden(`
 answered by    a
 ready          yes
-revision       3
-active schema  1
+revision       4
+active schema  2
 leader         replica 1, term 3
 replicas       1
 hosts          1
 hosts behind   1
 `, "status")
-	r.ok("budget", "delete", "b")
-	r.Expect(r.ok("config", "history", "--after", "3")).To(MatchRegexp(
-		`^REVISION  TIME                  KIND    NAME  CHANGE   OPERATOR      OPERATION\n4         1970-01-01T00:00:00Z  budget  b     deleted  key-[0-9a-f]{8}  op-6\n$`))
+	r.ok("organisation", "create", "p")
+	r.ok("organisation", "delete", "p")
+	r.Expect(r.ok("config", "history", "--after", "5")).To(MatchRegexp(
+		`^REVISION  TIME                  KIND          NAME  CHANGE   OPERATOR      OPERATION
+6         1970-01-01T00:00:00Z  organisation  p     deleted  key-[0-9a-f]{8}  op-8
+$`))
+}
+
+// begin opens the record of a request of caller c.
+func (r *rig) begin(id string, tokens int64) {
+	result, err := r.control.Execute(context.Background(), &controlapi.Command{Begin: &controlapi.BeginRequest{
+		RequestID: id, Organisation: "o", Caller: "c", Budget: "b", Service: "m", BodyHash: "x", Tokens: tokens, Session: "s1",
+	}})
+	r.Expect(err).NotTo(HaveOccurred())
+	r.Expect(result.Err).To(BeNil())
 }
 
 func TestJSON(t *testing.T) {
 	r := newRig(t)
+	r.setup()
 	r.golden(`
 {
   "state": "accepted",
-  "operation_id": "op-1",
-  "revision": 1,
+  "operation_id": "op-4",
+  "revision": 4,
   "records": [
     {
       "kind": "caller",
       "name": "c",
       "schema_version": 2,
-      "revision": 1,
+      "revision": 4,
       "spec": {
         "budget": "b",
         "class": "k",
@@ -192,8 +210,8 @@
   ],
   "key": "gwb_AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
 }
-`, "-o", "json", "caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b")
-	r.golden("{\n  \"budgets\": []\n}\n", "usage", "-o", "json")
+`, append([]string{"-o", "json"}, createCaller...)...)
+	r.golden("{\n  \"requests\": []\n}\n", "request", "list", "-o", "json")
 }
 
 // spec returns the spec of a record as the API holds it.
@@ -210,8 +228,9 @@
 	for _, c := range []struct{ line, want string }{
 		{"organisation create o --disabled", `{"disabled": true}`},
 		{"class create k --worth 10 --deadline 30s --queue-limit 100", `{"worth": 10, "deadline_ms": 30000, "queue_limit": 100}`},
+		{"service create a --kind model --max-output-tokens 64", `{"kind": "model", "max_output_tokens": 64}`},
+		{"service create b --kind model", `{"kind": "model"}`},
 		{"policy create p --organisation o --services a,b --upstreams * --zones z1", `{"organisation": "o", "services": ["a", "b"], "upstreams": ["*"], "zones": ["z1"]}`},
-		{"service create m --kind model --max-output-tokens 64", `{"kind": "model", "max_output_tokens": 64}`},
 		{"budget create b --organisation o", `{"organisation": "o"}`},
 	} {
 		args := strings.Fields(c.line)
@@ -230,15 +249,15 @@
 
 func TestApplyKeepsFieldsThatItDoesNotKnow(t *testing.T) {
 	r := newRig(t)
-	r.stdin = `{"kind": "class", "name": "k", "schema_version": 1, "spec": {"worth": 1, "of_later_version": [1]}}`
+	r.stdin = `{"kind": "class", "name": "k", "schema_version": 1, "spec": {"priority": 1, "deadline_ms": 9, "queue_limit": 1, "of_later_version": [1]}}`
 	r.ok("apply", "-f", "-")
 	r.ok("class", "apply", "k", "--queue-limit", "5")
-	r.Expect(r.spec("class", "k")).To(MatchJSON(`{"worth": 1, "queue_limit": 5, "of_later_version": [1]}`))
+	r.Expect(r.spec("class", "k")).To(MatchJSON(`{"worth": 1000, "deadline_ms": 9, "queue_limit": 5, "of_later_version": [1]}`))
 }
 
 func TestApplyFileForms(t *testing.T) {
 	r := newRig(t)
-	record := func(name string) string { return `{"kind": "class", "name": "` + name + `", "spec": {}}` }
+	record := func(name string) string { return `{"kind": "organisation", "name": "` + name + `", "spec": {}}` }
 	for _, text := range []string{
 		record("a"),
 		"[" + record("a") + "," + record("b") + "]",
@@ -247,18 +266,18 @@
 	} {
 		r.ok("apply", "-f", r.write("records.json", text))
 	}
-	for _, text := range []string{"", "[]", "7", `{"kind": "class", "name": "a", "spce": {}}`, record("a") + "x"} {
+	for _, text := range []string{"", "[]", "7", `{"kind": "organisation", "name": "a", "spce": {}}`, record("a") + "x"} {
 		r.Expect(r.run("apply", "-f", r.write("records.json", text))).To(Equal(2), text)
 	}
-	stale := `{"kind": "class", "name": "a", "revision": 1, "spec": {}}`
+	stale := `{"kind": "organisation", "name": "a", "revision": 1, "spec": {}}`
 	r.Expect(r.run("apply", "-f", r.write("records.json", stale))).To(Equal(4))
 }
 
 func TestCallerKeys(t *testing.T) {
 	r := newRig(t)
-	create := []string{"caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b"}
+	r.setup()
 	file := filepath.Join(r.dir, "caller.key")
-	r.ok(append(create, "--caller-key-file", file)...)
+	r.ok(append(createCaller, "--caller-key-file", file)...)
 	key, err := os.ReadFile(file)
 	r.Expect(err).NotTo(HaveOccurred())
 	r.stdin = string(key)
@@ -290,6 +309,7 @@
 		r.Expect(r.run(create...)).To(Equal(4))
 		r.Expect(r.stderr.String()).To(ContainSubstring("present record: organisation o, revision 1: {}"))
 		r.Expect(r.run("organisation", "apply", "o", "--if-revision", "7")).To(Equal(4))
+		r.Expect(r.run("budget", "create", "b", "--organisation", "absent")).To(Equal(2))
 		r.Expect(r.run("budget", "top-up", "b", "--tokens", "0")).To(Equal(2))
 		r.Expect(r.run("order", "u1", "--action", "sing")).To(Equal(2))
 		r.control.PendingReplies = 1000
@@ -328,22 +348,46 @@
 func TestLostAnswerIsFoundBySendingAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
-		r.ok("budget", "create", "b", "--organisation", "o")
+		r.setup()
 		r.control.LostReplies = 2
-		r.Expect(r.ok("budget", "top-up", "b", "--tokens", "100")).To(ContainSubstring("100 "))
+		r.Expect(r.ok("budget", "top-up", "b", "--tokens", "100")).To(ContainSubstring(" 100 "))
 		r.control.LostReplies = 1000
 		r.Expect(r.run("budget", "top-up", "b", "--tokens", "50")).To(Equal(7))
-		r.Expect(r.stderr.String()).To(ContainSubstring("--operation-id op-3"))
+		r.Expect(r.stderr.String()).To(ContainSubstring("--operation-id op-5"))
 		r.control.LostReplies = 0
-		r.Expect(r.ok("budget", "top-up", "b", "--tokens", "50", "--operation-id", "op-3")).To(ContainSubstring("150 "))
-		r.ok("budget", "delete", "b", "--operation-id", "op-9")
-		r.ok("budget", "delete", "b", "--operation-id", "op-9")
+		r.Expect(r.ok("budget", "top-up", "b", "--tokens", "50", "--operation-id", "op-5")).To(ContainSubstring(" 150 "))
 	})
 }
 
+// A change that rests on the present record is found by its operation id, although
+// the same command line would now ask for something else.
+func TestChangeIsMadeOnceWhenTheCommandIsRepeated(t *testing.T) {
+	for _, args := range [][]string{
+		{"organisation", "apply", "o", "--disabled"},
+		{"organisation", "delete", "o"},
+		{"apply", "-f", "-"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t)
+			r.stdin = `{"kind": "organisation", "name": "o", "spec": {"disabled": true}}`
+			r.ok("organisation", "create", "o")
+			r.control.LostReplies = 1000
+			r.Expect(r.run(args...)).To(Equal(7))
+			r.Expect(r.stderr.String()).To(ContainSubstring("--operation-id op-2"))
+			r.control.LostReplies = 0
+			again := append([]string{"--operation-id", "op-2"}, args...)
+			r.Expect(r.run(again...)).To(Equal(3))
+			r.control.HostRevision = 2
+			r.Expect(r.ok(again...)).To(ContainSubstring("accepted  2         op-2"))
+			r.Expect(strings.Count(r.ok("config", "history"), "\n")).To(Equal(3))
+		})
+	}
+}
+
 func TestRepeatedCreateDoesNotShowAKeyThatIsNotInForce(t *testing.T) {
 	r := newRig(t)
-	create := []string{"--operation-id", "x", "caller", "create", "c", "--organisation", "o", "--class", "k", "--budget", "b"}
+	r.setup()
+	create := append([]string{"--operation-id", "x"}, createCaller...)
 	r.ok(append(create, "--caller-key-file", r.write("caller.key", "gwb_first"))...)
 	r.Expect(r.run(create...)).To(Equal(4))
 	r.Expect(r.stdout.String()).To(BeEmpty())
--- a/internal/ctl/records.go
+++ b/internal/ctl/records.go
@@ -15,9 +15,6 @@
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
 )
 
-// schemaVersion is the schema version of the specs that the tool writes.
-const schemaVersion = 2
-
 var recordKinds = []struct {
 	kind config.Kind
 	help string
@@ -120,11 +117,18 @@
 	}
 	ctx, cancel := r.deadline()
 	defer cancel()
+	if done, err := r.earlier(ctx, cl); done != nil || err != nil {
+		return r.changed(done, err, "")
+	}
 	present, err := r.present(ctx, cl)
 	if err != nil {
 		return err
 	}
-	return r.put(ctx, cl, present.Spec, present.Revision)
+	converted, err := config.Convert(*present, config.MaxSchema)
+	if present.Revision > 0 && err != nil {
+		return err
+	}
+	return r.put(ctx, cl, converted.Spec, present.Revision)
 }
 
 // present returns the record as it is; a record that does not exist is empty.
@@ -153,7 +157,7 @@
 		return err
 	}
 	request := operatorapi.PutRequest{
-		OperationID: r.id(), IfRevision: r.revision(revision), SchemaVersion: schemaVersion, Spec: spec,
+		OperationID: r.id(), IfRevision: r.revision(revision), SchemaVersion: config.MaxSchema, Spec: spec,
 	}
 	done, err := cl.change(ctx, "PUT", r.path(), request, !r.noWait)
 	return r.changed(done, err, secret)
@@ -185,35 +189,28 @@
 	}
 	ctx, cancel := r.deadline()
 	defer cancel()
+	if done, err := r.earlier(ctx, cl); done != nil || err != nil {
+		return r.changed(done, err, "")
+	}
 	revision, err := r.revisionToDelete(ctx, cl)
 	if err != nil {
 		return err
 	}
-	query := url.Values{"operation_id": {r.id()}}
-	if revision != nil {
-		query.Set("if_revision", strconv.FormatUint(*revision, 10))
-	}
+	query := url.Values{"operation_id": {r.id()}, "if_revision": {strconv.FormatUint(revision, 10)}}
 	done, err := cl.change(ctx, "DELETE", r.path()+"?"+query.Encode(), nil, !r.noWait)
 	return r.changed(done, err, "")
 }
 
-// revisionToDelete returns the revision that a deletion names. It is nil if the
-// record is gone and the operation may be the one that deleted it.
-func (r *recordCommand) revisionToDelete(ctx context.Context, cl *client) (*uint64, error) {
+// revisionToDelete returns the revision that a deletion names.
+func (r *recordCommand) revisionToDelete(ctx context.Context, cl *client) (uint64, error) {
 	if r.ifRevisionSet {
-		return &r.ifRevision, nil
+		return r.ifRevision, nil
 	}
 	present, err := r.present(ctx, cl)
-	switch {
-	case err != nil:
-		return nil, err
-	case present.Revision > 0:
-		return &present.Revision, nil
-	case r.operationID != "":
-		return nil, nil
-	default:
-		return nil, &failure{code: exitNotFound, text: fmt.Sprintf("not_found: no %s %q", r.kind, r.name)}
+	if err == nil && present.Revision == 0 {
+		err = &failure{code: exitNotFound, text: fmt.Sprintf("not_found: no %s %q", r.kind, r.name)}
 	}
+	return present.Revision, err
 }
 
 func (c *command) addTopUp(group *kingpin.CmdClause) {
--- a/internal/operatorapi/messages.go
+++ b/internal/operatorapi/messages.go
@@ -22,6 +22,8 @@
 	PathReplicas = PathPrefix + "replicas"
 	PathHistory  = PathPrefix + "history"
 	PathStatus   = PathPrefix + "status"
+	// PathChanges is followed by the operation id of a change of records.
+	PathChanges  = PathPrefix + "changes"
 	PathUpstream = PathPrefix + "upstreams"
 	PathOrders   = PathPrefix + "orders"
 	// PathTopUps follows the path of a budget.
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -64,7 +64,7 @@
 	return reply
 }
 
-const putOrganisation = `{"operation_id": "1", "if_revision": 0, "schema_version": 1, "spec": {"display_name": "Carvalho"}}`
+const putOrganisation = `{"operation_id": "1", "if_revision": 0, "schema_version": 2, "spec": {"display_name": "Carvalho"}}`
 
 func TestOnlyKnownKeysAreServed(t *testing.T) {
 	r := newRig(t)
@@ -119,9 +119,22 @@
 	r.Expect(second.Revision).To(Equal(first.Revision))
 }
 
+func TestChangeIsFoundByItsOperation(t *testing.T) {
+	r := newRig(t)
+	r.Expect(r.refusal("GET", "/v1/changes/1", "").Error.Kind).To(Equal(errkind.NotFound))
+	r.call(operatorKey, "PUT", "/v1/organisations/o", putOrganisation, nil)
+	var change operatorapi.ChangeReply
+	r.Expect(r.call(operatorKey, "GET", "/v1/changes/1", "", &change)).To(Equal(http.StatusAccepted))
+	r.control.HostRevision = change.Revision
+	r.Expect(r.call(operatorKey, "GET", "/v1/changes/1", "", &change)).To(Equal(http.StatusOK))
+	r.Expect(change.State).To(Equal(operatorapi.StateAccepted))
+}
+
 func TestLostAnswerIsNeverNotRun(t *testing.T) {
 	r := newRig(t)
-	r.call(operatorKey, "PUT", "/v1/budgets/b", putOrganisation, nil)
+	r.Expect(r.call(operatorKey, "PUT", "/v1/organisations/o", putOrganisation, nil)).To(Equal(http.StatusOK))
+	putBudget := `{"operation_id": "2", "schema_version": 2, "spec": {"organisation": "o"}}`
+	r.Expect(r.call(operatorKey, "PUT", "/v1/budgets/b", putBudget, nil)).To(Equal(http.StatusOK))
 	r.control.LostReplies = 1
 	topUp := `{"operation_id": "t", "tokens": 100}`
 	refused := r.refusal("POST", "/v1/budgets/b/top-ups", topUp)
@@ -136,8 +149,8 @@
 	r := newRig(t)
 	body := func(id, revision string) string {
 		return `{"operation_id": "` + id + `", "writes": [
-			{"record": {"kind": "class", "name": "c", "schema_version": 1, "spec": {}}},
-			{"record": {"kind": "policy", "name": "p", "schema_version": 1, "spec": {}}, "if_revision": ` + revision + `}]}`
+			{"record": {"kind": "organisation", "name": "o", "schema_version": 2, "spec": {}}},
+			{"record": {"kind": "budget", "name": "b", "schema_version": 2, "spec": {"organisation": "o"}}, "if_revision": ` + revision + `}]}`
 	}
 	r.Expect(r.refusal("POST", "/v1/apply", body("1", "7")).Error.Kind).To(Equal(errkind.Conflict))
 	var list operatorapi.RecordsReply
@@ -181,22 +194,19 @@
 
 func TestStateOfTheFleet(t *testing.T) {
 	r := newRig(t)
-	r.control.Hosts = []controlapi.HostInfo{{Session: "s", Host: "a"}}
 	r.control.Replicas = []controlapi.ReplicaStatus{{ID: 1, Role: "leader"}}
-	r.control.Requests = []controlapi.RequestStatus{{RequestID: "r1", State: "settled"}}
 	r.options.Upstreams = func() any { return []string{"u1"} }
 	r.options.Ready = func() error { return errors.New("draining") }
 	r.options.Order = func(_ context.Context, o *operatorapi.OrderRequest) (*operatorapi.OrderReply, error) {
 		return &operatorapi.OrderReply{OrderID: o.Order.ID, FencingNumber: 3, State: "done"}, nil
 	}
 	for path, want := range map[string]string{
-		"/v1/status":      `"not_ready":"draining"`,
-		"/v1/hosts":       `"session":"s"`,
-		"/v1/replicas":    `"role":"leader"`,
-		"/v1/requests":    `"request_id":"r1"`,
-		"/v1/requests/r1": `"state":"settled"`,
-		"/v1/upstreams":   `{"upstreams":["u1"]}`,
-		"/v1/usage":       `{"budgets":[]}`,
+		"/v1/status":    `"not_ready":"draining"`,
+		"/v1/hosts":     `"session":"s1"`,
+		"/v1/replicas":  `"role":"leader"`,
+		"/v1/requests":  `{"requests":[]}`,
+		"/v1/upstreams": `{"upstreams":["u1"]}`,
+		"/v1/usage":     `{"budgets":[]}`,
 	} {
 		var raw json.RawMessage
 		r.Expect(r.call(operatorKey, "GET", path, "", &raw)).To(Equal(http.StatusOK), path)
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -58,6 +58,7 @@
 	mux.HandleFunc("GET "+PathHosts, s.answer(s.hosts))
 	mux.HandleFunc("GET "+PathReplicas, s.answer(s.replicas))
 	mux.HandleFunc("GET "+PathHistory, s.answer(s.history))
+	mux.HandleFunc("GET "+PathChanges+"/{id}", s.answer(s.change))
 	mux.HandleFunc("GET "+PathStatus, s.answer(s.status))
 	mux.HandleFunc("GET "+PathUpstream, s.answer(s.upstreams))
 	mux.HandleFunc("POST "+PathOrders, s.answer(s.order))
--- a/internal/operatorapi/state.go
+++ b/internal/operatorapi/state.go
@@ -1,6 +1,8 @@
 package operatorapi
 
 import (
+	"slices"
+
 	"github.com/google/uuid"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
@@ -74,6 +76,29 @@
 	return ok(HistoryReply{History: orEmpty(found.History)}), nil
 }
 
+// change tells whether the change of an operation is made, and in force on every live host.
+func (s *server) change(r *call) (*reply, error) {
+	id := r.PathValue("id")
+	if err := checkOperationID(id); err != nil {
+		return nil, err
+	}
+	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{History: true})
+	if err != nil {
+		return nil, err
+	}
+	made := slices.IndexFunc(found.History, func(h controlapi.HistoryEntry) bool { return h.OperationID == id })
+	if made < 0 {
+		return nil, errkind.New(errkind.NotFound, "no change by operation %q among those that are kept", id)
+	}
+	revision := found.History[made].Revision
+	live, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Hosts: true})
+	if err != nil {
+		return nil, err
+	}
+	behind := slices.ContainsFunc(live.Hosts, func(h controlapi.HostInfo) bool { return h.Revision < revision })
+	return changeReply(id, &controlapi.ConfigureReply{Revision: revision, Accepted: !behind})
+}
+
 func (s *server) status(r *call) (*reply, error) {
 	hosts, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Hosts: true})
 	if err != nil {
