--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -129,6 +129,19 @@
 	})
 }
 
+// calls makes f, which calls the API, the action of a command.
+func (c *command) calls(clause *kingpin.CmdClause, f func(context.Context, *client) error) {
+	c.does(clause, func() error {
+		cl, err := c.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, c.timeout)
+		defer cancel()
+		return f(ctx, cl)
+	})
+}
+
 // terminated is the panic by which kingpin's help ends a parse.
 type terminated int
 
--- a/internal/ctl/applyfile.go
+++ b/internal/ctl/applyfile.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -18,7 +19,7 @@
 
 // applyFile writes the records of a file. A record that states no revision replaces
 // the revision that is read just before.
-func (c *command) applyFile(path string) error {
+func (c *command) applyFile(ctx context.Context, cl *client, path string) error {
 	data, err := c.readFile(path)
 	if err != nil {
 		return err
@@ -27,12 +28,6 @@
 	if err != nil {
 		return invalid("%s: %v", path, err)
 	}
-	cl, err := c.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := c.deadline()
-	defer cancel()
 	if done, err := c.earlier(ctx, cl); done != nil || err != nil {
 		return c.changed(done, err, "")
 	}
--- a/internal/ctl/records.go
+++ b/internal/ctl/records.go
@@ -43,11 +43,11 @@
 		c.addWrite(group, k.kind, "create", "Create a record that does not exist.", (*recordCommand).create)
 		c.addWrite(group, k.kind, "apply", "Create a record, or change the fields whose flags are given.", (*recordCommand).apply)
 		get := &recordCommand{command: c, kind: k.kind}
-		c.does(named(get, group.Command("get", "Show a record.")), get.get)
+		c.calls(named(get, group.Command("get", "Show a record.")), get.get)
 		list := &recordCommand{command: c, kind: k.kind}
-		c.does(group.Command("list", "List the records."), list.list)
+		c.calls(group.Command("list", "List the records."), list.list)
 		remove := &recordCommand{command: c, kind: k.kind}
-		c.does(named(remove, group.Command("delete", "Delete a record.")), remove.delete)
+		c.calls(named(remove, group.Command("delete", "Delete a record.")), remove.delete)
 		if k.kind == config.KindBudget {
 			c.addTopUp(group)
 		}
@@ -55,7 +55,7 @@
 	apply := app.Command("apply", "Write all records of a file, all or none.")
 	file := apply.Flag("file", `File of records as JSON: one, an array, several one after another, or {"records": […]}; "-" is the standard input.`).
 		Short('f').Required().String()
-	c.does(apply, func() error { return c.applyFile(*file) })
+	c.calls(apply, func(ctx context.Context, cl *client) error { return c.applyFile(ctx, cl, *file) })
 }
 
 func named(r *recordCommand, clause *kingpin.CmdClause) *kingpin.CmdClause {
@@ -63,25 +63,20 @@
 	return clause
 }
 
-func (c *command) addWrite(group *kingpin.CmdClause, kind config.Kind, verb, help string, run func(*recordCommand) error) {
+func (c *command) addWrite(group *kingpin.CmdClause, kind config.Kind, verb, help string, run func(*recordCommand, context.Context, *client) error) {
 	r := &recordCommand{command: c, kind: kind}
 	clause := named(r, group.Command(verb, help))
 	r.spec = newSpecFlags(clause, kind)
 	if kind == config.KindCaller {
 		r.key = newCallerKey(clause, verb == "create")
 	}
-	c.does(clause, func() error { return run(r) })
+	c.calls(clause, func(ctx context.Context, cl *client) error { return run(r, ctx, cl) })
 }
 
 func (r *recordCommand) path() string {
 	return operatorapi.RecordsPath(r.kind) + "/" + url.PathEscape(r.name)
 }
 
-// deadline returns a context that ends with the time that the operator gives.
-func (c *command) deadline() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(c.ctx, c.timeout)
-}
-
 // revision returns the revision that the operator names, else fallback.
 func (c *command) revision(fallback uint64) *uint64 {
 	if c.ifRevisionSet {
@@ -98,25 +93,13 @@
 	return c.operationID
 }
 
-func (r *recordCommand) create() error {
-	cl, err := r.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := r.deadline()
-	defer cancel()
+func (r *recordCommand) create(ctx context.Context, cl *client) error {
 	return r.put(ctx, cl, nil, 0)
 }
 
 // apply reads the record, so that fields that this version does not know survive,
 // and writes it back only if nobody else has changed it meanwhile.
-func (r *recordCommand) apply() error {
-	cl, err := r.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := r.deadline()
-	defer cancel()
+func (r *recordCommand) apply(ctx context.Context, cl *client) error {
 	if done, err := r.earlier(ctx, cl); done != nil || err != nil {
 		return r.changed(done, err, "")
 	}
@@ -163,13 +146,7 @@
 	return r.changed(done, err, secret)
 }
 
-func (r *recordCommand) get() error {
-	cl, err := r.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := r.deadline()
-	defer cancel()
+func (r *recordCommand) get(ctx context.Context, cl *client) error {
 	var record config.Record
 	if err := cl.call(ctx, "GET", r.path(), nil, &record); err != nil {
 		return err
@@ -177,18 +154,12 @@
 	return r.print(record, func() table { return recordTable([]config.Record{record}) })
 }
 
-func (r *recordCommand) list() error {
+func (r *recordCommand) list(ctx context.Context, cl *client) error {
 	var reply operatorapi.RecordsReply
-	return r.query(operatorapi.RecordsPath(r.kind), &reply, func() table { return recordTable(reply.Records) })
+	return r.query(ctx, cl, operatorapi.RecordsPath(r.kind), &reply, func() table { return recordTable(reply.Records) })
 }
 
-func (r *recordCommand) delete() error {
-	cl, err := r.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := r.deadline()
-	defer cancel()
+func (r *recordCommand) delete(ctx context.Context, cl *client) error {
 	if done, err := r.earlier(ctx, cl); done != nil || err != nil {
 		return r.changed(done, err, "")
 	}
@@ -217,13 +188,7 @@
 	clause := group.Command("top-up", "Pay tokens into a budget.")
 	r := &recordCommand{command: c, kind: config.KindBudget}
 	tokens := named(r, clause).Flag("tokens", "Number of tokens paid in.").Required().Int64()
-	c.does(clause, func() error {
-		cl, err := c.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := c.deadline()
-		defer cancel()
+	c.calls(clause, func(ctx context.Context, cl *client) error {
 		var budget controlapi.BudgetStatus
 		request := operatorapi.TopUpRequest{OperationID: c.id(), Tokens: *tokens}
 		if err := cl.call(ctx, "POST", r.path()+operatorapi.PathTopUps, request, &budget); err != nil {
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"context"
 	"net/url"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -16,13 +17,7 @@
 }
 
 // query prints what the API says at path. tabulate is called after reply is filled.
-func (c *command) query(path string, reply any, tabulate func() table) error {
-	cl, err := c.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := c.deadline()
-	defer cancel()
+func (c *command) query(ctx context.Context, cl *client, path string, reply any, tabulate func() table) error {
 	raw := &rawReply{into: reply}
 	if err := cl.call(ctx, "GET", path, nil, raw); err != nil {
 		return err
@@ -34,38 +29,38 @@
 	c.addUsage(app)
 	c.addRequest(app)
 	c.addOrder(app)
-	c.does(app.Command("upstreams", "List the upstreams that the server knows."), func() error {
+	c.calls(app.Command("upstreams", "List the upstreams that the server knows."), func(ctx context.Context, cl *client) error {
 		var reply upstreamsReply
-		return c.query(operatorapi.PathUpstream, &reply, func() table { return upstreamTable(reply.Upstreams) })
+		return c.query(ctx, cl, operatorapi.PathUpstream, &reply, func() table { return upstreamTable(reply.Upstreams) })
 	})
-	c.does(app.Command("hosts", "List the entry hosts with a live session."), func() error {
+	c.calls(app.Command("hosts", "List the entry hosts with a live session."), func(ctx context.Context, cl *client) error {
 		var reply operatorapi.HostsReply
-		return c.query(operatorapi.PathHosts, &reply, func() table { return hostTable(reply.Hosts) })
+		return c.query(ctx, cl, operatorapi.PathHosts, &reply, func() table { return hostTable(reply.Hosts) })
 	})
-	c.does(app.Command("replicas", "List the control replicas."), func() error {
+	c.calls(app.Command("replicas", "List the control replicas."), func(ctx context.Context, cl *client) error {
 		var reply operatorapi.ReplicasReply
-		return c.query(operatorapi.PathReplicas, &reply, func() table { return replicaTable(reply.Replicas) })
+		return c.query(ctx, cl, operatorapi.PathReplicas, &reply, func() table { return replicaTable(reply.Replicas) })
 	})
-	c.does(app.Command("status", "Sum up the fleet."), func() error {
+	c.calls(app.Command("status", "Sum up the fleet."), func(ctx context.Context, cl *client) error {
 		var reply operatorapi.StatusReply
-		return c.query(operatorapi.PathStatus, &reply, func() table { return statusTable(&reply) })
+		return c.query(ctx, cl, operatorapi.PathStatus, &reply, func() table { return statusTable(&reply) })
 	})
 	history := app.Command("config", "The configuration as a whole.").Command("history", "List the changes of records, oldest first.")
 	after := history.Flag("after", "List changes after this revision only.").Default("0").String()
-	c.does(history, func() error {
+	c.calls(history, func(ctx context.Context, cl *client) error {
 		var reply operatorapi.HistoryReply
 		path := operatorapi.PathHistory + "?" + url.Values{"after": {*after}}.Encode()
-		return c.query(path, &reply, func() table { return historyTable(reply.History) })
+		return c.query(ctx, cl, path, &reply, func() table { return historyTable(reply.History) })
 	})
 }
 
 func (c *command) addUsage(app *kingpin.Application) {
 	clause := app.Command("usage", "List what is paid in, charged, reserved and granted of each budget, in tokens.")
 	organisation := clause.Flag("organisation", "List the budgets of this organisation only.").String()
-	c.does(clause, func() error {
+	c.calls(clause, func(ctx context.Context, cl *client) error {
 		var reply operatorapi.UsageReply
 		path := operatorapi.PathUsage + organisationQuery(*organisation)
-		return c.query(path, &reply, func() table { return budgetTable(reply.Budgets) })
+		return c.query(ctx, cl, path, &reply, func() table { return budgetTable(reply.Budgets) })
 	})
 }
 
@@ -73,17 +68,17 @@
 	group := app.Command("request", "Requests of callers.")
 	get := group.Command("get", "Show the record of a request.")
 	id := get.Arg("id", "Id of the request.").Required().String()
-	c.does(get, func() error {
+	c.calls(get, func(ctx context.Context, cl *client) error {
 		var reply controlapi.RequestStatus
 		path := operatorapi.PathRequests + "/" + url.PathEscape(*id)
-		return c.query(path, &reply, func() table { return requestTable([]controlapi.RequestStatus{reply}) })
+		return c.query(ctx, cl, path, &reply, func() table { return requestTable([]controlapi.RequestStatus{reply}) })
 	})
 	list := group.Command("list", "List the records of requests.")
 	organisation := list.Flag("organisation", "List the requests of this organisation only.").String()
-	c.does(list, func() error {
+	c.calls(list, func(ctx context.Context, cl *client) error {
 		var reply operatorapi.RequestsReply
 		path := operatorapi.PathRequests + organisationQuery(*organisation)
-		return c.query(path, &reply, func() table { return requestTable(reply.Requests) })
+		return c.query(ctx, cl, path, &reply, func() table { return requestTable(reply.Requests) })
 	})
 }
 
@@ -103,13 +98,7 @@
 	clause.Flag("version", "Version of the model.").StringVar(&request.Order.Version)
 	clause.Flag("adapter", "Adapter of the model.").StringVar(&request.Order.Adapter)
 	clause.Flag("role", "New role.").StringVar(&request.Order.Role)
-	c.does(clause, func() error {
-		cl, err := c.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := c.deadline()
-		defer cancel()
+	c.calls(clause, func(ctx context.Context, cl *client) error {
 		request.Order.ID = c.id()
 		var done operatorapi.OrderReply
 		if err := cl.call(ctx, "POST", operatorapi.PathOrders, request, &done); err != nil {
