--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -48,11 +48,11 @@
 	sum := sha256.Sum256([]byte(operatorKey))
 	api := operatorapi.New(operatorapi.Options{
 		Host: "a", Control: r.control, KeyHashes: []string{hex.EncodeToString(sum[:])},
-		Upstreams: func() any {
-			return []announce.Announcement{{
+		Upstreams: func() []operatorapi.Upstream {
+			return []operatorapi.Upstream{{AgeMS: 400, Usable: true, Announcement: announce.Announcement{
 				ID: "u1", Zone: "z1", Address: "http://127.0.0.9:9000", Kind: announce.KindEngine, State: announce.StateServing,
 				Capacity: 8, InFlight: 2, Services: []announce.ServiceOffer{{Name: "m"}, {Name: "n"}},
-			}}
+			}}}
 		},
 		Order: func(_ context.Context, o *operatorapi.OrderRequest) (*operatorapi.OrderReply, error) {
 			return &operatorapi.OrderReply{OrderID: o.Order.ID, FencingNumber: 3, State: "done"}, nil
@@ -144,8 +144,8 @@
 r1       o             c       m        open   1        30        0
 `, "request", "get", "r1")
 	r.golden(`
-UPSTREAM  ZONE  KIND    STATE    IN FLIGHT  QUEUED  CAPACITY  SERVICES  ADDRESS
-u1        z1    engine  serving  2          0       8         m,n       http://127.0.0.9:9000
+UPSTREAM  ZONE  KIND    STATE    USABLE  AGE    IN FLIGHT  QUEUED  CAPACITY  SERVICES  ADDRESS
+u1        z1    engine  serving  true    400ms  2          0       8         m,n       http://127.0.0.9:9000
 `, "upstreams")
 	r.golden(`
 HOST  ZONE  ADDRESS      REVISION  SESSION
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -6,16 +6,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
 )
 
-// upstreamsReply is an operatorapi.UpstreamsReply of announcements.
-type upstreamsReply struct {
-	Upstreams []announce.Announcement `json:"upstreams"`
-}
-
 // query prints what the API says at path. tabulate is called after reply is filled.
 func (c *command) query(ctx context.Context, cl *client, path string, reply any, tabulate func() table) error {
 	raw := &rawReply{into: reply}
@@ -30,7 +24,7 @@
 	c.addRequest(app)
 	c.addOrder(app)
 	c.calls(app.Command("upstreams", "List the upstreams that the server knows."), func(ctx context.Context, cl *client) error {
-		var reply upstreamsReply
+		var reply operatorapi.UpstreamsReply
 		return c.query(ctx, cl, operatorapi.PathUpstream, &reply, func() table { return upstreamTable(reply.Upstreams) })
 	})
 	c.calls(app.Command("hosts", "List the entry hosts with a live session."), func(ctx context.Context, cl *client) error {
--- a/internal/ctl/table.go
+++ b/internal/ctl/table.go
@@ -7,7 +7,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
@@ -71,14 +70,16 @@
 	return t
 }
 
-func upstreamTable(upstreams []announce.Announcement) table {
-	t := table{row("UPSTREAM", "ZONE", "KIND", "STATE", "IN FLIGHT", "QUEUED", "CAPACITY", "SERVICES", "ADDRESS")}
+func upstreamTable(upstreams []operatorapi.Upstream) table {
+	t := table{row("UPSTREAM", "ZONE", "KIND", "STATE", "USABLE", "AGE", "IN FLIGHT", "QUEUED", "CAPACITY", "SERVICES", "ADDRESS")}
 	for _, u := range upstreams {
 		names := make([]string, len(u.Services))
 		for i, s := range u.Services {
 			names[i] = s.Name
 		}
-		t = append(t, row(u.ID, u.Zone, u.Kind, u.State, u.InFlight, u.Queued, u.Capacity, strings.Join(names, ","), u.Address))
+		age := time.Duration(u.AgeMS) * time.Millisecond
+		t = append(t, row(u.ID, u.Zone, u.Kind, u.State, u.Usable, age,
+			u.InFlight, u.Queued, u.Capacity, strings.Join(names, ","), u.Address))
 	}
 	return t
 }
--- a/internal/operatorapi/messages.go
+++ b/internal/operatorapi/messages.go
@@ -129,7 +129,7 @@
 
 // UpstreamsReply lists what the answering host knows of upstreams.
 type UpstreamsReply struct {
-	Upstreams any `json:"upstreams"`
+	Upstreams []Upstream `json:"upstreams"`
 }
 
 // StatusReply sums up the fleet.
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -11,13 +11,16 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/fakecontrol"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
+	"github.com/godwitbend/godwitbend/internal/registry"
 )
 
 const operatorKey = "gwb_operator"
@@ -195,7 +198,12 @@
 func TestStateOfTheFleet(t *testing.T) {
 	r := newRig(t)
 	r.control.Replicas = []controlapi.ReplicaStatus{{ID: 1, Role: "leader"}}
-	r.options.Upstreams = func() any { return []string{"u1"} }
+	now := time.Unix(1000, 0)
+	upstreams := registry.New(time.Second)
+	upstreams.Apply(announce.Announcement{ID: "u1", State: announce.StateServing}, now)
+	r.options.Upstreams = func() []operatorapi.Upstream {
+		return operatorapi.ListUpstreams(upstreams.Snapshot(), now.Add(3*time.Second), time.Second)
+	}
 	r.options.Ready = func() error { return errors.New("draining") }
 	r.options.Order = func(_ context.Context, o *operatorapi.OrderRequest) (*operatorapi.OrderReply, error) {
 		return &operatorapi.OrderReply{OrderID: o.Order.ID, FencingNumber: 3, State: "done"}, nil
@@ -205,7 +213,7 @@
 		"/v1/hosts":     `"session":"s1"`,
 		"/v1/replicas":  `"role":"leader"`,
 		"/v1/requests":  `{"requests":[]}`,
-		"/v1/upstreams": `{"upstreams":["u1"]}`,
+		"/v1/upstreams": `"age_ms":3000,"usable":false,"open_here":0`,
 		"/v1/usage":     `{"budgets":[]}`,
 	} {
 		var raw json.RawMessage
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -21,9 +21,8 @@
 	Control controlapi.Client
 	// KeyHashes are the SHA-256 hashes of the operators' keys, in lower-case hex.
 	KeyHashes []string
-	// Upstreams returns what the host knows of upstreams, as a value that encodes to a
-	// JSON array. Nil means none.
-	Upstreams func() any
+	// Upstreams returns what the host knows of upstreams; see ListUpstreams. Nil means none.
+	Upstreams func() []Upstream
 	// Order sends an order. Nil means that orders are refused.
 	Order func(context.Context, *OrderRequest) (*OrderReply, error)
 	// Ready returns why the host takes no new work, or nil. Nil means always ready.
--- a/internal/operatorapi/state.go
+++ b/internal/operatorapi/state.go
@@ -125,9 +125,9 @@
 
 func (s *server) upstreams(*call) (*reply, error) {
 	if s.Upstreams == nil {
-		return ok(UpstreamsReply{Upstreams: []struct{}{}}), nil
+		return ok(UpstreamsReply{Upstreams: []Upstream{}}), nil
 	}
-	return ok(UpstreamsReply{Upstreams: s.Upstreams()}), nil
+	return ok(UpstreamsReply{Upstreams: orEmpty(s.Upstreams())}), nil
 }
 
 // order passes an order on. An order without an id gets one.
