Let operators change the control group's replicas

Cause: a host or a disk is replaced by adding a replica under a new id, promoting it and removing the old one; the replica has these calls, operators had no way to them. POST /v1/replicas and godwitbendctl replica add|promote|remove|lead pass a change to a hook of the host; one that is done already succeeds, so a resend is safe. Status shows how many further voters the group can lose, where the leader reports it.

--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -284,8 +284,41 @@
 	Replicas []ReplicaStatus `json:"replicas,omitempty" cbor:"6,keyasint,omitempty"`
 	Revision uint64          `json:"revision" cbor:"7,keyasint"`
 	Schema   int             `json:"active_schema" cbor:"8,keyasint"`
+	// CanLose is the number of further voters whose loss the group survives, with
+	// Replicas; nil if the leader does not know it.
+	CanLose *int `json:"can_lose,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
+// ReplicaAction is a change of the membership of the control group.
+type ReplicaAction string
+
+// The changes of the membership. Each is done by the leader, one at a time.
+const (
+	// ReplicaAdd adds a replica as a learner, under an id above every earlier one.
+	ReplicaAdd ReplicaAction = "add"
+	// ReplicaPromote makes a learner a voter once it has caught up.
+	ReplicaPromote ReplicaAction = "promote"
+	// ReplicaRemove removes a replica that does not lead.
+	ReplicaRemove ReplicaAction = "remove"
+	// ReplicaLead hands the leadership over to a voter.
+	ReplicaLead ReplicaAction = "lead"
+)
+
+// ReplicaChange changes the membership or the leader of the control group.
+type ReplicaChange struct {
+	Action ReplicaAction `json:"action" cbor:"1,keyasint"`
+	ID     uint64        `json:"id" cbor:"2,keyasint"`
+	// Address is for ReplicaAdd: the replica's address for other hosts, as IP:port.
+	Address string `json:"address,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// Roles of replicas in ReplicaStatus.
+const (
+	RoleLeader   = "leader"
+	RoleFollower = "follower"
+	RoleLearner  = "learner"
+)
+
 // HistoryEntry is one change of the configuration.
 type HistoryEntry struct {
 	Revision    uint64      `json:"revision" cbor:"1,keyasint"`
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -54,6 +54,10 @@
 				Capacity: 8, InFlight: 2, Services: []announce.ServiceOffer{{Name: "m"}, {Name: "n"}},
 			}}}
 		},
+		ChangeReplica: func(_ context.Context, c *controlapi.ReplicaChange) error {
+			r.control.Replicas = append(r.control.Replicas, controlapi.ReplicaStatus{ID: c.ID, Address: c.Address, Role: controlapi.RoleLearner})
+			return nil
+		},
 		Order: func(_ context.Context, o *operatorapi.OrderRequest) (*operatorapi.OrderReply, error) {
 			return &operatorapi.OrderReply{OrderID: o.Order.ID, FencingNumber: 3, State: "done"}, nil
 		},
@@ -156,6 +160,12 @@
 1        127.0.0.2:1  leader  3     9        9
 `, "replicas")
 	r.golden(`
+REPLICA  ADDRESS      ROLE     TERM  APPLIED  MATCH
+1        127.0.0.2:1  leader   3     9        9
+4        127.0.0.5:1  learner  0     0        0
+`, "replica", "add", "4", "--address", "127.0.0.5:1")
+	r.control.Replicas = r.control.Replicas[:1]
+	r.golden(`
 ORDER  FENCING NUMBER  STATE
 op-6   3               done
 `, "order", "u1", "--action", "load", "--model", "m")
@@ -166,6 +176,7 @@
 active schema  2
 leader         replica 1, term 3
 replicas       1
+can lose       0
 hosts          1
 hosts behind   1
 `, "status")
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -23,6 +23,7 @@
 	c.addUsage(app)
 	c.addRequest(app)
 	c.addOrder(app)
+	c.addReplica(app)
 	c.calls(app.Command("upstreams", "List the upstreams that the server knows."), func(ctx context.Context, cl *client) error {
 		var reply operatorapi.UpstreamsReply
 		return c.query(ctx, cl, operatorapi.PathUpstream, &reply, func() table { return upstreamTable(reply.Upstreams) })
@@ -33,7 +34,7 @@
 	})
 	c.calls(app.Command("replicas", "List the control replicas."), func(ctx context.Context, cl *client) error {
 		var reply operatorapi.ReplicasReply
-		return c.query(ctx, cl, operatorapi.PathReplicas, &reply, func() table { return replicaTable(reply.Replicas) })
+		return c.query(ctx, cl, operatorapi.PathReplicas, &reply, func() table { return replicaTable(&reply) })
 	})
 	c.calls(app.Command("status", "Sum up the fleet."), func(ctx context.Context, cl *client) error {
 		var reply operatorapi.StatusReply
@@ -101,3 +102,27 @@
 		return c.print(done, func() table { return orderTable(&done) })
 	})
 }
+
+func (c *command) addReplica(app *kingpin.Application) {
+	group := app.Command("replica", "Changes of the control group, one replica at a time.")
+	c.addReplicaChange(group, controlapi.ReplicaAdd, "Add a replica as a learner, under an id above every earlier one.")
+	c.addReplicaChange(group, controlapi.ReplicaPromote, "Make a learner a voter once it has caught up.")
+	c.addReplicaChange(group, controlapi.ReplicaRemove, "Remove a replica that does not lead.")
+	c.addReplicaChange(group, controlapi.ReplicaLead, "Hand the leadership over to a replica.")
+}
+
+func (c *command) addReplicaChange(group *kingpin.CmdClause, action controlapi.ReplicaAction, help string) {
+	clause := group.Command(string(action), help)
+	change := &controlapi.ReplicaChange{Action: action}
+	clause.Arg("id", "Id of the replica.").Required().Uint64Var(&change.ID)
+	if action == controlapi.ReplicaAdd {
+		clause.Flag("address", "Address of the replica's host for other hosts, as IP:port.").Required().StringVar(&change.Address)
+	}
+	c.calls(clause, func(ctx context.Context, cl *client) error {
+		var reply operatorapi.ReplicasReply
+		if err := cl.call(ctx, "POST", operatorapi.PathReplicas, change, &reply); err != nil {
+			return err
+		}
+		return c.print(reply, func() table { return replicaTable(&reply) })
+	})
+}
--- a/internal/ctl/table.go
+++ b/internal/ctl/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -92,9 +93,9 @@
 	return t
 }
 
-func replicaTable(replicas []controlapi.ReplicaStatus) table {
+func replicaTable(reply *operatorapi.ReplicasReply) table {
 	t := table{row("REPLICA", "ADDRESS", "ROLE", "TERM", "APPLIED", "MATCH")}
-	for _, r := range replicas {
+	for _, r := range reply.Replicas {
 		t = append(t, row(r.ID, r.Address, r.Role, r.Term, r.Applied, r.Match))
 	}
 	return t
@@ -120,10 +121,14 @@
 	}
 	leader := "none"
 	for _, r := range s.Replicas {
-		if r.Role == "leader" {
+		if r.Role == controlapi.RoleLeader {
 			leader = fmt.Sprintf("replica %d, term %d", r.ID, r.Term)
 		}
 	}
+	canLose := "unknown"
+	if s.CanLose != nil {
+		canLose = strconv.Itoa(*s.CanLose)
+	}
 	behind := 0
 	for _, h := range s.Hosts {
 		if h.Revision < s.Revision {
@@ -137,6 +142,7 @@
 		row("active schema", s.ActiveSchema),
 		row("leader", leader),
 		row("replicas", len(s.Replicas)),
+		row("can lose", canLose),
 		row("hosts", len(s.Hosts)),
 		row("hosts behind", behind),
 	}
--- a/internal/fakecontrol/fakecontrol.go
+++ b/internal/fakecontrol/fakecontrol.go
@@ -15,6 +15,8 @@
 type Control struct {
 	// Replicas is given as it is.
 	Replicas []controlapi.ReplicaStatus
+	// CanLose is the number of replicas that the group can still lose.
+	CanLose int
 	// HostRevision is the revision that each host says it serves under.
 	HostRevision uint64
 	// PendingReplies is the number of times a change is answered as not yet accepted.
@@ -69,6 +71,7 @@
 	}
 	if request.Replicas {
 		reply.Replicas = c.Replicas
+		reply.CanLose = &c.CanLose
 	}
 	return reply, nil
 }
--- a/internal/operatorapi/messages.go
+++ b/internal/operatorapi/messages.go
@@ -120,6 +120,8 @@
 // ReplicasReply lists the control replicas.
 type ReplicasReply struct {
 	Replicas []controlapi.ReplicaStatus `json:"replicas"`
+	// CanLose is the number of further voters whose loss the group survives; nil if unknown.
+	CanLose *int `json:"can_lose,omitempty"`
 }
 
 // HistoryReply lists configuration changes, oldest first.
@@ -136,12 +138,12 @@
 type StatusReply struct {
 	// Host is the host that answered.
 	Host string `json:"host"`
-	// Ready is empty if Host takes new work, else the reason.
-	NotReady     string                     `json:"not_ready,omitempty"`
-	Revision     uint64                     `json:"revision"`
-	ActiveSchema int                        `json:"active_schema"`
-	Hosts        []controlapi.HostInfo      `json:"hosts"`
-	Replicas     []controlapi.ReplicaStatus `json:"replicas"`
+	// NotReady is empty if Host takes new work, else the reason.
+	NotReady     string                `json:"not_ready,omitempty"`
+	Revision     uint64                `json:"revision"`
+	ActiveSchema int                   `json:"active_schema"`
+	Hosts        []controlapi.HostInfo `json:"hosts"`
+	ReplicasReply
 }
 
 // OrderRequest sends an order to one upstream. The control group sets the fencing number.
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -188,6 +188,10 @@
 		{"POST", "/v1/orders", `{"upstream": "u", "order": {"action": "sing"}}`, errkind.InvalidRequest},
 		{"POST", "/v1/orders", `{"upstream": "u", "order": {"action": "load", "fencing_number": 9}}`, errkind.InvalidRequest},
 		{"POST", "/v1/orders", `{"upstream": "u", "order": {"action": "load"}}`, errkind.NoUpstream},
+		{"POST", "/v1/replicas", `{"action": "sing", "id": 1}`, errkind.InvalidRequest},
+		{"POST", "/v1/replicas", `{"action": "remove", "id": 0}`, errkind.InvalidRequest},
+		{"POST", "/v1/replicas", `{"action": "add", "id": 4, "address": "host:1"}`, errkind.InvalidRequest},
+		{"POST", "/v1/replicas", `{"action": "remove", "id": 4}`, errkind.Forbidden},
 		{"GET", "/v1/requests/none", "", errkind.NotFound},
 		{"PATCH", "/v1/organisations/o", "", errkind.NotFound},
 	} {
@@ -227,6 +231,33 @@
 	r.Expect(r.refusal("GET", "/v1/status", "").Error.Kind).To(Equal(errkind.ControlUnavailable))
 }
 
+func TestReplicaChangesAreSafeToSendAgain(t *testing.T) {
+	r := newRig(t)
+	r.control.Replicas = []controlapi.ReplicaStatus{
+		{ID: 1, Address: "127.0.0.2:1", Role: controlapi.RoleLeader},
+		{ID: 4, Address: "127.0.0.5:1", Role: controlapi.RoleLearner},
+	}
+	var asked []controlapi.ReplicaChange
+	r.options.ChangeReplica = func(_ context.Context, c *controlapi.ReplicaChange) error {
+		asked = append(asked, *c)
+		return nil
+	}
+	for _, done := range []string{
+		`{"action": "add", "id": 4, "address": "127.0.0.5:1"}`, `{"action": "promote", "id": 1}`,
+		`{"action": "remove", "id": 9}`, `{"action": "lead", "id": 1}`,
+	} {
+		r.Expect(r.call(operatorKey, "POST", "/v1/replicas", done, nil)).To(Equal(http.StatusOK))
+	}
+	r.Expect(asked).To(BeEmpty())
+	for _, change := range []string{
+		`{"action": "add", "id": 5, "address": "127.0.0.6:1"}`, `{"action": "promote", "id": 4}`,
+		`{"action": "remove", "id": 4}`, `{"action": "lead", "id": 4}`,
+	} {
+		r.Expect(r.call(operatorKey, "POST", "/v1/replicas", change, nil)).To(Equal(http.StatusOK))
+	}
+	r.Expect(asked).To(HaveLen(4))
+}
+
 func FuzzApply(f *testing.F) {
 	sum := sha256.Sum256([]byte(operatorKey))
 	f.Add("/v1/apply", []byte(`{"operation_id":"1","writes":[{"record":{"kind":"class","name":"c","spec":{}},"if_revision":0}]}`))
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -25,6 +25,8 @@
 	Upstreams func() []Upstream
 	// Order sends an order. Nil means that orders are refused.
 	Order func(context.Context, *OrderRequest) (*OrderReply, error)
+	// ChangeReplica has the leader change the control group. Nil means that changes are refused.
+	ChangeReplica func(context.Context, *controlapi.ReplicaChange) error
 	// Ready returns why the host takes no new work, or nil. Nil means always ready.
 	Ready func() error
 	// OnError is told the kind of each refusal, to count it. Nil means nothing is told.
@@ -56,6 +58,7 @@
 	mux.HandleFunc("GET "+PathRequests+"/{id}", s.answer(s.request))
 	mux.HandleFunc("GET "+PathHosts, s.answer(s.hosts))
 	mux.HandleFunc("GET "+PathReplicas, s.answer(s.replicas))
+	mux.HandleFunc("POST "+PathReplicas, s.answer(s.changeReplica))
 	mux.HandleFunc("GET "+PathHistory, s.answer(s.history))
 	mux.HandleFunc("GET "+PathChanges+"/{id}", s.answer(s.change))
 	mux.HandleFunc("GET "+PathStatus, s.answer(s.status))
--- a/internal/operatorapi/state.go
+++ b/internal/operatorapi/state.go
@@ -52,14 +52,6 @@
 	return ok(HostsReply{Hosts: orEmpty(found.Hosts)}), nil
 }
 
-func (s *server) replicas(r *call) (*reply, error) {
-	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Replicas: true})
-	if err != nil {
-		return nil, err
-	}
-	return ok(ReplicasReply{Replicas: orEmpty(found.Replicas)}), nil
-}
-
 func (s *server) history(r *call) (*reply, error) {
 	query := &controlapi.QueryRequest{History: true}
 	after, err := queryNumber(r, "after")
@@ -104,16 +96,16 @@
 	if err != nil {
 		return nil, err
 	}
-	replicas, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Replicas: true})
+	replicas, err := s.listReplicas(r.Context())
 	if err != nil {
 		return nil, err
 	}
 	status := StatusReply{
-		Host:         s.Host,
-		Revision:     hosts.Revision,
-		ActiveSchema: hosts.Schema,
-		Hosts:        orEmpty(hosts.Hosts),
-		Replicas:     orEmpty(replicas.Replicas),
+		Host:          s.Host,
+		Revision:      hosts.Revision,
+		ActiveSchema:  hosts.Schema,
+		Hosts:         orEmpty(hosts.Hosts),
+		ReplicasReply: *replicas,
 	}
 	if s.Ready != nil {
 		if reason := s.Ready(); reason != nil {
