--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/admission"
@@ -227,12 +225,7 @@
 	return nil
 }
 
-// upstreams returns the latest announcement of each upstream, in order of id.
-func (d *Daemon) upstreams() any {
-	entries := d.registry.Snapshot().Entries
-	out := make([]announce.Announcement, 0, len(entries))
-	for _, id := range slices.Sorted(maps.Keys(entries)) {
-		out = append(out, entries[id].State().Announcement)
-	}
-	return out
+// upstreams returns what the host knows of each upstream, in order of id.
+func (d *Daemon) upstreams() []operatorapi.Upstream {
+	return operatorapi.ListUpstreams(d.registry.Snapshot(), time.Now(), d.settings.UpstreamTimeout.Duration)
 }
