--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -79,7 +79,7 @@
 
 func checkOrganisation(l *faultList) *OrganisationSpec {
 	spec := &OrganisationSpec{}
-	decodeSpec(l, l.record.Spec, spec)
+	decodeSpec(l, spec)
 	if len(spec.DisplayName) > MaxDisplayNameBytes {
 		l.add("spec.display_name", "is longer than %d bytes", MaxDisplayNameBytes)
 	}
@@ -88,7 +88,7 @@
 
 func checkCaller(l *faultList) *CallerSpec {
 	spec := &CallerSpec{}
-	decodeSpec(l, l.record.Spec, spec)
+	decodeSpec(l, spec)
 	l.addName("spec.organisation", spec.Organisation)
 	l.addName("spec.class", spec.Class)
 	l.addName("spec.budget", spec.Budget)
@@ -102,7 +102,7 @@
 
 func checkBudget(l *faultList) *BudgetSpec {
 	spec := &BudgetSpec{}
-	decodeSpec(l, l.record.Spec, spec)
+	decodeSpec(l, spec)
 	l.addName("spec.organisation", spec.Organisation)
 	return spec
 }
@@ -111,11 +111,11 @@
 	spec := &ClassSpec{}
 	if l.record.SchemaVersion == 1 {
 		old := &ClassSpecV1{}
-		decodeSpec(l, l.record.Spec, old)
+		decodeSpec(l, old, "worth")
 		l.addRange("spec.priority", int64(old.Priority), 1, MaxWorth)
 		spec = &ClassSpec{Worth: MaxWorth + 1 - old.Priority, DeadlineMS: old.DeadlineMS, QueueLimit: old.QueueLimit}
 	} else {
-		decodeSpec(l, l.record.Spec, spec)
+		decodeSpec(l, spec, "priority")
 		l.addRange("spec.worth", int64(spec.Worth), 1, MaxWorth)
 	}
 	l.addRange("spec.deadline_ms", spec.DeadlineMS, 1, MaxDeadlineMS)
@@ -128,7 +128,7 @@
 		return checkPolicyV1(l)
 	}
 	spec := &PolicySpec{}
-	decodeSpec(l, l.record.Spec, spec)
+	decodeSpec(l, spec, "allow")
 	checkPolicyOrganisation(l, spec.Organisation)
 	checkList(l, "spec.services", len(spec.Services), 1)
 	for i, service := range spec.Services {
@@ -147,7 +147,7 @@
 
 func checkPolicyV1(l *faultList) *PolicySpec {
 	old := &PolicySpecV1{}
-	decodeSpec(l, l.record.Spec, old)
+	decodeSpec(l, old, "services", "upstreams", "zones")
 	checkPolicyOrganisation(l, old.Organisation)
 	checkList(l, "spec.allow", len(old.Allow), 1)
 	for i, pair := range old.Allow {
@@ -181,7 +181,7 @@
 
 func checkService(l *faultList) *ServiceSpec {
 	spec := &ServiceSpec{}
-	decodeSpec(l, l.record.Spec, spec)
+	decodeSpec(l, spec)
 	l.addRange("spec.max_output_tokens", spec.MaxOutputTokens, 0, MaxRequestTokens)
 	checkList(l, "spec.methods", len(spec.Methods), 0)
 	switch spec.Kind {
--- a/internal/control/begin.go
+++ b/internal/control/begin.go
@@ -21,7 +21,7 @@
 	}
 	r := m.requests.Get(b.RequestID)
 	if r == nil {
-		return m.beginFirst(b, request.New(b), m.requests.Add)
+		return m.beginNew(b)
 	}
 	if r.BodyHash != b.BodyHash || r.Caller != b.Caller {
 		return refuse(errkind.New(errkind.KeyReused, "the idempotency key was used for another request"))
@@ -62,9 +62,6 @@
 	if err != nil {
 		return refuse(err)
 	}
-	if m.requests.Full(r) {
-		return refuse(errkind.New(errkind.Overloaded, "too many request records are kept"))
-	}
 	if refusal := m.checkUpstream(b); refusal != nil {
 		return refusal
 	}
@@ -76,6 +73,14 @@
 	return m.startedReply(r)
 }
 
+func (m *Machine) beginNew(b *controlapi.BeginRequest) *controlapi.Result {
+	r := request.New(b)
+	if m.requests.Full(r) {
+		return refuse(errkind.New(errkind.Overloaded, "too many request records are kept"))
+	}
+	return m.beginFirst(b, r, m.requests.Add)
+}
+
 // beginAgain runs a released request anew.
 func (m *Machine) beginAgain(b *controlapi.BeginRequest, r *request.Record) *controlapi.Result {
 	return m.beginFirst(b, r, func(r *request.Record) {
--- a/internal/control/configure.go
+++ b/internal/control/configure.go
@@ -13,20 +13,9 @@
 	maxRecords = 200_000
 )
 
-// configure writes records, all or none. A resend of the operation gets the
-// first result, refusals included.
+// configure writes records, all or none.
 func (m *Machine) configure(c *controlapi.ConfigureRequest) *controlapi.Result {
-	content := contentOf(c)
-	first, err := m.configurations.find(c.OperationID, content)
-	if err != nil {
-		return refuse(err)
-	}
-	if first != nil {
-		return first
-	}
-	result := m.write(c)
-	m.configurations.add(&operation{ID: c.OperationID, Content: content, AtMS: m.nowMS, Result: result})
-	return copyResult(result)
+	return m.configurations.once(c.OperationID, c, m.nowMS, func() *controlapi.Result { return m.write(c) })
 }
 
 func (m *Machine) write(c *controlapi.ConfigureRequest) *controlapi.Result {
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -23,7 +23,7 @@
 	if to.Upstream == "" || len(to.Upstream) > maxIDBytes {
 		return refuse(errkind.New(errkind.InvalidRequest, "upstream id has %d bytes, 1 to %d are allowed", len(to.Upstream), maxIDBytes))
 	}
-	if r.IsDispatched(to) {
+	if r.IsDispatchResend(to) {
 		return &controlapi.Result{}
 	}
 	return m.dispatchTo(r, to, d.EarlierNotRun)
--- /dev/null
+++ b/internal/control/grant.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"github.com/godwitbend/godwitbend/internal/budget"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/grant"
+)
+
+// grant sets tokens aside for a session up to a total.
+func (m *Machine) grant(g *controlapi.GrantRequest) *controlapi.Result {
+	if !m.sessions.isOpen(g.Session) {
+		return refuse(errkind.New(errkind.SessionExpired, "session %s is not open", g.Session))
+	}
+	organisation, ok := m.store.BudgetOrganisation(g.Budget)
+	if !ok {
+		return refuse(errkind.New(errkind.NotFound, "there is no budget %s", g.Budget))
+	}
+	if g.Total <= 0 || g.Total > budget.MaxTokens {
+		return refuse(errkind.New(errkind.InvalidRequest, "grant of %d tokens in all is out of range", g.Total))
+	}
+	missing := m.grants.Missing(g.Session, g.Budget, g.Total)
+	if err := m.account(g.Budget, organisation).Grant(missing); err != nil {
+		return refuse(err)
+	}
+	return grantResult(g.Session, m.grants.Add(g.Session, g.Budget, missing), false)
+}
+
+// returnGrant takes tokens back that a session did not spend. The session may
+// have ended; its journal must have been merged before.
+func (m *Machine) returnGrant(g *controlapi.ReturnGrantRequest) *controlapi.Result {
+	h, err := m.grants.Holder(g.Session)
+	if err != nil {
+		return refuse(err)
+	}
+	after, tokens, err := m.grants.Return(h, g.Budget, g.Total)
+	if err != nil {
+		return refuse(err)
+	}
+	must(m.accounts[g.Budget].EndGrant(tokens, 0))
+	return grantResult(g.Session, after, h.Ended)
+}
+
+// writeOffGrant charges what an ended session holds, whose journal is lost.
+// What it may have spent is unknown, so that less would risk overspend.
+func (m *Machine) writeOffGrant(w *controlapi.WriteOffGrantRequest) *controlapi.Result {
+	return m.payments.once(w.OperationID, w, m.nowMS, func() *controlapi.Result {
+		h, err := m.grants.Holder(w.Session)
+		if err != nil {
+			return refuse(err)
+		}
+		if !h.Ended {
+			return refuse(errkind.New(errkind.Conflict, "session %s is open", w.Session))
+		}
+		result := &controlapi.Result{}
+		for _, g := range m.grants.WriteOff(h) {
+			must(m.accounts[g.Budget].EndGrant(g.Outstanding(), g.Outstanding()))
+			result.WrittenOff += g.Outstanding()
+		}
+		return result
+	})
+}
+
+func grantResult(session string, g grant.Grant, ended bool) *controlapi.Result {
+	status := grantStatus(session, g, ended)
+	return &controlapi.Result{Grant: &status}
+}
+
+func grantStatus(session string, g grant.Grant, ended bool) controlapi.GrantStatus {
+	return controlapi.GrantStatus{
+		Session: session, Budget: g.Budget, Granted: g.Granted, Returned: g.Returned,
+		Charged: g.Charged, Outstanding: g.Outstanding(), Ended: ended,
+	}
+}
+
+func (m *Machine) listGrants() []controlapi.GrantStatus {
+	var list []controlapi.GrantStatus
+	for _, h := range m.grants.Holders() {
+		for _, g := range h.Grants {
+			list = append(list, grantStatus(h.Session, g, h.Ended))
+		}
+	}
+	return list
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -14,6 +14,7 @@
 	"github.com/godwitbend/godwitbend/internal/containment"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/grant"
 	"github.com/godwitbend/godwitbend/internal/request"
 )
 
@@ -36,7 +37,8 @@
 	bodies         *containment.Tracker
 	sessions       sessions
 	configurations *operations
-	topUps         *operations
+	payments       *operations
+	grants         *grant.Book
 }
 
 // NewMachine returns the machine before the first command.
@@ -48,8 +50,9 @@
 		requests:       request.NewTable(),
 		bodies:         containment.New(),
 		sessions:       newSessions(),
-		configurations: newOperations(maxConfigurations, configurationRetentionMS),
-		topUps:         newOperations(maxTopUps, topUpRetentionMS),
+		configurations: newOperations(maxConfigurations, configurationRetentionMS, displaceOldest),
+		payments:       newOperations(maxPayments, paymentRetentionMS, refuseNew),
+		grants:         grant.NewBook(),
 	}
 }
 
@@ -86,6 +89,14 @@
 		return m.configure(cmd.Configure)
 	case cmd.TopUp != nil:
 		return m.topUp(cmd.TopUp)
+	case cmd.Grant != nil:
+		return m.grant(cmd.Grant)
+	case cmd.ReturnGrant != nil:
+		return m.returnGrant(cmd.ReturnGrant)
+	case cmd.MergeJournal != nil:
+		return m.mergeJournal(cmd.MergeJournal)
+	case cmd.WriteOffGrant != nil:
+		return m.writeOffGrant(cmd.WriteOffGrant)
 	default:
 		return refuse(errkind.New(errkind.InvalidRequest, "command without a body"))
 	}
@@ -97,12 +108,16 @@
 	for _, r := range m.requests.DueOrphans(m.nowMS) {
 		m.recoverOrphan(r)
 	}
-	m.requests.Expire(m.nowMS, func(*request.Record) bool { return false })
+	m.requests.Expire(m.nowMS, m.awaitsJournal)
 	m.bodies.Advance(m.nowMS)
 	m.configurations.expire(m.nowMS)
-	m.topUps.expire(m.nowMS)
+	m.payments.expire(m.nowMS)
 }
 
+// awaitsJournal tells whether a journal that is still to be merged may hold
+// the request of a closed record, which must then be kept.
+func (m *Machine) awaitsJournal(r *request.Record) bool { return m.grants.Stranded(r.Budget) }
+
 // Now returns the state time, in milliseconds since 1970.
 func (m *Machine) Now() int64 { return m.nowMS }
 
@@ -110,7 +125,8 @@
 func (m *Machine) ActiveSchema() int { return m.schema }
 
 // CheckInvariants returns an Internal error if the state contradicts itself:
-// a budget is overspent, or its reservations are not those of its open requests.
+// a budget is overspent, or its reservations and grants are not those of its
+// open requests and holders.
 func (m *Machine) CheckInvariants() error {
 	reserved := make(map[string]int64)
 	for _, r := range m.requests.Sorted() {
@@ -119,10 +135,14 @@
 		}
 		reserved[r.Budget] += r.Reserved
 	}
+	granted := m.grants.Outstanding()
 	for name, a := range m.accounts {
 		if err := a.Check(); err != nil {
 			return err
 		}
+		if a.State().Granted != granted[name] {
+			return errkind.New(errkind.Internal, "budget %s grants %d tokens, its holders have %d", name, a.State().Granted, granted[name])
+		}
 		if a.State().Reserved != reserved[name] {
 			return errkind.New(errkind.Internal, "budget %s reserves %d tokens, its requests %d", name, a.State().Reserved, reserved[name])
 		}
--- a/internal/control/operations.go
+++ b/internal/control/operations.go
@@ -12,16 +12,23 @@
 // Retention of the results of operations, in milliseconds of state time.
 const (
 	configurationRetentionMS = int64(24 * time.Hour / time.Millisecond)
-	topUpRetentionMS         = int64(90 * 24 * time.Hour / time.Millisecond)
+	paymentRetentionMS       = int64(90 * 24 * time.Hour / time.Millisecond)
 )
 
-// Bounds on the operations whose results are kept. A configuration change
-// beyond it displaces the oldest; its own comparison of revisions keeps a late
-// resend harmless. A top-up beyond it is refused, because a forgotten one
-// would be paid in again.
+// Bounds on the operations whose results are kept.
 const (
 	maxConfigurations = 4096
-	maxTopUps         = 200_000
+	maxPayments       = 200_000
+)
+
+// overflow tells what becomes of an operation beyond the bound.
+type overflow int
+
+const (
+	// displaceOldest suits operations that are harmless when they are sent again late.
+	displaceOldest overflow = iota
+	// refuseNew suits operations that must not be executed again, such as top-ups.
+	refuseNew
 )
 
 // operation is an executed operation with its result.
@@ -37,13 +44,34 @@
 type operations struct {
 	most        int
 	retentionMS int64
+	overflow    overflow
 	byID        map[string]*operation
 	// order holds the operations, oldest first.
 	order []*operation
 }
 
-func newOperations(most int, retentionMS int64) *operations {
-	return &operations{most: most, retentionMS: retentionMS, byID: make(map[string]*operation)}
+func newOperations(most int, retentionMS int64, o overflow) *operations {
+	return &operations{most: most, retentionMS: retentionMS, overflow: o, byID: make(map[string]*operation)}
+}
+
+// once executes an operation and keeps its result, refusals included, or
+// returns the result that it had before. Another request under the same id is
+// a Conflict.
+func (o *operations) once(id string, content any, nowMS int64, execute func() *controlapi.Result) *controlapi.Result {
+	sum := contentOf(content)
+	first, err := o.find(id, sum)
+	if err != nil {
+		return refuse(err)
+	}
+	if first != nil {
+		return copyResult(first)
+	}
+	if len(o.order) >= o.most && o.overflow == refuseNew {
+		return refuse(errkind.New(errkind.Overloaded, "%d operations are remembered, no more fit", o.most))
+	}
+	result := execute()
+	o.add(&operation{ID: id, Content: sum, AtMS: nowMS, Result: result})
+	return copyResult(result)
 }
 
 // contentOf returns the sum that tells requests apart.
@@ -54,8 +82,7 @@
 	return sum[:]
 }
 
-// find returns the result of an earlier operation with this id, or nil. Another
-// content under the same id is a Conflict.
+// find returns the result of an earlier operation with this id, or nil.
 func (o *operations) find(id string, content []byte) (*controlapi.Result, *errkind.Error) {
 	if id == "" || len(id) > maxIDBytes {
 		return nil, errkind.New(errkind.InvalidRequest, "operation id has %d bytes, 1 to %d are allowed", len(id), maxIDBytes)
@@ -67,7 +94,7 @@
 	if string(op.Content) != string(content) {
 		return nil, errkind.New(errkind.Conflict, "operation id %s was used for another request", id)
 	}
-	return copyResult(op.Result), nil
+	return op.Result, nil
 }
 
 // copyResult returns a copy whose reply may be filled in further without a
@@ -85,10 +112,8 @@
 	return &c
 }
 
-func (o *operations) full() bool { return len(o.order) >= o.most }
-
 func (o *operations) add(op *operation) {
-	if o.full() {
+	if len(o.order) >= o.most {
 		o.dropOldest()
 	}
 	o.byID[op.ID] = op
--- a/internal/control/query.go
+++ b/internal/control/query.go
@@ -31,6 +31,8 @@
 		reply.Requests = m.listRequests(q.Organisation)
 	case q.History:
 		reply.History = m.history.after(q.HistoryMin)
+	case q.Grants:
+		reply.Grants = m.listGrants()
 	case q.Hosts:
 		reply.Hosts = m.Sessions()
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/containment"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/grant"
 	"github.com/godwitbend/godwitbend/internal/request"
 )
 
@@ -34,7 +35,8 @@
 	Sessions        []controlapi.OpenSession  `cbor:"12,keyasint,omitempty"`
 	EndedSessions   []string                  `cbor:"13,keyasint,omitempty"`
 	Configurations  []*operation              `cbor:"14,keyasint,omitempty"`
-	TopUps          []*operation              `cbor:"15,keyasint,omitempty"`
+	Payments        []*operation              `cbor:"15,keyasint,omitempty"`
+	Grants          []*grant.Holder           `cbor:"16,keyasint,omitempty"`
 }
 
 // accountState is an account in a snapshot.
@@ -61,7 +63,8 @@
 		Sessions:        m.sessions.sorted(),
 		EndedSessions:   m.sessions.ended,
 		Configurations:  m.configurations.order,
-		TopUps:          m.topUps.order,
+		Payments:        m.payments.order,
+		Grants:          m.grants.Holders(),
 	})
 }
 
@@ -125,8 +128,9 @@
 	for _, op := range s.Configurations {
 		m.configurations.add(op)
 	}
-	for _, op := range s.TopUps {
-		m.topUps.add(op)
+	m.grants.Load(s.Grants)
+	for _, op := range s.Payments {
+		m.payments.add(op)
 	}
 	return nil
 }
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -272,6 +272,8 @@
 	Hosts bool `cbor:"9,keyasint,omitempty"`
 	// Replicas asks for the state of the control replicas.
 	Replicas bool `cbor:"10,keyasint,omitempty"`
+	// Grants lists the grants that are outstanding, those of ended sessions included.
+	Grants bool `cbor:"11,keyasint,omitempty"`
 }
 
 // QueryReply answers a QueryRequest.
@@ -284,6 +286,7 @@
 	Replicas []ReplicaStatus `json:"replicas,omitempty" cbor:"6,keyasint,omitempty"`
 	Revision uint64          `json:"revision" cbor:"7,keyasint"`
 	Schema   int             `json:"active_schema" cbor:"8,keyasint"`
+	Grants   []GrantStatus   `json:"grants,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
 // HistoryEntry is one change of the configuration.
@@ -321,6 +324,11 @@
 	EndSession  *EndSession       `cbor:"8,keyasint,omitempty"`
 	Configure   *ConfigureRequest `cbor:"9,keyasint,omitempty"`
 	TopUp       *TopUpRequest     `cbor:"10,keyasint,omitempty"`
+
+	Grant         *GrantRequest         `cbor:"11,keyasint,omitempty"`
+	ReturnGrant   *ReturnGrantRequest   `cbor:"12,keyasint,omitempty"`
+	MergeJournal  *MergeJournalRequest  `cbor:"13,keyasint,omitempty"`
+	WriteOffGrant *WriteOffGrantRequest `cbor:"14,keyasint,omitempty"`
 }
 
 // Result is the outcome of a Command. Err is set on a refusal.
@@ -332,6 +340,11 @@
 	Budget    *BudgetStatus   `cbor:"5,keyasint,omitempty"`
 	// Overrun is what a settled request used beyond its reservation, in tokens. It is not charged.
 	Overrun int64 `cbor:"6,keyasint,omitempty"`
+	// Grant is the state of the grant after Grant or ReturnGrant.
+	Grant *GrantStatus `cbor:"7,keyasint,omitempty"`
+	Merge *MergeReply  `cbor:"8,keyasint,omitempty"`
+	// WrittenOff is what WriteOffGrant charged, in tokens.
+	WrittenOff int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Client is the control group as an entry host sees it. Execute returns the
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -132,8 +132,15 @@
 	return r.Dispatches[r.Earlier-1], true
 }
 
-// IsDispatched tells whether d is recorded among the dispatches that may have run.
-func (r *Record) IsDispatched(d controlapi.Instance) bool { return slices.Contains(r.Dispatches, d) }
+// IsDispatchResend tells whether the dispatch to d needs no record of its own.
+// A request that may not be repeated is never sent again to where an earlier
+// attempt sent it, unless that provably did not run.
+func (r *Record) IsDispatchResend(d controlapi.Instance) bool {
+	if r.Repeatable {
+		return slices.Contains(r.Dispatches, d)
+	}
+	return slices.Contains(r.Dispatches[r.Earlier:], d)
+}
 
 // CheckDispatch returns why the request may not be sent to a further upstream:
 // a request that may not be repeated is sent again only when its earlier
@@ -202,6 +209,26 @@
 	return r.closeReservation()
 }
 
+// NewSettled returns the record of a request that a host served from its
+// grants, with the tokens charged to them.
+func NewSettled(id, session string, e *controlapi.JournalEntry, charged int64) *Record {
+	r := &Record{
+		ID: id, Organisation: e.Organisation, Caller: e.Caller, Budget: e.Budget, Service: e.Service,
+		BodyHash: e.BodyHash, Repeatable: true, Unkeyed: e.Unkeyed, Attempt: 1, Session: session,
+	}
+	r.SettleElsewhere(charged, e.Tokens)
+	return r
+}
+
+// SettleElsewhere closes the record of a request that was served from a grant.
+// The charge is not taken from its reservation, which is returned.
+func (r *Record) SettleElsewhere(charged, used int64) (reserved int64) {
+	r.State = Settled
+	r.Charged = charged
+	r.Overrun = used - charged
+	return r.closeReservation()
+}
+
 // SettleUnknown closes the record of a request whose fate cannot be learnt. Its
 // whole reservation, which it returns, is charged.
 func (r *Record) SettleUnknown() (reserved int64) {
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -20,8 +20,8 @@
 	OrphanTimeoutMS = int64(2 * time.Minute / time.Millisecond)
 )
 
-// Bounds on the number of closed records. A new request is refused rather than
-// a keyed record dropped before its time.
+// Bounds on the number of records. A new request is refused rather than a
+// keyed record dropped before its time.
 const (
 	MaxUnkeyed       = 100_000
 	MaxRepeatable    = 500_000
@@ -43,7 +43,7 @@
 
 var retentionMS = [retentions]int64{UnkeyedRetentionMS, RepeatableRetentionMS, NonRepeatableRetentionMS}
 
-var maxClosed = [retentions]int{MaxUnkeyed, MaxRepeatable, MaxNonRepeatable}
+var maxRecords = [retentions]int{MaxUnkeyed, MaxRepeatable, MaxNonRepeatable}
 
 func (r *Record) retention() retention {
 	switch {
@@ -79,7 +79,7 @@
 	// closed holds the closings of each retention class, oldest first. Those
 	// of records that were opened again are skipped.
 	closed [retentions]queue[closing]
-	// count is the number of closed records of each retention class.
+	// count is the number of records of each retention class, open ones included.
 	count    [retentions]int
 	orphans  queue[orphan]
 	sequence uint64
@@ -95,7 +95,7 @@
 	t.sequence = sequence
 	var closed, orphans []*Record
 	for _, r := range records {
-		t.records[r.ID] = r
+		t.insert(r)
 		if r.State != Open {
 			closed = append(closed, r)
 			continue
@@ -136,22 +136,26 @@
 	}
 }
 
-// Full tells whether the closed records of r's retention class have reached
-// their bound, and none of them may be dropped early.
+// Full tells whether the records of r's retention class have reached their
+// bound, and none of them may be dropped early.
 func (t *Table) Full(r *Record) bool {
 	class := r.retention()
-	return class != unkeyed && t.count[class] >= maxClosed[class]
+	return class != unkeyed && t.count[class] >= maxRecords[class]
 }
 
 // Add takes in a new record that is open.
 func (t *Table) Add(r *Record) {
-	t.records[r.ID] = r
+	t.insert(r)
 	t.addOpen(r)
 }
 
+func (t *Table) insert(r *Record) {
+	t.records[r.ID] = r
+	t.count[r.retention()]++
+}
+
 // Reopen opens the closed record r by change.
 func (t *Table) Reopen(r *Record, change func()) {
-	t.count[r.retention()]--
 	change()
 	t.addOpen(r)
 }
@@ -166,29 +170,28 @@
 // Close takes note that r, which was open, was closed at nowMS.
 func (t *Table) Close(r *Record, nowMS int64) {
 	t.removeOpen(r)
-	t.AddClosed(r, nowMS)
+	t.Renew(r, nowMS)
 }
 
-// AddClosed takes in a record that was closed at nowMS and is not among the open ones.
+// AddClosed takes in a new record that was closed at nowMS.
 func (t *Table) AddClosed(r *Record, nowMS int64) {
-	t.records[r.ID] = r
-	t.stamp(r, nowMS)
-	t.enqueue(r)
-	if class := r.retention(); class == unkeyed && t.count[class] > maxClosed[class] {
-		t.dropOldest(class)
-	}
+	t.insert(r)
+	t.Renew(r, nowMS)
 }
 
-func (t *Table) stamp(r *Record, nowMS int64) {
+// Renew starts the retention of a closed record at nowMS.
+func (t *Table) Renew(r *Record, nowMS int64) {
 	t.sequence++
 	r.ClosedMS = nowMS
 	r.CloseSequence = t.sequence
+	t.enqueue(r)
+	if class := r.retention(); class == unkeyed && t.count[class] > maxRecords[class] {
+		t.dropOldest(class)
+	}
 }
 
 func (t *Table) enqueue(r *Record) {
-	class := r.retention()
-	t.closed[class].push(closing{r.ID, r.CloseSequence})
-	t.count[class]++
+	t.closed[r.retention()].push(closing{r.ID, r.CloseSequence})
 }
 
 // OpenOf returns the open records of a session in the order of their ids.
@@ -236,10 +239,11 @@
 			if r == nil || r.ClosedMS+retentionMS[class] > nowMS {
 				break
 			}
-			t.dropOldest(class)
 			if class != unkeyed && hold(r) {
-				t.AddClosed(r, nowMS)
+				t.Renew(r, nowMS)
+				continue
 			}
+			t.dropOldest(class)
 		}
 	}
 }
