--- /dev/null
+++ b/internal/control/session_test.go
@@ -0,0 +1,183 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/request"
+)
+
+func (f *fixture) requestState(key string) string {
+	requests := f.machine.Query(&controlapi.QueryRequest{Request: controlapi.RequestIDFor("crier", key)}).Requests
+	if len(requests) == 0 {
+		return "none"
+	}
+	return requests[0].State
+}
+
+func (f *fixture) beginDispatched(key string, repeatable bool) {
+	b := f.beginRequest(key, hostA, 10)
+	b.Repeatable = repeatable
+	b.Upstream = "upstream-" + key
+	f.must(f.begin(b))
+}
+
+func TestEndOfASessionReleasesWhatWasNeverDispatched(t *testing.T) {
+	f := newFixture(t, 100)
+	f.must(f.begin(f.beginRequest("idle", hostA, 10)))
+	f.beginDispatched("sent", true)
+	f.end(hostA)
+	f.Expect(f.requestState("idle")).To(Equal("released"))
+	f.Expect(f.requestState("sent")).To(Equal("open"))
+	f.Expect(f.machine.Sessions()).To(HaveLen(1))
+}
+
+func TestOrphanIsRecovered(t *testing.T) {
+	f := newFixture(t, 100)
+	f.beginDispatched("draft", true)
+	f.beginDispatched("booking", false)
+	f.beginDispatched("settled-late", true)
+	f.end(hostA)
+	f.must(f.settle("settled-late", 1, 4))
+	f.now += request.OrphanTimeoutMS
+	f.must(f.open(hostB, 2))
+	f.Expect(f.requestState("draft")).To(Equal("released"))
+	f.Expect(f.requestState("booking")).To(Equal("unknown"))
+	f.Expect(f.figures()).To(Equal([4]int64{100, 14, 0, 0}))
+	booking := f.beginRequest("booking", hostB, 10)
+	f.refused(f.begin(booking), errkind.OutcomeUnknown)
+}
+
+func TestTakenOverRequestIsNoOrphan(t *testing.T) {
+	f := newFixture(t, 100)
+	f.beginDispatched("draft", true)
+	f.end(hostA)
+	f.must(f.begin(f.beginRequest("draft", hostB, 10)))
+	f.now += 2 * request.OrphanTimeoutMS
+	f.must(f.open(hostB, 2))
+	f.Expect(f.requestState("draft")).To(Equal("open"))
+}
+
+// A host that takes over asks the upstream before it sends a request again that
+// may not be repeated, also to the same upstream.
+func TestTakenOverNonRepeatableIsNotSentAgain(t *testing.T) {
+	f := newFixture(t, 100)
+	f.beginDispatched("booking", false)
+	f.end(hostA)
+	takeover := f.beginRequest("booking", hostB, 10)
+	f.must(f.begin(takeover))
+	f.refused(f.dispatch("booking", 2, "upstream-booking"), errkind.OutcomeUnknown)
+	word := &controlapi.DispatchRequest{RequestID: takeover.RequestID, Attempt: 2, Upstream: "upstream-booking", EarlierNotRun: true}
+	f.must(f.execute(&controlapi.Command{Dispatch: word}))
+	f.must(f.execute(&controlapi.Command{Dispatch: word}))
+	f.Expect(f.must(f.begin(takeover)).Begin.MayHaveRun).To(BeFalse())
+}
+
+func TestReleaseOfANonRepeatableNeedsTheWordThatItDidNotRun(t *testing.T) {
+	f := newFixture(t, 100)
+	f.beginDispatched("booking", false)
+	id := controlapi.RequestIDFor("crier", "booking")
+	f.refused(f.execute(&controlapi.Command{Release: &controlapi.ReleaseRequest{RequestID: id, Attempt: 1, MayHaveRun: true}}), errkind.OutcomeUnknown)
+	f.must(f.release("booking", 1))
+}
+
+func TestCommandOfAnotherSessionIsStale(t *testing.T) {
+	f := newFixture(t, 100)
+	f.beginDispatched("k", true)
+	id := controlapi.RequestIDFor("crier", "k")
+	f.refused(f.execute(&controlapi.Command{Settle: &controlapi.SettleRequest{RequestID: id, Attempt: 1, Session: hostB}}), errkind.StaleAttempt)
+	f.must(f.execute(&controlapi.Command{Settle: &controlapi.SettleRequest{RequestID: id, Attempt: 1, Session: hostA}}))
+}
+
+func TestClosedRecordsAreDroppedAfterTheirRetention(t *testing.T) {
+	f := newFixture(t, 100)
+	f.must(f.begin(f.beginRequest("draft", hostA, 1)))
+	f.must(f.settle("draft", 1, 1))
+	f.beginDispatched("booking", false)
+	f.must(f.settle("booking", 1, 1))
+	unkeyed := f.beginRequest("unkeyed", hostA, 1)
+	unkeyed.Unkeyed = true
+	f.must(f.begin(unkeyed))
+	f.must(f.settle("unkeyed", 1, 1))
+
+	states := func() [3]string {
+		return [3]string{f.requestState("unkeyed"), f.requestState("draft"), f.requestState("booking")}
+	}
+	f.now += request.UnkeyedRetentionMS
+	f.must(f.open(hostB, 2))
+	f.Expect(states()).To(Equal([3]string{"none", "settled", "settled"}))
+	f.now += request.RepeatableRetentionMS
+	f.must(f.open(hostB, 2))
+	f.Expect(states()).To(Equal([3]string{"none", "none", "settled"}))
+	f.now += request.NonRepeatableRetentionMS
+	f.must(f.open(hostB, 2))
+	f.Expect(states()).To(Equal([3]string{"none", "none", "none"}))
+}
+
+func (f *fixture) schemaOf(kind config.Kind, name string) int {
+	return f.machine.Query(&controlapi.QueryRequest{Records: kind, Name: name}).Records[0].SchemaVersion
+}
+
+func TestSchemaVersionFollowsARollingUpgradeAndBack(t *testing.T) {
+	f := newFixture(t, 0)
+	f.Expect(f.machine.ActiveSchema()).To(Equal(2))
+	f.must(f.open("old-1", 1))
+	f.Expect(f.machine.ActiveSchema()).To(Equal(1))
+	f.Expect(f.schemaOf(config.KindClass, "gold")).To(Equal(1))
+	f.must(f.configure("by a new host", record(config.KindClass, "silver", `{"worth":5,"deadline_ms":1,"queue_limit":1}`)))
+	f.Expect(f.schemaOf(config.KindClass, "silver")).To(Equal(1))
+
+	f.end("old-1")
+	f.Expect(f.machine.ActiveSchema()).To(Equal(2))
+	f.Expect(f.schemaOf(config.KindClass, "silver")).To(Equal(2))
+	old := record(config.KindClass, "bronze", `{"priority":1000,"deadline_ms":1,"queue_limit":1}`)
+	old.SchemaVersion = 1
+	f.must(f.configure("by an old tool", old))
+	stored := f.machine.Query(&controlapi.QueryRequest{Records: config.KindClass, Name: "bronze"}).Records[0]
+	f.Expect(string(stored.Spec)).To(MatchJSON(`{"worth":1,"deadline_ms":1,"queue_limit":1}`))
+}
+
+func TestOldHostIsRefusedWhenItCannotReadTheRecords(t *testing.T) {
+	f := newFixture(t, 0)
+	f.must(f.configure("zones", record(config.KindPolicy, "zoned", `{"organisation":"*","services":["*"],"upstreams":["*"],"zones":["a"]}`)))
+	f.refused(f.open("old-1", 1), errkind.Conflict)
+	f.Expect(f.machine.ActiveSchema()).To(Equal(2))
+	f.Expect(f.machine.Sessions()).To(HaveLen(2))
+}
+
+func TestHostThatSleptThroughManyChangesCatchesUp(t *testing.T) {
+	f := newFixture(t, 0)
+	records, _, at := f.machine.RecordsAfter(0)
+	view := config.NewView(records, at)
+	for i := range 600 {
+		r := record(config.KindOrganisation, fmt.Sprintf("o-%d", i%50), `{}`)
+		present := f.machine.Query(&controlapi.QueryRequest{Records: r.Kind, Name: r.Name}).Records
+		if len(present) > 0 {
+			r.Revision = present[0].Revision
+			r.Deleted = i%7 == 0
+		}
+		f.must(f.configure(fmt.Sprint("change ", i), r))
+	}
+	changed, full, now := f.machine.RecordsAfter(at)
+	f.Expect(full).To(BeFalse())
+	f.Expect(now).To(Equal(uint64(601)))
+	followed := view.With(changed, now)
+	all, _, _ := f.machine.RecordsAfter(0)
+	f.Expect(followed).To(Equal(config.NewView(all, now)))
+
+	for i := range 4096 {
+		r := record(config.KindOrganisation, fmt.Sprint("n-", i), `{}`)
+		f.must(f.configure(fmt.Sprint("more ", i), r))
+	}
+	changed, full, now = f.machine.RecordsAfter(at)
+	f.Expect(full).To(BeTrue())
+	f.Expect(changed).To(Equal(f.machine.Query(&controlapi.QueryRequest{Records: "*"}).Records))
+	f.Expect(now).To(Equal(uint64(4697)))
+	history := f.machine.Query(&controlapi.QueryRequest{History: true}).History
+	f.Expect(len(history)).To(BeNumerically(">=", 1000))
+}
