--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -119,17 +119,6 @@
 	return n
 }
 
-// status returns the record of a request; its state is "" if there is none.
-func (c *localControl) status(id string) controlapi.RequestStatus {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	reply := c.machine.Query(&controlapi.QueryRequest{Request: id})
-	if len(reply.Requests) == 0 {
-		return controlapi.RequestStatus{}
-	}
-	return reply.Requests[0]
-}
-
 // only returns the single record.
 func (c *localControl) only() controlapi.RequestStatus {
 	c.mu.Lock()
