--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,9 @@
 	// stopSession ends the session's heartbeats; sessionDone closes when they have ended.
 	stopSession context.CancelFunc
 	sessionDone chan struct{}
-	wg          sync.WaitGroup
+	// upstreamHTTP speaks to upstreams.
+	upstreamHTTP *http.Client
+	wg           sync.WaitGroup
 }
 
 // New returns a host that is not started yet.
@@ -114,7 +116,12 @@
 	}
 	stop()
 	d.wg.Wait()
-	_ = d.rpc.Close()
+	d.forward.wg.Wait()
+	if d.replica != nil {
+		d.replica.transport.Wait()
+	}
+	d.upstreamHTTP.CloseIdleConnections()
+	err = errors.Join(err, d.rpc.Close(), d.metrics.Close())
 	klog.InfoS("host stopped", "host", d.settings.Host)
 	return err
 }
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -35,6 +35,7 @@
 		return err
 	}
 	d.rpc = rpc.NewClient(d.network.DialHost)
+	d.upstreamHTTP = d.network.UpstreamClient()
 	d.registry = registry.New(d.settings.UpstreamTimeout.Duration)
 	hostsListener, err := d.network.ListenHosts(d.settings.Listen.Hosts)
 	if err != nil {
@@ -155,7 +156,7 @@
 		}),
 		Metrics:     d.metrics.Scope,
 		OwnerServes: d.ownerServes,
-		HTTPClient:  d.network.UpstreamClient(),
+		HTTPClient:  d.upstreamHTTP,
 		Limits: entry.Limits{
 			BodyBytes:        d.settings.Limits.BodyBytes,
 			KeyBytes:         d.settings.Limits.IdempotencyKeyBytes,
