Hold heartbeats until the configuration changes; change the control group's membership

Ruled out: shorter intervals, which cost every host messages in calm; a push from the leader, which needs a second kind of lease renewal. Replica changes reach the leader like commands; hosts learn the voters' addresses by heartbeat.

--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -165,6 +165,9 @@
 	Session string `cbor:"1,keyasint"`
 	// Revision is the configuration revision that the host serves under.
 	Revision uint64 `cbor:"2,keyasint"`
+	// HoldMS is the time for which the answer may be held until there is a newer
+	// revision, in milliseconds.
+	HoldMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // HeartbeatReply carries the lease and the configuration changes after the host's revision.
@@ -181,6 +184,8 @@
 	Hosts []HostInfo `cbor:"6,keyasint,omitempty"`
 	// FencingNumber is the term of the leader that answered.
 	FencingNumber uint64 `cbor:"7,keyasint"`
+	// Replicas are the addresses of the voters of the control group.
+	Replicas []string `cbor:"8,keyasint,omitempty"`
 }
 
 // HostInfo describes an entry host with a live session.
--- /dev/null
+++ b/internal/controlgroup/membership.go
@@ -0,0 +1,101 @@
+package controlgroup
+
+import (
+	"context"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/replica"
+	"github.com/godwitbend/godwitbend/internal/replication"
+)
+
+// ReplicaChangeReply answers a change of the membership.
+type ReplicaChangeReply struct {
+	redirect
+}
+
+// ChangeReplica changes the membership or the leader of the control group.
+func (s *Server) ChangeReplica(ctx context.Context, req *controlapi.ReplicaChange) (*ReplicaChangeReply, error) {
+	err := changeReplica(ctx, s.Replica(), req)
+	if err != nil {
+		moved, err := s.redirect(err)
+		return &ReplicaChangeReply{redirect: deref(moved)}, err
+	}
+	return &ReplicaChangeReply{}, nil
+}
+
+func changeReplica(ctx context.Context, r *replica.Replica, req *controlapi.ReplicaChange) error {
+	switch req.Action {
+	case controlapi.ReplicaAdd:
+		return r.AddReplica(ctx, replication.Peer{ID: req.ID, Address: req.Address, Learner: true})
+	case controlapi.ReplicaPromote:
+		return r.PromoteReplica(ctx, req.ID)
+	case controlapi.ReplicaRemove:
+		return r.RemoveReplica(ctx, req.ID)
+	case controlapi.ReplicaLead:
+		return r.TransferLeadership(ctx, req.ID)
+	}
+	return errkind.New(errkind.InvalidRequest, "unknown action %q", req.Action)
+}
+
+// ChangeReplica has the leader change the control group.
+func (c *Client) ChangeReplica(ctx context.Context, req *controlapi.ReplicaChange) error {
+	_, err := call[controlapi.ReplicaChange, ReplicaChangeReply](ctx, c, MethodChangeReplica, req)
+	return err
+}
+
+// address returns the address of a replica as the membership has it, or as the
+// settings have it while the membership is not known.
+func (s *Server) address(id uint64) string {
+	if r := s.Replica(); r != nil {
+		for _, p := range r.Status().Peers {
+			if p.ID == id && p.Address != "" {
+				return p.Address
+			}
+		}
+	}
+	return s.o.Addresses(id)
+}
+
+// Address returns the address of a replica for hosts.
+func (s *Server) Address(id uint64) string { return s.address(id) }
+
+// replicaAddresses returns the addresses of the voters.
+func (s *Server) replicaAddresses() []string {
+	var out []string
+	for _, p := range s.Replica().Status().Peers {
+		if !p.Learner {
+			out = append(out, s.address(p.ID))
+		}
+	}
+	return out
+}
+
+// replicas describes the membership as this replica sees it.
+func (s *Server) replicas(out *controlapi.QueryReply) {
+	status := s.Replica().Status()
+	for _, p := range status.Peers {
+		out.Replicas = append(out.Replicas, controlapi.ReplicaStatus{
+			ID:      p.ID,
+			Address: s.address(p.ID),
+			Role:    roleOf(p, status.Leader),
+			Term:    status.Term,
+			Applied: status.Applied,
+			Match:   p.Match,
+		})
+	}
+	if status.CanLose >= 0 {
+		canLose := status.CanLose
+		out.CanLose = &canLose
+	}
+}
+
+func roleOf(p replication.PeerStatus, leader uint64) string {
+	switch {
+	case p.ID == leader:
+		return controlapi.RoleLeader
+	case p.Learner:
+		return controlapi.RoleLearner
+	}
+	return controlapi.RoleFollower
+}
--- a/internal/controlgroup/messages.go
+++ b/internal/controlgroup/messages.go
@@ -6,10 +6,11 @@
 
 // Names of the methods between hosts.
 const (
-	MethodExecute   = "control/execute"
-	MethodQuery     = "control/query"
-	MethodHeartbeat = "control/heartbeat"
-	MethodDeliver   = "replication/deliver"
+	MethodExecute       = "control/execute"
+	MethodQuery         = "control/query"
+	MethodHeartbeat     = "control/heartbeat"
+	MethodChangeReplica = "control/change-replica"
+	MethodDeliver       = "replication/deliver"
 )
 
 // relayPrefix, before the name of a control method, asks a host to pass the call on.
--- a/internal/controlgroup/relay.go
+++ b/internal/controlgroup/relay.go
@@ -13,6 +13,7 @@
 func RegisterRelay(srv *rpc.Server, client *Client) {
 	rpc.Handle(srv, relayPrefix+MethodExecute, relayed[ExecuteRequest, ExecuteReply](client, MethodExecute))
 	rpc.Handle(srv, relayPrefix+MethodQuery, relayed[controlapi.QueryRequest, QueryReply](client, MethodQuery))
+	rpc.Handle(srv, relayPrefix+MethodChangeReplica, relayed[controlapi.ReplicaChange, ReplicaChangeReply](client, MethodChangeReplica))
 	rpc.Handle(srv, relayPrefix+MethodHeartbeat, relayed[controlapi.Heartbeat, HeartbeatReply](client, MethodHeartbeat))
 }
 
--- a/internal/controlgroup/server.go
+++ b/internal/controlgroup/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,8 @@
 const (
 	// expiryInterval is the time between two looks for lapsed sessions.
 	expiryInterval = 200 * time.Millisecond
+	// maxHold bounds the time for which a heartbeat is held.
+	maxHold = time.Second
 	// inForceWait bounds the time that a configuration change is held until it is in force everywhere.
 	inForceWait = 3 * time.Second
 	// expiryTimeout bounds the proposal that ends a lapsed session.
@@ -47,11 +50,15 @@
 	leader bool
 	term   uint64
 	leases *leaseTable
+	// revision is the newest configuration revision that this leader has
+	// committed; configured is closed and replaced when it rises.
+	revision   uint64
+	configured chan struct{}
 }
 
 // NewServer returns a server that is not bound to a replica yet.
 func NewServer() *Server {
-	return &Server{leases: newLeaseTable(0)}
+	return &Server{leases: newLeaseTable(0), configured: make(chan struct{})}
 }
 
 // Configure sets the options. It is called before the replica starts.
@@ -88,6 +95,7 @@
 	rpc.Handle(srv, MethodExecute, guarded(s, s.Execute))
 	rpc.Handle(srv, MethodQuery, guarded(s, s.Query))
 	rpc.Handle(srv, MethodHeartbeat, guarded(s, s.Heartbeat))
+	rpc.Handle(srv, MethodChangeReplica, guarded(s, s.ChangeReplica))
 }
 
 // guarded refuses calls before Bind.
@@ -108,11 +116,15 @@
 	for _, host := range sessions {
 		ids = append(ids, host.Session)
 	}
+	_, _, revision := s.o.Machine.RecordsAfter(math.MaxUint64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leader = leader
 	s.term = term
+	s.revision = revision
 	s.leases.reset(ids, s.o.Now())
+	close(s.configured)
+	s.configured = make(chan struct{})
 	klog.InfoS("leadership changed", "leader", leader, "term", term)
 }
 
@@ -156,7 +168,7 @@
 func (s *Server) redirect(err error) (*redirect, error) {
 	var notLeader *replica.NotLeaderError
 	if errors.As(err, &notLeader) {
-		return &redirect{NotLeader: true, Leader: s.o.Addresses(notLeader.Leader)}, nil
+		return &redirect{NotLeader: true, Leader: s.address(notLeader.Leader)}, nil
 	}
 	return nil, errkind.New(errkind.ControlUnavailable, "%v", err)
 }
@@ -176,6 +188,7 @@
 		s.leases.end(cmd.EndSession.Session)
 		s.mu.Unlock()
 	case cmd.Configure != nil && result.Configure != nil:
+		s.setRevision(result.Configure.Revision)
 		reply := *result.Configure
 		reply.Accepted = s.waitInForce(ctx, reply.Revision)
 		result.Configure = &reply
@@ -221,7 +234,7 @@
 		return &QueryReply{redirect: deref(moved)}, err
 	}
 	if req.Replicas {
-		out.Reply.Replicas = s.replicas()
+		s.replicas(&out.Reply)
 	}
 	s.fillRevisions(out.Reply.Hosts)
 	return out, nil
@@ -243,6 +256,7 @@
 	s.mu.Lock()
 	s.leases.renew(req.Session, req.Revision, s.o.Now())
 	s.mu.Unlock()
+	s.hold(ctx, req)
 	term, err := s.Replica().Barrier(ctx)
 	if err != nil {
 		moved, err := s.redirect(err)
@@ -265,9 +279,45 @@
 	}
 	out.Reply.LeaseMS = s.o.Lease.Milliseconds()
 	out.Reply.FencingNumber = term
+	out.Reply.Replicas = s.replicaAddresses()
 	return out, nil
 }
 
+// hold waits until the leader has committed a newer revision than the host's, or the hold is over.
+func (s *Server) hold(ctx context.Context, req *controlapi.Heartbeat) {
+	hold := min(time.Duration(req.HoldMS)*time.Millisecond, maxHold)
+	if hold <= 0 {
+		return
+	}
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		wait := s.leader && s.revision <= req.Revision
+		changed := s.configured
+		s.mu.Unlock()
+		if !wait {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-changed:
+		}
+	}
+}
+
+// setRevision wakes the heartbeats that wait for a newer revision.
+func (s *Server) setRevision(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = max(s.revision, revision)
+	close(s.configured)
+	s.configured = make(chan struct{})
+}
+
 // fillHeartbeat runs on the control goroutine. It tells whether the session is open.
 func (s *Server) fillHeartbeat(req *controlapi.Heartbeat, reply *controlapi.HeartbeatReply) bool {
 	reply.Hosts = s.o.Machine.Sessions()
@@ -315,29 +365,6 @@
 	}
 }
 
-func (s *Server) replicas() []controlapi.ReplicaStatus {
-	status := s.Replica().Status()
-	out := make([]controlapi.ReplicaStatus, 0, len(status.Peers))
-	for _, p := range status.Peers {
-		role := "follower"
-		switch {
-		case p.ID == status.Leader:
-			role = "leader"
-		case p.Learner:
-			role = "learner"
-		}
-		out = append(out, controlapi.ReplicaStatus{
-			ID:      p.ID,
-			Address: s.o.Addresses(p.ID),
-			Role:    role,
-			Term:    status.Term,
-			Applied: status.Applied,
-			Match:   p.Match,
-		})
-	}
-	return out
-}
-
 // HandOver passes leadership to the replica that is furthest, if this one leads.
 func (s *Server) HandOver(ctx context.Context) error {
 	r, err := s.bound()
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -49,7 +49,7 @@
 	}
 	address := replicaAddresses(s)
 	machine := control.NewMachine()
-	c.transport = controlgroup.NewTransport(ctx, client, address)
+	c.transport = controlgroup.NewTransport(ctx, client, c.server.Address)
 	c.server.Configure(controlgroup.ServerOptions{
 		Machine:   machine,
 		Addresses: address,
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/admission"
@@ -116,10 +117,14 @@
 	}()
 }
 
+// replicaList returns the control replicas as of the last heartbeat, and behind
+// them those of the settings.
 func (d *Daemon) replicaList() []string {
-	out := make([]string, 0, len(d.settings.Replicas))
+	out := slices.Clone(d.session.Replicas())
 	for _, r := range d.settings.Replicas {
-		out = append(out, r.Address)
+		if !slices.Contains(out, r.Address) {
+			out = append(out, r.Address)
+		}
 	}
 	return out
 }
@@ -193,11 +198,12 @@
 	mux := http.NewServeMux()
 	telemetry.Register(mux, d.metrics.Handler, d.ready)
 	mux.Handle("/", operatorapi.New(operatorapi.Options{
-		Host:      d.settings.Host,
-		Control:   d.group,
-		Ready:     d.ready,
-		KeyHashes: d.settings.OperatorKeyHashes,
-		Upstreams: d.upstreams,
+		Host:          d.settings.Host,
+		Control:       d.group,
+		Ready:         d.ready,
+		KeyHashes:     d.settings.OperatorKeyHashes,
+		Upstreams:     d.upstreams,
+		ChangeReplica: d.group.ChangeReplica,
 	}))
 	d.operators = d.serveHTTP(operators, mux)
 	if !d.settings.HasRole(settings.RoleEntry) {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -52,6 +52,8 @@
 	view    *config.View
 	hosts   []controlapi.HostInfo
 	fencing uint64
+	// replicas are the addresses of the control replicas, as of the last heartbeat.
+	replicas []string
 }
 
 // Session is a host's session. Its goroutine owns the changes; any goroutine may read.
@@ -77,6 +79,9 @@
 // Hosts returns the entry hosts with a live session, as of the last heartbeat.
 func (s *Session) Hosts() []controlapi.HostInfo { return s.state.Load().hosts }
 
+// Replicas returns the addresses of the control replicas; empty before the first heartbeat.
+func (s *Session) Replicas() []string { return s.state.Load().replicas }
+
 // FencingNumber returns the term of the leader that answered last.
 func (s *Session) FencingNumber() uint64 { return s.state.Load().fencing }
 
@@ -90,14 +95,13 @@
 			s.open(ctx)
 			continue
 		}
-		changed := s.heartbeat(ctx)
-		if changed {
-			continue
+		if !s.heartbeat(ctx) {
+			pause(ctx, openRetryDelay)
 		}
-		pause(ctx, s.interval())
 	}
 }
 
+// interval returns the time for which the leader may hold a heartbeat.
 func (s *Session) interval() time.Duration {
 	return min(s.o.Lease/heartbeatsPerLease, maxHeartbeatInterval)
 }
@@ -132,12 +136,13 @@
 	klog.InfoS("session opened", "session", id)
 }
 
-// heartbeat renews the lease, and tells whether the configuration changed.
+// heartbeat renews the lease, and tells whether the control group answered. The
+// leader holds the answer for the interval unless the configuration changes.
 // The view is replaced before the new lease counts.
 func (s *Session) heartbeat(ctx context.Context) bool {
 	sent := time.Now()
 	before := s.state.Load()
-	req := &controlapi.Heartbeat{Session: before.id, Revision: before.view.Revision()}
+	req := &controlapi.Heartbeat{Session: before.id, Revision: before.view.Revision(), HoldMS: s.interval().Milliseconds()}
 	reply, err := s.o.Group.Heartbeat(ctx, req)
 	if errkind.Is(err, errkind.SessionExpired) {
 		klog.InfoS("session ended by the control group", "session", before.id)
@@ -149,7 +154,7 @@
 		return false
 	}
 	s.apply(reply, sent)
-	return reply.Revision > before.view.Revision()
+	return true
 }
 
 func (s *Session) apply(reply *controlapi.HeartbeatReply, sent time.Time) {
@@ -161,6 +166,7 @@
 		next.view = view
 		next.hosts = reply.Hosts
 		next.fencing = reply.FencingNumber
+		next.replicas = reply.Replicas
 		next.expires = sent.Add(time.Duration(reply.LeaseMS) * time.Millisecond)
 	})
 }
