Serve repeatable requests from standby grants while cut off

Cause: a host without the control group refused all requests, though its lease held and the budget had tokens left. Ruled out: splitting budgets over hosts (strands tokens in calm) and reconciling after the fact (overspend).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/session"
 	"github.com/godwitbend/godwitbend/internal/settings"
+	"github.com/godwitbend/godwitbend/internal/standby"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
 )
 
@@ -36,6 +37,8 @@
 	rpc      *rpc.Client
 	group    *controlgroup.Client
 	session  *session.Session
+	standby  *standby.Client
+	journals []*standby.Journals
 	registry *registry.Registry
 	replica  *controlReplica
 	forward  *forwarder
@@ -47,6 +50,8 @@
 	operators *http.Server
 	// stopSession ends the session's heartbeats; sessionDone closes when they have ended.
 	stopSession context.CancelFunc
+	// stopStandby ends the maintenance of the standby grants.
+	stopStandby func()
 	sessionDone chan struct{}
 	// upstreamHTTP speaks to upstreams.
 	upstreamHTTP *http.Client
@@ -116,6 +121,9 @@
 	}
 	stop()
 	d.wg.Wait()
+	for _, j := range d.journals {
+		err = errors.Join(err, j.Close())
+	}
 	d.forward.wg.Wait()
 	if d.replica != nil {
 		d.replica.transport.Wait()
@@ -135,6 +143,8 @@
 }
 
 func (d *Daemon) endSession() {
+	d.stopStandby()
+	d.standby.Close(context.Background())
 	d.stopSession()
 	<-d.sessionDone
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- /dev/null
+++ b/internal/daemon/standby.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"path/filepath"
+
+	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/standby"
+)
+
+const (
+	journalDirectory = "journal"
+	foreignDirectory = "journal-of-others"
+	// grantHorizonLeases is the time for which a standby grant lasts, in lengths of the configuration lease.
+	grantHorizonLeases = 2
+)
+
+// startStandby starts the standby grants of the host, and on a host with a disk
+// the keeping of others' journals.
+func (d *Daemon) startStandby(ctx context.Context, srv *rpc.Server) error {
+	o := standby.Options{
+		Group:     d.group,
+		Session:   d.session.ID,
+		Connected: d.session.Connected,
+		Horizon:   grantHorizonLeases * d.settings.ConfigLease.Duration,
+	}
+	if err := d.chooseStore(ctx, srv, &o); err != nil {
+		return err
+	}
+	var err error
+	if d.standby, err = standby.New(o); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.standby.Run(ctx)
+	}()
+	d.stopStandby = func() {
+		stop()
+		<-done
+	}
+	return nil
+}
+
+// chooseStore keeps the journal on the host's own disk, or without one on a peer's.
+func (d *Daemon) chooseStore(ctx context.Context, srv *rpc.Server, o *standby.Options) error {
+	if d.settings.DataDir == "" {
+		o.Store = standby.NewRemote(d.rpc, d.replicaList)
+		return nil
+	}
+	own, err := d.openJournals(journalDirectory)
+	if err != nil {
+		return err
+	}
+	o.Store, o.Journals = own, own
+	others, err := d.openJournals(foreignDirectory)
+	if err != nil {
+		return err
+	}
+	foreign := standby.NewForeign(others, d.group, d.liveSessions)
+	foreign.Register(srv)
+	d.goRun(func() { foreign.Run(ctx) })
+	return nil
+}
+
+func (d *Daemon) openJournals(name string) (*standby.Journals, error) {
+	j, err := standby.OpenJournals(filepath.Join(d.settings.DataDir, name))
+	if err == nil {
+		d.journals = append(d.journals, j)
+	}
+	return j, err
+}
+
+// liveSessions returns the open sessions; false if the group did not answer lately.
+func (d *Daemon) liveSessions() ([]string, bool) {
+	var out []string
+	for _, host := range d.session.Hosts() {
+		out = append(out, host.Session)
+	}
+	return out, d.session.Connected()
+}
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -53,6 +53,9 @@
 		}
 	}
 	d.startSession(ctx)
+	if err := d.startStandby(ctx, srv); err != nil {
+		return err
+	}
 	announcements := d.announcements(ctx)
 	handler := d.callerHandler()
 	d.registerHostMethods(srv, announcements, handler)
@@ -148,7 +151,7 @@
 
 func (d *Daemon) callerHandler() *entry.Handler {
 	return entry.New(entry.Options{
-		Control:    d.group,
+		Control:    d.standby,
 		Session:    d.session.ID,
 		LeaseValid: d.session.LeaseValid,
 		Draining:   d.draining.Load,
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -22,6 +22,8 @@
 	// heartbeatsPerLease is the number of heartbeats in the length of a lease.
 	heartbeatsPerLease = 10
 	// maxHeartbeatInterval bounds the time between two heartbeats.
+	// connectedAllowance is the time by which a heartbeat's answer may be late.
+	connectedAllowance   = time.Second
 	maxHeartbeatInterval = 500 * time.Millisecond
 )
 
@@ -54,6 +56,8 @@
 	fencing uint64
 	// replicas are the addresses of the control replicas, as of the last heartbeat.
 	replicas []string
+	// answered is the time of the last heartbeat's answer.
+	answered time.Time
 }
 
 // Session is a host's session. Its goroutine owns the changes; any goroutine may read.
@@ -88,6 +92,11 @@
 // LeaseValid tells whether the host may serve under its view now.
 func (s *Session) LeaseValid() bool { return time.Now().Before(s.state.Load().expires) }
 
+// Connected tells whether the control group answered a heartbeat lately.
+func (s *Session) Connected() bool {
+	return time.Since(s.state.Load().answered) < s.interval()+connectedAllowance
+}
+
 // Run opens the session and keeps it until ctx ends.
 func (s *Session) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -167,6 +176,7 @@
 		next.hosts = reply.Hosts
 		next.fencing = reply.FencingNumber
 		next.replicas = reply.Replicas
+		next.answered = time.Now()
 		next.expires = sent.Add(time.Duration(reply.LeaseMS) * time.Millisecond)
 	})
 }
--- a/tests/fleet/site_test.go
+++ b/tests/fleet/site_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -69,6 +70,8 @@
 	hosts, control int
 	adjust         func(*settings.Settings)
 	engine         fake.EngineOptions
+	// paid is the first top-up; 0 means a million tokens.
+	paid int64
 }
 
 // run runs fn on a running and configured site, inside a bubble of virtual time.
@@ -86,7 +89,7 @@
 		}
 		s.startUpstreams(o.engine)
 		time.Sleep(settle)
-		s.configure()
+		s.configure(cmp.Or(o.paid, 1_000_000))
 		time.Sleep(settle)
 		fn(s)
 	})
@@ -189,8 +192,8 @@
 	})
 }
 
-// configure writes an organisation with one caller and a budget of a million tokens.
-func (s *site) configure() {
+// configure writes an organisation with one caller, and pays into its budget.
+func (s *site) configure(paid int64) {
 	s.must(s.hosts[0], s.write(config.KindOrganisation, "o", `{}`))
 	s.must(s.hosts[0], s.write(config.KindClass, "c", `{"worth":5,"deadline_ms":10000}`))
 	s.must(s.hosts[0], s.write(config.KindBudget, "b", `{"organisation":"o"}`))
@@ -201,7 +204,7 @@
 		`{"kind":"plain","methods":[{"method":"POST","path":"/series/*/next","tokens":1}]}`))
 	s.must(s.hosts[0], s.write(config.KindPolicy, "p",
 		`{"organisation":"o","services":["*"],"upstreams":["*"]}`))
-	s.topUp(s.hosts[0], 1_000_000)
+	s.topUp(s.hosts[0], paid)
 }
 
 func (s *site) operationID() string {
--- /dev/null
+++ b/tests/fleet/standby_test.go
@@ -0,0 +1,155 @@
+package fleet_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/settings"
+)
+
+// longLease lets a host that is cut off serve for the whole test.
+func longLease(s *settings.Settings) {
+	s.ConfigLease.Duration = 5 * time.Minute
+}
+
+func withoutDisk(s *settings.Settings) {
+	longLease(s)
+	if !s.HasRole(settings.RoleControl) {
+		s.DataDir = ""
+	}
+}
+
+// warm makes a host hold a standby grant.
+func (s *site) warm(h *host) {
+	s.t.Helper()
+	for i := range 20 {
+		answer, err := s.chat(h, fmt.Sprintf("warm-%s-%d", h.name, i), "good morning")
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(answer.Status).To(Equal(http.StatusOK))
+	}
+	time.Sleep(settle)
+	s.Expect(s.budget(s.hosts[0]).Granted).To(BeNumerically(">", 0))
+}
+
+func (s *site) served(h *host, key string) bool {
+	s.t.Helper()
+	answer, err := s.chat(h, key, "good morning")
+	s.Expect(err).NotTo(HaveOccurred())
+	if answer.Status == http.StatusOK {
+		s.Expect(answer.Whole).To(BeTrue())
+		return true
+	}
+	s.Expect(answer.Refusal).NotTo(BeNil())
+	return false
+}
+
+func (s *site) expectWithinPaid(h *host) {
+	s.t.Helper()
+	b := s.budget(h)
+	s.Expect(b.Charged + b.Reserved + b.Granted).To(BeNumerically("<=", b.PaidIn))
+}
+
+// bothSidesServe cuts a host off during top-ups, lets both sides serve, some
+// requests on both, and checks the bill after the heal.
+func bothSidesServe(t *testing.T, adjust func(*settings.Settings), side func(s *site) (cut, rest []*host)) {
+	run(t, siteOptions{hosts: 5, control: 3, adjust: adjust}, func(s *site) {
+		cut, rest := side(s)
+		s.warm(cut[0])
+		s.net.Partition(names(cut...), names(rest...))
+		time.Sleep(5 * time.Second)
+		served := 0
+		for i := range 30 {
+			s.Expect(s.served(rest[0], fmt.Sprintf("rest-%d", i))).To(BeTrue())
+			s.Expect(s.served(rest[0], fmt.Sprintf("both-%d", i))).To(BeTrue())
+			for _, key := range []string{"cut", "both"} {
+				if s.served(cut[0], fmt.Sprintf("%s-%d", key, i)) {
+					served++
+				}
+			}
+			s.topUp(rest[0], 100)
+			s.expectWithinPaid(rest[0])
+			time.Sleep(time.Second)
+		}
+		s.Expect(served).To(BeNumerically(">", 0), "a host with a grant serves while it is cut off")
+		answer, err := s.next(cut[0], "not-repeatable")
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(answer.Refusal).NotTo(BeNil())
+		s.Expect(s.plain.Truth().Records()).To(BeEmpty())
+		s.net.HealAll()
+		time.Sleep(20 * time.Second)
+		b := s.budget(rest[0])
+		s.Expect(b.Charged).To(Equal(s.billed()))
+		s.expectWithinPaid(rest[0])
+		t.Logf("served %d of 60 while cut off", served)
+	})
+}
+
+func TestHostWithADiskServesFromItsGrantWhileCutOff(t *testing.T) {
+	bothSidesServe(t, longLease, func(s *site) (cut, rest []*host) {
+		return s.hosts[4:], s.hosts[:4]
+	})
+}
+
+func TestHostWithoutADiskJournalsOnAPeerOfItsSide(t *testing.T) {
+	bothSidesServe(t, withoutDisk, func(s *site) (cut, rest []*host) {
+		follower := s.hosts[0]
+		if follower.daemon.Leads() {
+			follower = s.hosts[1]
+		}
+		for _, h := range s.hosts {
+			if h != follower && h != s.hosts[4] {
+				rest = append(rest, h)
+			}
+		}
+		return []*host{s.hosts[4], follower}, rest
+	})
+}
+
+func TestHostWithoutADiskRefusesWhenAllAlone(t *testing.T) {
+	run(t, siteOptions{hosts: 5, control: 3, adjust: withoutDisk}, func(s *site) {
+		cut := s.hosts[4]
+		s.warm(cut)
+		s.net.Partition(names(cut), names(s.hosts[:4]...))
+		time.Sleep(5 * time.Second)
+		answer, err := s.chat(cut, "alone", "good morning")
+		s.Expect(err == nil && answer.Status == http.StatusOK && answer.Whole).To(BeFalse())
+		s.net.HealAll()
+		time.Sleep(20 * time.Second)
+		s.expectWithinPaid(s.hosts[0])
+	})
+}
+
+func TestGrantsAreReturnedAtADrain(t *testing.T) {
+	run(t, siteOptions{hosts: 5, control: 3}, func(s *site) {
+		s.warm(s.hosts[4])
+		s.drain(s.hosts[4])
+		s.hosts[4].done <- nil
+		s.Expect(s.budget(s.hosts[0]).Granted).To(BeZero())
+	})
+}
+
+// Grants do not strand the end of a budget: what hosts hold comes back before
+// a request that fits is refused.
+func TestGrantsComeBackNearTheEndOfABudget(t *testing.T) {
+	run(t, siteOptions{hosts: 5, control: 3, paid: 20_000}, func(s *site) {
+		s.warm(s.hosts[4])
+		for i := 0; ; i++ {
+			answer, err := s.call(s.hosts[0], "/v1/chat/completions", "", []byte(
+				`{"model":"writer","max_tokens":100,"messages":[{"role":"user","content":"long"}]}`))
+			s.Expect(err).NotTo(HaveOccurred())
+			if answer.Status == http.StatusOK {
+				continue
+			}
+			s.Expect(answer.Refusal.Kind).To(BeElementOf(errkind.BudgetExhausted, errkind.BudgetReserved))
+			break
+		}
+		time.Sleep(10 * time.Second)
+		b := s.budget(s.hosts[0])
+		s.Expect(b.Granted).To(BeNumerically("<", (b.PaidIn-b.Charged)/8+1))
+	})
+}
