--- a/internal/ctl/table.go
+++ b/internal/ctl/table.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
-	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
@@ -71,14 +71,16 @@
 	return t
 }
 
-func upstreamTable(upstreams []announce.Announcement) table {
-	t := table{row("UPSTREAM", "ZONE", "KIND", "STATE", "IN FLIGHT", "QUEUED", "CAPACITY", "SERVICES", "ADDRESS")}
+func upstreamTable(upstreams []operatorapi.Upstream) table {
+	t := table{row("UPSTREAM", "ZONE", "KIND", "STATE", "USABLE", "AGE", "IN FLIGHT", "QUEUED", "CAPACITY", "SERVICES", "ADDRESS")}
 	for _, u := range upstreams {
 		names := make([]string, len(u.Services))
 		for i, s := range u.Services {
 			names[i] = s.Name
 		}
-		t = append(t, row(u.ID, u.Zone, u.Kind, u.State, u.InFlight, u.Queued, u.Capacity, strings.Join(names, ","), u.Address))
+		age := time.Duration(u.AgeMS) * time.Millisecond
+		t = append(t, row(u.ID, u.Zone, u.Kind, u.State, u.Usable, age,
+			u.InFlight, u.Queued, u.Capacity, strings.Join(names, ","), u.Address))
 	}
 	return t
 }
@@ -91,9 +93,9 @@
 	return t
 }
 
-func replicaTable(replicas []controlapi.ReplicaStatus) table {
+func replicaTable(reply *operatorapi.ReplicasReply) table {
 	t := table{row("REPLICA", "ADDRESS", "ROLE", "TERM", "APPLIED", "MATCH")}
-	for _, r := range replicas {
+	for _, r := range reply.Replicas {
 		t = append(t, row(r.ID, r.Address, r.Role, r.Term, r.Applied, r.Match))
 	}
 	return t
@@ -119,10 +121,14 @@
 	}
 	leader := "none"
 	for _, r := range s.Replicas {
-		if r.Role == "leader" {
+		if r.Role == controlapi.RoleLeader {
 			leader = fmt.Sprintf("replica %d, term %d", r.ID, r.Term)
 		}
 	}
+	canLose := "unknown"
+	if s.CanLose != nil {
+		canLose = strconv.Itoa(*s.CanLose)
+	}
 	behind := 0
 	for _, h := range s.Hosts {
 		if h.Revision < s.Revision {
@@ -136,6 +142,7 @@
 		row("active schema", s.ActiveSchema),
 		row("leader", leader),
 		row("replicas", len(s.Replicas)),
+		row("can lose", canLose),
 		row("hosts", len(s.Hosts)),
 		row("hosts behind", behind),
 	}
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -49,7 +49,7 @@
 	}
 	address := replicaAddresses(s)
 	machine := control.NewMachine()
-	c.transport = controlgroup.NewTransport(ctx, client, address)
+	c.transport = controlgroup.NewTransport(ctx, client, c.server.Address)
 	c.server.Configure(controlgroup.ServerOptions{
 		Machine:   machine,
 		Addresses: address,
@@ -152,3 +152,12 @@
 		klog.ErrorS(err, "control replica not closed cleanly")
 	}
 }
+
+// Leads tells whether this host's replica leads the control group, as far as it knows.
+func (d *Daemon) Leads() bool {
+	if d.replica == nil {
+		return false
+	}
+	r := d.replica.server.Replica()
+	return r != nil && r.Status().Leader == d.settings.ReplicaID
+}
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -37,6 +36,7 @@
 		return err
 	}
 	d.rpc = rpc.NewClient(d.network.DialHost)
+	d.upstreamHTTP = d.network.UpstreamClient()
 	d.registry = registry.New(d.settings.UpstreamTimeout.Duration)
 	hostsListener, err := d.network.ListenHosts(d.settings.Listen.Hosts)
 	if err != nil {
@@ -117,10 +117,14 @@
 	}()
 }
 
+// replicaList returns the control replicas as of the last heartbeat, and behind
+// them those of the settings.
 func (d *Daemon) replicaList() []string {
-	out := make([]string, 0, len(d.settings.Replicas))
+	out := slices.Clone(d.session.Replicas())
 	for _, r := range d.settings.Replicas {
-		out = append(out, r.Address)
+		if !slices.Contains(out, r.Address) {
+			out = append(out, r.Address)
+		}
 	}
 	return out
 }
@@ -157,7 +161,7 @@
 		}),
 		Metrics:     d.metrics.Scope,
 		OwnerServes: d.ownerServes,
-		HTTPClient:  d.network.UpstreamClient(),
+		HTTPClient:  d.upstreamHTTP,
 		Limits: entry.Limits{
 			BodyBytes:        d.settings.Limits.BodyBytes,
 			KeyBytes:         d.settings.Limits.IdempotencyKeyBytes,
@@ -194,11 +198,12 @@
 	mux := http.NewServeMux()
 	telemetry.Register(mux, d.metrics.Handler, d.ready)
 	mux.Handle("/", operatorapi.New(operatorapi.Options{
-		Host:      d.settings.Host,
-		Control:   d.group,
-		Ready:     d.ready,
-		KeyHashes: d.settings.OperatorKeyHashes,
-		Upstreams: d.upstreams,
+		Host:          d.settings.Host,
+		Control:       d.group,
+		Ready:         d.ready,
+		KeyHashes:     d.settings.OperatorKeyHashes,
+		Upstreams:     d.upstreams,
+		ChangeReplica: d.group.ChangeReplica,
 	}))
 	d.operators = d.serveHTTP(operators, mux)
 	if !d.settings.HasRole(settings.RoleEntry) {
@@ -227,12 +232,7 @@
 	return nil
 }
 
-// upstreams returns the latest announcement of each upstream, in order of id.
-func (d *Daemon) upstreams() any {
-	entries := d.registry.Snapshot().Entries
-	out := make([]announce.Announcement, 0, len(entries))
-	for _, id := range slices.Sorted(maps.Keys(entries)) {
-		out = append(out, entries[id].State().Announcement)
-	}
-	return out
+// upstreams returns what the host knows of each upstream, in order of id.
+func (d *Daemon) upstreams() []operatorapi.Upstream {
+	return operatorapi.ListUpstreams(d.registry.Snapshot(), time.Now(), d.settings.UpstreamTimeout.Duration)
 }
--- a/internal/operatorapi/state.go
+++ b/internal/operatorapi/state.go
@@ -1,6 +1,8 @@
 package operatorapi
 
 import (
+	"slices"
+
 	"github.com/google/uuid"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
@@ -50,14 +52,6 @@
 	return ok(HostsReply{Hosts: orEmpty(found.Hosts)}), nil
 }
 
-func (s *server) replicas(r *call) (*reply, error) {
-	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Replicas: true})
-	if err != nil {
-		return nil, err
-	}
-	return ok(ReplicasReply{Replicas: orEmpty(found.Replicas)}), nil
-}
-
 func (s *server) history(r *call) (*reply, error) {
 	query := &controlapi.QueryRequest{History: true}
 	after, err := queryNumber(r, "after")
@@ -74,21 +68,44 @@
 	return ok(HistoryReply{History: orEmpty(found.History)}), nil
 }
 
+// change tells whether the change of an operation is made, and in force on every live host.
+func (s *server) change(r *call) (*reply, error) {
+	id := r.PathValue("id")
+	if err := checkOperationID(id); err != nil {
+		return nil, err
+	}
+	found, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{History: true})
+	if err != nil {
+		return nil, err
+	}
+	made := slices.IndexFunc(found.History, func(h controlapi.HistoryEntry) bool { return h.OperationID == id })
+	if made < 0 {
+		return nil, errkind.New(errkind.NotFound, "no change by operation %q among those that are kept", id)
+	}
+	revision := found.History[made].Revision
+	live, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Hosts: true})
+	if err != nil {
+		return nil, err
+	}
+	behind := slices.ContainsFunc(live.Hosts, func(h controlapi.HostInfo) bool { return h.Revision < revision })
+	return changeReply(id, &controlapi.ConfigureReply{Revision: revision, Accepted: !behind})
+}
+
 func (s *server) status(r *call) (*reply, error) {
 	hosts, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Hosts: true})
 	if err != nil {
 		return nil, err
 	}
-	replicas, err := s.Control.Query(r.Context(), &controlapi.QueryRequest{Replicas: true})
+	replicas, err := s.listReplicas(r.Context())
 	if err != nil {
 		return nil, err
 	}
 	status := StatusReply{
-		Host:         s.Host,
-		Revision:     hosts.Revision,
-		ActiveSchema: hosts.Schema,
-		Hosts:        orEmpty(hosts.Hosts),
-		Replicas:     orEmpty(replicas.Replicas),
+		Host:          s.Host,
+		Revision:      hosts.Revision,
+		ActiveSchema:  hosts.Schema,
+		Hosts:         orEmpty(hosts.Hosts),
+		ReplicasReply: *replicas,
 	}
 	if s.Ready != nil {
 		if reason := s.Ready(); reason != nil {
@@ -100,9 +117,9 @@
 
 func (s *server) upstreams(*call) (*reply, error) {
 	if s.Upstreams == nil {
-		return ok(UpstreamsReply{Upstreams: []struct{}{}}), nil
+		return ok(UpstreamsReply{Upstreams: []Upstream{}}), nil
 	}
-	return ok(UpstreamsReply{Upstreams: s.Upstreams()}), nil
+	return ok(UpstreamsReply{Upstreams: orEmpty(s.Upstreams())}), nil
 }
 
 // order passes an order on. An order without an id gets one.
