--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -115,7 +115,7 @@
 		go func() { got <- s.stream() }()
 		s.waitFor(func() bool { return finished(fake.TruthStarted, e.Truth()) == 1 })
 		time.Sleep(500 * time.Millisecond)
-		s.net.breakConnections("10.0.1.1:80")
+		s.net.Reset("10.0.1.1:80")
 		a := <-got
 		s.Expect(a.whole()).To(BeTrue(), a.body)
 		last := e.Truth().Records()[1]
@@ -173,7 +173,7 @@
 		go func() { got <- s.nextNumber(key("k")) }()
 		s.waitFor(func() bool { return finished(fake.TruthRan, v.Truth()) == 1 })
 		v.Crash()
-		s.net.breakConnections("10.0.2.1:80")
+		s.net.Reset("10.0.2.1:80")
 		a := <-got
 		s.Expect(a.refusal.Kind).To(Equal(errkind.OutcomeUnknown), a.body)
 		s.Expect(a.refusal.Outcome).To(Equal(errkind.Unknown))
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -12,7 +12,7 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,146 +26,66 @@
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/fake"
+	"github.com/godwitbend/godwitbend/internal/memnet"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
 )
 
-// pipeNetwork connects clients to servers by address inside a synctest bubble.
-type pipeNetwork struct {
-	mu        sync.Mutex
-	listeners map[string]*pipeListener
+// network is the servers and clients of a test; each process is a node named by its address.
+type network struct {
+	*memnet.Net
+	listeners map[string]net.Listener
 	servers   []*http.Server
-	client    *http.Client
 	clients   []*http.Client
+	// client is the callers' way in.
+	client *http.Client
 }
 
-type pipeListener struct {
-	address string
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-	mu      sync.Mutex
-	open    []net.Conn
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) breakAll() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.open {
-		_ = c.Close()
-	}
-	l.open = nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func newPipeNetwork() *pipeNetwork {
-	n := &pipeNetwork{listeners: map[string]*pipeListener{}}
-	n.client = n.newClient(&link{})
+func newNetwork() *network {
+	n := &network{Net: memnet.New(), listeners: map[string]net.Listener{}}
+	n.client = n.newClient("callers")
 	return n
 }
 
-// link is the way from one process to all servers.
-type link struct {
-	mu   sync.Mutex
-	cut  bool
-	open []net.Conn
+func (n *network) newClient(node string) *http.Client {
+	c := n.Node(node).Client()
+	n.clients = append(n.clients, c)
+	return c
 }
 
-// lose breaks all connections of the process and refuses new ones.
-func (l *link) lose() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.cut = true
-	for _, c := range l.open {
-		_ = c.Close()
-	}
-}
-
-func (n *pipeNetwork) newClient(from *link) *http.Client {
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		from.mu.Lock()
-		cut := from.cut
-		from.mu.Unlock()
-		if cut {
-			return nil, eris.New("the process is cut off")
-		}
-		c, err := n.dial(ctx, network, address)
-		if err == nil {
-			from.mu.Lock()
-			defer from.mu.Unlock()
-			from.open = append(from.open, c)
+// newMortalClient returns a client whose connections are refused once lost is set.
+func (n *network) newMortalClient(node string, lost *atomic.Bool) *http.Client {
+	c := n.newClient(node)
+	transport := c.Transport.(*http.Transport)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if lost.Load() {
+			return nil, eris.New("the process is lost")
 		}
-		return c, err
-	}
-	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
-	n.clients = append(n.clients, client)
-	return client
-}
-
-func (n *pipeNetwork) dial(_ context.Context, _, address string) (net.Conn, error) {
-	n.mu.Lock()
-	l := n.listeners[address]
-	n.mu.Unlock()
-	if l == nil {
-		return nil, eris.Errorf("connection to %s refused", address)
-	}
-	client, server := net.Pipe()
-	select {
-	case l.conns <- server:
-		l.mu.Lock()
-		l.open = append(l.open, server)
-		l.mu.Unlock()
-		return client, nil
-	case <-l.closed:
-		return nil, eris.Errorf("connection to %s refused", address)
+		return dial(ctx, network, address)
 	}
+	return c
 }
 
 // serve serves handler at address.
-func (n *pipeNetwork) serve(address string, handler http.Handler) {
-	l := &pipeListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+func (n *network) serve(address string, handler http.Handler) {
+	l, err := n.Node(address).Listen(address)
+	if err != nil {
+		panic(err)
+	}
 	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
-	n.mu.Lock()
 	n.listeners[address] = l
 	n.servers = append(n.servers, server)
-	n.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 }
 
 // kill ends the server at address: its connections break and new ones are refused.
-func (n *pipeNetwork) kill(address string) {
-	n.mu.Lock()
-	l := n.listeners[address]
-	delete(n.listeners, address)
-	n.mu.Unlock()
-	_ = l.Close()
-	l.breakAll()
-}
-
-// breakConnections ends the connections to the server at address; it still takes new ones.
-func (n *pipeNetwork) breakConnections(address string) {
-	n.mu.Lock()
-	l := n.listeners[address]
-	n.mu.Unlock()
-	l.breakAll()
+func (n *network) kill(address string) {
+	_ = n.listeners[address].Close()
+	n.Reset(address)
 }
 
-func (n *pipeNetwork) close() {
+func (n *network) close() {
 	for _, c := range n.clients {
 		c.CloseIdleConnections()
 	}
@@ -178,7 +98,7 @@
 type site struct {
 	*GomegaWithT
 	t        *testing.T
-	net      *pipeNetwork
+	net      *network
 	control  *localControl
 	registry *registry.Registry
 	scope    tally.TestScope
@@ -214,7 +134,7 @@
 
 func newSite(t *testing.T, paidIn int64) *site {
 	s := &site{
-		GomegaWithT: NewWithT(t), t: t, net: newPipeNetwork(), control: newLocalControl(),
+		GomegaWithT: NewWithT(t), t: t, net: newNetwork(), control: newLocalControl(),
 		lost: map[string]func(){}, registry: registry.New(time.Hour), scope: tally.NewTestScope("", nil),
 	}
 	s.view = config.NewView(records(), 1)
@@ -237,13 +157,12 @@
 	}})
 	o := s.options
 	o.Session = func() string { return session }
-	control, way := &hostControl{localControl: s.control}, &link{}
-	o.Control, o.HTTPClient = control, s.net.newClient(way)
+	control := &hostControl{localControl: s.control}
+	o.Control, o.HTTPClient = control, s.net.newMortalClient(address, &control.dead)
 	h := New(o)
 	s.net.serve(address, h)
 	s.lost[address] = func() {
 		control.dead.Store(true)
-		way.lose()
 		s.net.kill(address)
 	}
 	s.t.Cleanup(func() { h.upstreams.once.CloseIdleConnections() })
