--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -114,16 +114,21 @@
 	return strings.TrimSpace(string(data))
 }
 
-// Await polls condition until it returns nil. Its last error is returned when ctx ends.
+// Await polls condition until it returns nil. If ctx ends before, it returns the
+// last error that was not the end of ctx.
 func Await(ctx context.Context, what string, condition func(context.Context) error) error {
+	last := ctx.Err()
 	for {
 		err := condition(ctx)
 		if err == nil {
 			return nil
 		}
+		if ctx.Err() == nil || last == nil {
+			last = err
+		}
 		select {
 		case <-ctx.Done():
-			return eris.Wrapf(err, "wait until %s", what)
+			return eris.Wrapf(last, "wait until %s", what)
 		case <-time.After(pollInterval):
 		}
 	}
