--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -3,6 +3,7 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -10,6 +11,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -50,6 +52,8 @@
 	timeout     time.Duration
 	operationID string
 	noWait      bool
+	// checkOnly keeps commands from running.
+	checkOnly bool
 	// ifRevision counts only if ifRevisionSet.
 	ifRevision    uint64
 	ifRevisionSet bool
@@ -68,11 +72,14 @@
 	return c.report(c.result)
 }
 
-// Parse checks the form of the command line args without running it.
-func Parse(args []string) error {
-	c := &command{Tool: (&Tool{}).withDefaults(), ctx: context.Background()}
-	_, err := c.newApp().ParseContext(args)
-	return err
+// Check checks the command line args without running it.
+func Check(args []string) error {
+	var stderr bytes.Buffer
+	c := &command{Tool: (&Tool{Stderr: &stderr}).withDefaults(), ctx: context.Background(), checkOnly: true}
+	if code, _ := parse(c.newApp(), args); code != exitOK {
+		return errors.New(strings.TrimSpace(stderr.String()))
+	}
+	return nil
 }
 
 func (t *Tool) withDefaults() *Tool {
@@ -124,7 +131,9 @@
 // does makes f the action of a command.
 func (c *command) does(clause *kingpin.CmdClause, f func() error) {
 	clause.Action(func(*kingpin.ParseContext) error {
-		c.result = f()
+		if !c.checkOnly {
+			c.result = f()
+		}
 		return nil
 	})
 }
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -142,14 +142,14 @@
 
 func (d *Daemon) callerHandler() *entry.Handler {
 	return entry.New(entry.Options{
-		Control:     d.group,
-		Session:     d.session.ID,
-		LeaseValid:  d.session.LeaseValid,
-		Draining:    d.draining.Load,
-		View:        d.session.View,
-		Registry:    d.registry,
-		Admission:   admission.Open{},
-		Router:      routing.New(routing.Settings{
+		Control:    d.group,
+		Session:    d.session.ID,
+		LeaseValid: d.session.LeaseValid,
+		Draining:   d.draining.Load,
+		View:       d.session.View,
+		Registry:   d.registry,
+		Admission:  admission.Open{},
+		Router: routing.New(routing.Settings{
 			Zone:      d.settings.Zone,
 			Freshness: d.settings.UpstreamTimeout.Duration,
 		}),
