Tag the retry counter by reason

Cause: entry hosts count retries by reason; Prometheus refuses two sets of labels under one name, so counters pre-registered by kind would have hidden the real ones. Conclusion: go test ./internal/telemetry passes.

--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,11 +21,12 @@
 // metricsPrefix starts the name of each metric.
 const metricsPrefix = "godwitbend"
 
-// Names of the counters of refusals and retries, and of their tag.
+// Names of the counters of refusals and retries, and of their tags.
 const (
 	CounterRefusals = "refusals"
 	CounterRetries  = "retries"
 	TagKind         = "kind"
+	TagReason       = "reason"
 )
 
 // Metrics is the root scope of a process and the handler that exports it.
@@ -37,8 +38,8 @@
 	closer  io.Closer
 }
 
-// NewMetrics returns the metrics of a process. Every refusal and retry counter of
-// the closed list of error kinds exists from the start, at zero.
+// NewMetrics returns the metrics of a process. The counter of refusals of each
+// kind of the closed list exists from the start, at zero.
 func NewMetrics() (*Metrics, error) {
 	registry := prom.NewRegistry()
 	if err := registerProcess(registry); err != nil {
@@ -60,7 +61,6 @@
 	}, reportInterval)
 	for _, kind := range errkind.Kinds() {
 		Refusal(scope, kind).Inc(0)
-		Retry(scope, kind).Inc(0)
 	}
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}, nil
 }
@@ -86,7 +86,7 @@
 	return scope.Tagged(map[string]string{TagKind: string(kind)}).Counter(CounterRefusals)
 }
 
-// Retry returns the counter of requests tried again because of kind.
-func Retry(scope tally.Scope, kind errkind.Kind) tally.Counter {
-	return scope.Tagged(map[string]string{TagKind: string(kind)}).Counter(CounterRetries)
+// Retry returns the counter of requests tried again for reason.
+func Retry(scope tally.Scope, reason string) tally.Counter {
+	return scope.Tagged(map[string]string{TagReason: reason}).Counter(CounterRetries)
 }
