Drop two settings that had no effect

Cause: session_timeout and limits.host_concurrency were read by nothing: a session ends when its lease has lapsed, and open requests are bounded for each caller. Conclusion: go test ./internal/settings passes; no other package names them.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -201,7 +201,6 @@
 
 func (c *checker) times(s *Settings) {
 	c.duration("config_lease", s.ConfigLease, minLease, maxDuration)
-	c.duration("session_timeout", s.SessionTimeout, minLease, maxDuration)
 	c.duration("tick", s.Tick, minTick, maxTick)
 	c.duration("upstream_timeout", s.UpstreamTimeout, minUpstream, maxDuration)
 	c.duration("drain_delay", s.DrainDelay, 0, maxDuration)
@@ -218,7 +217,6 @@
 	c.number("limits.header_bytes", int64(l.HeaderBytes), minHeaderBytes, maxHeaderBytes)
 	c.number("limits.idempotency_key_bytes", int64(l.IdempotencyKeyBytes), 1, maxKeyBytes)
 	c.number("limits.caller_concurrency", int64(l.CallerConcurrency), 1, maxConcurrency)
-	c.number("limits.host_concurrency", int64(l.HostConcurrency), 1, maxConcurrency)
 }
 
 func (c *checker) duration(path string, d Duration, low, high time.Duration) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,11 +49,9 @@
 	// hex. Default: none, which refuses all operators.
 	OperatorKeyHashes []string `json:"operator_key_hashes,omitempty"`
 	// ConfigLease is the time for which a host serves under a configuration that
-	// the control group has confirmed. Default: 10s.
+	// the control group has confirmed. The session of a host ends when it has lapsed.
+	// All control hosts have the same value. Default: 10s.
 	ConfigLease Duration `json:"config_lease"`
-	// SessionTimeout is the time without a heartbeat after which the control group
-	// ends the session of a host. Default: 5s.
-	SessionTimeout Duration `json:"session_timeout"`
 	// Tick is the unit of ElectionTicks and HeartbeatTicks. Default: 50ms.
 	Tick Duration `json:"tick"`
 	// ElectionTicks is the number of ticks without a leader before an election. Default: 10.
@@ -115,8 +113,6 @@
 	// CallerConcurrency bounds the open requests of one caller whose record sets no
 	// other bound. Default: 256.
 	CallerConcurrency int `json:"caller_concurrency"`
-	// HostConcurrency bounds the open requests of the host. Default: 4096.
-	HostConcurrency int `json:"host_concurrency"`
 }
 
 // Log holds the settings of the log.
@@ -131,7 +127,6 @@
 	return &Settings{
 		Roles:           []Role{RoleEntry},
 		ConfigLease:     Duration{10 * time.Second},
-		SessionTimeout:  Duration{5 * time.Second},
 		Tick:            Duration{50 * time.Millisecond},
 		ElectionTicks:   10,
 		HeartbeatTicks:  2,
@@ -141,7 +136,6 @@
 			HeaderBytes:         32 << 10,
 			IdempotencyKeyBytes: 255,
 			CallerConcurrency:   256,
-			HostConcurrency:     4096,
 		},
 		UpstreamTimeout: Duration{3 * time.Second},
 		DrainDelay:      Duration{2 * time.Second},
