--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,10 @@
 	go test -count=1 ./...
 
 lint:
-	@out="$$(gofmt -l cmd internal)"; if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	@out="$$(gofmt -l cmd internal tests)"; if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
+
+# Drives the real programs with the traces of both deployments; prints JSON lines.
+bench: build
+	bin/godwitbend-load --bin bin --seed $(SEED) bench
