Let operators replace a control replica on a running fleet

Cause: the replica could change its membership, but no host could ask it to; and a change that was not yet in force was answered as unavailable, because the leader held it for 3 s while the asking host gave up after 2 s. Hosts ask the leader, directly or through a relay; a change that the group refuses is a conflict or not found, one that is not confirmed has an unknown outcome. The leader now answers "not yet" after 1 s. Refusals of the operators' API are counted. A test of whole hosts replaces a control host by a standby and then loses another.

--- a/internal/controlgroup/leases_test.go
+++ b/internal/controlgroup/leases_test.go
@@ -49,3 +49,8 @@
 	table.end("a")
 	g.Expect(table.revision("a")).To(BeZero())
 }
+
+// A change that waits longer than its caller would come back as unavailable, never as pending.
+func TestPendingChangeIsAnsweredBeforeItsCallerGivesUp(t *testing.T) {
+	NewWithT(t).Expect(inForceWait).To(BeNumerically("<", callTimeout))
+}
--- a/internal/controlgroup/relay.go
+++ b/internal/controlgroup/relay.go
@@ -14,6 +14,7 @@
 	rpc.Handle(srv, relayPrefix+MethodExecute, relayed[ExecuteRequest, ExecuteReply](client, MethodExecute))
 	rpc.Handle(srv, relayPrefix+MethodQuery, relayed[controlapi.QueryRequest, QueryReply](client, MethodQuery))
 	rpc.Handle(srv, relayPrefix+MethodHeartbeat, relayed[controlapi.Heartbeat, HeartbeatReply](client, MethodHeartbeat))
+	rpc.Handle(srv, relayPrefix+MethodChangeReplica, relayed[controlapi.ReplicaChange, ChangeReplicaReply](client, MethodChangeReplica))
 }
 
 func relayed[Req any, Resp redirected](client *Client, method string) func(context.Context, *Req) (*Resp, error) {
--- a/internal/controlgroup/server.go
+++ b/internal/controlgroup/server.go
@@ -21,7 +21,8 @@
 	// expiryInterval is the time between two looks for lapsed sessions.
 	expiryInterval = 200 * time.Millisecond
 	// inForceWait bounds the time that a configuration change is held until it is in force everywhere.
-	inForceWait = 3 * time.Second
+	// It is shorter than callTimeout, so that the host that asks is told "not yet".
+	inForceWait = time.Second
 	// expiryTimeout bounds the proposal that ends a lapsed session.
 	expiryTimeout = 2 * time.Second
 )
@@ -88,6 +89,7 @@
 	rpc.Handle(srv, MethodExecute, guarded(s, s.Execute))
 	rpc.Handle(srv, MethodQuery, guarded(s, s.Query))
 	rpc.Handle(srv, MethodHeartbeat, guarded(s, s.Heartbeat))
+	rpc.Handle(srv, MethodChangeReplica, guarded(s, s.ChangeReplica))
 }
 
 // guarded refuses calls before Bind.
@@ -221,7 +223,7 @@
 		return &QueryReply{redirect: deref(moved)}, err
 	}
 	if req.Replicas {
-		out.Reply.Replicas = s.replicas()
+		out.Reply.Replicas, out.Reply.CanLose = s.replicas()
 	}
 	s.fillRevisions(out.Reply.Hosts)
 	return out, nil
@@ -315,16 +317,21 @@
 	}
 }
 
-func (s *Server) replicas() []controlapi.ReplicaStatus {
+// replicas returns the state of the replicas, and how many further voters the
+// group can lose if this replica knows it.
+func (s *Server) replicas() (list []controlapi.ReplicaStatus, canLose *int) {
 	status := s.Replica().Status()
+	if status.CanLose >= 0 {
+		canLose = &status.CanLose
+	}
 	out := make([]controlapi.ReplicaStatus, 0, len(status.Peers))
 	for _, p := range status.Peers {
-		role := "follower"
+		role := controlapi.RoleFollower
 		switch {
 		case p.ID == status.Leader:
-			role = "leader"
+			role = controlapi.RoleLeader
 		case p.Learner:
-			role = "learner"
+			role = controlapi.RoleLearner
 		}
 		out = append(out, controlapi.ReplicaStatus{
 			ID:      p.ID,
@@ -335,7 +342,7 @@
 			Match:   p.Match,
 		})
 	}
-	return out
+	return out, canLose
 }
 
 // HandOver passes leadership to the replica that is furthest, if this one leads.
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -193,11 +193,13 @@
 	mux := http.NewServeMux()
 	telemetry.Register(mux, d.metrics.Handler, d.ready)
 	mux.Handle("/", operatorapi.New(operatorapi.Options{
-		Host:      d.settings.Host,
-		Control:   d.group,
-		Ready:     d.ready,
-		KeyHashes: d.settings.OperatorKeyHashes,
-		Upstreams: d.upstreams,
+		Host:          d.settings.Host,
+		Control:       d.group,
+		Ready:         d.ready,
+		KeyHashes:     d.settings.OperatorKeyHashes,
+		Upstreams:     d.upstreams,
+		OnError:       func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
+		ChangeReplica: d.group.ChangeReplica,
 	}))
 	d.operators = d.serveHTTP(operators, mux)
 	if !d.settings.HasRole(settings.RoleEntry) {
--- a/internal/operatorapi/records.go
+++ b/internal/operatorapi/records.go
@@ -138,7 +138,7 @@
 func (s *server) execute(ctx context.Context, command *controlapi.Command) (*controlapi.Result, error) {
 	result, err := s.Control.Execute(ctx, command)
 	if err != nil {
-		return nil, errkind.From(listed(ctx, err)).WithOutcome(errkind.Unknown)
+		return nil, unconfirmed(ctx, err)
 	}
 	if result.Err == nil {
 		return result, nil
@@ -149,6 +149,16 @@
 	return nil, result.Err
 }
 
+// unconfirmed returns the answer to a change that failed with err: one that the
+// control group did not confirm may still come about.
+func unconfirmed(ctx context.Context, err error) error {
+	failed := errkind.From(listed(ctx, err))
+	if failed.Kind == errkind.ControlUnavailable {
+		return failed.WithOutcome(errkind.Unknown)
+	}
+	return failed
+}
+
 // topUp pays into a budget. It only widens what callers may do, so it waits for no host.
 func (s *server) topUp(r *call) (*reply, error) {
 	var request TopUpRequest
--- a/internal/operatorapi/replicas.go
+++ b/internal/operatorapi/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 
@@ -45,10 +46,12 @@
 	if isDone(&change, before.Replicas) {
 		return ok(before), nil
 	}
-	if err := s.ChangeReplica(r.Context(), &change); err != nil {
-		return nil, errkind.From(listed(r.Context(), err)).WithOutcome(errkind.Unknown)
+	failed := s.ChangeReplica(r.Context(), &change)
+	after, err := s.listReplicas(r.Context())
+	if err == nil && (failed == nil || isDone(&change, after.Replicas)) {
+		return ok(after), nil
 	}
-	return s.replicas(r)
+	return nil, unconfirmed(r.Context(), errors.Join(failed, err))
 }
 
 func checkReplicaChange(change *controlapi.ReplicaChange) error {
--- /dev/null
+++ b/tests/fleet/replace_test.go
@@ -0,0 +1,70 @@
+package fleet_test
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
+	"github.com/godwitbend/godwitbend/internal/settings"
+)
+
+// restart stops h as an operator does, and starts it with settings that change has adjusted.
+func (s *site) restart(h *host, change func(*settings.Settings)) {
+	s.drain(h)
+	change(h.settings)
+	s.start(h)
+	time.Sleep(settle)
+}
+
+// changeReplica changes the control group through h, sending the change again while it is unknown.
+func (s *site) changeReplica(h *host, change controlapi.ReplicaChange) []controlapi.ReplicaStatus {
+	s.t.Helper()
+	for range 20 {
+		var reply operatorapi.ReplicasReply
+		status := s.operate(h, http.MethodPost, operatorapi.PathReplicas, change, &reply)
+		if status == http.StatusOK {
+			time.Sleep(settle)
+			return reply.Replicas
+		}
+		s.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	}
+	s.t.Fatalf("%+v is not done", change)
+	return nil
+}
+
+func TestControlHostIsReplacedByAnother(t *testing.T) {
+	run(t, siteOptions{hosts: 4, control: 3}, func(s *site) {
+		lost, kept, standby := s.hosts[0], s.hosts[1], s.hosts[3]
+		fresh := settings.Replica{ID: 4, Address: standby.settings.Listen.Hosts}
+		for _, h := range s.hosts {
+			s.restart(h, func(next *settings.Settings) {
+				next.Replicas = append(slices.Clone(next.Replicas), fresh)
+				if h == standby {
+					next.Roles = append(next.Roles, settings.RoleControl)
+					next.ReplicaID = fresh.ID
+				}
+			})
+		}
+		s.changeReplica(kept, controlapi.ReplicaChange{Action: controlapi.ReplicaAdd, ID: fresh.ID, Address: fresh.Address})
+		s.changeReplica(kept, controlapi.ReplicaChange{Action: controlapi.ReplicaPromote, ID: fresh.ID})
+		s.changeReplica(kept, controlapi.ReplicaChange{Action: controlapi.ReplicaLead, ID: kept.settings.ReplicaID})
+		replicas := s.changeReplica(kept, controlapi.ReplicaChange{Action: controlapi.ReplicaRemove, ID: lost.settings.ReplicaID})
+		s.Expect(replicas).To(HaveLen(3))
+
+		s.net.Partition(names(lost), names(s.hosts[1:]...))
+		s.net.Partition(names(s.hosts[2]), names(kept, standby))
+		time.Sleep(30 * time.Second)
+		var status operatorapi.StatusReply
+		s.Expect(s.operate(standby, http.MethodGet, operatorapi.PathStatus, nil, &status)).To(Equal(http.StatusOK))
+		s.Expect(*status.CanLose).To(BeZero())
+		answer, err := s.chat(standby, "key-1", "good morning")
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(answer.Status).To(Equal(http.StatusOK), "%+v", answer.Refusal)
+		s.Expect(s.budget(standby).Charged).To(Equal(s.billed()))
+	})
+}
