--- a/internal/controlgroup/membership.go
+++ b/internal/controlgroup/membership.go
@@ -10,55 +10,26 @@
 	"github.com/godwitbend/godwitbend/internal/replication"
 )
 
-// MethodChangeReplica changes the membership or the leader of the control group.
-const MethodChangeReplica = "control/change-replica"
-
-// ChangeReplicaReply tells that a change is committed.
-type ChangeReplicaReply struct {
+// ReplicaChangeReply answers a change of the membership.
+type ReplicaChangeReply struct {
 	redirect
 }
 
-// ChangeReplica has the leader change the control group. A change that is not known
-// to be done gives ControlUnavailable; it may still come about.
-func (c *Client) ChangeReplica(ctx context.Context, change *controlapi.ReplicaChange) error {
-	_, err := call[controlapi.ReplicaChange, ChangeReplicaReply](ctx, c, MethodChangeReplica, change)
-	return err
-}
-
-// ChangeReplica changes the membership or the leader, if this replica leads.
-func (s *Server) ChangeReplica(ctx context.Context, change *controlapi.ReplicaChange) (*ChangeReplicaReply, error) {
-	if change.Action == controlapi.ReplicaAdd && s.o.Addresses(change.ID) != change.Address {
-		return nil, errkind.New(errkind.InvalidRequest,
-			"the settings of the leader's host do not list replica %d at %s", change.ID, change.Address)
-	}
-	err := changeReplica(ctx, s.Replica(), change)
+// ChangeReplica changes the membership or the leader of the control group.
+func (s *Server) ChangeReplica(ctx context.Context, req *controlapi.ReplicaChange) (*ReplicaChangeReply, error) {
+	err := changeReplica(ctx, s.Replica(), req)
 	if err == nil {
-		return &ChangeReplicaReply{}, nil
+		return &ReplicaChangeReply{}, nil
 	}
 	if refused := refusedChange(err); refused != nil {
 		return nil, refused
 	}
 	moved, err := s.redirect(err)
-	return &ChangeReplicaReply{redirect: deref(moved)}, err
+	return &ReplicaChangeReply{redirect: deref(moved)}, err
 }
 
-func changeReplica(ctx context.Context, r *replica.Replica, change *controlapi.ReplicaChange) error {
-	switch change.Action {
-	case controlapi.ReplicaAdd:
-		return r.AddReplica(ctx, replication.Peer{ID: change.ID, Address: change.Address})
-	case controlapi.ReplicaPromote:
-		return r.PromoteReplica(ctx, change.ID)
-	case controlapi.ReplicaRemove:
-		return r.RemoveReplica(ctx, change.ID)
-	case controlapi.ReplicaLead:
-		return r.TransferLeadership(ctx, change.ID)
-	default:
-		return errkind.New(errkind.InvalidRequest, "unknown action %q", change.Action)
-	}
-}
-
-// refusedChange returns the answer to a change that the group refuses, or nil for
-// an error of another kind.
+// refusedChange returns the answer to a change that the group refuses, or nil if
+// err is of another kind.
 func refusedChange(err error) error {
 	var listed *errkind.Error
 	switch {
@@ -73,3 +44,79 @@
 	}
 	return nil
 }
+
+func changeReplica(ctx context.Context, r *replica.Replica, req *controlapi.ReplicaChange) error {
+	switch req.Action {
+	case controlapi.ReplicaAdd:
+		return r.AddReplica(ctx, replication.Peer{ID: req.ID, Address: req.Address, Learner: true})
+	case controlapi.ReplicaPromote:
+		return r.PromoteReplica(ctx, req.ID)
+	case controlapi.ReplicaRemove:
+		return r.RemoveReplica(ctx, req.ID)
+	case controlapi.ReplicaLead:
+		return r.TransferLeadership(ctx, req.ID)
+	}
+	return errkind.New(errkind.InvalidRequest, "unknown action %q", req.Action)
+}
+
+// ChangeReplica has the leader change the control group.
+func (c *Client) ChangeReplica(ctx context.Context, req *controlapi.ReplicaChange) error {
+	_, err := call[controlapi.ReplicaChange, ReplicaChangeReply](ctx, c, MethodChangeReplica, req)
+	return err
+}
+
+// address returns the address of a replica as the membership has it, or as the
+// settings have it while the membership is not known.
+func (s *Server) address(id uint64) string {
+	if r := s.Replica(); r != nil {
+		for _, p := range r.Status().Peers {
+			if p.ID == id && p.Address != "" {
+				return p.Address
+			}
+		}
+	}
+	return s.o.Addresses(id)
+}
+
+// Address returns the address of a replica for hosts.
+func (s *Server) Address(id uint64) string { return s.address(id) }
+
+// replicaAddresses returns the addresses of the voters.
+func (s *Server) replicaAddresses() []string {
+	var out []string
+	for _, p := range s.Replica().Status().Peers {
+		if !p.Learner {
+			out = append(out, s.address(p.ID))
+		}
+	}
+	return out
+}
+
+// replicas describes the membership as this replica sees it.
+func (s *Server) replicas(out *controlapi.QueryReply) {
+	status := s.Replica().Status()
+	for _, p := range status.Peers {
+		out.Replicas = append(out.Replicas, controlapi.ReplicaStatus{
+			ID:      p.ID,
+			Address: s.address(p.ID),
+			Role:    roleOf(p, status.Leader),
+			Term:    status.Term,
+			Applied: status.Applied,
+			Match:   p.Match,
+		})
+	}
+	if status.CanLose >= 0 {
+		canLose := status.CanLose
+		out.CanLose = &canLose
+	}
+}
+
+func roleOf(p replication.PeerStatus, leader uint64) string {
+	switch {
+	case p.ID == leader:
+		return controlapi.RoleLeader
+	case p.Learner:
+		return controlapi.RoleLearner
+	}
+	return controlapi.RoleFollower
+}
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/admission"
@@ -116,10 +117,14 @@
 	}()
 }
 
+// replicaList returns the control replicas as of the last heartbeat, and behind
+// them those of the settings.
 func (d *Daemon) replicaList() []string {
-	out := make([]string, 0, len(d.settings.Replicas))
+	out := slices.Clone(d.session.Replicas())
 	for _, r := range d.settings.Replicas {
-		out = append(out, r.Address)
+		if !slices.Contains(out, r.Address) {
+			out = append(out, r.Address)
+		}
 	}
 	return out
 }
@@ -198,8 +203,8 @@
 		Ready:         d.ready,
 		KeyHashes:     d.settings.OperatorKeyHashes,
 		Upstreams:     d.upstreams,
-		OnError:       func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
 		ChangeReplica: d.group.ChangeReplica,
+		OnError:       func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
 	}))
 	d.operators = d.serveHTTP(operators, mux)
 	if !d.settings.HasRole(settings.RoleEntry) {
--- a/tests/fleet/replace_test.go
+++ b/tests/fleet/replace_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
 	"github.com/godwitbend/godwitbend/internal/settings"
 )
@@ -41,21 +42,22 @@
 	run(t, siteOptions{hosts: 4, control: 3}, func(s *site) {
 		lost, kept, standby := s.hosts[0], s.hosts[1], s.hosts[3]
 		fresh := settings.Replica{ID: 4, Address: standby.settings.Listen.Hosts}
-		for _, h := range s.hosts {
-			s.restart(h, func(next *settings.Settings) {
-				next.Replicas = append(slices.Clone(next.Replicas), fresh)
-				if h == standby {
-					next.Roles = append(next.Roles, settings.RoleControl)
-					next.ReplicaID = fresh.ID
-				}
-			})
-		}
+		s.restart(standby, func(next *settings.Settings) {
+			next.Replicas = append(slices.Clone(next.Replicas), fresh)
+			next.Roles = append(next.Roles, settings.RoleControl)
+			next.ReplicaID = fresh.ID
+		})
 		s.changeReplica(kept, controlapi.ReplicaChange{Action: controlapi.ReplicaAdd, ID: fresh.ID, Address: fresh.Address})
 		s.changeReplica(kept, controlapi.ReplicaChange{Action: controlapi.ReplicaPromote, ID: fresh.ID})
 		s.changeReplica(kept, controlapi.ReplicaChange{Action: controlapi.ReplicaLead, ID: kept.settings.ReplicaID})
 		replicas := s.changeReplica(kept, controlapi.ReplicaChange{Action: controlapi.ReplicaRemove, ID: lost.settings.ReplicaID})
 		s.Expect(replicas).To(HaveLen(3))
 
+		var refused operatorapi.ErrorReply
+		again := controlapi.ReplicaChange{Action: controlapi.ReplicaAdd, ID: lost.settings.ReplicaID, Address: lost.settings.Listen.Hosts}
+		s.Expect(s.operate(kept, http.MethodPost, operatorapi.PathReplicas, again, &refused)).To(Equal(http.StatusConflict))
+		s.Expect(refused.Error.Outcome).To(Equal(errkind.NotRun))
+
 		s.net.Partition(names(lost), names(s.hosts[1:]...))
 		s.net.Partition(names(s.hosts[2]), names(kept, standby))
 		time.Sleep(30 * time.Second)
