--- /dev/null
+++ b/internal/settings/docs_test.go
@@ -0,0 +1,71 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/settings"
+)
+
+var pageRow = regexp.MustCompile("(?m)^\\| `([a-z_.\\[\\]]+)` \\| ([^|]*) \\|")
+
+// fieldDefaults collects the default of each field below v as JSON; "" stands for a zero value.
+func fieldDefaults(v reflect.Value, path string, fields map[string]string) {
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		name = strings.TrimPrefix(path+"."+name, ".")
+		field := v.Field(i)
+		_, isDuration := field.Interface().(settings.Duration)
+		switch {
+		case field.Kind() == reflect.Slice && field.Type().Elem().Kind() == reflect.Struct:
+			fieldDefaults(reflect.Zero(field.Type().Elem()), name+"[]", fields)
+		case field.Kind() == reflect.Struct && !isDuration:
+			fieldDefaults(field, name, fields)
+		case field.Kind() == reflect.Slice && field.Len() == 0:
+			fields[name+"[]"] = ""
+		case field.IsZero():
+			fields[name] = ""
+		default:
+			data, _ := json.Marshal(field.Interface())
+			fields[name] = string(data)
+		}
+	}
+}
+
+func TestPageListsEveryFieldWithItsDefault(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	fields := map[string]string{}
+	fieldDefaults(reflect.ValueOf(*settings.Default()), "", fields)
+	rows := map[string]string{}
+	for _, row := range pageRow.FindAllStringSubmatch(string(page), -1) {
+		rows[row[1]] = row[2]
+	}
+	for name, value := range fields {
+		g.Expect(rows).To(HaveKey(name))
+		if value != "" {
+			g.Expect(rows[name]).To(Equal("`"+value+"`"), name)
+		}
+	}
+	for name := range rows {
+		g.Expect(fields).To(HaveKey(name))
+	}
+}
+
+func TestExampleOfThePageIsValid(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, example, found := strings.Cut(string(page), "```json\n")
+	g.Expect(found).To(BeTrue())
+	example, _, _ = strings.Cut(example, "```")
+	_, err = settings.Parse([]byte(example))
+	g.Expect(err).NotTo(HaveOccurred())
+}
