Refuse to start an empty replica that the group counts on

Cause: the check of a replica id with an empty disk ran for a first start (bootstrap) only. A control host that lost its disk and was started without bootstrap came back under its old id with an empty log, and could have voted away what it had acknowledged. Seen by the new test: the host ran on. Now it asks the group's leader first, and is refused if its id is a voter, or a learner that the leader has heard of. Also: a start that fails closes what it has opened.

--- /dev/null
+++ b/internal/controlgroup/joining.go
@@ -0,0 +1,49 @@
+package controlgroup
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+)
+
+// ConfirmJoining returns once the group has said that replica id, whose disk is
+// empty, may wait to be added: the group does not count on anything that a replica
+// of this id has acknowledged. Otherwise the replica has lost its disk and must join
+// under a new id.
+func ConfirmJoining(ctx context.Context, client *rpc.Client, group *Client, id uint64) error {
+	for {
+		reply, err := group.Query(ctx, &controlapi.QueryRequest{Replicas: true})
+		if err == nil {
+			return confirmAbsent(ctx, client, reply.Replicas, id)
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "the control group has not confirmed that replica id %d may join", id)
+		case <-time.After(seenRetryDelay):
+		}
+	}
+}
+
+// confirmAbsent refuses an id that is a voter, or a learner that the leader has heard of.
+func confirmAbsent(ctx context.Context, client *rpc.Client, replicas []controlapi.ReplicaStatus, id uint64) error {
+	own := slices.IndexFunc(replicas, func(r controlapi.ReplicaStatus) bool { return r.ID == id })
+	if own < 0 {
+		return nil
+	}
+	if replicas[own].Role != controlapi.RoleLearner {
+		return errkind.New(errkind.StorageFailed,
+			"replica id %d is a voter of the group, but its disk is empty; join under a new id", id)
+	}
+	for _, r := range replicas {
+		if r.Role == controlapi.RoleLeader {
+			return confirmNewAt(ctx, client, id, r.Address)
+		}
+	}
+	return nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,6 +64,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	if err := d.start(background); err != nil {
+		d.abort(stop)
 		return err
 	}
 	klog.InfoS("host started", "host", s.Host, "zone", s.Zone)
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -11,6 +11,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/control"
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
+	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
@@ -42,8 +43,8 @@
 	if err != nil {
 		return err
 	}
-	if fresh && s.Bootstrap {
-		if err := controlgroup.ConfirmNew(ctx, client, s.ReplicaID, peerAddresses(s)); err != nil {
+	if fresh {
+		if err := confirmID(ctx, s, client); err != nil {
 			return err
 		}
 	}
@@ -76,6 +77,23 @@
 	return nil
 }
 
+// confirmID makes sure that the group does not count on what a replica of this id
+// has acknowledged, because the replica's disk is empty.
+func confirmID(ctx context.Context, s *settings.Settings, client *rpc.Client) error {
+	if s.Bootstrap {
+		return controlgroup.ConfirmNew(ctx, client, s.ReplicaID, peerAddresses(s))
+	}
+	peers := peerAddresses(s)
+	if len(peers) == 0 {
+		return errkind.New(errkind.InvalidRequest, "replica %d has no other to join, and bootstrap is not set", s.ReplicaID)
+	}
+	group := controlgroup.NewClient(controlgroup.ClientOptions{
+		RPC:      client,
+		Replicas: func() []string { return peers },
+	})
+	return controlgroup.ConfirmJoining(ctx, client, group, s.ReplicaID)
+}
+
 // prepareDirectory makes the directory and tells whether it is empty.
 func prepareDirectory(path string) (bool, error) {
 	if err := os.MkdirAll(path, directoryPerm); err != nil {
--- a/tests/fleet/replace_test.go
+++ b/tests/fleet/replace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -70,3 +71,22 @@
 		s.Expect(s.budget(standby).Charged).To(Equal(s.billed()))
 	})
 }
+
+func TestReplicaThatLostItsDiskDoesNotReturnUnderItsID(t *testing.T) {
+	for _, bootstrap := range []bool{true, false} {
+		run(t, siteOptions{hosts: 3, control: 3}, func(s *site) {
+			lost := s.hosts[1]
+			s.drain(lost)
+			s.Expect(os.RemoveAll(lost.settings.DataDir)).To(Succeed())
+			lost.settings.Bootstrap = bootstrap
+			s.start(lost)
+			select {
+			case err := <-lost.done:
+				s.Expect(errkind.Is(err, errkind.StorageFailed)).To(BeTrue(), "%v", err)
+				lost.done <- err
+			case <-time.After(time.Minute):
+				s.t.Error("the host runs under its old replica id")
+			}
+		})
+	}
+}
