--- a/internal/controlgroup/membership.go
+++ b/internal/controlgroup/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
@@ -17,11 +18,31 @@
 // ChangeReplica changes the membership or the leader of the control group.
 func (s *Server) ChangeReplica(ctx context.Context, req *controlapi.ReplicaChange) (*ReplicaChangeReply, error) {
 	err := changeReplica(ctx, s.Replica(), req)
-	if err != nil {
-		moved, err := s.redirect(err)
-		return &ReplicaChangeReply{redirect: deref(moved)}, err
+	if err == nil {
+		return &ReplicaChangeReply{}, nil
 	}
-	return &ReplicaChangeReply{}, nil
+	if refused := refusedChange(err); refused != nil {
+		return nil, refused
+	}
+	moved, err := s.redirect(err)
+	return &ReplicaChangeReply{redirect: deref(moved)}, err
+}
+
+// refusedChange returns the answer to a change that the group refuses, or nil if
+// err is of another kind.
+func refusedChange(err error) error {
+	var listed *errkind.Error
+	switch {
+	case errors.As(err, &listed):
+		return listed
+	case errors.Is(err, replication.ErrUnknownPeer):
+		return errkind.New(errkind.NotFound, "%v", err)
+	case errors.Is(err, replication.ErrIDUsed),
+		errors.Is(err, replication.ErrRemoveLeader),
+		errors.Is(err, replication.ErrTooFewVoters):
+		return errkind.New(errkind.Conflict, "%v", err)
+	}
+	return nil
 }
 
 func changeReplica(ctx context.Context, r *replica.Replica, req *controlapi.ReplicaChange) error {
--- a/internal/controlgroup/server.go
+++ b/internal/controlgroup/server.go
@@ -24,7 +24,8 @@
 	// maxHold bounds the time for which a heartbeat is held.
 	maxHold = time.Second
 	// inForceWait bounds the time that a configuration change is held until it is in force everywhere.
-	inForceWait = 3 * time.Second
+	// It is shorter than callTimeout, so that the host that asks is told "not yet".
+	inForceWait = time.Second
 	// expiryTimeout bounds the proposal that ends a lapsed session.
 	expiryTimeout = 2 * time.Second
 )
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -207,6 +207,7 @@
 		KeyHashes:     d.settings.OperatorKeyHashes,
 		Upstreams:     d.upstreams,
 		ChangeReplica: d.group.ChangeReplica,
+		OnError:       func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
 	}))
 	d.operators = d.serveHTTP(operators, mux)
 	if !d.settings.HasRole(settings.RoleEntry) {
