--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -165,6 +165,9 @@
 	Session string `cbor:"1,keyasint"`
 	// Revision is the configuration revision that the host serves under.
 	Revision uint64 `cbor:"2,keyasint"`
+	// HoldMS is the time for which the answer may be held until there is a newer
+	// revision, in milliseconds.
+	HoldMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // HeartbeatReply carries the lease and the configuration changes after the host's revision.
@@ -181,6 +184,8 @@
 	Hosts []HostInfo `cbor:"6,keyasint,omitempty"`
 	// FencingNumber is the term of the leader that answered.
 	FencingNumber uint64 `cbor:"7,keyasint"`
+	// Replicas are the addresses of the voters of the control group.
+	Replicas []string `cbor:"8,keyasint,omitempty"`
 }
 
 // HostInfo describes an entry host with a live session.
@@ -287,8 +292,41 @@
 	Revision uint64          `json:"revision" cbor:"7,keyasint"`
 	Schema   int             `json:"active_schema" cbor:"8,keyasint"`
 	Grants   []GrantStatus   `json:"grants,omitempty" cbor:"9,keyasint,omitempty"`
+	// CanLose is the number of further voters whose loss the group survives, with
+	// Replicas; nil if the leader does not know it.
+	CanLose *int `json:"can_lose,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
+// ReplicaAction is a change of the membership of the control group.
+type ReplicaAction string
+
+// The changes of the membership. Each is done by the leader, one at a time.
+const (
+	// ReplicaAdd adds a replica as a learner, under an id above every earlier one.
+	ReplicaAdd ReplicaAction = "add"
+	// ReplicaPromote makes a learner a voter once it has caught up.
+	ReplicaPromote ReplicaAction = "promote"
+	// ReplicaRemove removes a replica that does not lead.
+	ReplicaRemove ReplicaAction = "remove"
+	// ReplicaLead hands the leadership over to a voter.
+	ReplicaLead ReplicaAction = "lead"
+)
+
+// ReplicaChange changes the membership or the leader of the control group.
+type ReplicaChange struct {
+	Action ReplicaAction `json:"action" cbor:"1,keyasint"`
+	ID     uint64        `json:"id" cbor:"2,keyasint"`
+	// Address is for ReplicaAdd: the replica's address for other hosts, as IP:port.
+	Address string `json:"address,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// Roles of replicas in ReplicaStatus.
+const (
+	RoleLeader   = "leader"
+	RoleFollower = "follower"
+	RoleLearner  = "learner"
+)
+
 // HistoryEntry is one change of the configuration.
 type HistoryEntry struct {
 	Revision    uint64      `json:"revision" cbor:"1,keyasint"`
