--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -116,9 +116,14 @@
 	r.OrphanedMS = 0
 }
 
-// IsResend tells whether b is the Begin that made the present attempt, sent again.
+// IsResend tells whether b is the Begin that made the present attempt, sent
+// again. One that names an upstream to which the request was not sent is not.
 func (r *Record) IsResend(b *controlapi.BeginRequest) bool {
-	return r.State == Open && r.Session == b.Session && r.Try == b.Try
+	if r.State != Open || r.Session != b.Session || r.Try != b.Try {
+		return false
+	}
+	first := controlapi.Instance{Upstream: b.Upstream, Incarnation: b.UpstreamIncarnation}
+	return b.Upstream == "" || r.Earlier > 0 || slices.Contains(r.Dispatches, first)
 }
 
 // MayHaveRun tells that an earlier attempt was dispatched and its fate is unknown.
