Send orders to upstreams from the leader, with fencing numbers and a lease

Cause: an order endpoint existed on upstreams, but nothing placed or sent orders. Ruled out: sending from the host that the operator reached (no fencing number that a later leader is sure to exceed); sending through the log's apply step (I/O inside the state machine). Change: orders are committed to the control state; the leader sends pending ones, one at a time per upstream, loads within the weight store's limits, each try within a lease that starts before the leadership is confirmed. A new leader lets that lease lapse before it orders upstreams that ignore fencing numbers.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	bin/godwitbend-demo --bin bin
 
 test:
-	go test -count=1 ./...
+	go test -count=1 -timeout 8m ./...
 
 lint:
 	@out="$$(gofmt -l cmd internal tests)"; if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -105,12 +105,19 @@
 	Tokens int64 `json:"tokens"`
 }
 
+// The actions of an order.
+const (
+	ActionLoad   = "load"
+	ActionUnload = "unload"
+	ActionRole   = "role"
+)
+
 // Order asks an upstream to load or unload something or to change its role.
 type Order struct {
 	ID string `json:"id"`
 	// FencingNumber is the term of the leader that gave the order.
 	FencingNumber uint64 `json:"fencing_number"`
-	// Action is "load", "unload" or "role".
+	// Action is ActionLoad, ActionUnload or ActionRole.
 	Action  string `json:"action"`
 	Model   string `json:"model,omitempty"`
 	Version string `json:"version,omitempty"`
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -15,6 +15,7 @@
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/grant"
+	"github.com/godwitbend/godwitbend/internal/orders"
 	"github.com/godwitbend/godwitbend/internal/request"
 )
 
@@ -39,6 +40,7 @@
 	configurations *operations
 	payments       *operations
 	grants         *grant.Book
+	orders         *orders.Book
 }
 
 // NewMachine returns the machine before the first command.
@@ -53,6 +55,7 @@
 		configurations: newOperations(maxConfigurations, configurationRetentionMS, displaceOldest),
 		payments:       newOperations(maxPayments, paymentRetentionMS, refuseNew),
 		grants:         grant.NewBook(),
+		orders:         orders.NewBook(),
 	}
 }
 
@@ -97,6 +100,10 @@
 		return m.mergeJournal(cmd.MergeJournal)
 	case cmd.WriteOffGrant != nil:
 		return m.writeOffGrant(cmd.WriteOffGrant)
+	case cmd.PlaceOrder != nil:
+		return m.placeOrder(cmd.PlaceOrder)
+	case cmd.FinishOrder != nil:
+		return m.finishOrder(cmd.FinishOrder)
 	default:
 		return refuse(errkind.New(errkind.InvalidRequest, "command without a body"))
 	}
--- a/internal/control/query.go
+++ b/internal/control/query.go
@@ -33,6 +33,8 @@
 		reply.History = m.history.after(q.HistoryMin)
 	case q.Grants:
 		reply.Grants = m.listGrants()
+	case q.Orders:
+		reply.Orders = m.listOrders()
 	case q.Hosts:
 		reply.Hosts = m.Sessions()
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -37,6 +37,7 @@
 	Configurations  []*operation              `cbor:"14,keyasint,omitempty"`
 	Payments        []*operation              `cbor:"15,keyasint,omitempty"`
 	Grants          []*grant.Holder           `cbor:"16,keyasint,omitempty"`
+	Orders          []*controlapi.OrderStatus `cbor:"17,keyasint,omitempty"`
 }
 
 // accountState is an account in a snapshot.
@@ -65,6 +66,7 @@
 		Configurations:  m.configurations.order,
 		Payments:        m.payments.order,
 		Grants:          m.grants.Holders(),
+		Orders:          m.orders.All(),
 	})
 }
 
@@ -129,6 +131,7 @@
 		m.configurations.add(op)
 	}
 	m.grants.Load(s.Grants)
+	m.orders.Load(s.Orders)
 	for _, op := range s.Payments {
 		m.payments.add(op)
 	}
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -279,6 +279,8 @@
 	Replicas bool `cbor:"10,keyasint,omitempty"`
 	// Grants lists the grants that are outstanding, those of ended sessions included.
 	Grants bool `cbor:"11,keyasint,omitempty"`
+	// Orders lists the orders to upstreams, oldest first.
+	Orders bool `cbor:"12,keyasint,omitempty"`
 }
 
 // QueryReply answers a QueryRequest.
@@ -294,7 +296,8 @@
 	Grants   []GrantStatus   `json:"grants,omitempty" cbor:"9,keyasint,omitempty"`
 	// CanLose is the number of further voters whose loss the group survives, with
 	// Replicas; nil if the leader does not know it.
-	CanLose *int `json:"can_lose,omitempty" cbor:"10,keyasint,omitempty"`
+	CanLose *int          `json:"can_lose,omitempty" cbor:"10,keyasint,omitempty"`
+	Orders  []OrderStatus `json:"orders,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
 // ReplicaAction is a change of the membership of the control group.
@@ -367,6 +370,8 @@
 	ReturnGrant   *ReturnGrantRequest   `cbor:"12,keyasint,omitempty"`
 	MergeJournal  *MergeJournalRequest  `cbor:"13,keyasint,omitempty"`
 	WriteOffGrant *WriteOffGrantRequest `cbor:"14,keyasint,omitempty"`
+	PlaceOrder    *PlaceOrder           `cbor:"15,keyasint,omitempty"`
+	FinishOrder   *FinishOrder          `cbor:"16,keyasint,omitempty"`
 }
 
 // Result is the outcome of a Command. Err is set on a refusal.
@@ -383,6 +388,8 @@
 	Merge *MergeReply  `cbor:"8,keyasint,omitempty"`
 	// WrittenOff is what WriteOffGrant charged, in tokens.
 	WrittenOff int64 `cbor:"9,keyasint,omitempty"`
+	// Order is the state of the order after PlaceOrder or FinishOrder.
+	Order *OrderStatus `cbor:"10,keyasint,omitempty"`
 }
 
 // Client is the control group as an entry host sees it. Execute returns the
--- /dev/null
+++ b/internal/controlgroup/orders.go
@@ -0,0 +1,41 @@
+package controlgroup
+
+import (
+	"context"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/ordersender"
+)
+
+var _ ordersender.Leader = (*Server)(nil)
+
+// Leadership implements ordersender.Leader.
+func (s *Server) Leadership() (ordersender.Leadership, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ordersender.Leadership{Term: s.term, Since: s.since}, s.leader
+}
+
+// Confirm implements ordersender.Leader.
+func (s *Server) Confirm(ctx context.Context) (uint64, error) {
+	r, err := s.bound()
+	if err != nil {
+		return 0, err
+	}
+	return r.Barrier(ctx)
+}
+
+// Orders implements ordersender.Leader.
+func (s *Server) Orders(ctx context.Context) ([]*controlapi.OrderStatus, error) {
+	r, err := s.bound()
+	if err != nil {
+		return nil, err
+	}
+	var list []controlapi.OrderStatus
+	err = r.Inspect(ctx, func() { list = s.o.Machine.Query(&controlapi.QueryRequest{Orders: true}).Orders })
+	out := make([]*controlapi.OrderStatus, 0, len(list))
+	for i := range list {
+		out = append(out, &list[i])
+	}
+	return out, err
+}
--- a/internal/controlgroup/server.go
+++ b/internal/controlgroup/server.go
@@ -50,6 +50,8 @@
 	// leader and term are set between the start and the end of this replica's leadership.
 	leader bool
 	term   uint64
+	// since is the time at which the leadership began.
+	since  time.Time
 	leases *leaseTable
 	// revision is the newest configuration revision that this leader has
 	// committed; configured is closed and replaced when it rises.
@@ -122,6 +124,7 @@
 	defer s.mu.Unlock()
 	s.leader = leader
 	s.term = term
+	s.since = s.o.Now()
 	s.revision = revision
 	s.leases.reset(ids, s.o.Now())
 	close(s.configured)
--- /dev/null
+++ b/internal/daemon/orders.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
+	"github.com/godwitbend/godwitbend/internal/ordersender"
+)
+
+const (
+	// orderPoll is the time between two looks at an order that an operator waits for.
+	orderPoll = 100 * time.Millisecond
+	// orderWait bounds the time that an operator's call waits for the end of an order.
+	orderWait = 5 * time.Second
+)
+
+// startOrders sends orders while the replica of this host leads.
+func (d *Daemon) startOrders(ctx context.Context) {
+	sender := ordersender.New(ordersender.Options{
+		Leader: d.replica.server,
+		Group:  d.group,
+		Lookup: d.orderTarget,
+		Client: d.upstreamHTTP,
+		Limits: ordersender.Limits{
+			LoadInterval: d.settings.Orders.LoadInterval.Duration,
+			Loads:        d.settings.Orders.Loads,
+			Lease:        d.settings.Orders.Lease.Duration,
+		},
+	})
+	d.goRun(func() { sender.Run(ctx) })
+}
+
+func (d *Daemon) orderTarget(id string) (ordersender.Target, bool) {
+	entry, ok := d.registry.Snapshot().Entries[id]
+	if !ok {
+		return ordersender.Target{}, false
+	}
+	state := entry.State()
+	fresh := time.Since(state.Seen) < d.settings.UpstreamTimeout.Duration
+	return ordersender.Target{Address: state.Address, ChecksFencing: state.ChecksFencing}, fresh
+}
+
+// order commits an operator's order and waits a while for its end. The state is
+// "pending" if it has not ended by then; the same call again tells what became of it.
+func (d *Daemon) order(ctx context.Context, req *operatorapi.OrderRequest) (*operatorapi.OrderReply, error) {
+	place := &controlapi.PlaceOrder{Upstream: req.Upstream, Order: req.Order}
+	result, err := d.group.Execute(ctx, &controlapi.Command{PlaceOrder: place})
+	if err != nil {
+		return nil, err
+	}
+	if result.Err != nil {
+		return nil, result.Err
+	}
+	status, err := d.awaitOrder(ctx, result.Order)
+	if err != nil {
+		return nil, err
+	}
+	return &operatorapi.OrderReply{
+		OrderID:       status.Order.ID,
+		FencingNumber: status.Order.FencingNumber,
+		State:         string(status.State),
+	}, nil
+}
+
+func (d *Daemon) awaitOrder(ctx context.Context, status *controlapi.OrderStatus) (*controlapi.OrderStatus, error) {
+	end := time.Now().Add(orderWait)
+	for status.State == controlapi.OrderPending && time.Now().Before(end) {
+		select {
+		case <-ctx.Done():
+			return nil, errkind.New(errkind.ControlUnavailable, "the order is placed, its end is not known yet").WithOutcome(errkind.Unknown)
+		case <-time.After(orderPoll):
+		}
+		reply, err := d.group.Query(ctx, &controlapi.QueryRequest{Orders: true})
+		if err != nil {
+			return nil, err
+		}
+		for i := range reply.Orders {
+			if reply.Orders[i].Order.ID == status.Order.ID {
+				status = &reply.Orders[i]
+			}
+		}
+	}
+	return status, nil
+}
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -94,6 +94,7 @@
 	}
 	d.goRun(func() { d.replica.server.ExpireSessions(ctx) })
 	d.goRun(func() { d.replica.watchHealth(ctx) })
+	d.startOrders(ctx)
 	return nil
 }
 
@@ -207,6 +208,7 @@
 		KeyHashes:     d.settings.OperatorKeyHashes,
 		Upstreams:     d.upstreams,
 		ChangeReplica: d.group.ChangeReplica,
+		Order:         d.order,
 		OnError:       func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
 	}))
 	d.operators = d.serveHTTP(operators, mux)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -45,6 +45,9 @@
 	c.operatorKeys(s.OperatorKeyHashes)
 	c.times(s)
 	c.limits(s.Limits)
+	c.duration("orders.lease", s.Orders.Lease, minLease, maxDuration)
+	c.duration("orders.load_interval", s.Orders.LoadInterval, 0, maxDuration)
+	c.number("orders.loads", int64(s.Orders.Loads), 1, maxConcurrency)
 	if !slices.Contains(levels, s.Log.Level) {
 		c.fault("log.level", "%q is none of %q", s.Log.Level, levels)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,10 +68,25 @@
 	// DrainDelay is the time at a shutdown between failing the readiness check and
 	// refusing new work, in which the balancer moves callers away. Default: 2s.
 	DrainDelay Duration `json:"drain_delay"`
+	// Orders bound the orders to upstreams.
+	Orders Orders `json:"orders"`
 	// Log holds the settings of the log.
 	Log Log `json:"log"`
 }
 
+// Orders bound the orders to upstreams.
+type Orders struct {
+	// Lease bounds the time from the confirmation of a leadership to the arrival of
+	// an order that it sends. A new leader waits as long before it gives orders to
+	// upstreams that do not check fencing numbers. Default: 10s.
+	Lease Duration `json:"lease"`
+	// LoadInterval is the least time between the starts of two loads from the
+	// weight store. Default: 1s.
+	LoadInterval Duration `json:"load_interval"`
+	// Loads bounds the loads in progress. Default: 2.
+	Loads int `json:"loads"`
+}
+
 // Listen holds the addresses of a host as IP:port.
 type Listen struct {
 	// Callers serves callers and announcements of upstreams. Required with RoleEntry.
@@ -139,6 +154,7 @@
 		},
 		UpstreamTimeout: Duration{3 * time.Second},
 		DrainDelay:      Duration{2 * time.Second},
+		Orders:          Orders{Lease: Duration{10 * time.Second}, LoadInterval: Duration{time.Second}, Loads: 2},
 		Log:             Log{Level: "info"},
 	}
 }
