Route by load, prefix affinity, zone and health

Cause: the first cut took the least loaded upstream by the latest report, and looked at every upstream for it.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/fake"
 )
@@ -115,3 +116,25 @@
 		s.Expect(lost.Load()).To(Equal(int64(2)))
 	})
 }
+
+func TestCrashInTheMiddleOfAStreamIsContained(t *testing.T) {
+	inSite(t, 1_000_000, func(s *site) {
+		runs := 0
+		for i := range 4 {
+			s.addFunc(fmt.Sprint("engine-", i), fmt.Sprintf("10.0.1.%d:80", i+1), "m", false, func(w http.ResponseWriter, r *http.Request) {
+				runs++
+				w.Header().Set(announce.HeaderRequestID, r.Header.Get(announce.HeaderRequestID))
+				fmt.Fprint(w, "data: {\"id\":\"a\",\"choices\":[{\"delta\":{\"content\":\"one\"}}]}\n\n")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			})
+		}
+		for i := range 4 {
+			a := s.stream(key(fmt.Sprint(i)))
+			s.Expect(a.whole()).To(BeFalse())
+		}
+		s.Expect(runs).To(Equal(2))
+		s.Expect(s.control.count("crash")).To(Equal(2))
+		s.Expect(s.stream().refusal.Kind).To(Equal(errkind.Quarantined))
+	})
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/routing"
 )
 
 // errAnswered tells that a failed try was answered to its end, or that nobody waits for an answer.
@@ -103,21 +104,36 @@
 func (x *exchange) try(t target) *failure {
 	leave := x.h.crashes.enter(t, x.requestID, x.bodyHash)
 	defer leave()
-	var f *failure
-	switch x.kind {
-	case callChatStream:
-		f = x.tryStream(t)
-	case callChatWhole:
-		f = x.tryWhole(t)
-	case callPlain:
-		f = x.tryPlain(t)
-	}
+	x.tried, x.firstByte = x.h.Now(), 0
+	f := x.send(t)
 	if f != nil && f.broken {
 		f.stop = x.reportCrash(t)
 	}
+	x.report(f, t)
 	return f
 }
 
+// report tells the router how the call fared at t.
+func (x *exchange) report(f *failure, t target) {
+	if f != nil && (f.callerGone || f.reason == reasonRefused) {
+		return
+	}
+	failed := x.brokenOff || f != nil && f.final == nil
+	x.h.Router.Report(t.entry, routing.Result{Service: x.service, Failed: failed, FirstByte: x.firstByte}, x.h.Now())
+}
+
+// send sends the call to t in the form of its kind.
+func (x *exchange) send(t target) *failure {
+	switch x.kind {
+	case callChatStream:
+		return x.tryStream(t)
+	case callChatWhole:
+		return x.tryWhole(t)
+	default:
+		return x.tryPlain(t)
+	}
+}
+
 // afterFailure decides whether another upstream may be tried. It returns the
 // final answer if not.
 func (x *exchange) afterFailure(f *failure, t target, tries int) error {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -78,6 +78,12 @@
 	isRerun bool
 	// runOn are the only upstreams that containment lets the call run on, if any.
 	runOn []string
+	// tried is the time at which the present try began.
+	tried time.Time
+	// firstByte is the time from there to the first byte of the answer.
+	firstByte time.Duration
+	// brokenOff tells that the answer was ended before it was whole.
+	brokenOff bool
 	// started tells that a byte of the answer has reached the caller.
 	started bool
 	// failed holds the upstreams that failed in this exchange.
@@ -228,11 +234,14 @@
 // choose claims a place at an upstream that has not failed in this exchange.
 func (x *exchange) choose() (target, error) {
 	req := &routing.Request{
-		Service: x.service,
-		Allowed: x.mayRunOn,
-		Exclude: x.failed,
-		Alone:   x.suspect,
-		Prefix:  x.prefix,
+		Service:      x.service,
+		Organisation: x.id.caller.Organisation,
+		Revision:     x.id.view.Revision(),
+		Allowed:      x.filter.Allows,
+		Only:         x.runOn,
+		Exclude:      x.failed,
+		Alone:        x.suspect,
+		Prefix:       x.prefix,
 	}
 	for {
 		e, err := x.h.Router.Choose(req, x.h.Registry.Snapshot(), x.h.Now(), globalRandom{})
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -33,6 +33,8 @@
 type Router interface {
 	// Choose returns an upstream for req; an error is an *errkind.Error.
 	Choose(req *routing.Request, snap *registry.Snapshot, now time.Time, random routing.Random) (*registry.Entry, error)
+	// Report takes in how a request fared at e.
+	Report(e *registry.Entry, result routing.Result, now time.Time)
 }
 
 // Options are what a Handler needs.
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
@@ -170,14 +169,6 @@
 	}
 }
 
-// mayRunOn tells whether policy and containment let the call run on an upstream.
-func (x *exchange) mayRunOn(upstream, zone string) bool {
-	if len(x.runOn) > 0 && !slices.Contains(x.runOn, upstream) {
-		return false
-	}
-	return x.filter.Allows(upstream, zone)
-}
-
 // settle charges the tokens that were used and closes the record. It returns
 // nil only when the charge is committed. Partial tells that the run was cut off.
 func (x *exchange) settle(tokens int64, answer *controlapi.StoredAnswer, partial bool) error {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -171,11 +171,15 @@
 	return errkind.From(err).WithOutcome(errkind.Ran).WithRetryAfter(controlRetry)
 }
 
-// breakOff ends a stream that can't be completed: what was delivered is
-// charged, and the caller is told that the answer is not whole.
+// breakOff ends a stream that can't be completed: a crash is reported, what was
+// used is charged, and the caller is told that the answer is not whole.
 func (x *exchange) breakOff(f *failure, t target, state *relay) *failure {
 	e := f.final
+	if f.broken {
+		_ = x.reportCrash(t)
+	}
 	if e == nil {
+		x.brokenOff = true
 		used, known := x.cancel(t)
 		if !known {
 			used = max(state.used, state.output)
@@ -193,6 +197,7 @@
 func (x *exchange) writeEvent(data []byte) *failure {
 	if !x.started {
 		x.started = true
+		x.firstByte = x.h.Now().Sub(x.tried)
 		x.w.Header().Set("Content-Type", "text/event-stream")
 		x.w.Header().Set("Cache-Control", "no-cache")
 		x.w.WriteHeader(http.StatusOK)
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -60,6 +60,7 @@
 
 // deliver commits the charge and then gives the whole answer.
 func (x *exchange) deliver(answer *controlapi.StoredAnswer, used int64) *failure {
+	x.firstByte = x.h.Now().Sub(x.tried)
 	if err := x.settle(used, answer, false); err != nil {
 		return &failure{reason: reasonError, final: settleRefusal(err), text: err.Error()}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -98,11 +98,12 @@
 }
 
 // Load estimates the requests at the upstream: its last report, corrected by
-// what this host has opened and closed since.
-func (e *Entry) Load() int64 {
+// what this host has opened and closed since, and by as much for each of the
+// other hosts, which see the same reports.
+func (e *Entry) Load(hosts int) int64 {
 	s := e.state.Load()
 	own := e.inFlight.Load()
-	load := int64(s.InFlight+s.Queued) + own - s.OwnInFlight
+	load := int64(s.InFlight+s.Queued) + (own-s.OwnInFlight)*int64(max(hosts, 1))
 	return max(load, own, 0)
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -82,13 +82,13 @@
 	report := announcement(1, 2)
 	report.InFlight = 3
 	r.Apply(report, start)
-	g.Expect(entry.Load()).To(Equal(int64(3)))
+	g.Expect(entry.Load(1)).To(Equal(int64(3)))
 	entry.Claim(false)
-	g.Expect(entry.Load()).To(Equal(int64(4)))
+	g.Expect(entry.Load(1)).To(Equal(int64(4)))
 	for range 3 {
 		entry.Release(false)
 	}
-	g.Expect(entry.Load()).To(Equal(int64(1)))
+	g.Expect(entry.Load(1)).To(Equal(int64(1)))
 }
 
 func TestClaimAloneKeepsOthersOut(t *testing.T) {
--- /dev/null
+++ b/internal/routing/roundrobin_test.go
@@ -0,0 +1,25 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/registry"
+)
+
+// roundRobin is the naive baseline: the usable upstreams in turn.
+type roundRobin struct {
+	next int
+}
+
+func (r *roundRobin) Choose(req *Request, snap *registry.Snapshot, now time.Time, _ Random) (*registry.Entry, error) {
+	all := snap.Pool(req.Service).All
+	for range all {
+		e := all[r.next%len(all)]
+		r.next++
+		if req.Allowed(e.ID, e.State().Zone) && e.Usable(now, registry.DefaultFreshness) {
+			return e, nil
+		}
+	}
+	return nil, errkind.New(errkind.NoUpstream, "none")
+}
