--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -53,6 +53,9 @@
 		}
 	}
 	d.startSession(ctx)
+	if err := d.startStandby(ctx, srv); err != nil {
+		return err
+	}
 	announcements := d.announcements(ctx)
 	handler := d.callerHandler()
 	d.registerHostMethods(srv, announcements, handler)
@@ -148,7 +151,7 @@
 
 func (d *Daemon) callerHandler() *entry.Handler {
 	return entry.New(entry.Options{
-		Control:    d.group,
+		Control:    d.standby,
 		Session:    d.session.ID,
 		LeaseValid: d.session.LeaseValid,
 		Draining:   d.draining.Load,
@@ -204,6 +207,7 @@
 		KeyHashes:     d.settings.OperatorKeyHashes,
 		Upstreams:     d.upstreams,
 		ChangeReplica: d.group.ChangeReplica,
+		OnError:       func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
 	}))
 	d.operators = d.serveHTTP(operators, mux)
 	if !d.settings.HasRole(settings.RoleEntry) {
