Mend a false refusal and the loss of a third upstream to one request

(2) An incarnation that had crashed got work again when an announcement from before the crash arrived after it; that work ran on the next incarnation, whose crash was then reported under the old one and not counted: one request could cost a third upstream. Both were seen as rare failures of TestInnocentRequestBeforeItsFirstTokenIsServedAfterACrash.

A lost incarnation gets no work until a later one is announced, or until it is announced later than any announcement can be on its way. A request names the incarnation that it is meant for, and another one refuses it. The stand-ins check that, and change their incarnation together with their state. The host's random choices come from Options, seeded in the tests.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -8,6 +8,10 @@
 	HeaderRequestID = "X-Request-Id"
 	HeaderPriority  = "X-Priority"
 	HeaderAttempt   = "X-Attempt"
+	// HeaderIncarnation is the incarnation that a request is meant for. Another
+	// incarnation of the upstream answers 409 with its own incarnation in this
+	// header, and does not run the request.
+	HeaderIncarnation = "X-Upstream-Incarnation"
 )
 
 // Paths. An entry host serves PathAnnounce; an upstream serves the others.
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -95,7 +95,7 @@
 		}
 	}
 	x.suspect = true
-	t.entry.MarkBroken()
+	t.entry.MarkLost(t.incarnation, x.h.Now())
 	report, bodies := x.h.crashes.claim(t)
 	if bodies == nil {
 		<-report.done
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -57,7 +57,13 @@
 var poison = strings.Replace(streamBody, "draft", "poison", 1)
 
 func TestRequestThatCrashesUpstreamsCostsAtMostTwo(t *testing.T) {
-	inSite(t, 1_000_000, func(s *site) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { crashesAtMostTwo(t, seed) })
+	}
+}
+
+func crashesAtMostTwo(t *testing.T, seed uint64) {
+	inSeededSite(t, 1_000_000, seed, func(s *site) {
 		_, lost := s.crashable(5, slow)
 		s.addHost("10.0.0.2:80", "session-2")
 		for i := range 6 {
@@ -77,7 +83,7 @@
 func TestInnocentRequestsBesideACrashAreServed(t *testing.T) {
 	inSite(t, 1_000_000, func(s *site) {
 		engines, lost := s.crashable(2, slow)
-		got := make(chan answer)
+		got := make(chan answer, 3)
 		for i := range 3 {
 			body := strings.Replace(streamBody, "draft", fmt.Sprint("draft ", i), 1)
 			go func() { got <- s.call(http.MethodPost, chatPath, body) }()
@@ -99,9 +105,15 @@
 }
 
 func TestInnocentRequestBeforeItsFirstTokenIsServedAfterACrash(t *testing.T) {
-	inSite(t, 1_000_000, func(s *site) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { innocentBeforeItsFirstToken(t, seed) })
+	}
+}
+
+func innocentBeforeItsFirstToken(t *testing.T, seed uint64) {
+	inSeededSite(t, 1_000_000, seed, func(s *site) {
 		engines, lost := s.crashable(2, func(o *fake.EngineOptions) { o.PromptTokenTime = 100 * time.Millisecond })
-		got := make(chan answer)
+		got := make(chan answer, 3)
 		for i := range 3 {
 			body := strings.Replace(streamBody, "draft", fmt.Sprint("draft ", i), 1)
 			go func() { got <- s.call(http.MethodPost, chatPath, body) }()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -200,7 +200,7 @@
 	ctx, cancel := context.WithDeadline(x.work, x.deadline)
 	defer cancel()
 	if tries > 1 || !f.notRun {
-		pause(ctx, backoff(tries))
+		pause(ctx, x.h.backoff(tries))
 	}
 	t, err := x.chooseAgain()
 	if err != nil {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -244,7 +244,7 @@
 		Prefix:       x.prefix,
 	}
 	for {
-		e, err := x.h.Router.Choose(req, x.h.Registry.Snapshot(), x.h.Now(), globalRandom{})
+		e, err := x.h.Router.Choose(req, x.h.Registry.Snapshot(), x.h.Now(), x.h.Random)
 		if err != nil {
 			return target{}, err
 		}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -67,6 +67,8 @@
 	// request; known is false if it can't be reached. Nil means that only the
 	// host's own requests are known.
 	OwnerServes func(ctx context.Context, session, requestID string) (serves, known bool)
+	// Random is the source of random numbers; it must be safe for concurrent use. Nil means the process's.
+	Random routing.Random
 	// Log receives one record per failed request; nil means slog.Default().
 	Log *slog.Logger
 }
@@ -98,6 +100,9 @@
 	if o.Log == nil {
 		o.Log = slog.Default()
 	}
+	if o.Random == nil {
+		o.Random = globalRandom{}
+	}
 	o.Limits = o.Limits.withDefaults()
 	h := &Handler{
 		Options:   o,
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -56,7 +55,7 @@
 
 // backoff returns the time to wait before the retry of number n, counted from
 // 1: a random part of a time that doubles with each retry.
-func backoff(n int) time.Duration {
+func (h *Handler) backoff(n int) time.Duration {
 	limit := min(backoffBase<<min(n, 10), backoffMax)
-	return limit/2 + rand.N(limit/2)
+	return limit/2 + time.Duration(h.Random.IntN(int(limit/2)))
 }
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -9,9 +9,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -94,6 +96,19 @@
 	}
 }
 
+// seededRandom is a random source with a seed for concurrent use.
+type seededRandom struct {
+	mu     sync.Mutex
+	source *rand.Rand
+}
+
+// IntN implements routing.Random.
+func (r *seededRandom) IntN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.source.IntN(n)
+}
+
 // site is one entry host with its control group and upstreams.
 type site struct {
 	*GomegaWithT
@@ -116,9 +131,15 @@
 
 // inSite runs a test with one entry host in virtual time.
 func inSite(t *testing.T, paidIn int64, test func(s *site)) {
+	t.Helper()
+	inSeededSite(t, paidIn, 1, test)
+}
+
+// inSeededSite is inSite with a seed of the host's random choices.
+func inSeededSite(t *testing.T, paidIn int64, seed uint64, test func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, paidIn)
+		s := newSite(t, paidIn, seed)
 		defer func() {
 			time.Sleep(2 * recordTimeout)
 			for _, f := range s.atEnd {
@@ -132,7 +153,7 @@
 	})
 }
 
-func newSite(t *testing.T, paidIn int64) *site {
+func newSite(t *testing.T, paidIn int64, seed uint64) *site {
 	s := &site{
 		GomegaWithT: NewWithT(t), t: t, net: newNetwork(), control: newLocalControl(),
 		lost: map[string]func(){}, registry: registry.New(time.Hour), scope: tally.NewTestScope("", nil),
@@ -142,7 +163,7 @@
 		Control: s.control, Session: func() string { return "session-1" }, LeaseValid: func() bool { return !s.lapsed },
 		Draining: func() bool { return s.draining }, View: func() *config.View { return s.view },
 		Registry: s.registry, Admission: admission.Open{}, Router: routing.New(routing.Settings{Freshness: time.Hour}),
-		Metrics: s.scope, Log: slog.New(slog.DiscardHandler),
+		Metrics: s.scope, Random: &seededRandom{source: rand.New(rand.NewPCG(seed, 0))}, Log: slog.New(slog.DiscardHandler),
 	}
 	s.configure()
 	s.topUp(paidIn)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -70,7 +70,7 @@
 	ctx, watch := newWatch(x.work, streamIdle)
 	defer watch.stop()
 	if resumes > 0 {
-		pause(ctx, backoff(resumes))
+		pause(ctx, x.h.backoff(resumes))
 	}
 	resp, f := x.resume(ctx, t, state.events)
 	if f != nil {
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -88,25 +88,40 @@
 		req.Header.Set("Content-Type", x.contentType)
 	}
 	req.Header.Set(announce.HeaderPriority, strconv.Itoa(x.id.class.Worth))
-	x.setIdentity(req)
+	x.setIdentity(req, t)
 	client := x.h.upstreams.shared
 	if !x.repeatable {
 		client = x.h.upstreams.once
 	}
 	resp, err := client.Do(req)
 	if err != nil && !connected.Load() {
-		t.entry.MarkBroken()
+		t.entry.MarkUnreachable()
 		return nil, x.transportFailure(ctx, err, true)
 	}
 	if err != nil {
 		return nil, x.transportFailure(ctx, err, false)
 	}
+	if f := x.refusedByOther(resp, t); f != nil {
+		return nil, f
+	}
 	return resp, x.checkIdentity(resp)
 }
 
-func (x *exchange) setIdentity(req *http.Request) {
+// refusedByOther returns the failure if another incarnation than t's refused the call.
+func (x *exchange) refusedByOther(resp *http.Response, t target) *failure {
+	got := resp.Header.Get(announce.HeaderIncarnation)
+	if resp.StatusCode != http.StatusConflict || got == "" || got == strconv.FormatUint(t.incarnation, 10) {
+		return nil
+	}
+	_ = resp.Body.Close()
+	t.entry.MarkLost(t.incarnation, x.h.Now())
+	return &failure{reason: reasonRefused, notRun: true, text: "the upstream has restarted"}
+}
+
+func (x *exchange) setIdentity(req *http.Request, t target) {
 	req.Header.Set(announce.HeaderRequestID, x.requestID)
 	req.Header.Set(announce.HeaderAttempt, strconv.FormatUint(uint64(x.attempt), 10))
+	req.Header.Set(announce.HeaderIncarnation, strconv.FormatUint(t.incarnation, 10))
 }
 
 // checkIdentity rejects an answer to another request. Only an answer that says
@@ -189,7 +204,7 @@
 	if err != nil {
 		return nil, &failure{reason: reasonNotSent, text: err.Error()}
 	}
-	x.setIdentity(req)
+	x.setIdentity(req, t)
 	resp, err := x.h.upstreams.shared.Do(req)
 	if err != nil {
 		return nil, x.transportFailure(ctx, err, false)
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -11,18 +11,19 @@
 )
 
 const (
-	defaultCapacity     = 8
-	defaultQueue        = 64
-	defaultCacheBlocks  = 4096
-	defaultRetention    = time.Minute
-	maxPrefixBlocks     = 128
-	cacheEventsPerTick  = 256
-	retryAfterSeconds   = "1"
-	headerRetryAfter    = "Retry-After"
-	reasonOwnCancelled  = "the request was cancelled before it arrived"
-	reasonQueueFull     = "the queue is full"
-	reasonUnknownID     = "the request is not known"
-	reasonNotServedHere = "the model is not loaded"
+	defaultCapacity        = 8
+	defaultQueue           = 64
+	defaultCacheBlocks     = 4096
+	defaultRetention       = time.Minute
+	maxPrefixBlocks        = 128
+	cacheEventsPerTick     = 256
+	retryAfterSeconds      = "1"
+	headerRetryAfter       = "Retry-After"
+	reasonOwnCancelled     = "the request was cancelled before it arrived"
+	reasonOtherIncarnation = "the request is meant for another incarnation"
+	reasonQueueFull        = "the queue is full"
+	reasonUnknownID        = "the request is not known"
+	reasonNotServedHere    = "the model is not loaded"
 )
 
 // EngineOptions are the settings of an Engine. Zero values mean defaults.
@@ -100,10 +101,8 @@
 	}
 }
 
-// reset forgets all requests and the cache, as a restart does.
+// reset forgets all requests and the cache, as a restart does. The lock is held.
 func (e *Engine) reset() {
-	e.runsMu.Lock()
-	defer e.runsMu.Unlock()
 	if e.endLife != nil {
 		e.endLife()
 	}
@@ -147,12 +146,14 @@
 
 // Crash drops all requests and starts the next incarnation.
 func (e *Engine) Crash() {
+	e.runsMu.Lock()
 	e.reset()
+	e.restart()
+	e.runsMu.Unlock()
 	e.running.Wait()
 	if e.identity.OnCrash != nil {
 		e.identity.OnCrash()
 	}
-	e.restart()
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -175,6 +176,7 @@
 	}
 	started, status, reason := e.start(r, req, faults, faults.crashes(body))
 	if started == nil {
+		e.setIncarnation(w)
 		w.Header().Set(headerRetryAfter, retryAfterSeconds)
 		writeError(w, status, reason)
 		return
@@ -196,6 +198,9 @@
 	priority, _ := strconv.Atoi(r.Header.Get(announce.HeaderPriority))
 	e.runsMu.Lock()
 	defer e.runsMu.Unlock()
+	if !e.meant(r) {
+		return nil, http.StatusConflict, reasonOtherIncarnation
+	}
 	if e.cancelled[id] {
 		return nil, http.StatusConflict, reasonOwnCancelled
 	}
--- a/internal/fake/member.go
+++ b/internal/fake/member.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -239,3 +240,16 @@
 	state.Incarnation = m.currentIncarnation()
 	writeJSON(w, http.StatusOK, state)
 }
+
+// meant tells whether a request is meant for the present incarnation.
+func (m *member) meant(r *http.Request) bool {
+	want := r.Header.Get(announce.HeaderIncarnation)
+	return want == "" || want == formatIncarnation(m.currentIncarnation())
+}
+
+// setIncarnation names the present incarnation in an answer.
+func (m *member) setIncarnation(w http.ResponseWriter) {
+	w.Header().Set(announce.HeaderIncarnation, formatIncarnation(m.currentIncarnation()))
+}
+
+func formatIncarnation(n uint64) string { return strconv.FormatUint(n, 10) }
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -99,9 +99,8 @@
 	return s
 }
 
+// reset forgets all calls, as a restart does. The lock is held.
 func (s *Service) reset() {
-	s.callsMu.Lock()
-	defer s.callsMu.Unlock()
 	if s.endLife != nil {
 		s.endLife()
 	}
@@ -135,11 +134,13 @@
 
 // Crash drops all calls and starts the next incarnation. What took effect stays.
 func (s *Service) Crash() {
+	s.callsMu.Lock()
 	s.reset()
+	s.restart()
+	s.callsMu.Unlock()
 	if s.identity.OnCrash != nil {
 		s.identity.OnCrash()
 	}
-	s.restart()
 }
 
 // work wraps effect, which is what a call does, with all that is common to calls.
@@ -161,8 +162,9 @@
 
 func (s *Service) serveWork(w http.ResponseWriter, r *http.Request, body []byte, faults Faults, effect func(*http.Request, []byte) answer) {
 	id := r.Header.Get(announce.HeaderRequestID)
-	c, status := s.admit(id)
+	c, status := s.admit(r, id)
 	if c == nil {
+		s.setIncarnation(w)
 		w.Header().Set(headerRetryAfter, retryAfterSeconds)
 		writeError(w, status, "the call was not run")
 		return
@@ -197,10 +199,10 @@
 }
 
 // admit registers a call and asks for a place. It returns the status of the refusal if there is none.
-func (s *Service) admit(id string) (*call, int) {
+func (s *Service) admit(r *http.Request, id string) (*call, int) {
 	s.callsMu.Lock()
 	defer s.callsMu.Unlock()
-	if s.cancelled[id] {
+	if !s.meant(r) || s.cancelled[id] {
 		return nil, http.StatusConflict
 	}
 	place := s.slots.enter(0)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,6 +14,9 @@
 // DefaultFreshness is the time without an announcement after which an upstream gets no new work.
 const DefaultFreshness = 3 * time.Second
 
+// lostDoubt is the time for which an announcement may have been on its way.
+const lostDoubt = 5 * time.Second
+
 // retention is the time without an announcement after which an upstream is forgotten.
 const retention = 10 * time.Minute
 
@@ -47,8 +50,10 @@
 	state atomic.Pointer[State]
 	// inFlight counts the requests that this host has open at the upstream.
 	inFlight atomic.Int64
-	// broken tells that connections broke since the latest announcement.
-	broken atomic.Bool
+	// unreachable tells that a connection was refused since the latest announcement.
+	unreachable atomic.Bool
+	// lost is when the present incarnation was taken for lost, or nil.
+	lost atomic.Pointer[time.Time]
 	// claims guards the change of inFlight and alone together.
 	claims sync.Mutex
 	// alone tells that one request has the upstream for itself on this host.
@@ -84,14 +89,25 @@
 	}
 }
 
-// MarkBroken withholds new work from an upstream whose connections broke,
-// until it announces itself again.
-func (e *Entry) MarkBroken() { e.broken.Store(true) }
+// MarkUnreachable withholds new work from an upstream that refused a
+// connection, until it announces itself again.
+func (e *Entry) MarkUnreachable() { e.unreachable.Store(true) }
+
+// MarkLost withholds new work from an incarnation whose connections broke, until
+// the upstream announces a later one. An announcement of the same incarnation
+// shows that it lives only if it arrives lostDoubt later: it may have been sent
+// before the break. Work sent in between would be run by an incarnation that
+// nobody knows of.
+func (e *Entry) MarkLost(incarnation uint64, now time.Time) {
+	if e.state.Load().Incarnation == incarnation {
+		e.lost.Store(&now)
+	}
+}
 
 // Usable tells whether the upstream may get new work at time now.
 func (e *Entry) Usable(now time.Time, freshness time.Duration) bool {
 	s := e.state.Load()
-	if s.State != announce.StateServing || e.broken.Load() || e.alone.Load() {
+	if s.State != announce.StateServing || e.unreachable.Load() || e.lost.Load() != nil || e.alone.Load() {
 		return false
 	}
 	return now.Sub(s.Seen) < freshness
@@ -155,8 +171,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stale.Swap(false) {
+	if r.stale.Load() {
 		r.snapshot.Store(buildSnapshot(maps.Clone(r.entries)))
+		// Only now: a reader that finds nothing stale reads the snapshot without the lock.
+		r.stale.Store(false)
 	}
 	return r.snapshot.Load()
 }
@@ -177,7 +195,10 @@
 	}
 	next := successor(old, a, now, entry.inFlight.Load())
 	entry.state.Store(next)
-	entry.broken.Store(false)
+	entry.unreachable.Store(false)
+	if lost := entry.lost.Load(); lost != nil && (a.Incarnation > old.Incarnation || now.Sub(*lost) >= lostDoubt) {
+		entry.lost.Store(nil)
+	}
 	if !sameMembership(old, next) {
 		r.stale.Store(true)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -35,6 +36,24 @@
 	g.Expect(state.Since).To(Equal(start.Add(time.Second)))
 }
 
+func TestEveryReaderSeesWhatWasApplied(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	const readers = 8
+	for n := 1; n <= 500; n++ {
+		a := announcement(1, 1)
+		a.ID = fmt.Sprint("engine-", n)
+		r.Apply(a, start)
+		seen := make(chan int, readers)
+		for range readers {
+			go func() { seen <- len(r.Snapshot().Entries) }()
+		}
+		for range readers {
+			g.Expect(<-seen).To(Equal(n))
+		}
+	}
+}
+
 func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
 	g := NewWithT(t)
 	r := New(0)
@@ -61,17 +80,34 @@
 	g.Expect(r.Snapshot().Entries).To(BeEmpty())
 }
 
-func TestBrokenUpstreamWaitsForItsNextAnnouncement(t *testing.T) {
+func TestUnreachableUpstreamWaitsForItsNextAnnouncement(t *testing.T) {
 	g := NewWithT(t)
 	r := New(0)
 	r.Apply(announcement(1, 1), start)
 	entry := r.Snapshot().Entries["engine-1"]
-	entry.MarkBroken()
+	entry.MarkUnreachable()
 	g.Expect(entry.Usable(start, r.Freshness())).To(BeFalse())
 	r.Apply(announcement(1, 2), start)
 	g.Expect(entry.Usable(start, r.Freshness())).To(BeTrue())
 }
 
+func TestLostIncarnationGetsNoWorkByALateAnnouncement(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	r.Apply(announcement(1, 1), start)
+	entry := r.Snapshot().Entries["engine-1"]
+	entry.MarkLost(1, start)
+	r.Apply(announcement(1, 2), start.Add(lostDoubt-1))
+	g.Expect(entry.Usable(start.Add(lostDoubt-1), r.Freshness())).To(BeFalse())
+	r.Apply(announcement(1, 3), start.Add(lostDoubt))
+	g.Expect(entry.Usable(start.Add(lostDoubt), r.Freshness())).To(BeTrue(), "it lives")
+	entry.MarkLost(1, start.Add(lostDoubt))
+	r.Apply(announcement(2, 1), start.Add(lostDoubt))
+	g.Expect(entry.Usable(start.Add(lostDoubt), r.Freshness())).To(BeTrue())
+	entry.MarkLost(1, start.Add(lostDoubt))
+	g.Expect(entry.Usable(start.Add(lostDoubt), r.Freshness())).To(BeTrue(), "another incarnation was lost")
+}
+
 func TestLoadAddsWhatTheHostOpenedSinceTheReport(t *testing.T) {
 	g := NewWithT(t)
 	r := New(0)
