Keep a request that met a refusal from waiting for itself

Cause: after a crash a suspect that an upstream then refused was told "suspect_busy" until its deadline: the control group counted the refused dispatch as a running copy of the body, and as an upstream that the body was exposed to. Also, an engine that breaks a connection just before it ends still answers that the call failed, which was taken as a sign that it lives: the crash was not reported.

Change: Dispatch and Release name the dispatches that provably did not run; a request's own earlier dispatches are no other copy; an instance that was lost with a body never gets it again; only "running" and "done" show that an upstream lives.

--- a/internal/containment/tracker.go
+++ b/internal/containment/tracker.go
@@ -162,14 +162,18 @@
 }
 
 // CheckOpen returns why the body may not be sent to the instance now, and
-// where it may be sent instead. Nothing is changed.
-func (t *Tracker) CheckOpen(hash string, to controlapi.Instance, nowMS int64) (*errkind.Error, []controlapi.Instance) {
+// where it may be sent instead. Own are the request's earlier dispatches, which
+// it has given up. Nothing is changed.
+func (t *Tracker) CheckOpen(hash string, to controlapi.Instance, nowMS int64, own ...controlapi.Instance) (*errkind.Error, []controlapi.Instance) {
 	b := t.bodies[hash]
 	if b == nil {
 		return nil, nil
 	}
+	if slices.Contains(b.Lost, to) {
+		return busy("upstream %s was lost with this request in flight", to.Upstream), nil
+	}
 	if b.Suspect {
-		if b.hasLiveOpen() {
+		if b.hasLiveOpen(own) {
 			return busy("another copy of a request that was in flight at a crash is running"), nil
 		}
 		if t.hasOtherSuspect(b, to) {
@@ -190,10 +194,15 @@
 	return errkind.New(errkind.SuspectBusy, format, args...).WithRetryAfter(SuspectRetryAfter)
 }
 
-// hasLiveOpen tells whether the body has an open dispatch on an instance that is not lost.
-func (b *tracked) hasLiveOpen() bool {
-	for instance := range b.open {
-		if !slices.Contains(b.Lost, instance) {
+// hasLiveOpen tells whether the body has an open dispatch, beside own, on an
+// instance that is not lost.
+func (b *tracked) hasLiveOpen(own []controlapi.Instance) bool {
+	for instance, open := range b.open {
+		mine := 0
+		if slices.Contains(own, instance) {
+			mine = 1
+		}
+		if open > mine && !slices.Contains(b.Lost, instance) {
 			return true
 		}
 	}
--- a/internal/control/begin.go
+++ b/internal/control/begin.go
@@ -121,8 +121,10 @@
 	return m.checkInstance(b.BodyHash, firstInstance(b))
 }
 
-func (m *Machine) checkInstance(body string, to controlapi.Instance) *controlapi.Result {
-	err, runOn := m.bodies.CheckOpen(body, to, m.nowMS)
+// checkInstance returns the refusal of a body on an upstream; nil if there is
+// none. The request's own earlier dispatches have ended by its owner's word.
+func (m *Machine) checkInstance(body string, to controlapi.Instance, own ...controlapi.Instance) *controlapi.Result {
+	err, runOn := m.bodies.CheckOpen(body, to, m.nowMS, own...)
 	if err == nil {
 		return nil
 	}
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -19,6 +19,7 @@
 	if !m.sessions.isOpen(r.Session) {
 		return refuse(errkind.New(errkind.SessionExpired, "session %s is not open", r.Session))
 	}
+	m.dropNotRun(r, d.NotRun)
 	to := controlapi.Instance{Upstream: d.Upstream, Incarnation: d.UpstreamIncarnation}
 	if to.Upstream == "" || len(to.Upstream) > maxIDBytes {
 		return refuse(errkind.New(errkind.InvalidRequest, "upstream id has %d bytes, 1 to %d are allowed", len(to.Upstream), maxIDBytes))
@@ -39,7 +40,7 @@
 	if earlierNotRun {
 		m.bodies.Close(r.BodyHash, r.ForgetDispatches(), containment.NotRun, m.nowMS)
 	}
-	if refusal := m.checkInstance(r.BodyHash, to); refusal != nil {
+	if refusal := m.checkInstance(r.BodyHash, to, r.Dispatches...); refusal != nil {
 		return refusal
 	}
 	r.AddDispatch(to)
@@ -47,6 +48,13 @@
 	return &controlapi.Result{}
 }
 
+// dropNotRun takes the owner's word that dispatches of the record did not run.
+func (m *Machine) dropNotRun(r *request.Record, notRun []controlapi.Instance) {
+	if dropped := r.DropDispatches(notRun); len(dropped) > 0 {
+		m.bodies.Close(r.BodyHash, dropped, containment.NotRun, m.nowMS)
+	}
+}
+
 // attempt returns the record of a command that names an attempt of a request.
 func (m *Machine) attempt(id string, attempt uint32, session string) (*request.Record, error) {
 	r := m.requests.Get(id)
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -23,6 +23,7 @@
 	if c.MayHaveRun && !r.Repeatable {
 		return refuse(errkind.New(errkind.OutcomeUnknown, "request %s may not be repeated and may have run", r.ID))
 	}
+	m.dropNotRun(r, c.NotRun)
 	ending := containment.NotRun
 	if c.MayHaveRun {
 		ending = containment.NoEnd
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -102,6 +102,9 @@
 	EarlierNotRun bool `cbor:"5,keyasint,omitempty"`
 	// Session is the sender's session; a command of another session than the owner's is refused.
 	Session string `cbor:"6,keyasint,omitempty"`
+	// NotRun are earlier dispatches of this attempt that provably did not run. They no longer
+	// count, neither as runs nor as upstreams that the body was exposed to.
+	NotRun []Instance `cbor:"7,keyasint,omitempty"`
 }
 
 // SettleRequest charges a request that ran and frees the rest of its reservation.
@@ -129,6 +132,8 @@
 	MayHaveRun bool `cbor:"3,keyasint,omitempty"`
 	// Session is the sender's session, as in DispatchRequest.
 	Session string `cbor:"4,keyasint,omitempty"`
+	// NotRun are dispatches that provably did not run, as in DispatchRequest.
+	NotRun []Instance `cbor:"5,keyasint,omitempty"`
 }
 
 // CrashReport tells that an upstream was lost with requests in flight.
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -85,12 +85,13 @@
 }
 
 // reportCrash tells the control group that the connection to t broke with the
-// call in flight, unless the upstream still knows the call. The report is
+// call in flight, unless the same incarnation still runs the call or has done
+// so: one that only says that the call failed may be about to end. The report is
 // committed before any of the calls is sent again; the error is set if it is not.
 func (x *exchange) reportCrash(t target) *errkind.Error {
 	if t.asks && !t.gone() {
 		state, err := x.h.upstreams.ask(x.work, http.MethodGet, t.address, x.requestID)
-		if err == nil && state.Incarnation == t.incarnation {
+		if err == nil && state.Incarnation == t.incarnation && (state.State == "running" || state.State == "done") {
 			return nil
 		}
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -138,6 +139,7 @@
 // final answer if not.
 func (x *exchange) afterFailure(f *failure, t target, tries int) error {
 	x.mayHaveRun = x.mayHaveRun || !f.notRun
+	x.noteRun(f, t)
 	x.h.Log.Info("try failed", "request_id", x.requestID, "organisation", x.id.caller.Organisation,
 		"upstream", t.entry.ID, "reason", f.reason, "detail", f.text)
 	if f.callerGone {
@@ -163,6 +165,17 @@
 	return err
 }
 
+// noteRun takes note of whether t may have run the call.
+func (x *exchange) noteRun(f *failure, t target) {
+	instance := controlapi.Instance{Upstream: t.entry.ID, Incarnation: t.incarnation}
+	switch {
+	case !f.notRun:
+		x.ran = append(x.ran, instance)
+	case !slices.Contains(x.ran, instance):
+		x.notRun = append(x.notRun, instance)
+	}
+}
+
 // mayRetry returns nil if a repeatable call may be sent again.
 func (x *exchange) mayRetry(f *failure, t target, tries int) error {
 	refusal := errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", f.reason).WithRetryAfter(upstreamRetry)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/godwitbend/godwitbend/internal/admission"
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
@@ -76,6 +77,9 @@
 	suspect bool
 	// isRerun tells that the call is charged already, under another record.
 	isRerun bool
+	// ran are the instances that may have run the call in this attempt, and notRun
+	// those that were recorded for it and provably did not.
+	ran, notRun []controlapi.Instance
 	// runOn are the only upstreams that containment lets the call run on, if any.
 	runOn []string
 	// tried is the time at which the present try began.
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -146,13 +146,13 @@
 	defer cancel()
 	res, err := x.h.commit(ctx, &controlapi.Command{Dispatch: &controlapi.DispatchRequest{
 		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, Upstream: t.entry.ID,
-		UpstreamIncarnation: t.incarnation, EarlierNotRun: !x.mayHaveRun,
+		UpstreamIncarnation: t.incarnation, EarlierNotRun: !x.mayHaveRun, NotRun: x.notRun,
 	}})
 	if res != nil {
 		x.confine(res)
 	}
 	if err == nil {
-		x.dispatched = t
+		x.dispatched, x.notRun = t, nil
 	}
 	return err
 }
@@ -192,7 +192,7 @@
 		return nil
 	}
 	return x.finish(&controlapi.Command{Release: &controlapi.ReleaseRequest{
-		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, MayHaveRun: mayHaveRun,
+		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, MayHaveRun: mayHaveRun, NotRun: x.notRun,
 	}})
 }
 
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -163,6 +163,25 @@
 // AddDispatch records that the request is about to be sent to d.
 func (r *Record) AddDispatch(d controlapi.Instance) { r.Dispatches = append(r.Dispatches, d) }
 
+// DropDispatches drops those of the dispatches that are listed, which provably
+// did not run, and returns them.
+func (r *Record) DropDispatches(listed []controlapi.Instance) []controlapi.Instance {
+	var dropped, kept []controlapi.Instance
+	earlier := 0
+	for i, d := range r.Dispatches {
+		if slices.Contains(listed, d) {
+			dropped = append(dropped, d)
+			continue
+		}
+		kept = append(kept, d)
+		if i < r.Earlier {
+			earlier++
+		}
+	}
+	r.Dispatches, r.Earlier = kept, earlier
+	return dropped
+}
+
 // ForgetDispatches drops the dispatches, which provably did not run, and returns them.
 func (r *Record) ForgetDispatches() []controlapi.Instance {
 	dropped := r.Dispatches
