Check the configuration again right before each dispatch

Cause: a request was admitted under one view and dispatched after a queue and a Begin; a change that was accepted in between (a caller removed, a policy narrowed, a lease lapsed) did not stop it.

Change: right before each dispatch the view in force is looked at once more; if its revision differs, caller, organisation, class, method and the policy for the chosen upstream are checked again. What is no longer allowed is released and refused, "not run".

Conclusion: TestConfigurationIsCheckedAgainRightBeforeTheDispatch passes; it cannot pass without the check, as the changes come after Begin.

--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -42,6 +42,11 @@
 	if view == nil {
 		return nil, errkind.New(errkind.LeaseLapsed, "the host has no configuration yet").WithRetryAfter(leaseRetry)
 	}
+	return identify(view, hash)
+}
+
+// identify returns the caller whose key has the given hash, if it may have work done.
+func identify(view *config.View, hash string) (*identity, error) {
 	caller, ok := view.CallerByKeyHash(hash)
 	if !ok || subtle.ConstantTimeCompare([]byte(hash), []byte(caller.KeyHash)) != 1 {
 		return nil, errkind.New(errkind.Unauthenticated, "the key is not known")
@@ -69,6 +74,11 @@
 	if h.Draining != nil && h.Draining() {
 		return errkind.New(errkind.Draining, "the host is shutting down").WithRetryAfter(drainRetry)
 	}
+	return h.checkLease()
+}
+
+// checkLease refuses work while the configuration lease does not hold.
+func (h *Handler) checkLease() error {
 	if h.LeaseValid != nil && !h.LeaseValid() {
 		return errkind.New(errkind.LeaseLapsed, "the host's configuration may be out of date").WithRetryAfter(leaseRetry)
 	}
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -21,6 +21,8 @@
 	loseAnswer string
 	// onSettle, if set, is called before a Settle is committed.
 	onSettle func()
+	// onBegun, if set, is called after a Begin has committed.
+	onBegun func()
 	// log holds the names of the commands that committed.
 	log []string
 	// reserved holds the reservations that the committed Begins asked for.
@@ -36,6 +38,9 @@
 	if cmd.Settle != nil && c.onSettle != nil {
 		c.onSettle()
 	}
+	if cmd.Begin != nil && c.onBegun != nil {
+		defer c.onBegun()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -41,6 +41,10 @@
 		return err
 	}
 	for tries := 1; ; tries++ {
+		if err := x.recheck(t); err != nil {
+			t.leave()
+			return err
+		}
 		f := x.try(t)
 		if f == nil {
 			t.leave()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -23,6 +23,8 @@
 	method      string
 	path        string
 	contentType string
+	// below is the decoded path below /services/{service} of a plain call.
+	below string
 	// body is what is sent to the upstream.
 	body       []byte
 	bodyHash   string
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -41,6 +41,7 @@
 		kind:        callPlain,
 		method:      r.Method,
 		path:        target,
+		below:       below,
 		contentType: r.Header.Get("Content-Type"),
 		body:        in.body,
 		bodyHash:    controlapi.BodyHash(name, r.Method+" "+target, in.body),
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/fake"
 )
@@ -158,3 +160,47 @@
 		s.Expect((<-got).whole()).To(BeTrue())
 	})
 }
+
+func TestConfigurationIsCheckedAgainRightBeforeTheDispatch(t *testing.T) {
+	changes := map[string]struct {
+		change func(s *site)
+		kind   errkind.Kind
+	}{
+		"caller removed":        {func(s *site) { s.change(config.KindCaller, "caller", nil) }, errkind.Unauthenticated},
+		"organisation disabled": {func(s *site) { s.change(config.KindOrganisation, "org", config.OrganisationSpec{Disabled: true}) }, errkind.Forbidden},
+		"policy narrowed": {func(s *site) {
+			s.change(config.KindPolicy, "p", config.PolicySpec{Organisation: "org", Services: []string{"numbers"}, Upstreams: []string{"other-*"}})
+		}, errkind.Forbidden},
+		"service removed": {func(s *site) { s.change(config.KindService, "numbers", nil) }, errkind.NotFound},
+		"lease lapsed":    {func(s *site) { s.lapsed = true }, errkind.LeaseLapsed},
+	}
+	for name, test := range changes {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, 1000, func(s *site) {
+				v := s.addService(1, nil)
+				s.control.onBegun = func() { test.change(s) }
+				a := s.nextNumber(key("k"))
+				s.Expect(a.refusal.Kind).To(Equal(test.kind), a.body)
+				s.Expect(a.refusal.Outcome).To(Equal(errkind.NotRun))
+				s.Expect(v.Truth().Records()).To(BeEmpty())
+				s.Expect(s.control.only().State).To(Equal("released"))
+			})
+		})
+	}
+}
+
+func TestUnrelatedChangeDoesNotStopARequest(t *testing.T) {
+	inSite(t, 1000, func(s *site) {
+		s.addService(1, nil)
+		s.control.onBegun = func() { s.change(config.KindService, "hidden", nil) }
+		s.Expect(s.nextNumber(key("k")).status).To(Equal(http.StatusOK))
+	})
+}
+
+// change puts a new spec of a record in force on the host; nil removes the record.
+func (s *site) change(kind config.Kind, name string, spec any) {
+	r := config.Record{Kind: kind, Name: name, SchemaVersion: config.MaxSchema, Revision: s.view.Revision() + 1, Deleted: spec == nil}
+	r.Spec, _ = json.Marshal(spec)
+	s.view = s.view.With([]config.Record{r}, s.view.Revision()+1)
+	s.Expect(s.view.Faults()).To(BeEmpty())
+}
