Wire admission, routing and cache events into the daemon

Cause: the daemon still admitted all requests at once and gave the router no cache events. Change: it uses the gate with the registry's places, and the router with the number of live hosts. go test ./... passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
 	"github.com/godwitbend/godwitbend/internal/registry"
+	"github.com/godwitbend/godwitbend/internal/routing"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/session"
 	"github.com/godwitbend/godwitbend/internal/settings"
@@ -40,6 +41,7 @@
 	standby  *standby.Client
 	journals []*standby.Journals
 	registry *registry.Registry
+	router   *routing.Router
 	replica  *controlReplica
 	forward  *forwarder
 	// leaving fails the readiness check; draining refuses new work.
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -38,6 +38,11 @@
 	d.rpc = rpc.NewClient(d.network.DialHost)
 	d.upstreamHTTP = d.network.UpstreamClient()
 	d.registry = registry.New(d.settings.UpstreamTimeout.Duration)
+	d.router = routing.New(routing.Settings{
+		Zone:      d.settings.Zone,
+		Freshness: d.settings.UpstreamTimeout.Duration,
+		Hosts:     d.hostCount,
+	})
 	hostsListener, err := d.network.ListenHosts(d.settings.Listen.Hosts)
 	if err != nil {
 		return err
@@ -143,25 +148,25 @@
 	return out
 }
 
+// hostCount returns the number of entry hosts with a live session, at least one.
+func (d *Daemon) hostCount() int { return max(len(d.session.Hosts()), 1) }
+
 // announcements returns the handler that takes upstreams' announcements in.
 func (d *Daemon) announcements(ctx context.Context) *registry.Handler {
 	d.forward = newForwarder(ctx, d.settings.Listen.Hosts, d.rpc, d.session.Hosts)
-	return &registry.Handler{Registry: d.registry, Forward: d.forward.forward}
+	return &registry.Handler{Registry: d.registry, Forward: d.forward.forward, Observe: d.router.Observe}
 }
 
 func (d *Daemon) callerHandler() *entry.Handler {
 	return entry.New(entry.Options{
-		Control:    d.standby,
-		Session:    d.session.ID,
-		LeaseValid: d.session.LeaseValid,
-		Draining:   d.draining.Load,
-		View:       d.session.View,
-		Registry:   d.registry,
-		Admission:  admission.Open{},
-		Router: routing.New(routing.Settings{
-			Zone:      d.settings.Zone,
-			Freshness: d.settings.UpstreamTimeout.Duration,
-		}),
+		Control:     d.standby,
+		Session:     d.session.ID,
+		LeaseValid:  d.session.LeaseValid,
+		Draining:    d.draining.Load,
+		View:        d.session.View,
+		Registry:    d.registry,
+		Admission:   admission.NewGate(admission.Settings{}, admission.NewCapacity(d.registry, d.hostCount, nil).Of, nil),
+		Router:      d.router,
 		Metrics:     d.metrics.Scope,
 		OwnerServes: d.ownerServes,
 		HTTPClient:  d.upstreamHTTP,
