--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -218,15 +218,20 @@
 	}
 }
 
+// hashOf returns the hash of a bearer key as records hold it.
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 func records() []config.Record {
-	hash := sha256.Sum256([]byte(callerKey))
 	spec := func(kind config.Kind, name string, v any) config.Record {
 		data, _ := json.Marshal(v)
 		return config.Record{Kind: kind, Name: name, SchemaVersion: 2, Revision: 1, Spec: data}
 	}
 	return []config.Record{
 		spec(config.KindOrganisation, "org", config.OrganisationSpec{}),
-		spec(config.KindCaller, "caller", config.CallerSpec{Organisation: "org", KeyHash: hex.EncodeToString(hash[:]), Class: "gold", Budget: "b", MaxConcurrent: 4}),
+		spec(config.KindCaller, "caller", config.CallerSpec{Organisation: "org", KeyHash: hashOf(callerKey), Class: "gold", Budget: "b", MaxConcurrent: 4}),
 		spec(config.KindBudget, "b", config.BudgetSpec{Organisation: "org"}),
 		spec(config.KindClass, "gold", config.ClassSpec{Worth: 10, DeadlineMS: 5000, QueueLimit: 10}),
 		spec(config.KindPolicy, "p", config.PolicySpec{Organisation: "org", Services: []string{"m", "numbers", "absent"}, Upstreams: []string{"*"}}),
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -67,7 +67,8 @@
 	// life ends when the incarnation crashes.
 	life    context.Context
 	endLife context.CancelFunc
-	running sync.WaitGroup
+	// running counts the requests of the present incarnation.
+	running *sync.WaitGroup
 }
 
 // NewEngine returns an engine that serves the protocol of package announce.
@@ -110,6 +111,7 @@
 	e.slots = &slots{capacity: e.opts.Capacity, queueMax: e.opts.Queue}
 	e.cache = newPrefixCache(e.opts.CacheBlocks, e.opts.CacheGapEvery)
 	e.runs = map[string]*run{}
+	e.running = &sync.WaitGroup{}
 	e.cancelled = map[string]bool{}
 }
 
@@ -133,24 +135,29 @@
 
 // Wait returns when no request runs, or when ctx ends.
 func (e *Engine) Wait(ctx context.Context) error {
-	return waitGroup(ctx, &e.running)
+	e.runsMu.Lock()
+	running := e.running
+	e.runsMu.Unlock()
+	return waitGroup(ctx, running)
 }
 
 // Close ends all requests as a crash does.
 func (e *Engine) Close() {
 	e.runsMu.Lock()
 	e.endLife()
+	running := e.running
 	e.runsMu.Unlock()
-	e.running.Wait()
+	running.Wait()
 }
 
 // Crash drops all requests and starts the next incarnation.
 func (e *Engine) Crash() {
 	e.runsMu.Lock()
+	lost := e.running
 	e.reset()
 	e.restart()
 	e.runsMu.Unlock()
-	e.running.Wait()
+	lost.Wait()
 	if e.identity.OnCrash != nil {
 		e.identity.OnCrash()
 	}
@@ -219,6 +226,7 @@
 		faults:      faults,
 		crashes:     crashes,
 		slots:       e.slots,
+		running:     e.running,
 		place:       place,
 		cache:       e.cache,
 		created:     time.Now(),
--- a/internal/fake/run.go
+++ b/internal/fake/run.go
@@ -34,6 +34,7 @@
 	faults      Faults
 	crashes     bool
 	slots       *slots
+	running     *sync.WaitGroup
 	place       *waiter
 	cache       *prefixCache
 	created     time.Time
@@ -55,7 +56,7 @@
 
 // generate runs the request to its end.
 func (r *run) generate() {
-	defer r.engine.running.Done()
+	defer r.running.Done()
 	defer r.slots.leave(r.place)
 	select {
 	case <-r.place.granted:
