Give the same answer to each run of a prompt; add the failure tests of real processes

The answer now depends on the model and the messages only. Records are applied in the newest schema; a plan that states version 1 with fields of version 2 was refused.

--- a/cmd/godwitbend-demo/demo.go
+++ b/cmd/godwitbend-demo/demo.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	if want := req.AnswerText(a.RequestID, a.Usage.CompletionTokens); a.Text != want {
+	if want := req.AnswerText(a.Usage.CompletionTokens); a.Text != want {
 		return fmt.Errorf("text %q, want %q", a.Text, want)
 	}
 	d.billed += a.Usage.TotalTokens
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -34,8 +34,8 @@
 	Cut bool
 	// Wrong tells that a whole answer was not the request's own.
 	Wrong bool
-	// Tokens is the usage that a whole answer told.
-	Tokens int64
+	// Detail says what was wrong, for people.
+	Detail string
 }
 
 // Evidence is what the audit compares.
@@ -71,8 +71,11 @@
 	RefusalAnswers map[errkind.Kind]int
 	// Unanswered counts the requests that ended without an answer.
 	Unanswered int
-	// WastedTokens is what upstreams ran of chat requests beyond one whole run each.
+	// WastedTokens is what upstreams ran of chat requests beyond one whole run of
+	// each, under whatever id. It is below 0 if runs were cut short.
 	WastedTokens int64
+	// Examples describe some of the broken promises.
+	Examples []string
 }
 
 // FalseRefusalRatio returns the part of the requests that were refused falsely.
--- a/internal/load/demand.go
+++ b/internal/load/demand.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/harness"
 	"github.com/godwitbend/godwitbend/internal/trace"
@@ -47,7 +46,7 @@
 	if err != nil {
 		return 0
 	}
-	output := req.OutputTokens(controlapi.RequestIDFor(a.Caller(), a.Key))
+	output := req.OutputTokens()
 	prompt := req.PromptTokens() * int64(a.TextBytes) / int64(a.PrefixBytes+a.TextBytes)
 	return time.Duration(output)*e.TokenTime + time.Duration(prompt)*e.PromptTokenTime
 }
--- a/internal/load/driver.go
+++ b/internal/load/driver.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -189,7 +191,8 @@
 		answer.Refusal = nil
 	case err == nil && success:
 		answer.Whole = true
-		answer.Wrong = !d.isOwnAnswer(o, got)
+		answer.Detail = d.fault(o, got)
+		answer.Wrong = answer.Detail != ""
 		o.keepSample(sent, got)
 	}
 	o.mu.Lock()
@@ -217,23 +220,39 @@
 	}
 }
 
-// isOwnAnswer tells whether got answers o and no other request.
-func (d *Driver) isOwnAnswer(o *order, got *harness.Answer) bool {
+// fault returns what tells that got is not the answer to o, or "".
+func (d *Driver) fault(o *order, got *harness.Answer) string {
 	if got.RequestID != o.id {
-		return false
+		return "it carries the id " + got.RequestID
 	}
 	if o.chat != nil {
-		n := o.chat.OutputTokens(o.id)
-		return got.Usage != nil && got.Usage.CompletionTokens == n && got.Text == o.chat.AnswerText(o.id, n)
+		return chatFault(o, got)
+	}
+	if !json.Valid(got.Body) {
+		return fmt.Sprintf("the body is %q", got.Body)
 	}
 	if o.arrival.Method != http.MethodPost {
-		return json.Valid(got.Body)
+		return ""
+	}
+	return d.numberFault(o, strings.TrimSpace(string(got.Body)))
+}
+
+func chatFault(o *order, got *harness.Answer) string {
+	n := o.chat.OutputTokens()
+	switch {
+	case got.Usage == nil:
+		return "it has no usage"
+	case got.Usage.CompletionTokens != n:
+		return fmt.Sprintf("it has %d tokens, not %d", got.Usage.CompletionTokens, n)
+	case got.Text != o.chat.AnswerText(n):
+		return fmt.Sprintf("the text is %q", got.Text)
+	default:
+		return ""
 	}
-	return d.isOnlyOwner(o, string(got.Body))
 }
 
-// isOnlyOwner tells whether each number went to one request, and each request got one.
-func (d *Driver) isOnlyOwner(o *order, body string) bool {
+// numberFault tells of a number that went to two requests, or of a request that got two.
+func (d *Driver) numberFault(o *order, body string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	place := o.arrival.Path + " " + body
@@ -243,7 +262,14 @@
 	if _, known := d.bodies[o.id]; !known {
 		d.bodies[o.id] = body
 	}
-	return d.owners[place] == o.id && d.bodies[o.id] == body
+	switch {
+	case d.owners[place] != o.id:
+		return fmt.Sprintf("%s went to %s too", body, d.owners[place])
+	case d.bodies[o.id] != body:
+		return fmt.Sprintf("it is %s and was %s", body, d.bodies[o.id])
+	default:
+		return ""
+	}
 }
 
 // keep stores what is known of o after its last answer.
@@ -267,7 +293,7 @@
 // cost returns the charge of o if it runs once, in tokens.
 func (d *Driver) cost(o *order) int64 {
 	if o.chat != nil {
-		return o.chat.PromptTokens() + o.chat.OutputTokens(o.id)
+		return o.chat.PromptTokens() + o.chat.OutputTokens()
 	}
 	for _, m := range d.site.opts.Deployment.Methods {
 		if m.Method == o.arrival.Method {
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/audit"
+	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/harness"
 	"github.com/godwitbend/godwitbend/internal/trace"
 )
@@ -80,15 +82,25 @@
 func (s *Site) RunNaive(ctx context.Context, arrivals []trace.Arrival, speed float64) (*Outcome, error) {
 	driver := newDriver(s, newNaive(s))
 	driver.Run(ctx, arrivals, speed)
-	truth, err := s.AllTruth(ctx)
+	all, err := s.AllTruth(ctx)
 	if err != nil {
 		return nil, err
 	}
 	requests := driver.Requests()
+	truth := truthOf(requests, all)
 	findings := audit.Check(&audit.Evidence{Requests: requests, Truth: truth, LeaveLimitMS: leaveLimit.Milliseconds()})
 	return &Outcome{Findings: findings, Samples: driver.Samples(), Requests: requests}, nil
 }
 
+// truthOf returns the part of the truth that is about requests.
+func truthOf(requests []audit.Request, all []fake.TruthRecord) []fake.TruthRecord {
+	known := make(map[string]bool, len(requests))
+	for i := range requests {
+		known[requests[i].ID] = true
+	}
+	return slices.DeleteFunc(all, func(r fake.TruthRecord) bool { return !known[r.RequestID] })
+}
+
 // Evidence collects what the audit compares, after all requests have settled or
 // settling has taken too long.
 func (s *Site) Evidence(ctx context.Context, requests []audit.Request) (*audit.Evidence, error) {
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	schemaVersion   = 1
 	filePermissions = 0o600
 	readyTimeout    = 30 * time.Second
 )
@@ -180,7 +179,7 @@
 	if err != nil && b.err == nil {
 		b.err = eris.Wrapf(err, "encode %s %s", kind, name)
 	}
-	b.records = append(b.records, config.Record{Kind: kind, Name: name, SchemaVersion: schemaVersion, Spec: data})
+	b.records = append(b.records, config.Record{Kind: kind, Name: name, SchemaVersion: config.MaxSchema, Spec: data})
 }
 
 // Leader returns the host whose control replica leads, or nil.
--- /dev/null
+++ b/tests/failure/budget_test.go
@@ -0,0 +1,68 @@
+package failure_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/fake"
+	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/load"
+	"github.com/godwitbend/godwitbend/internal/trace"
+)
+
+// dryPaidIn is what is paid in for a budget that runs dry, in tokens.
+const dryPaidIn = 3000
+
+func TestBudgetRunsDryUnderConcurrency(t *testing.T) {
+	s := newSite(t, trace.Carvalho, func(o *load.SiteOptions) { o.Budget = dryPaidIn })
+	organisation := s.deployment.Organisations[0]
+	caller := harness.Caller{Key: s.Key(organisation + "-description")}
+	var mu sync.Mutex
+	var told int64
+	kinds := map[errkind.Kind]int{}
+	var senders sync.WaitGroup
+	for i := range 24 {
+		senders.Go(func() {
+			for j := range 20 {
+				key := fmt.Sprintf("dry-%d-%d", i, j)
+				a, err := caller.Do(s.ctx, harness.Call{
+					Method: http.MethodPost, URL: s.Hosts[(i+j)%len(s.Hosts)].CallersURL(), Path: harness.PathChat,
+					Key: key, Body: harness.ChatBody(s.deployment.Model, 40, "describe "+key),
+				})
+				mu.Lock()
+				if err == nil && a.Usage != nil {
+					told += a.Usage.TotalTokens
+				}
+				if a.Refusal != nil {
+					kinds[a.Refusal.Kind]++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	senders.Wait()
+	truth, err := s.AllTruth(s.ctx)
+	s.Expect(err).NotTo(HaveOccurred())
+	var ran int64
+	for _, r := range truth {
+		if r.Event != fake.TruthStarted {
+			ran += r.PromptTokens + r.OutputTokens
+		}
+	}
+	s.Expect(ran).To(BeNumerically("<=", dryPaidIn))
+	s.Expect(told).To(Equal(ran))
+	s.Expect(kinds).To(HaveKey(errkind.BudgetExhausted))
+	budgets, err := s.Budgets(s.ctx, s.Hosts[1])
+	s.Expect(err).NotTo(HaveOccurred())
+	for _, b := range budgets {
+		if b.Budget == organisation {
+			s.Expect(b.Charged).To(Equal(ran))
+			s.Expect(b.Reserved).To(BeZero())
+		}
+	}
+}
