--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/admission"
@@ -52,6 +53,9 @@
 		}
 	}
 	d.startSession(ctx)
+	if err := d.startStandby(ctx, srv); err != nil {
+		return err
+	}
 	announcements := d.announcements(ctx)
 	handler := d.callerHandler()
 	d.registerHostMethods(srv, announcements, handler)
@@ -116,10 +120,14 @@
 	}()
 }
 
+// replicaList returns the control replicas as of the last heartbeat, and behind
+// them those of the settings.
 func (d *Daemon) replicaList() []string {
-	out := make([]string, 0, len(d.settings.Replicas))
+	out := slices.Clone(d.session.Replicas())
 	for _, r := range d.settings.Replicas {
-		out = append(out, r.Address)
+		if !slices.Contains(out, r.Address) {
+			out = append(out, r.Address)
+		}
 	}
 	return out
 }
@@ -143,7 +151,7 @@
 
 func (d *Daemon) callerHandler() *entry.Handler {
 	return entry.New(entry.Options{
-		Control:    d.group,
+		Control:    d.standby,
 		Session:    d.session.ID,
 		LeaseValid: d.session.LeaseValid,
 		Draining:   d.draining.Load,
@@ -193,11 +201,13 @@
 	mux := http.NewServeMux()
 	telemetry.Register(mux, d.metrics.Handler, d.ready)
 	mux.Handle("/", operatorapi.New(operatorapi.Options{
-		Host:      d.settings.Host,
-		Control:   d.group,
-		Ready:     d.ready,
-		KeyHashes: d.settings.OperatorKeyHashes,
-		Upstreams: d.upstreams,
+		Host:          d.settings.Host,
+		Control:       d.group,
+		Ready:         d.ready,
+		KeyHashes:     d.settings.OperatorKeyHashes,
+		Upstreams:     d.upstreams,
+		ChangeReplica: d.group.ChangeReplica,
+		OnError:       func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
 	}))
 	d.operators = d.serveHTTP(operators, mux)
 	if !d.settings.HasRole(settings.RoleEntry) {
