Bill a cut-off request once as a whole; read a chat request as the engine does

Cause: (1) a caller that left early was charged for the part that it had, and a retry with the same key was served whole and free, as a settled request. (2) Go's decoder takes field names in any spelling: with "model" and "Model" in one body the policy was asked about another model than the engine ran.

Change: the record keeps that a settled run was partial, and Begin tells it; a retry then runs under a record whose id follows from the key, which reserves and charges the rest, so that the sum is the price of the whole. A retry of a whole request still charges nothing. Other spellings of the fields that the router reads are refused.

Conclusion: TestCutOffRequestIsCompletedForTheRestOfItsPrice and the refusal "second model in another spelling" pass; go test ./internal/entry ./internal/control ./internal/standby passes.

--- a/internal/control/begin.go
+++ b/internal/control/begin.go
@@ -31,7 +31,7 @@
 		return m.beginOpen(b, r)
 	case request.Settled:
 		return &controlapi.Result{Begin: &controlapi.BeginReply{
-			Status: controlapi.BeginSettled, Attempt: r.Attempt, Answer: r.Answer, Charged: r.Charged,
+			Status: controlapi.BeginSettled, Attempt: r.Attempt, Answer: r.Answer, Charged: r.Charged, Partial: r.Partial,
 		}}
 	case request.Unknown:
 		return refuse(errkind.New(errkind.OutcomeUnknown, "request %s may have run", r.ID))
--- a/internal/control/settle.go
+++ b/internal/control/settle.go
@@ -29,6 +29,7 @@
 	case s.Unknown:
 		m.closeRecord(r, containment.NoEnd, r.SettleUnknown)
 	case s.Partial:
+		r.Partial = true
 		m.closeRecord(r, containment.NoEnd, func() int64 { return r.Settle(s.Tokens, s.Answer) })
 	default:
 		m.closeRecord(r, containment.Completed, func() int64 { return r.Settle(s.Tokens, s.Answer) })
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -76,6 +76,9 @@
 	Suspect bool `cbor:"9,keyasint,omitempty"`
 	// RunOn are upstreams on which the body may run now, if the error is SuspectBusy.
 	RunOn []Instance `cbor:"10,keyasint,omitempty"`
+	// Partial tells that a settled request was cut off before its end, so that Charged covers
+	// only a part of it.
+	Partial bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Instance is one incarnation of an upstream.
@@ -117,7 +120,7 @@
 	// Its whole reservation is charged and later tries are told OutcomeUnknown.
 	Unknown bool `cbor:"5,keyasint,omitempty"`
 	// Partial tells that the run was cut off before its end, so that it is no proof that the
-	// body is harmless to upstreams.
+	// body is harmless to upstreams, and that the charge covers only a part of the request.
 	Partial bool `cbor:"6,keyasint,omitempty"`
 	// Session is the sender's session, as in DispatchRequest.
 	Session string `cbor:"7,keyasint,omitempty"`
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -41,6 +42,10 @@
 	} `json:"stream_options"`
 }
 
+// readFields are the names of chatRequest's fields. An engine must not read one
+// of them from another spelling than the router does.
+var readFields = []string{"model", "messages", "stream", "max_tokens", "max_completion_tokens", "n", "stream_options"}
+
 // parseChat decodes and checks the body of a chat request.
 func parseChat(body []byte) (*chatRequest, error) {
 	var req chatRequest
@@ -114,6 +119,11 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, errkind.New(errkind.InvalidRequest, "the body is not a JSON object: %v", err)
 	}
+	for name := range fields {
+		if lower := strings.ToLower(name); lower != name && slices.Contains(readFields, lower) {
+			return nil, errkind.New(errkind.InvalidRequest, "the field %q must be spelled %q", name, lower)
+		}
+	}
 	value := json.RawMessage(strconv.FormatInt(limit, 10))
 	fields["max_tokens"] = value
 	if req.MaxCompletionTokens != nil {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -77,6 +77,12 @@
 	mayHaveRun bool
 	// suspect tells that the call must run alone on its upstream.
 	suspect bool
+	// generation counts the records that were opened to complete the call, and
+	// paid is what the earlier ones charged, in tokens.
+	generation int
+	paid       int64
+	// ranBefore tells that the call ran and was charged under an earlier record.
+	ranBefore bool
 	// isRerun tells that the call is charged already, under another record.
 	isRerun bool
 	// ran are the instances that may have run the call in this attempt, and notRun
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -287,3 +288,24 @@
 	}()
 	time.Sleep(100 * time.Millisecond)
 }
+
+func TestCutOffRequestIsCompletedForTheRestOfItsPrice(t *testing.T) {
+	inSite(t, 10_000, func(s *site) {
+		e := s.addEngine(1, slow)
+		for _, patience := range []time.Duration{350 * time.Millisecond, 650 * time.Millisecond} {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			s.Expect(s.stream(key("k"), within(ctx)).whole()).To(BeFalse())
+			cancel()
+			time.Sleep(time.Second)
+		}
+		s.Expect(s.control.charged()).To(BeNumerically(">", 0))
+		a := s.stream(key("k"))
+		s.Expect(a.whole()).To(BeTrue(), a.body)
+		records := e.Truth().Records()
+		last := records[len(records)-1]
+		s.Expect(last.Event).To(Equal(fake.TruthFinished))
+		s.Expect(s.control.charged()).To(Equal(last.PromptTokens+last.OutputTokens), "once, as a whole")
+		s.Expect(s.stream(key("k")).whole()).To(BeTrue())
+		s.Expect(s.control.charged()).To(Equal(last.PromptTokens + last.OutputTokens))
+	})
+}
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -129,11 +129,11 @@
 		return false
 	}
 	prompt, err := x.h.upstreams.tokenize(ctx, t.address, x.body)
-	if err != nil || prompt+x.output >= x.worst {
+	if err != nil || prompt+x.output-x.paid >= x.worst {
 		return false
 	}
 	x.h.counters.event("prompts_tokenized")
-	x.worst = prompt + x.output
+	x.worst = max(prompt+x.output-x.paid, 0)
 	return true
 }
 
@@ -174,10 +174,18 @@
 func (x *exchange) settle(tokens int64, answer *controlapi.StoredAnswer, partial bool) error {
 	return x.finish(&controlapi.Command{Settle: &controlapi.SettleRequest{
 		RequestID: x.requestID, Attempt: x.attempt, Session: x.session,
-		Tokens: max(tokens, 0), Answer: answer, Partial: partial,
+		Tokens: x.charge(tokens), Answer: answer, Partial: partial,
 	}})
 }
 
+// charge returns what is charged for a run that used tokens.
+func (x *exchange) charge(tokens int64) int64 {
+	if x.isRerun {
+		return 0
+	}
+	return max(tokens-x.paid, 0)
+}
+
 // settleUnknown closes the record of a call whose fate can't be learnt.
 func (x *exchange) settleUnknown() error {
 	return x.finish(&controlapi.Command{Settle: &controlapi.SettleRequest{
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -32,6 +32,9 @@
 		"body that is no chat request": {errkind.InvalidRequest, errkind.NotRun, 0, nil, func(s *site) answer {
 			return s.call(http.MethodPost, chatPath, `{"model":1}`)
 		}},
+		"second model in another spelling": {errkind.InvalidRequest, errkind.NotRun, 0, nil, func(s *site) answer {
+			return s.call(http.MethodPost, chatPath, strings.Replace(wholeBody, `"model":"m"`, `"model":"hidden","Model":"m"`, 1))
+		}},
 		"output limit of nothing": {errkind.InvalidRequest, errkind.NotRun, 0, nil, func(s *site) answer {
 			return s.call(http.MethodPost, chatPath, strings.Replace(wholeBody, "{", `{"max_tokens":0,`, 1))
 		}},
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -121,7 +121,7 @@
 	if c.Usage != nil {
 		state.used = max(state.used, c.Usage.TotalTokens)
 	}
-	if state.output+c.tokens() > x.output || x.worst > 0 && state.used > x.worst {
+	if state.output+c.tokens() > x.output || !x.isRerun && state.used > x.worst+x.paid {
 		return true, x.cutStream(t, &c, state)
 	}
 	state.output += c.tokens()
@@ -149,7 +149,7 @@
 	x.h.counters.event("streams_cut")
 	_, _ = x.cancel(t)
 	state.held = append(state.held, cutEvent(last))
-	return x.endStream(state, x.worst, true)
+	return x.endStream(state, x.worst+x.paid, true)
 }
 
 // endStream commits the charge and writes the events that were held for it.
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 )
 
+// maxGenerations bounds how often a request that was cut off is completed.
+const maxGenerations = 16
+
 // takeOver goes on with a call whose earlier owner is gone. It owns the place at t.
 func (x *exchange) takeOver(reply *controlapi.BeginReply, t target) error {
 	if !reply.MayHaveRun {
@@ -86,20 +90,48 @@
 		t.leave()
 		return errkind.New(errkind.OutcomeUnknown, "the call ran; its answer is no longer kept").WithOutcome(errkind.Ran)
 	}
+	if reply.Partial {
+		return x.complete(ctx, reply, t)
+	}
 	return x.rerun(ctx, t)
 }
 
 // rerun runs a repeatable call that is charged already once more, under a
 // record of its own that charges nothing.
 func (x *exchange) rerun(ctx context.Context, t target) error {
-	if x.isRerun {
-		t.leave()
-		return errkind.New(errkind.Internal, "the record of a rerun is settled")
-	}
 	x.h.counters.event("reruns")
 	x.isRerun = true
-	x.requestID = newRequestID()
 	x.worst = 0
+	return x.beginAnew(ctx, newRequestID(), t)
+}
+
+// complete runs a call whose earlier run was charged in part, because it was
+// cut off, once more from its start, under a record of its own that charges the
+// rest. Its id follows from the key, so that a further try finds that record.
+func (x *exchange) complete(ctx context.Context, earlier *controlapi.BeginReply, t target) error {
+	x.generation++
+	if x.generation > maxGenerations {
+		t.leave()
+		return errkind.New(errkind.UpstreamFailed, "the request was cut off %d times; use a new key", maxGenerations).
+			WithOutcome(errkind.Ran)
+	}
+	x.h.counters.event("completions")
+	x.paid += earlier.Charged
+	x.worst = max(x.worst-earlier.Charged, 0)
+	id := controlapi.RequestIDFor(x.id.caller.Name, x.key+"\x00"+strconv.Itoa(x.generation))
+	return x.beginAnew(ctx, id, t)
+}
+
+// beginAnew opens a further record for the call and goes on with that.
+func (x *exchange) beginAnew(ctx context.Context, requestID string, t target) error {
+	leave, ok := x.h.open.enter(requestID)
+	if !ok {
+		t.leave()
+		return errkind.New(errkind.InProgress, "the request is being served").WithRetryAfter(inProgressRetry)
+	}
+	defer leave()
+	x.requestID = requestID
+	x.ranBefore = true
 	reply, t, err := x.begin(ctx, t)
 	if err != nil {
 		return err
--- a/internal/entry/truth.go
+++ b/internal/entry/truth.go
@@ -15,7 +15,7 @@
 
 // truthful states the outcome of a refused call by what is known of its record.
 func (x *exchange) truthful(e *errkind.Error) error {
-	if x.isRerun && e.Outcome() != errkind.Ran {
+	if x.ranBefore && e.Outcome() != errkind.Ran {
 		return e.WithOutcome(errkind.Ran)
 	}
 	if x.consulted {
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -65,6 +65,8 @@
 	OrphanedMS int64 `cbor:"22,keyasint,omitempty"`
 	// TakenOver tells that the present attempt took the record over from another owner.
 	TakenOver bool `cbor:"23,keyasint,omitempty"`
+	// Partial tells that a settled run was cut off before its end.
+	Partial bool `cbor:"24,keyasint,omitempty"`
 }
 
 // New returns the open record of a first attempt.
