Stop a host that is still waiting to start

Cause: SIGTERM was not looked at before the start had ended, and a control host with an empty disk waits in its start until its peers answer. Conclusion: go test -race -count=3 ./tests/fleet passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,10 +63,17 @@
 	s := d.settings
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	waiting := context.AfterFunc(ctx, stop)
 	if err := d.start(background); err != nil {
 		d.abort(stop)
+		if ctx.Err() != nil {
+			return nil
+		}
 		return err
 	}
+	if !waiting() {
+		return d.shutdown(stop)
+	}
 	klog.InfoS("host started", "host", s.Host, "zone", s.Zone)
 	select {
 	case <-ctx.Done():
--- a/tests/fleet/replace_test.go
+++ b/tests/fleet/replace_test.go
@@ -90,3 +90,25 @@
 		})
 	}
 }
+
+func TestHostThatWaitsToStartIsStopped(t *testing.T) {
+	for _, bootstrap := range []bool{true, false} {
+		run(t, siteOptions{hosts: 3, control: 3}, func(s *site) {
+			lost := s.hosts[1]
+			s.drain(lost)
+			s.Expect(os.RemoveAll(lost.settings.DataDir)).To(Succeed())
+			lost.settings.Bootstrap = bootstrap
+			s.net.Partition(names(lost), names(s.hosts[0], s.hosts[2]))
+			s.start(lost)
+			time.Sleep(settle)
+			lost.cancel()
+			select {
+			case err := <-lost.done:
+				s.Expect(err).NotTo(HaveOccurred())
+				lost.done <- err
+			case <-time.After(time.Minute):
+				s.t.Error("the host goes on waiting")
+			}
+		})
+	}
+}
