Let operators see standby grants and write them off

Cause: the grant of a host that is lost for good stays counted until an operator writes it off, and there was no way to.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -190,13 +190,36 @@
 
 // begin opens the record of a request of caller c.
 func (r *rig) begin(id string, tokens int64) {
-	result, err := r.control.Execute(context.Background(), &controlapi.Command{Begin: &controlapi.BeginRequest{
+	r.execute(&controlapi.Command{Begin: &controlapi.BeginRequest{
 		RequestID: id, Organisation: "o", Caller: "c", Budget: "b", Service: "m", BodyHash: "x", Tokens: tokens, Session: "s1",
 	}})
+}
+
+func (r *rig) execute(command *controlapi.Command) {
+	result, err := r.control.Execute(context.Background(), command)
 	r.Expect(err).NotTo(HaveOccurred())
 	r.Expect(result.Err).To(BeNil())
 }
 
+func TestGrantOfALostHostIsWrittenOff(t *testing.T) {
+	r := newRig(t)
+	r.setup()
+	r.ok("budget", "top-up", "b", "--tokens", "6400")
+	r.execute(&controlapi.Command{Grant: &controlapi.GrantRequest{Session: "s1", Budget: "b", Total: 50}})
+	r.golden(`
+SESSION  BUDGET  GRANTED  RETURNED  CHARGED  OUTSTANDING  ENDED
+s1       b       50       0         0        50           false
+`, "grant", "list")
+	r.Expect(r.run("grant", "write-off", "s1")).NotTo(Equal(0))
+	r.execute(&controlapi.Command{EndSession: &controlapi.EndSession{Session: "s1"}})
+	r.golden(`
+SESSION  CHARGED
+s1       50
+`, "grant", "write-off", "s1", "--operation-id", "w")
+	r.ok("grant", "write-off", "s1", "--operation-id", "w")
+	r.Expect(r.ok("usage")).To(MatchRegexp(`b +o +6400 +50 +0 +0 +6350`))
+}
+
 func TestJSON(t *testing.T) {
 	r := newRig(t)
 	r.setup()
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -24,6 +24,7 @@
 	c.addRequest(app)
 	c.addOrder(app)
 	c.addReplica(app)
+	c.addGrant(app)
 	c.calls(app.Command("upstreams", "List the upstreams that the server knows."), func(ctx context.Context, cl *client) error {
 		var reply operatorapi.UpstreamsReply
 		return c.query(ctx, cl, operatorapi.PathUpstream, &reply, func() table { return upstreamTable(reply.Upstreams) })
@@ -126,3 +127,24 @@
 		return c.print(reply, func() table { return replicaTable(&reply) })
 	})
 }
+
+func (c *command) addGrant(app *kingpin.Application) {
+	group := app.Command("grant", "Tokens that hosts hold for a partition.")
+	c.calls(group.Command("list", "List the grants that are outstanding."), func(ctx context.Context, cl *client) error {
+		var reply operatorapi.GrantsReply
+		return c.query(ctx, cl, operatorapi.PathGrants, &reply, func() table { return grantTable(reply.Grants) })
+	})
+	writeOff := group.Command("write-off", "Charge the grants of an ended session in full, because its journal can't be recovered.")
+	var request operatorapi.WriteOffRequest
+	writeOff.Arg("session", "Id of the session.").Required().StringVar(&request.Session)
+	c.calls(writeOff, func(ctx context.Context, cl *client) error {
+		request.OperationID = c.id()
+		var reply operatorapi.WriteOffReply
+		if err := cl.call(ctx, "POST", operatorapi.PathGrants, request, &reply); err != nil {
+			return c.unknown(err)
+		}
+		return c.print(reply, func() table {
+			return table{row("SESSION", "CHARGED"), row(reply.Session, reply.Charged)}
+		})
+	})
+}
--- a/internal/ctl/table.go
+++ b/internal/ctl/table.go
@@ -85,6 +85,14 @@
 	return t
 }
 
+func grantTable(grants []controlapi.GrantStatus) table {
+	t := table{row("SESSION", "BUDGET", "GRANTED", "RETURNED", "CHARGED", "OUTSTANDING", "ENDED")}
+	for _, g := range grants {
+		t = append(t, row(g.Session, g.Budget, g.Granted, g.Returned, g.Charged, g.Outstanding, g.Ended))
+	}
+	return t
+}
+
 func hostTable(hosts []controlapi.HostInfo) table {
 	t := table{row("HOST", "ZONE", "ADDRESS", "REVISION", "SESSION")}
 	for _, h := range hosts {
--- a/internal/operatorapi/messages.go
+++ b/internal/operatorapi/messages.go
@@ -26,6 +26,7 @@
 	PathChanges  = PathPrefix + "changes"
 	PathUpstream = PathPrefix + "upstreams"
 	PathOrders   = PathPrefix + "orders"
+	PathGrants   = PathPrefix + "grants"
 	// PathTopUps follows the path of a budget.
 	PathTopUps = "/top-ups"
 )
@@ -112,6 +113,27 @@
 	Requests []controlapi.RequestStatus `json:"requests"`
 }
 
+// GrantsReply lists the grants that are outstanding.
+type GrantsReply struct {
+	Grants []controlapi.GrantStatus `json:"grants"`
+}
+
+// WriteOffRequest charges the outstanding grants of an ended session, whose journal
+// can't be recovered.
+type WriteOffRequest struct {
+	// OperationID makes a resend safe. Required.
+	OperationID string `json:"operation_id"`
+	// Session is the session that ended.
+	Session string `json:"session"`
+}
+
+// WriteOffReply tells what was charged.
+type WriteOffReply struct {
+	Session string `json:"session"`
+	// Charged is the sum of the outstanding grants, in tokens.
+	Charged int64 `json:"charged"`
+}
+
 // HostsReply lists the entry hosts with a live session.
 type HostsReply struct {
 	Hosts []controlapi.HostInfo `json:"hosts"`
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -62,6 +62,8 @@
 	mux.HandleFunc("GET "+PathHistory, s.answer(s.history))
 	mux.HandleFunc("GET "+PathChanges+"/{id}", s.answer(s.change))
 	mux.HandleFunc("GET "+PathStatus, s.answer(s.status))
+	mux.HandleFunc("GET "+PathGrants, s.answer(s.grants))
+	mux.HandleFunc("POST "+PathGrants, s.answer(s.writeOff))
 	mux.HandleFunc("GET "+PathUpstream, s.answer(s.upstreams))
 	mux.HandleFunc("POST "+PathOrders, s.answer(s.order))
 	mux.HandleFunc("/", s.answer(func(r *call) (*reply, error) {
