Wait at a drain for records that are not closed yet; show the host's state as gauges

Cause: a request is answered before its record is closed when the control group is not reached. Ruled out: to leave it to the end of the session, which holds the tokens until the record's orphan period is over. Also: gauges for readiness, revision, open requests, upstreams and the replica; a start that fails closes all that it has opened, by the same code as a shutdown.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
+	"github.com/godwitbend/godwitbend/internal/entry"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/session"
@@ -25,6 +26,8 @@
 const (
 	// drainTimeout bounds the wait for requests in flight at a shutdown.
 	drainTimeout = 10 * time.Minute
+	// recordsInterval is the time between two looks for records that are not closed yet.
+	recordsInterval = 10 * time.Millisecond
 	// closeTimeout bounds each of the last steps of a shutdown.
 	closeTimeout = 5 * time.Second
 )
@@ -42,6 +45,7 @@
 	registry *registry.Registry
 	replica  *controlReplica
 	forward  *forwarder
+	handler  *entry.Handler
 	// leaving fails the readiness check; draining refuses new work.
 	leaving  atomic.Bool
 	draining atomic.Bool
@@ -122,22 +126,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	err := shutdownServer(ctx, d.callers)
+	err = errors.Join(err, d.awaitRecords(ctx))
 	d.endSession()
 	err = errors.Join(err, shutdownServer(ctx, d.operators))
 	if d.replica != nil {
 		d.replica.stop()
 	}
-	stop()
-	d.wg.Wait()
-	for _, j := range d.journals {
-		err = errors.Join(err, j.Close())
-	}
-	d.forward.wg.Wait()
-	if d.replica != nil {
-		d.replica.transport.Wait()
-	}
-	d.upstreamHTTP.CloseIdleConnections()
-	d.closeClients()
+	err = errors.Join(err, d.release(stop))
 	klog.InfoS("host stopped")
 	return err
 }
@@ -150,9 +145,25 @@
 	return eris.Wrap(srv.Shutdown(ctx), "drain requests in flight")
 }
 
+// awaitRecords waits until the records of the requests that were answered are closed.
+func (d *Daemon) awaitRecords(ctx context.Context) error {
+	ticker := time.NewTicker(recordsInterval)
+	defer ticker.Stop()
+	for d.handler.OpenRequests() > 0 {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "close the records of requests")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 func (d *Daemon) endSession() {
-	d.stopStandby()
-	d.standby.Close(context.Background())
+	if d.stopStandby != nil {
+		d.stopStandby()
+		d.standby.Close(context.Background())
+	}
 	d.stopSession()
 	<-d.sessionDone
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/daemon/abort.go
+++ b/internal/daemon/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"k8s.io/klog/v2"
@@ -19,18 +20,34 @@
 			_ = srv.Close()
 		}
 	}
+	if err := d.release(stop); err != nil {
+		klog.ErrorS(err, "start not undone cleanly")
+	}
+}
+
+// release stops the goroutines of the host and closes what it still holds.
+func (d *Daemon) release(stop context.CancelFunc) error {
 	stop()
 	d.wg.Wait()
+	var err error
+	for _, j := range d.journals {
+		err = errors.Join(err, j.Close())
+	}
 	if d.forward != nil {
 		d.forward.wg.Wait()
 	}
+	if d.replica != nil && d.replica.transport != nil {
+		d.replica.transport.Wait()
+	}
 	if d.upstreamHTTP != nil {
 		d.upstreamHTTP.CloseIdleConnections()
 	}
 	d.closeClients()
+	return err
 }
 
-// closeClients closes the connections to other hosts and the metrics.
+// closeClients closes the connections to other hosts and the metrics. A peer that
+// has gone before is no failure of this host.
 func (d *Daemon) closeClients() {
 	if d.rpc == nil {
 		return
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -58,8 +58,10 @@
 	}
 	announcements := d.announcements(ctx)
 	handler := d.callerHandler()
+	d.handler = handler
 	d.registerHostMethods(srv, announcements, handler)
 	d.goRun(func() { _ = srv.Serve(ctx, hostsListener) })
+	d.goRun(func() { d.updateGauges(ctx) })
 	if err := d.startHTTP(handler, announcements); err != nil {
 		return err
 	}
