--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -139,7 +139,7 @@
 		freshness = DefaultFreshness
 	}
 	r := &Registry{freshness: freshness, entries: map[string]*Entry{}}
-	r.snapshot.Store(buildSnapshot(r.entries))
+	r.snapshot.Store(buildSnapshot(nil))
 	return r
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -35,6 +35,15 @@
 	g.Expect(state.Since).To(Equal(start.Add(time.Second)))
 }
 
+func TestSnapshotDoesNotChange(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	before := r.Snapshot()
+	g.Expect(r.Apply(announcement(1, 1), start)).To(BeTrue())
+	g.Expect(before.Entries).To(BeEmpty())
+	g.Expect(r.Snapshot().Entries).To(HaveLen(1))
+}
+
 func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
 	g := NewWithT(t)
 	r := New(0)
