Write every log line as JSON; share the JSON form of errors; forget silent upstreams

Cause: the entry handler logs by slog's default logger, which the daemon had not set: its lines came out as text. Errors had two JSON forms with the same code. The registry's Expire was called by nobody, so that upstreams that are gone stayed for good.

--- a/internal/daemon/gauges.go
+++ b/internal/daemon/maintain.go
@@ -7,8 +7,8 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// gaugeInterval is the time between two updates of the gauges.
-const gaugeInterval = time.Second
+// maintainInterval is the time between two updates of the gauges and the registry.
+const maintainInterval = time.Second
 
 // gauges show the present state of the host on its metrics page.
 type gauges struct {
@@ -35,12 +35,14 @@
 	}
 }
 
-// updateGauges keeps the gauges up to date until ctx ends.
-func (d *Daemon) updateGauges(ctx context.Context) {
+// maintain keeps the gauges up to date and forgets upstreams that have been silent
+// for long, until ctx ends.
+func (d *Daemon) maintain(ctx context.Context) {
 	g := newGauges(d.metrics.Scope)
-	ticker := time.NewTicker(gaugeInterval)
+	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	for {
+		d.registry.Expire(time.Now())
 		d.setHostGauges(g)
 		d.setReplicaGauges(g)
 		select {
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -61,7 +61,7 @@
 	d.handler = handler
 	d.registerHostMethods(srv, announcements, handler)
 	d.goRun(func() { _ = srv.Serve(ctx, hostsListener) })
-	d.goRun(func() { d.updateGauges(ctx) })
+	d.goRun(func() { d.maintain(ctx) })
 	if err := d.startHTTP(handler, announcements); err != nil {
 		return err
 	}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -21,12 +20,8 @@
 }
 
 type errorDetail struct {
-	Kind         errkind.Kind    `json:"kind"`
-	Message      string          `json:"message"`
-	Outcome      errkind.Outcome `json:"outcome"`
-	Retry        bool            `json:"retry"`
-	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
-	RequestID    string          `json:"request_id"`
+	errkind.Body
+	RequestID string `json:"request_id"`
 	// Type and Code repeat the kind for client libraries that read these names.
 	Type string `json:"type"`
 	Code string `json:"code"`
@@ -34,14 +29,7 @@
 
 func newErrorBody(e *errkind.Error, requestID string) errorBody {
 	return errorBody{Error: errorDetail{
-		Kind:         e.Kind,
-		Message:      e.Message,
-		Outcome:      e.Outcome(),
-		Retry:        errkind.Lookup(e.Kind).Retry,
-		RetryAfterMS: e.RetryAfterMS,
-		RequestID:    requestID,
-		Type:         string(e.Kind),
-		Code:         string(e.Kind),
+		Body: e.Body(), RequestID: requestID, Type: string(e.Kind), Code: string(e.Kind),
 	}}
 }
 
@@ -54,12 +42,8 @@
 	}
 	id := w.Header().Get(announce.HeaderRequestID)
 	h.Log.Info("request refused", "request_id", id, "kind", e.Kind, "outcome", e.Outcome(), "message", e.Message)
-	if e.RetryAfterMS > 0 {
-		w.Header().Set("Retry-After", strconv.FormatInt((e.RetryAfterMS+999)/1000, 10))
-	}
 	body, _ := json.Marshal(newErrorBody(e, id))
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(errkind.Lookup(e.Kind).Status)
+	e.WriteHeader(w)
 	_, _ = w.Write(body)
 }
 
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -6,9 +6,12 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
+const msPerSecond = 1000
+
 // Kind names one reason for which a request was refused or failed.
 type Kind string
 
@@ -157,6 +160,38 @@
 	return Lookup(e.Kind).Outcome
 }
 
+// Body is the JSON form of an error in an answer.
+type Body struct {
+	Kind    Kind    `json:"kind"`
+	Message string  `json:"message"`
+	Outcome Outcome `json:"outcome"`
+	// Retry tells whether the same request may succeed later.
+	Retry        bool  `json:"retry"`
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// Body returns the JSON form of e.
+func (e *Error) Body() Body {
+	return Body{
+		Kind:         e.Kind,
+		Message:      e.Message,
+		Outcome:      e.Outcome(),
+		Retry:        Lookup(e.Kind).Retry,
+		RetryAfterMS: e.RetryAfterMS,
+	}
+}
+
+// WriteHeader writes the status line and the header of an answer whose JSON body
+// carries e.
+func (e *Error) WriteHeader(w http.ResponseWriter) {
+	if e.RetryAfterMS > 0 {
+		seconds := (e.RetryAfterMS + msPerSecond - 1) / msPerSecond
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(Lookup(e.Kind).Status)
+}
+
 // From returns the *Error inside err, or an Internal error that carries err's text.
 func From(err error) *Error {
 	var e *Error
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -1,6 +1,8 @@
 package errkind_test
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -26,3 +28,14 @@
 	g.Expect(second.RetryAfterMS).To(Equal(int64(2000)))
 	g.Expect(second.Outcome()).To(Equal(errkind.NotRun))
 }
+
+func TestAnswerRoundsRetryAfterUp(t *testing.T) {
+	g := NewWithT(t)
+	w := httptest.NewRecorder()
+	e := errkind.New(errkind.Overloaded, "queue full").WithRetryAfter(1001 * time.Millisecond)
+	e.WriteHeader(w)
+	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(w.Header().Get("Retry-After")).To(Equal("2"))
+	g.Expect(e.Body().Retry).To(BeTrue())
+	g.Expect(e.Body().Outcome).To(Equal(errkind.NotRun))
+}
--- a/internal/operatorapi/encoding.go
+++ b/internal/operatorapi/encoding.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -48,24 +47,14 @@
 
 func writeError(w http.ResponseWriter, err error) {
 	listed := errkind.From(err)
-	row := errkind.Lookup(listed.Kind)
-	body := ErrorReply{Error: ErrorBody{
-		Kind:         listed.Kind,
-		Message:      listed.Message,
-		Outcome:      listed.Outcome(),
-		Retry:        row.Retry,
-		RetryAfterMS: listed.RetryAfterMS,
-	}}
+	reply := ErrorReply{Error: listed.Body()}
 	var conflict *conflictError
 	if errors.As(err, &conflict) {
-		body.Winner = conflict.winner
+		reply.Winner = conflict.winner
 	}
-	if listed.RetryAfterMS > 0 {
-		wait := time.Duration(listed.RetryAfterMS) * time.Millisecond
-		seconds := int64((wait + time.Second - 1) / time.Second)
-		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
-	}
-	writeJSON(w, row.Status, body)
+	data, _ := json.Marshal(reply)
+	listed.WriteHeader(w)
+	_, _ = w.Write(append(data, '\n'))
 }
 
 // decode reads the JSON body of a call, of known fields only, into v.
--- a/internal/operatorapi/messages.go
+++ b/internal/operatorapi/messages.go
@@ -185,16 +185,7 @@
 
 // ErrorReply is the body of every answer that is not a success.
 type ErrorReply struct {
-	Error ErrorBody `json:"error"`
+	Error errkind.Body `json:"error"`
 	// Winner is the present record if the kind is conflict.
 	Winner *config.Record `json:"winner,omitempty"`
 }
-
-// ErrorBody is an error with what its kind tells.
-type ErrorBody struct {
-	Kind         errkind.Kind    `json:"kind"`
-	Message      string          `json:"message"`
-	Outcome      errkind.Outcome `json:"outcome"`
-	Retry        bool            `json:"retry"`
-	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
-}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -32,8 +32,8 @@
 	"key": true, "authorization": true, "prompt": true, "body": true, "messages": true, "answer": true,
 }
 
-// SetupLog makes klog write JSON lines to w from level on ("debug", "info",
-// "warning" or "error"), each with the name of the host.
+// SetupLog makes klog, slog and the standard library's log write JSON lines to w
+// from level on ("debug", "info", "warning" or "error"), each with the name of the host.
 func SetupLog(w io.Writer, level, host string) error {
 	least, verbosity, err := parseLevel(level)
 	if err != nil {
@@ -45,7 +45,9 @@
 		return eris.Wrap(err, "set the verbosity of the log")
 	}
 	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: least, ReplaceAttr: redact})
-	klog.SetSlogLogger(slog.New(handler).With(FieldHost, host))
+	logger := slog.New(handler).With(FieldHost, host)
+	klog.SetSlogLogger(logger)
+	slog.SetDefault(logger)
 	return nil
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"log"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -30,6 +33,24 @@
 	g.Expect(out.String()).NotTo(ContainSubstring("secret"))
 }
 
+func TestEveryLoggerWritesJSONLines(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(telemetry.SetupLog(&out, "info", "a")).To(Succeed())
+	slog.Info("request refused", "body", "a secret text")
+	log.Print("http: fault")
+	klog.InfoS("host started")
+	klog.Flush()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines).To(HaveLen(3))
+	for _, line := range lines {
+		var fields map[string]any
+		g.Expect(json.Unmarshal([]byte(line), &fields)).To(Succeed(), line)
+		g.Expect(fields).To(HaveKeyWithValue("host", "a"))
+	}
+	g.Expect(out.String()).NotTo(ContainSubstring("secret"))
+}
+
 func TestLogLevels(t *testing.T) {
 	for level, want := range map[string][]string{
 		"debug": {"detail", "note", "fault"}, "info": {"note", "fault"}, "warning": {"fault"}, "error": {"fault"},
