--- a/internal/containment/tracker.go
+++ b/internal/containment/tracker.go
@@ -81,10 +81,16 @@
 	LastSweepMS int64  `cbor:"2,keyasint,omitempty"`
 }
 
+// opened counts the open dispatches of a body on one instance.
+type opened struct {
+	instance controlapi.Instance
+	count    int
+}
+
 // tracked is a body with its open dispatches.
 type tracked struct {
 	Body
-	open map[controlapi.Instance]int
+	open []opened
 }
 
 // Tracker tracks the bodies. It does nothing by itself: times are passed in.
@@ -128,7 +134,7 @@
 func (t *Tracker) body(hash string) *tracked {
 	b := t.bodies[hash]
 	if b == nil {
-		b = &tracked{Body: Body{Hash: hash}, open: make(map[controlapi.Instance]int)}
+		b = &tracked{Body: Body{Hash: hash}}
 		t.bodies[hash] = b
 	}
 	return b
@@ -192,12 +198,12 @@
 
 // hasLiveOpen tells whether the body has an open dispatch on an instance that is not lost.
 func (b *tracked) hasLiveOpen() bool {
-	for instance := range b.open {
-		if !slices.Contains(b.Lost, instance) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(b.open, func(o opened) bool { return !slices.Contains(b.Lost, o.instance) })
+}
+
+// openOn returns the index of the instance among the open ones, or -1.
+func (b *tracked) openOn(instance controlapi.Instance) int {
+	return slices.IndexFunc(b.open, func(o opened) bool { return o.instance == instance })
 }
 
 func (t *Tracker) hasOtherSuspect(b *tracked, on controlapi.Instance) bool {
@@ -211,7 +217,10 @@
 
 // exposed returns the instances that may be lost to the body, in a fixed order.
 func (b *tracked) exposed(nowMS int64) []controlapi.Instance {
-	instances := slices.Concat(b.Lost, slices.Collect(maps.Keys(b.open)))
+	instances := slices.Clone(b.Lost)
+	for _, o := range b.open {
+		instances = append(instances, o.instance)
+	}
 	for _, l := range b.Lingering {
 		if l.UntilMS > nowMS {
 			instances = append(instances, l.Instance)
@@ -244,7 +253,11 @@
 func (t *Tracker) Restore(hash string, to controlapi.Instance) { t.add(t.body(hash), to) }
 
 func (t *Tracker) add(b *tracked, to controlapi.Instance) {
-	b.open[to]++
+	if i := b.openOn(to); i >= 0 {
+		b.open[i].count++
+	} else {
+		b.open = append(b.open, opened{to, 1})
+	}
 	if t.inFlight[to] == nil {
 		t.inFlight[to] = make(map[string]*tracked)
 	}
@@ -267,11 +280,14 @@
 }
 
 func (t *Tracker) remove(b *tracked, instance controlapi.Instance) {
-	b.open[instance]--
-	if b.open[instance] > 0 {
+	i := b.openOn(instance)
+	if b.open[i].count--; b.open[i].count > 0 {
 		return
 	}
-	delete(b.open, instance)
+	b.open = slices.Delete(b.open, i, i+1)
+	if len(b.open) == 0 {
+		b.open = nil
+	}
 	delete(t.inFlight[instance], b.Hash)
 	if len(t.inFlight[instance]) == 0 {
 		delete(t.inFlight, instance)
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -63,25 +63,23 @@
 // the log, in a steady state of 1,000 requests a second.
 func BenchmarkBeginSettle(b *testing.B) {
 	m := benchMachine(b, 1)
-	i := 0
-	request := func() {
+	log := make([][]byte, 0, 2*b.N)
+	for i := range b.N {
 		begin, settle := requestCommands(i, int64(i))
-		i++
 		for _, cmd := range []*controlapi.Command{begin, settle} {
-			b.StopTimer()
 			data, err := codec.Marshal(cmd)
 			if err != nil {
 				b.Fatal(err)
 			}
-			b.StartTimer()
-			if r := m.Apply(0, data).(*controlapi.Result); r.Err != nil {
-				b.Fatal(r.Err)
-			}
+			log = append(log, data)
 		}
 	}
 	b.ReportAllocs()
-	for b.Loop() {
-		request()
+	b.ResetTimer()
+	for i, data := range log {
+		if r := m.Apply(uint64(i), data).(*controlapi.Result); r.Err != nil {
+			b.Fatal(r.Err)
+		}
 	}
 }
 
--- a/internal/control/configure.go
+++ b/internal/control/configure.go
@@ -4,7 +4,6 @@
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
-	"github.com/godwitbend/godwitbend/internal/request"
 )
 
 // Bounds on the configuration.
@@ -108,14 +107,7 @@
 		m.account(r.Name, organisation)
 	case ok:
 		a.organisation = organisation
-	case a != nil && a.State().PaidIn == 0 && !m.isCharged(r.Name):
+	case a != nil && a.State().PaidIn == 0 && !m.requests.HasOpen(r.Name):
 		delete(m.accounts, r.Name)
 	}
 }
-
-// isCharged tells whether a request record names the budget.
-func (m *Machine) isCharged(name string) bool {
-	charged := false
-	m.requests.All(func(r *request.Record) { charged = charged || r.Budget == name })
-	return charged
-}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -108,15 +108,22 @@
 	for _, r := range m.requests.DueOrphans(m.nowMS) {
 		m.recoverOrphan(r)
 	}
-	m.requests.Expire(m.nowMS, m.awaitsJournal)
+	m.expireRequests()
 	m.bodies.Advance(m.nowMS)
 	m.configurations.expire(m.nowMS)
 	m.payments.expire(m.nowMS)
 }
 
-// awaitsJournal tells whether a journal that is still to be merged may hold
-// the request of a closed record, which must then be kept.
-func (m *Machine) awaitsJournal(r *request.Record) bool { return m.grants.Stranded(r.Budget) }
+// expireRequests drops closed records. Those that a journal may hold which is
+// still to be merged are kept, because the merge would bill them again.
+func (m *Machine) expireRequests() {
+	stranded := m.grants.Stranded()
+	if len(stranded) == 0 {
+		m.requests.Expire(m.nowMS, nil)
+		return
+	}
+	m.requests.Expire(m.nowMS, func(r *request.Record) bool { return stranded[r.Budget] })
+}
 
 // Now returns the state time, in milliseconds since 1970.
 func (m *Machine) Now() int64 { return m.nowMS }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -13,13 +13,13 @@
 	"github.com/godwitbend/godwitbend/internal/containment"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/grant"
-	"github.com/godwitbend/godwitbend/internal/request"
 )
 
 // snapshotFormat is the version of the snapshot's encoding.
 const snapshotFormat = 1
 
 // snapshot is the content of a machine. Equal machines have equal snapshots.
+// Requests are encoded records, which are copied as byte strings.
 type snapshot struct {
 	Format          int                       `cbor:"1,keyasint,omitempty"`
 	NowMS           int64                     `cbor:"2,keyasint,omitempty"`
@@ -29,7 +29,7 @@
 	History         []controlapi.HistoryEntry `cbor:"6,keyasint,omitempty"`
 	HistoryTrimmed  uint64                    `cbor:"7,keyasint,omitempty"`
 	Accounts        []accountState            `cbor:"8,keyasint,omitempty"`
-	Requests        []*request.Record         `cbor:"9,keyasint,omitempty"`
+	Requests        [][]byte                  `cbor:"9,keyasint,omitempty"`
 	RequestSequence uint64                    `cbor:"10,keyasint,omitempty"`
 	Bodies          containment.State         `cbor:"11,keyasint,omitempty"`
 	Sessions        []controlapi.OpenSession  `cbor:"12,keyasint,omitempty"`
@@ -57,7 +57,7 @@
 		History:         m.history.entries,
 		HistoryTrimmed:  m.history.trimmed,
 		Accounts:        m.accountStates(),
-		Requests:        m.requests.Sorted(),
+		Requests:        m.requests.Encoded(),
 		RequestSequence: m.requests.Sequence(),
 		Bodies:          m.bodies.State(),
 		Sessions:        m.sessions.sorted(),
@@ -120,7 +120,9 @@
 		}
 		m.accounts[a.Name] = &account{b, a.Organisation}
 	}
-	m.loadRequests(s)
+	if err := m.loadRequests(s); err != nil {
+		return eris.Wrap(err, "requests of the snapshot")
+	}
 	for _, o := range s.Sessions {
 		m.sessions.open[o.Session] = o
 	}
@@ -135,12 +137,16 @@
 	return nil
 }
 
-func (m *Machine) loadRequests(s *snapshot) {
-	m.requests.Load(s.Requests, s.RequestSequence)
+func (m *Machine) loadRequests(s *snapshot) error {
+	open, err := m.requests.Load(s.Requests, s.RequestSequence)
+	if err != nil {
+		return err
+	}
 	m.bodies = containment.FromState(s.Bodies)
-	for _, r := range s.Requests {
+	for _, r := range open {
 		for _, d := range r.Dispatches {
 			m.bodies.Restore(r.BodyHash, d)
 		}
 	}
+	return nil
 }
--- a/internal/grant/book.go
+++ b/internal/grant/book.go
@@ -137,14 +137,25 @@
 	return h.Grants
 }
 
-// Stranded tells whether a session that has ended holds tokens of the budget.
-func (b *Book) Stranded(budget string) bool {
+// Stranded returns the budgets of which a session that has ended holds tokens;
+// nil if there are none.
+func (b *Book) Stranded() map[string]bool {
+	var budgets map[string]bool
 	for _, h := range b.holders {
-		if g := h.grant(budget); h.Ended && g.Outstanding() > 0 {
-			return true
+		if !h.Ended {
+			continue
+		}
+		for i := range h.Grants {
+			if h.Grants[i].Outstanding() == 0 {
+				continue
+			}
+			if budgets == nil {
+				budgets = make(map[string]bool)
+			}
+			budgets[h.Grants[i].Budget] = true
 		}
 	}
-	return false
+	return budgets
 }
 
 // Outstanding returns the outstanding tokens of each budget.
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -73,12 +73,13 @@
 // depends on the records and the sequence number only, so a table loaded from
 // a snapshot goes on as the one that the snapshot was taken of.
 type Table struct {
-	records map[string]*Record
-	// open holds the ids of open records by session.
-	open map[string]map[string]struct{}
-	// closed holds the closings of each retention class, oldest first. Those
+	open map[string]*Record
+	// bySession holds the ids of open records by session.
+	bySession map[string]map[string]struct{}
+	closed    map[string]packed
+	// closings holds the closings of each retention class, oldest first. Those
 	// of records that were opened again are skipped.
-	closed [retentions]queue[closing]
+	closings [retentions]queue[closing]
 	// count is the number of records of each retention class, open ones included.
 	count    [retentions]int
 	orphans  queue[orphan]
@@ -87,31 +88,10 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: make(map[string]*Record), open: make(map[string]map[string]struct{})}
-}
-
-// Load fills an empty table from a snapshot's records and sequence number.
-func (t *Table) Load(records []*Record, sequence uint64) {
-	t.sequence = sequence
-	var closed, orphans []*Record
-	for _, r := range records {
-		t.insert(r)
-		if r.State != Open {
-			closed = append(closed, r)
-			continue
-		}
-		t.addOpen(r)
-		if r.Orphaned {
-			orphans = append(orphans, r)
-		}
-	}
-	slices.SortFunc(closed, func(a, b *Record) int { return cmp.Compare(a.CloseSequence, b.CloseSequence) })
-	for _, r := range closed {
-		t.enqueue(r)
-	}
-	slices.SortFunc(orphans, compareOrphans)
-	for _, r := range orphans {
-		t.orphans.push(orphan{r.ID, r.Attempt, r.OrphanedMS})
+	return &Table{
+		open:      make(map[string]*Record),
+		bySession: make(map[string]map[string]struct{}),
+		closed:    make(map[string]packed),
 	}
 }
 
@@ -119,21 +99,45 @@
 func (t *Table) Sequence() uint64 { return t.sequence }
 
 // Len returns the number of records.
-func (t *Table) Len() int { return len(t.records) }
+func (t *Table) Len() int { return len(t.open) + len(t.closed) }
 
-// Get returns a record, or nil.
-func (t *Table) Get(id string) *Record { return t.records[id] }
+// Get returns a record, or nil. A closed one is a copy: it is changed by
+// Reopen or Renew only.
+func (t *Table) Get(id string) *Record {
+	if r, ok := t.open[id]; ok {
+		return r
+	}
+	if p, ok := t.closed[id]; ok {
+		return p.unpack()
+	}
+	return nil
+}
 
 // Sorted returns all records in the order of their ids.
 func (t *Table) Sorted() []*Record {
-	return slices.SortedFunc(maps.Values(t.records), func(a, b *Record) int { return cmp.Compare(a.ID, b.ID) })
+	ids := t.ids()
+	records := make([]*Record, len(ids))
+	for i, id := range ids {
+		records[i] = t.Get(id)
+	}
+	return records
+}
+
+func (t *Table) ids() []string {
+	ids := slices.AppendSeq(make([]string, 0, t.Len()), maps.Keys(t.open))
+	ids = slices.AppendSeq(ids, maps.Keys(t.closed))
+	slices.Sort(ids)
+	return ids
 }
 
-// All calls visit with each record, in no particular order.
-func (t *Table) All(visit func(*Record)) {
-	for _, r := range t.records {
-		visit(r)
+// HasOpen tells whether an open record reserves tokens of the budget.
+func (t *Table) HasOpen(budget string) bool {
+	for _, r := range t.open {
+		if r.Budget == budget {
+			return true
+		}
 	}
+	return false
 }
 
 // Full tells whether the records of r's retention class have reached their
@@ -145,17 +149,13 @@
 
 // Add takes in a new record that is open.
 func (t *Table) Add(r *Record) {
-	t.insert(r)
-	t.addOpen(r)
-}
-
-func (t *Table) insert(r *Record) {
-	t.records[r.ID] = r
 	t.count[r.retention()]++
+	t.addOpen(r)
 }
 
 // Reopen opens the closed record r by change.
 func (t *Table) Reopen(r *Record, change func()) {
+	delete(t.closed, r.ID)
 	change()
 	t.addOpen(r)
 }
@@ -175,31 +175,32 @@
 
 // AddClosed takes in a new record that was closed at nowMS.
 func (t *Table) AddClosed(r *Record, nowMS int64) {
-	t.insert(r)
+	t.count[r.retention()]++
 	t.Renew(r, nowMS)
 }
 
-// Renew starts the retention of a closed record at nowMS.
+// Renew keeps the closed record r and starts its retention at nowMS.
 func (t *Table) Renew(r *Record, nowMS int64) {
 	t.sequence++
 	r.ClosedMS = nowMS
 	r.CloseSequence = t.sequence
-	t.enqueue(r)
+	t.keep(r, pack(r))
 	if class := r.retention(); class == unkeyed && t.count[class] > maxRecords[class] {
 		t.dropOldest(class)
 	}
 }
 
-func (t *Table) enqueue(r *Record) {
-	t.closed[r.retention()].push(closing{r.ID, r.CloseSequence})
+func (t *Table) keep(r *Record, p packed) {
+	t.closed[r.ID] = p
+	t.closings[r.retention()].push(closing{r.ID, r.CloseSequence})
 }
 
 // OpenOf returns the open records of a session in the order of their ids.
 func (t *Table) OpenOf(session string) []*Record {
-	ids := slices.Sorted(maps.Keys(t.open[session]))
+	ids := slices.Sorted(maps.Keys(t.bySession[session]))
 	records := make([]*Record, len(ids))
 	for i, id := range ids {
-		records[i] = t.records[id]
+		records[i] = t.open[id]
 	}
 	return records
 }
@@ -217,8 +218,7 @@
 	var due []*Record
 	for t.orphans.len() > 0 && t.orphans.first().atMS+OrphanTimeoutMS <= nowMS {
 		o := t.orphans.pop()
-		r := t.records[o.id]
-		if r != nil && r.State == Open && r.Orphaned && r.Attempt == o.attempt {
+		if r := t.open[o.id]; r != nil && r.Orphaned && r.Attempt == o.attempt {
 			due = append(due, r)
 		}
 	}
@@ -231,57 +231,62 @@
 }
 
 // Expire drops closed records past their retention, a bounded number at a
-// time. Keyed records for which hold is true are kept for a further period.
+// time. Keyed records for which hold is true are kept for a further period; a
+// nil hold holds none.
 func (t *Table) Expire(nowMS int64, hold func(*Record) bool) {
 	for class := range retentions {
 		for range expireBatch {
-			r := t.oldest(class)
-			if r == nil || r.ClosedMS+retentionMS[class] > nowMS {
+			id, found := t.oldest(class)
+			p := t.closed[id]
+			if !found || p.closedMS+retentionMS[class] > nowMS {
 				break
 			}
-			if class != unkeyed && hold(r) {
-				t.Renew(r, nowMS)
-				continue
+			if hold != nil && class != unkeyed {
+				if r := p.unpack(); hold(r) {
+					t.Renew(r, nowMS)
+					continue
+				}
 			}
 			t.dropOldest(class)
 		}
 	}
 }
 
-// oldest returns the closed record of a class that was closed first, or nil.
-func (t *Table) oldest(class retention) *Record {
-	q := &t.closed[class]
+// oldest returns the closed record of a class that was closed first.
+func (t *Table) oldest(class retention) (id string, found bool) {
+	q := &t.closings[class]
 	for q.len() > 0 {
 		c := q.first()
-		r := t.records[c.id]
-		if r != nil && r.State != Open && r.CloseSequence == c.sequence {
-			return r
+		if p, ok := t.closed[c.id]; ok && p.sequence == c.sequence {
+			return c.id, true
 		}
 		q.pop()
 	}
-	return nil
+	return "", false
 }
 
 func (t *Table) dropOldest(class retention) {
-	r := t.oldest(class)
-	t.closed[class].pop()
+	id, _ := t.oldest(class)
+	t.closings[class].pop()
 	t.count[class]--
-	delete(t.records, r.ID)
+	delete(t.closed, id)
 }
 
 func (t *Table) addOpen(r *Record) {
-	ids := t.open[r.Session]
+	t.open[r.ID] = r
+	ids := t.bySession[r.Session]
 	if ids == nil {
 		ids = make(map[string]struct{})
-		t.open[r.Session] = ids
+		t.bySession[r.Session] = ids
 	}
 	ids[r.ID] = struct{}{}
 }
 
 func (t *Table) removeOpen(r *Record) {
-	ids := t.open[r.Session]
+	delete(t.open, r.ID)
+	ids := t.bySession[r.Session]
 	delete(ids, r.ID)
 	if len(ids) == 0 {
-		delete(t.open, r.Session)
+		delete(t.bySession, r.Session)
 	}
 }
