--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -64,23 +64,32 @@
 	r.applying = kept
 }
 
-// maybeSnapshot takes a snapshot once enough entries have been applied.
+// maybeSnapshot takes a snapshot once enough entries have been applied. It is
+// written in the background, and the log is compacted when it is durable.
 func (r *Replica) maybeSnapshot() error {
 	applied := r.node.Applied()
-	if applied < r.snapshot+r.options.SnapshotEntries {
+	if r.store.saving != nil || applied < r.snapshot+r.options.SnapshotEntries {
 		return nil
 	}
 	data, err := r.options.Machine.Snapshot()
 	if err != nil {
 		return eris.Wrap(err, "take snapshot")
 	}
-	meta := r.node.SnapshotMeta(applied)
-	if err := r.store.save(replication.Snapshot{Meta: meta, Data: data}); err != nil {
-		return err
-	}
 	r.snapshot = applied
-	r.node.Compact(meta, r.options.SnapshotEntries/2)
-	return r.store.compact()
+	r.store.saveInBackground(replication.Snapshot{Meta: r.node.SnapshotMeta(applied), Data: data})
+	return nil
+}
+
+// finishSnapshot compacts the log after a save.
+func (r *Replica) finishSnapshot(result error) {
+	err := r.store.finishSave(result)
+	if err == nil {
+		r.node.Compact(r.store.latest.Meta, r.options.SnapshotEntries/2)
+		err = r.store.compact()
+	}
+	if err != nil && r.failure == nil {
+		r.fail(err)
+	}
 }
 
 // followLeadership notices the gain and the loss of leadership.
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -115,18 +115,19 @@
 	inGroup(t, 3, Options{}, func(gr *group) {
 		gr.proposeMany(gr.leader(), 20)
 		gr.stop(1)
-		gr.disks[1].Edit(gr.file(1, ".wal"), func(data []byte) []byte {
-			data[len(data)/2] ^= 1
-			return data
-		})
+		gr.damage(1, gr.file(1, ".wal"))
 		_, err := gr.open(1, nil, false)
 		gr.g.Expect(errors.Is(err, wal.ErrCorrupt)).To(BeTrue())
 	})
 }
 
+// TestTornTailIsRefilledByTheLeader cuts a batch that the other two hold.
 func TestTornTailIsRefilledByTheLeader(t *testing.T) {
 	inGroup(t, 3, Options{}, func(gr *group) {
 		commands := gr.proposeMany(gr.leader(), 20)
+		for id := range gr.disks {
+			gr.caughtUp(id, commands...)
+		}
 		gr.stopAll()
 		gr.disks[1].Edit(gr.file(1, ".wal"), func(data []byte) []byte { return data[:len(data)-3] })
 		for id := range gr.disks {
@@ -136,28 +137,32 @@
 	})
 }
 
-// TestDamagedSnapshotFallsBackOnTheOneBefore also checks that a damaged only
-// one is refused.
+// damage flips a bit in the named files of a stopped replica.
+func (gr *group) damage(id uint64, names ...string) {
+	for _, name := range names {
+		gr.disks[id].Edit(name, func(data []byte) []byte {
+			data[len(data)/2] ^= 1
+			return data
+		})
+	}
+}
+
 func TestDamagedSnapshotFallsBackOnTheOneBefore(t *testing.T) {
 	inGroup(t, 3, Options{SnapshotEntries: 20}, func(gr *group) {
 		commands := gr.proposeMany(gr.leader(), 70)
-		damage := func() {
-			gr.stop(1)
-			gr.disks[1].Edit(gr.file(1, ".snapshot"), func(data []byte) []byte {
-				data[len(data)/2] ^= 1
-				return data
-			})
-		}
 		gr.caughtUp(1, commands...)
-		damage()
+		gr.stop(1)
+		gr.damage(1, gr.file(1, ".snapshot"))
 		gr.start(1, nil, false)
 		gr.caughtUp(1, commands...)
+	})
+}
+
+func TestReplicaWithoutAnIntactSnapshotIsRefused(t *testing.T) {
+	inGroup(t, 3, Options{SnapshotEntries: 20}, func(gr *group) {
+		gr.proposeMany(gr.leader(), 70)
 		gr.stop(1)
-		files := gr.disks[1].Files("/data/snapshots")
-		for _, name := range files[:len(files)-1] {
-			_ = gr.disks[1].Remove(name)
-		}
-		damage()
+		gr.damage(1, gr.disks[1].Files("/data/snapshots")...)
 		_, err := gr.open(1, nil, false)
 		gr.g.Expect(errors.Is(err, snapshot.ErrCorrupt)).To(BeTrue())
 	})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -151,8 +151,11 @@
 		r.publish()
 		select {
 		case <-r.stop:
+			r.loseLeadership()
 			r.failAll(ErrUnknown)
 			return
+		case err := <-r.store.saving:
+			r.finishSnapshot(err)
 		case <-ticker.C:
 			if r.failure == nil {
 				r.node.Tick()
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -19,6 +19,8 @@
 	hard      replication.HardState // as last persisted
 	latest    replication.Snapshot  // kept in memory for peers that need it
 	previous  uint64                // index of the snapshot before the latest
+	saving    chan error            // result of the save under way, or nil
+	pending   replication.Snapshot  // what is being saved
 }
 
 // persist makes rd durable. On return without error all of it is synced.
@@ -48,14 +50,40 @@
 }
 
 func (s *storage) save(snap replication.Snapshot) error {
+	if s.saving != nil {
+		if err := s.finishSave(<-s.saving); err != nil {
+			return err
+		}
+	}
 	if err := s.snapshots.Save(snap); err != nil {
 		return err
 	}
-	s.previous = s.latest.Meta.Index
-	s.latest = snap
+	s.adopt(snap)
+	return nil
+}
+
+// saveInBackground writes the snapshot beside the control goroutine, which must
+// receive the result from saving and pass it to finishSave.
+func (s *storage) saveInBackground(snap replication.Snapshot) {
+	saving := make(chan error, 1)
+	s.saving, s.pending = saving, snap
+	go func() { saving <- s.snapshots.Save(snap) }()
+}
+
+func (s *storage) finishSave(err error) error {
+	s.saving = nil
+	if err != nil {
+		return eris.Wrap(err, "save snapshot")
+	}
+	s.adopt(s.pending)
 	return nil
 }
 
+func (s *storage) adopt(snap replication.Snapshot) {
+	s.previous = s.latest.Meta.Index
+	s.latest, s.pending = snap, replication.Snapshot{}
+}
+
 // compact drops the log up to the previous snapshot, so that either of the two
 // kept can be the base of recovery.
 func (s *storage) compact() error { return s.log.Compact(s.previous) }
@@ -71,7 +99,13 @@
 	return true
 }
 
-func (s *storage) close() error { return s.log.Close() }
+// close waits for a save under way; recovery does not depend on its result.
+func (s *storage) close() error {
+	if s.saving != nil {
+		<-s.saving
+	}
+	return s.log.Close()
+}
 
 // recover opens the files and builds the core and the state machine from them.
 func (r *Replica) recover() error {
