Write the last log segment anew on recovery

After a failed sync Linux counts the pages as clean: a restarted replica reads the batch from the page cache, a second sync succeeds without writing it, and a power cut then loses what the replica has acknowledged meanwhile. Syncing the file again at the start was not enough, and a marker can't be trusted to a disk that just failed. Recovery now writes the intact part of the last segment to a new file, syncs and renames it; earlier segments were synced in full. The fake disk models such syncs, and a test fails without the rewrite.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -54,3 +56,32 @@
 		}
 	})
 }
+
+// TestProposalsDuringASyncShareTheNext holds the leader's disk. The followers
+// have the first command meanwhile, and one more sync covers all the others.
+func TestProposalsDuringASyncShareTheNext(t *testing.T) {
+	inGroup(t, 3, Options{}, func(gr *group) {
+		leader := gr.leader()
+		synctest.Wait()
+		before := map[uint64]uint64{}
+		for id, r := range gr.replicas {
+			before[id] = r.Status().Syncs
+		}
+		id := leader.Status().ID
+		release := sync.OnceFunc(gr.disks[id].HoldSync())
+		defer release()
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Go(func() { gr.propose(leader, fmt.Sprint(i)) })
+			synctest.Wait()
+		}
+		for other, r := range gr.replicas {
+			if other != id {
+				gr.g.Expect(r.Status().Syncs).To(Equal(before[other]+1), "the append overlaps the leader's sync")
+			}
+		}
+		release()
+		wg.Wait()
+		gr.g.Expect(leader.Status().Syncs).To(Equal(before[id] + 2))
+	})
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -19,8 +19,7 @@
 )
 
 const (
-	suffix          = ".snapshot"
-	temporarySuffix = ".tmp"
+	suffix = ".snapshot"
 	// kept is the number of snapshots that stay.
 	kept     = 2
 	crcBytes = 4
@@ -48,7 +47,7 @@
 		return nil, err
 	}
 	for _, name := range names {
-		if !strings.HasSuffix(name, temporarySuffix) {
+		if !strings.HasSuffix(name, wal.TemporarySuffix) {
 			continue
 		}
 		if err := fs.Remove(filepath.Join(dir, name)); err != nil {
@@ -66,34 +65,12 @@
 	}
 	data = binary.LittleEndian.AppendUint32(data, crc32.Checksum(data, crcTable))
 	final := filepath.Join(st.dir, fmt.Sprintf("%020d%s", s.Meta.Index, suffix))
-	if err := st.writeSynced(final+temporarySuffix, data); err != nil {
-		return err
-	}
-	if err := st.fs.Rename(final+temporarySuffix, final); err != nil {
-		return err
-	}
-	if err := st.fs.SyncDir(st.dir); err != nil {
-		return err
+	if err := wal.WriteSynced(st.fs, final, data); err != nil {
+		return eris.Wrap(err, "save snapshot")
 	}
 	return st.prune()
 }
 
-func (st *Store) writeSynced(name string, data []byte) error {
-	file, err := st.fs.Create(name)
-	if err != nil {
-		return err
-	}
-	if _, err := file.Write(data); err != nil {
-		_ = file.Close()
-		return eris.Wrap(err, "write snapshot")
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return eris.Wrap(err, "sync snapshot")
-	}
-	return eris.Wrap(file.Close(), "close snapshot")
-}
-
 // prune removes old snapshots. One that returns after a crash does no harm, so
 // the removal is not synced.
 func (st *Store) prune() error {
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -25,8 +25,8 @@
 	ReadFile(name string) ([]byte, error)
 	// Create makes an empty file, or empties an existing one.
 	Create(name string) (File, error)
-	// OpenAppend opens an existing file and cuts it to size bytes.
-	OpenAppend(name string, size int64) (File, error)
+	// OpenAppend opens an existing file for writing at its end.
+	OpenAppend(name string) (File, error)
 	Rename(from, to string) error
 	Remove(name string) error
 	// SyncDir makes the names in dir survive a crash.
@@ -82,15 +82,11 @@
 }
 
 // OpenAppend implements FS.
-func (OS) OpenAppend(name string, size int64) (File, error) {
+func (OS) OpenAppend(name string) (File, error) {
 	f, err := os.OpenFile(name, os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return nil, eris.Wrap(err, "open file")
 	}
-	if err := f.Truncate(size); err != nil {
-		_ = f.Close()
-		return nil, eris.Wrap(err, "truncate file")
-	}
 	return f, nil
 }
 
@@ -109,3 +105,34 @@
 	defer func() { _ = d.Close() }()
 	return eris.Wrap(d.Sync(), "sync directory")
 }
+
+// TemporarySuffix ends the names of files that WriteSynced has not finished.
+const TemporarySuffix = ".tmp"
+
+// WriteSynced replaces the file by one with the given content. A crash leaves
+// either the old or the new one; on return without error the new one is durable.
+func WriteSynced(fs FS, name string, data []byte) error {
+	if err := writeTemporary(fs, name+TemporarySuffix, data); err != nil {
+		return err
+	}
+	if err := fs.Rename(name+TemporarySuffix, name); err != nil {
+		return err
+	}
+	return fs.SyncDir(filepath.Dir(name))
+}
+
+func writeTemporary(fs FS, name string, data []byte) error {
+	file, err := fs.Create(name)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(data); err != nil {
+		_ = file.Close()
+		return eris.Wrap(err, "write file")
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return eris.Wrap(err, "sync file")
+	}
+	return eris.Wrap(file.Close(), "close file")
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -74,19 +74,21 @@
 		return nil, Recovered{}, err
 	}
 	r := &replay{}
-	if err := l.load(r); err != nil {
+	last, err := l.load(r)
+	if err != nil {
 		return nil, Recovered{}, err
 	}
-	if err := l.openLast(); err != nil {
+	if err := l.openLast(last); err != nil {
 		return nil, Recovered{}, err
 	}
 	return l, r.Recovered, nil
 }
 
-func (l *Log) load(r *replay) error {
+// load replays all segments and returns the intact content of the last one.
+func (l *Log) load(r *replay) (last []byte, err error) {
 	names, err := l.fs.List(l.dir)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for _, name := range names {
 		if !strings.HasSuffix(name, segmentSuffix) {
@@ -94,69 +96,81 @@
 		}
 		first, err := strconv.ParseUint(strings.TrimSuffix(name, segmentSuffix), 10, 64)
 		if err != nil {
-			return eris.Wrapf(ErrCorrupt, "segment name %s", name)
+			return nil, eris.Wrapf(ErrCorrupt, "segment name %s", name)
 		}
 		l.segments = append(l.segments, segment{name: filepath.Join(l.dir, name), first: first})
 	}
 	for i := range l.segments {
-		if err := l.loadSegment(r, i); err != nil {
-			return err
+		if last, err = l.loadSegment(r, i); err != nil {
+			return nil, err
 		}
 	}
-	return nil
+	return last, nil
 }
 
-func (l *Log) loadSegment(r *replay, i int) error {
+// loadSegment replays segment i and returns its intact content.
+func (l *Log) loadSegment(r *replay, i int) ([]byte, error) {
 	s := &l.segments[i]
 	if i == 0 {
 		l.sequence = s.first
 	}
 	if s.first != l.sequence {
-		return eris.Wrapf(ErrCorrupt, "segment %s in place of batch %d", s.name, l.sequence)
+		return nil, eris.Wrapf(ErrCorrupt, "segment %s in place of batch %d", s.name, l.sequence)
 	}
 	data, err := l.fs.ReadFile(s.name)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	offset, err := l.replayFrames(r, data)
+	if err != nil {
+		return nil, eris.Wrapf(err, "segment %s", s.name)
 	}
-	offset := 0
+	s.last = r.largest
+	l.size = int64(offset)
+	if offset == len(data) {
+		return data, nil
+	}
+	if i < len(l.segments)-1 || !torn(data, offset, l.sequence) {
+		return nil, eris.Wrapf(ErrCorrupt, "batch %d of %s at byte %d", l.sequence, s.name, offset)
+	}
+	r.TornBytes = len(data) - offset
+	return data[:offset], nil
+}
+
+// replayFrames replays the intact frames at the beginning of data and returns
+// their length.
+func (l *Log) replayFrames(r *replay, data []byte) (offset int, err error) {
 	for offset < len(data) {
 		f, ok := decodeFrame(data[offset:])
 		if !ok || f.sequence != l.sequence {
 			break
 		}
 		if err := r.apply(f.payload); err != nil {
-			return eris.Wrapf(err, "batch %d of %s", f.sequence, s.name)
+			return 0, eris.Wrapf(err, "batch %d", f.sequence)
 		}
 		l.sequence++
 		offset += f.size
 	}
-	s.last = r.largest
-	l.size = int64(offset)
-	if offset == len(data) {
-		return nil
-	}
-	if i < len(l.segments)-1 || !torn(data, offset, l.sequence) {
-		return eris.Wrapf(ErrCorrupt, "batch %d of %s at byte %d", l.sequence, s.name, offset)
-	}
-	r.TornBytes = len(data) - offset
-	return nil
+	return offset, nil
 }
 
-// openLast readies the last segment. What was read is synced once more, since
-// a batch whose sync did not finish before a crash may be in memory only.
-func (l *Log) openLast() error {
+// openLast readies the last segment. What was read of it is written anew and
+// synced: a batch whose sync failed may be in the page cache only, where a
+// second sync no longer finds it. The segments before it were synced in full.
+func (l *Log) openLast(data []byte) error {
 	if len(l.segments) == 0 {
 		return l.beginSegment()
 	}
-	file, err := l.fs.OpenAppend(l.segments[len(l.segments)-1].name, l.size)
-	if err != nil {
+	name := l.segments[len(l.segments)-1].name
+	if err := WriteSynced(l.fs, name, data); err != nil {
 		return err
 	}
-	if err := file.Sync(); err != nil {
-		return eris.Wrap(err, "sync log")
+	file, err := l.fs.OpenAppend(name)
+	if err != nil {
+		return err
 	}
 	l.file = file
-	return l.fs.SyncDir(l.dir)
+	return nil
 }
 
 func (l *Log) beginSegment() error {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -202,6 +202,23 @@
 	}
 }
 
+// TestRecoveredBatchesAreDurable restarts after a failed sync: the batch is read
+// back from the page cache, and must survive the power cut that follows.
+func TestRecoveredBatchesAreDurable(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(g, 2, 0)
+	l, _ := open(g, d, 0)
+	d.FailSync(syscall.EIO)
+	g.Expect(l.Append(batch(3, 4))).NotTo(Succeed())
+	d.FailSync(nil)
+	l, r := open(g, d, 0)
+	g.Expect(indexes(r)).To(Equal([]uint64{2, 3, 4}))
+	g.Expect(l.Append(batch(3, 5))).To(Succeed())
+	d.Crash(nil)
+	_, r = open(g, d, 0)
+	g.Expect(indexes(r)).To(Equal([]uint64{2, 3, 4, 5}))
+}
+
 func TestLogOnTheRealFileSystem(t *testing.T) {
 	g := NewWithT(t)
 	path := filepath.Join(t.TempDir(), "log")
