Bound the bytes of a batch and of the appends under way

A batch larger than one frame of the log would have failed the replica for good, and 64 appends of 1 MiB could be under way to each peer. Proposals stop being taken in at 16 MiB, a command over 8 MiB is refused without effect, and appends carry 256 KiB.

--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -13,6 +13,9 @@
 // ErrStopped reports that the replica was stopped before it took the request.
 var ErrStopped = eris.New("replica is stopped")
 
+// ErrCommandTooLarge reports a command of more than MaxCommandBytes. It had no effect.
+var ErrCommandTooLarge = eris.New("command is too large")
+
 // NotLeaderError reports that the request had no effect, since this replica
 // does not lead or has lost the proposal's place in the log to another leader.
 type NotLeaderError struct {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -68,8 +68,14 @@
 const (
 	// DefaultSnapshotEntries is the default of Options.SnapshotEntries.
 	DefaultSnapshotEntries = 20_000
-	// maxBatch bounds the proposals and reads taken in before one sync.
+	// MaxCommandBytes is the largest command that Propose takes.
+	MaxCommandBytes = 8 << 20
+	// maxBatch bounds the requests and messages taken in before one sync.
 	maxBatch = 4096
+	// maxBatchBytes is the size of the proposals after which no more are taken
+	// in before the next sync. Together with MaxCommandBytes it keeps a batch
+	// within what the log takes as one frame.
+	maxBatchBytes = 16 << 20
 	// inboxBatches bounds the batches of messages that wait for the control goroutine.
 	inboxBatches = 1024
 )
@@ -88,6 +94,7 @@
 	changes   []*change            // waiting for the core to admit them
 	committed map[uint64]*change   // by log index
 	nextRead  uint64
+	batched   int // bytes proposed since the last sync
 	led       ledTerm
 	snapshot  uint64 // index of the latest snapshot
 	failure   error
@@ -184,6 +191,9 @@
 // all.
 func (r *Replica) drain() {
 	for range maxBatch {
+		if r.batched >= maxBatchBytes {
+			return
+		}
 		select {
 		case msgs := <-r.inbox:
 			r.step(msgs)
@@ -197,6 +207,7 @@
 
 // carryOut does the work that the core asks for until none is left.
 func (r *Replica) carryOut() {
+	r.batched = 0
 	for worked := true; worked && r.failure == nil; {
 		var err error
 		if worked, err = r.carryOutOne(); err != nil {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -57,6 +57,15 @@
 	})
 }
 
+func TestOversizedCommandIsRefused(t *testing.T) {
+	inGroup(t, 1, Options{}, func(gr *group) {
+		leader := gr.leader()
+		_, err := leader.Propose(context.Background(), make([]byte, MaxCommandBytes+1))
+		gr.g.Expect(err).To(Equal(ErrCommandTooLarge))
+		gr.propose(leader, string(make([]byte, MaxCommandBytes)))
+	})
+}
+
 // TestProposalsDuringASyncShareTheNext holds the leader's disk. The followers
 // have the first command meanwhile, and one more sync covers all the others.
 func TestProposalsDuringASyncShareTheNext(t *testing.T) {
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -88,6 +88,9 @@
 // *NotLeaderError or *StorageError means that it had no effect, ErrUnknown that
 // it may take effect later.
 func (r *Replica) Propose(ctx context.Context, command []byte) (any, error) {
+	if len(command) > MaxCommandBytes {
+		return nil, ErrCommandTooLarge
+	}
 	p := &proposal{command: command, answer: newAnswer()}
 	return r.submit(ctx, p, p.answer)
 }
@@ -104,6 +107,7 @@
 		return
 	}
 	p.term = term
+	r.batched += len(p.command)
 	r.proposals[index] = p
 }
 
--- a/internal/replication/progress.go
+++ b/internal/replication/progress.go
@@ -18,7 +18,7 @@
 	// maxInflight bounds the appends under way to one peer.
 	maxInflight = 64
 	// maxAppendBytes bounds the payload of one append, in bytes.
-	maxAppendBytes = 1 << 20
+	maxAppendBytes = 256 << 10
 	// entryOverhead is the encoded size of an entry without its data, in bytes.
 	entryOverhead = 24
 )
