--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -68,8 +68,14 @@
 const (
 	// DefaultSnapshotEntries is the default of Options.SnapshotEntries.
 	DefaultSnapshotEntries = 20_000
-	// maxBatch bounds the proposals and reads taken in before one sync.
+	// MaxCommandBytes is the largest command that Propose takes.
+	MaxCommandBytes = 8 << 20
+	// maxBatch bounds the requests and messages taken in before one sync.
 	maxBatch = 4096
+	// maxBatchBytes is the size of the proposals after which no more are taken
+	// in before the next sync. Together with MaxCommandBytes it keeps a batch
+	// within what the log takes as one frame.
+	maxBatchBytes = 16 << 20
 	// inboxBatches bounds the batches of messages that wait for the control goroutine.
 	inboxBatches = 1024
 )
@@ -88,6 +94,7 @@
 	changes   []*change            // waiting for the core to admit them
 	committed map[uint64]*change   // by log index
 	nextRead  uint64
+	batched   int // bytes proposed since the last sync
 	led       ledTerm
 	snapshot  uint64 // index of the latest snapshot
 	failure   error
@@ -151,8 +158,11 @@
 		r.publish()
 		select {
 		case <-r.stop:
+			r.loseLeadership()
 			r.failAll(ErrUnknown)
 			return
+		case err := <-r.store.saving:
+			r.finishSnapshot(err)
 		case <-ticker.C:
 			if r.failure == nil {
 				r.node.Tick()
@@ -181,6 +191,9 @@
 // all.
 func (r *Replica) drain() {
 	for range maxBatch {
+		if r.batched >= maxBatchBytes {
+			return
+		}
 		select {
 		case msgs := <-r.inbox:
 			r.step(msgs)
@@ -194,34 +207,38 @@
 
 // carryOut does the work that the core asks for until none is left.
 func (r *Replica) carryOut() {
-	for r.failure == nil {
-		r.followLeadership()
-		rd := r.node.Ready()
-		if rd.Empty() {
-			return
-		}
-		r.transmit(rd.Messages)
-		if err := r.store.persist(rd); err != nil {
-			r.fail(err)
-			return
-		}
-		r.transmit(rd.Replies)
-		if err := r.apply(rd); err != nil {
-			r.fail(err)
-			return
-		}
-		r.node.Advance(rd)
-		if err := r.maybeSnapshot(); err != nil {
+	r.batched = 0
+	for worked := true; worked && r.failure == nil; {
+		var err error
+		if worked, err = r.carryOutOne(); err != nil {
 			r.fail(err)
-			return
-		}
-		if err := r.node.Err(); err != nil {
-			r.fail(err)
-			return
 		}
 	}
 }
 
+// carryOutOne handles one Ready. What it sends before persist claims nothing
+// about this disk; on followers it overlaps with the own sync.
+func (r *Replica) carryOutOne() (worked bool, err error) {
+	if err := r.node.Err(); err != nil {
+		return false, err
+	}
+	r.followLeadership()
+	rd := r.node.Ready()
+	if rd.Empty() {
+		return false, nil
+	}
+	r.transmit(rd.Messages)
+	if err := r.store.persist(rd); err != nil {
+		return false, err
+	}
+	r.transmit(rd.Replies)
+	if err := r.apply(rd); err != nil {
+		return false, err
+	}
+	r.node.Advance(rd)
+	return true, r.maybeSnapshot()
+}
+
 // fail takes the replica out of service: it sends and acknowledges nothing more.
 func (r *Replica) fail(err error) {
 	r.failure = &StorageError{Cause: err}
