Refuse what can't be served in time when it arrives

Change: the wait follows the measured grants per second of the organisation or class; every eighth grant goes to the class that was passed over longest, so that the measure is steady; the reserve of the worthiest class is an eighth at most.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -16,9 +16,13 @@
 	retryMin     = 100 * time.Millisecond
 	retryMax     = 30 * time.Second
 	retryUnknown = time.Second
-	// hopeless is the factor by which a waiting request's estimated wait must
-	// exceed its time before it is refused, as estimates vary.
-	hopeless = 2
+	// cautionPercent is the part of the estimated wait that must fit into the time
+	// of a new request, and hopelessPercent the part of its time that the wait of
+	// a waiting one must exceed before it is refused, as estimates vary.
+	cautionPercent  = 130
+	hopelessPercent = 300
+	// maxWait bounds an estimate.
+	maxWait = time.Hour
 )
 
 // rate is an exponentially decaying estimate of events per second.
@@ -57,6 +61,8 @@
 
 // outlook is what the wait in one class depends on.
 type outlook struct {
+	class *class
+	now   time.Time
 	// worthier is the number of waiting requests of worthier classes.
 	worthier int
 	// full is the grants per second of all classes; 0 if unknown.
@@ -67,7 +73,7 @@
 
 // outlookOf returns the outlook of class c.
 func (q *Queue) outlookOf(c *class, now time.Time, places Places) outlook {
-	o := outlook{full: q.drain(places)}
+	o := outlook{class: c, now: now, full: q.drain(places)}
 	arriving := 0.0
 	for _, other := range q.classes {
 		if other == c {
@@ -76,18 +82,29 @@
 		o.worthier += other.waiting
 		arriving += other.arrivals.perSecond(now)
 	}
-	o.share = max(o.full-arriving, o.full/float64(q.settings.AgedEvery))
+	o.share = max(o.full-arriving, o.full/float64(q.settings.PassedOverEvery))
 	return o
 }
 
-// wait returns how long a request is likely to wait that has ahead requests of
-// its class before it. It is 0 while nothing is known.
-func (o outlook) wait(ahead int) time.Duration {
+// wait returns how long the request at position in lane l is likely to wait: by
+// the measured grants of the lane or else of the class, or while there are too
+// few of them by what the places allow. It is 0 while nothing is known.
+func (o outlook) wait(l *lane, position int) time.Duration {
+	if rate, known := l.drain.perSecond(o.now); known {
+		return seconds(float64(position+1) / rate)
+	}
+	ahead := float64(o.class.ahead(l, position))
+	if rate, known := o.class.drain.perSecond(o.now); known {
+		return seconds(ahead / rate)
+	}
 	if o.full <= 0 {
 		return 0
 	}
-	seconds := float64(o.worthier)/o.full + float64(ahead)/o.share
-	return time.Duration(seconds * float64(time.Second))
+	return seconds(float64(o.worthier)/o.full + ahead/o.share)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, maxWait.Seconds()) * float64(time.Second))
 }
 
 // drain returns the grants per second that the places allow; 0 if unknown.
@@ -134,7 +151,7 @@
 	for _, l := range c.lanes {
 		for i, r := range l.requests {
 			left := r.due.Sub(now)
-			if left <= 0 || o.wait(c.ahead(l, i)) > hopeless*left {
+			if left <= 0 || o.wait(l, i) > left*hopelessPercent/100 {
 				lost = append(lost, r)
 			}
 		}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,9 +21,9 @@
 type Settings struct {
 	// Limit bounds the waiting requests of all classes.
 	Limit int
-	// AgedEvery is the number of grants of which one goes to the request that
-	// has used up the largest part of its time, whatever its class.
-	AgedEvery int
+	// PassedOverEvery is the number of grants of which one goes to a class that
+	// would have to wait for worthier ones.
+	PassedOverEvery int
 	// ReserveDivisor bounds the part of the capacity, 1/ReserveDivisor, that is
 	// kept free for the worthiest class.
 	ReserveDivisor int
@@ -31,9 +31,9 @@
 
 // Defaults of Settings.
 const (
-	defaultLimit          = 1024
-	defaultAgedEvery      = 8
-	defaultReserveDivisor = 4
+	defaultLimit           = 1024
+	defaultPassedOverEvery = 8
+	defaultReserveDivisor  = 8
 	// topMemory is how long a class counts as present after its last arrival.
 	topMemory = time.Minute
 	// sweepInterval is the time between two searches for hopeless requests.
@@ -45,7 +45,7 @@
 
 func (s Settings) withDefaults() Settings {
 	s.Limit = cmp.Or(s.Limit, defaultLimit)
-	s.AgedEvery = cmp.Or(s.AgedEvery, defaultAgedEvery)
+	s.PassedOverEvery = cmp.Or(s.PassedOverEvery, defaultPassedOverEvery)
 	s.ReserveDivisor = cmp.Or(s.ReserveDivisor, defaultReserveDivisor)
 	return s
 }
@@ -58,21 +58,13 @@
 	due time.Time
 }
 
-// used returns the part of the request's time that has passed.
-func (r *request) used(now time.Time) float64 {
-	total := r.due.Sub(r.Arrived)
-	if total <= 0 {
-		return 1
-	}
-	return float64(now.Sub(r.Arrived)) / float64(total)
-}
-
 // lane is the waiting requests of one organisation in one class.
 type lane struct {
 	organisation string
 	requests     []*request
 	// turn is the virtual time of the lane's next grant.
-	turn float64
+	turn  float64
+	drain drain
 }
 
 // class is the waiting requests of one priority class.
@@ -86,6 +78,9 @@
 	// clock is the virtual time of the latest grant.
 	clock    float64
 	arrivals rate
+	drain    drain
+	// lastTurn is the number of grants at the class's latest grant out of turn.
+	lastTurn int
 	// patience is the time that the latest request came with.
 	patience time.Duration
 }
@@ -124,15 +119,15 @@
 	if !now.Before(r.due) {
 		return []Verdict{{id, errkind.New(errkind.DeadlineUnmet, "the deadline has passed")}}
 	}
-	c.push(r)
+	c.push(r, now)
 	q.waiting++
 	verdicts := q.Step(now, places)
 	if slices.ContainsFunc(verdicts, func(v Verdict) bool { return v.ID == id }) {
 		return verdicts
 	}
 	own, _ := c.lane(r.Organisation)
-	wait := q.outlookOf(c, now, places).wait(c.ahead(own, len(own.requests)-1))
-	if now.Add(wait).After(r.due) {
+	wait := q.outlookOf(c, now, places).wait(own, len(own.requests)-1)
+	if now.Add(wait * cautionPercent / 100).After(r.due) {
 		q.remove(c, r)
 		late := now.Add(wait).Sub(r.due)
 		return append(verdicts, Verdict{id, errkind.New(errkind.DeadlineUnmet,
@@ -150,6 +145,8 @@
 			return verdicts
 		}
 		r := l.requests[0]
+		l.drain.grant(now)
+		c.drain.grant(now)
 		q.remove(c, r)
 		if !now.Before(r.due) {
 			verdicts = append(verdicts, q.expired(r, now, places))
@@ -219,7 +216,7 @@
 	return c.lanes[i], i
 }
 
-func (c *class) push(r *request) {
+func (c *class) push(r *request, now time.Time) {
 	l, i := c.lane(r.Organisation)
 	if l == nil {
 		l = &lane{organisation: r.Organisation}
@@ -231,6 +228,8 @@
 	}
 	l.requests = append(l.requests, r)
 	c.waiting++
+	l.drain.begin(now)
+	c.drain.begin(now)
 }
 
 // remove takes a waiting request out. A lane without requests is kept as long
@@ -240,6 +239,12 @@
 	l.requests = slices.DeleteFunc(l.requests, func(other *request) bool { return other == r })
 	c.waiting--
 	q.waiting--
+	if len(l.requests) == 0 {
+		l.drain.end()
+	}
+	if c.waiting == 0 {
+		c.drain.end()
+	}
 	c.lanes = slices.DeleteFunc(c.lanes, func(other *lane) bool {
 		return other != l && len(other.requests) == 0 && other.turn <= c.clock
 	})
@@ -255,8 +260,8 @@
 	top := q.topClass(now)
 	reserved := q.reserve.of(places.Total, q.settings.ReserveDivisor)
 	lowerMayGo := open || own < places.limitLess(reserved)
-	if (q.grants+1)%q.settings.AgedEvery == 0 && lowerMayGo {
-		return q.mostAged(now)
+	if (q.grants+1)%q.settings.PassedOverEvery == 0 && lowerMayGo {
+		return q.passedOver()
 	}
 	for _, c := range q.classes {
 		if c.waiting > 0 && (lowerMayGo || c == top) {
@@ -287,20 +292,22 @@
 	return best
 }
 
-// mostAged returns the lane whose first request has used up the largest part of its time.
-func (q *Queue) mostAged(now time.Time) (*class, *lane) {
-	var bestClass *class
-	var best *lane
-	most := -1.0
+// passedOver returns the lane that goes next out of turn: that of the waiting
+// class, beside the worthiest one that waits, which has gone longest without.
+func (q *Queue) passedOver() (*class, *lane) {
+	var first, best *class
 	for _, c := range q.classes {
-		for _, l := range c.lanes {
-			if len(l.requests) == 0 {
-				continue
-			}
-			if used := l.requests[0].used(now); used > most {
-				bestClass, best, most = c, l, used
-			}
+		switch {
+		case c.waiting == 0:
+		case first == nil:
+			first = c
+		case best == nil || c.lastTurn < best.lastTurn:
+			best = c
 		}
 	}
-	return bestClass, best
+	if best == nil {
+		best = first
+	}
+	best.lastTurn = q.grants
+	return best, best.next()
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -51,13 +51,18 @@
 // outcome is what became of one kind of work.
 type outcome struct {
 	arrived, served int
-	waits           []time.Duration
+	// late counts the requests that were refused after they had waited.
+	late  int
+	waits []time.Duration
 	// byOrganisation counts arrived and served requests.
 	byOrganisation map[string][2]int
 }
 
 func (o *outcome) share() float64 { return float64(o.served) / float64(o.arrived) }
 
+// lateShare returns the percentage of requests that were refused after a wait.
+func (o *outcome) lateShare() float64 { return 100 * float64(o.late) / float64(o.arrived) }
+
 func (o *outcome) p95() time.Duration {
 	slices.Sort(o.waits)
 	return o.waits[len(o.waits)*95/100]
@@ -105,11 +110,14 @@
 	settle := func(verdicts []Verdict) {
 		for _, v := range verdicts {
 			w := open[v.ID]
+			o := outcomes[w.k.class]
 			if v.Err != nil {
 				delete(open, v.ID)
+				if now.After(w.t.Arrived) {
+					o.late++
+				}
 				continue
 			}
-			o := outcomes[w.k.class]
 			o.served++
 			o.waits = append(o.waits, now.Sub(w.t.Arrived))
 			count := o.byOrganisation[w.t.Organisation]
@@ -169,8 +177,8 @@
 	naive := run(newFIFO(defaultLimit), load, capacity, length, 1)
 	for _, k := range workload {
 		o, n := ours[k.class], naive[k.class]
-		t.Logf("%-7s served %5.1f %% (FIFO %5.1f %%), p95 wait %7v (FIFO %7v), worst small organisation %5.1f %% (FIFO %5.1f %%)",
-			k.class, 100*o.share(), 100*n.share(), o.p95().Round(time.Millisecond), n.p95().Round(time.Millisecond),
+		t.Logf("%-7s served %5.1f %% (FIFO %5.1f %%), refused late %4.1f %% (%4.1f %%), p95 wait %7v (FIFO %7v), worst small organisation %5.1f %% (FIFO %5.1f %%)",
+			k.class, 100*o.share(), 100*n.share(), o.lateShare(), n.lateShare(), o.p95().Round(time.Millisecond), n.p95().Round(time.Millisecond),
 			100*smallest(ours, k.class), 100*smallest(naive, k.class))
 	}
 	g := NewWithT(t)
@@ -201,7 +209,7 @@
 
 func TestOrganisationsTakeTurns(t *testing.T) {
 	g := NewWithT(t)
-	q := NewQueue(Settings{AgedEvery: 100})
+	q := NewQueue(Settings{PassedOverEvery: 100})
 	q.Arrive(1, ticket("c", 1, "x", start, time.Minute), start, alone(1))
 	for id := ID(2); id <= 5; id++ {
 		q.Arrive(id, ticket("c", 1, "large", start, time.Minute), start, alone(1))
@@ -224,7 +232,7 @@
 	q.Arrive(2, ticket("low", 1, "o", start, time.Minute), start, alone(1))
 	now, last := start, ID(1)
 	for id := ID(3); ; id++ {
-		g.Expect(id).To(BeNumerically("<", 3+2*defaultAgedEvery))
+		g.Expect(id).To(BeNumerically("<", 3+2*defaultPassedOverEvery))
 		now = now.Add(10 * time.Millisecond)
 		q.Arrive(id, ticket("high", 9, "o", now, time.Minute), now, alone(1))
 		q.Finish(last, now)
