--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -63,8 +63,10 @@
 	}
 	announcements := d.announcements(ctx)
 	handler := d.callerHandler()
+	d.handler = handler
 	d.registerHostMethods(srv, announcements, handler)
 	d.goRun(func() { _ = srv.Serve(ctx, hostsListener) })
+	d.goRun(func() { d.maintain(ctx) })
 	if err := d.startHTTP(handler, announcements); err != nil {
 		return err
 	}
@@ -99,6 +101,7 @@
 	}
 	d.goRun(func() { d.replica.server.ExpireSessions(ctx) })
 	d.goRun(func() { d.replica.watchHealth(ctx) })
+	d.startOrders(ctx)
 	return nil
 }
 
@@ -212,6 +215,7 @@
 		KeyHashes:     d.settings.OperatorKeyHashes,
 		Upstreams:     d.upstreams,
 		ChangeReplica: d.group.ChangeReplica,
+		Order:         d.order,
 		OnError:       func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
 	}))
 	d.operators = d.serveHTTP(operators, mux)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -54,6 +54,15 @@
 	}
 }
 
+func TestSnapshotDoesNotChange(t *testing.T) {
+	g := NewWithT(t)
+	r := New(0)
+	before := r.Snapshot()
+	g.Expect(r.Apply(announcement(1, 1), start)).To(BeTrue())
+	g.Expect(before.Entries).To(BeEmpty())
+	g.Expect(r.Snapshot().Entries).To(HaveLen(1))
+}
+
 func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
 	g := NewWithT(t)
 	r := New(0)
