--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/routing"
+	"github.com/godwitbend/godwitbend/internal/telemetry"
 )
 
 // errAnswered tells that a failed try was answered to its end, or that nobody waits for an answer.
@@ -144,8 +145,8 @@
 func (x *exchange) afterFailure(f *failure, t target, tries int) error {
 	x.mayHaveRun = x.mayHaveRun || !f.notRun
 	x.noteRun(f, t)
-	x.h.Log.Info("try failed", "request_id", x.requestID, "organisation", x.id.caller.Organisation,
-		"upstream", t.entry.ID, "reason", f.reason, "detail", f.text)
+	x.h.Log.Info("try failed", telemetry.FieldRequestID, x.requestID, telemetry.FieldOrganisation, x.id.caller.Organisation,
+		telemetry.FieldUpstream, t.entry.ID, "reason", f.reason, "detail", f.text)
 	if f.callerGone {
 		x.callerLeft(t, 0)
 		return errAnswered
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -34,6 +34,7 @@
 	final *errkind.Error
 	// stop, if set, is the answer unless the call can be completed without being sent again.
 	stop *errkind.Error
+	// text is for the log; it must not hold a prompt or an answer.
 	text string
 }
 
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -96,6 +96,19 @@
 	})
 }
 
+func TestStreamThatEndsWithoutItsMarkerIsNeverWhole(t *testing.T) {
+	inSite(t, 10_000, func(s *site) {
+		s.addFunc("engine-1", "10.0.1.1:80", "m", false, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(announce.HeaderRequestID, r.Header.Get(announce.HeaderRequestID))
+			fmt.Fprint(w, "data: {\"id\":\"a\",\"choices\":[{\"delta\":{\"content\":\"one\"}}]}\n\n")
+		})
+		a := s.stream()
+		s.Expect(a.whole()).To(BeFalse())
+		s.Expect(a.body).To(ContainSubstring(string(errkind.UpstreamFailed)))
+		s.Expect(s.control.only().State).To(Equal("settled"))
+	})
+}
+
 func TestTruncatedWholeAnswerIsNotDelivered(t *testing.T) {
 	inSite(t, 10_000, func(s *site) {
 		s.addFunc("engine-1", "10.0.1.1:80", "m", false, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/telemetry"
 )
 
 // defaultRetryAfter is told for an error that does not know when to come back.
@@ -41,7 +42,7 @@
 		e = e.WithRetryAfter(defaultRetryAfter)
 	}
 	id := w.Header().Get(announce.HeaderRequestID)
-	h.Log.Info("request refused", "request_id", id, "kind", e.Kind, "outcome", e.Outcome(), "message", e.Message)
+	h.Log.Info("request refused", telemetry.FieldRequestID, id, telemetry.FieldKind, e.Kind, "outcome", e.Outcome())
 	body, _ := json.Marshal(newErrorBody(e, id))
 	e.WriteHeader(w)
 	_, _ = w.Write(body)
@@ -53,11 +54,11 @@
 }
 
 func (c *counters) refusal(k errkind.Kind) {
-	c.scope.Tagged(map[string]string{"kind": string(k)}).Counter("refusals").Inc(1)
+	telemetry.Refusal(c.scope, k).Inc(1)
 }
 
 func (c *counters) retry(r retryReason) {
-	c.scope.Tagged(map[string]string{"reason": string(r)}).Counter("retries").Inc(1)
+	telemetry.Retry(c.scope, string(r)).Inc(1)
 }
 
 func (c *counters) event(name string) {
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -83,15 +83,17 @@
 // upstream protocol an engine that answers 409, 429 or another 4xx, or 503, has
 // not run the request.
 func (x *exchange) chatStatus(resp *http.Response) *failure {
-	reason := readReason(resp)
-	switch code := resp.StatusCode; {
+	code := resp.StatusCode
+	// The reason may repeat the prompt, so only the caller gets it.
+	text := "status " + strconv.Itoa(code)
+	switch {
 	case code == http.StatusBadRequest || code == http.StatusRequestEntityTooLarge || code == http.StatusUnprocessableEntity:
-		return &failure{reason: reasonRefused, notRun: true, text: reason,
-			final: errkind.New(errkind.InvalidRequest, "the engine refuses the request: %s", reason)}
+		return &failure{reason: reasonRefused, notRun: true, text: text,
+			final: errkind.New(errkind.InvalidRequest, "the engine refuses the request: %s", readReason(resp))}
 	case code == http.StatusServiceUnavailable || code >= http.StatusBadRequest && code < http.StatusInternalServerError:
-		return &failure{reason: reasonRefused, notRun: true, text: reason}
+		return &failure{reason: reasonRefused, notRun: true, text: text}
 	default:
-		return &failure{reason: reasonError, text: "status " + strconv.Itoa(code) + ": " + reason}
+		return &failure{reason: reasonError, text: text}
 	}
 }
 
