Say "not run" of a request with a key only where nothing of it can have run

Cause: TestLeaderFrozenAndWokenUnderLoad found one request that was told "not run" by control_unavailable though it had run. A record that was released after a run that delivered nothing was taken for one that had not run; and a group that does not answer may be about to commit another try's Begin.

Change: while the group does not answer the outcome of a request with a key is "unknown"; so is that of a request that may be repeated and whose record was released, or has a later attempt than the first; a refused Begin is followed by a look at the record. Which of these the run had met was not found out: the evidence of the run was gone.

Conclusion: TestReleasedRequestThatRanIsNotSaidNotToHaveRun fails without the change and passes with it.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -67,7 +67,7 @@
 	session string
 	// attempt fences the commands of the record.
 	attempt uint32
-	// consulted tells that the record was read or written, so that the outcome is known.
+	// consulted tells that Begin told the state of the record, so that the outcome is known.
 	consulted bool
 	// begun tells that the record is open and owned by this exchange.
 	begun bool
@@ -75,6 +75,8 @@
 	dispatched target
 	// mayHaveRun tells that some dispatch of the record may have run.
 	mayHaveRun bool
+	// ranEarlier tells that an earlier attempt of the record may have run.
+	ranEarlier bool
 	// suspect tells that the call must run alone on its upstream.
 	suspect bool
 	// generation counts the records that were opened to complete the call, and
@@ -157,7 +159,7 @@
 	leave, ok := h.callers.enter(in.caller.Name, h.callerLimit(in.identity))
 	if !ok {
 		err := errkind.New(errkind.TooManyRequests, "the caller has too many open requests").WithRetryAfter(concurrencyRetry)
-		return h.truthful(r.Context(), w, in.key, err)
+		return h.truthful(r.Context(), w, in.key, c.repeatable, err)
 	}
 	defer leave()
 	x := h.newExchange(w, r, in, c)
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -322,3 +322,35 @@
 		s.Expect(s.control.charged()).To(Equal(last.PromptTokens + last.OutputTokens))
 	})
 }
+
+// spend charges tokens to the budget.
+func (s *site) spend(tokens int64) {
+	s.execute(&controlapi.Command{Begin: &controlapi.BeginRequest{
+		RequestID: "spent", Organisation: "org", Caller: "caller", Budget: "b", Service: "m", BodyHash: "spent",
+		Repeatable: true, Tokens: tokens, Session: "session-1",
+	}})
+	s.execute(&controlapi.Command{Settle: &controlapi.SettleRequest{RequestID: "spent", Attempt: 1, Tokens: tokens}})
+}
+
+func TestReleasedRequestThatRanIsNotSaidNotToHaveRun(t *testing.T) {
+	inSite(t, 10_000, func(s *site) {
+		status := http.StatusInternalServerError
+		s.addFunc("engine-1", "10.0.1.1:80", "m", false, func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "no", status)
+		})
+		first := s.stream(key("k"))
+		s.Expect(first.refusal.Outcome).To(Equal(errkind.Unknown))
+		s.Expect(s.control.only().State).To(Equal("released"))
+		status = http.StatusServiceUnavailable
+		refused := s.stream(key("k"))
+		s.Expect(refused.refusal.Kind).To(Equal(errkind.UpstreamRefused), refused.body)
+		s.Expect(refused.refusal.Outcome).To(Equal(errkind.Unknown), "the first try may have run")
+		s.spend(9_990)
+		poor := s.stream(key("k"))
+		s.Expect(poor.refusal.Kind).To(Equal(errkind.BudgetExhausted))
+		s.Expect(poor.refusal.Outcome).To(Equal(errkind.Unknown))
+		s.draining = true
+		s.Expect(s.stream(key("k")).refusal.Outcome).To(Equal(errkind.Unknown))
+		s.Expect(s.stream(key("new")).refusal.Outcome).To(Equal(errkind.NotRun))
+	})
+}
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -31,7 +31,7 @@
 		setRequestID(w, id.caller.Name, key)
 	}
 	if err := h.checkOpen(); err != nil {
-		return nil, h.truthful(r.Context(), w, key, err)
+		return nil, h.truthful(r.Context(), w, key, true, err)
 	}
 	body, err := h.Limits.readBody(w, r)
 	if err != nil {
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -90,11 +90,11 @@
 		x.h.inBackground(func() { x.h.abandon(cmd) })
 		return nil, errkind.New(errkind.ControlUnavailable, "the record can't be opened").WithRetryAfter(controlRetry)
 	}
-	x.consulted = true
 	x.confine(res)
 	if res.Err != nil {
 		return nil, res.Err
 	}
+	x.consulted = true
 	x.takeBegin(res.Begin, t)
 	return res.Begin, nil
 }
@@ -104,6 +104,8 @@
 	x.suspect = x.suspect || reply.Suspect
 	x.begun = reply.Status == controlapi.BeginStarted || reply.Status == controlapi.BeginTakenOver
 	x.mayHaveRun = reply.Status != controlapi.BeginStarted && (reply.MayHaveRun || reply.Status != controlapi.BeginTakenOver)
+	// A request that may be repeated is also released after runs that delivered nothing.
+	x.ranEarlier = x.ranEarlier || x.begun && x.repeatable && reply.Attempt > 1
 	if x.begun && !reply.MayHaveRun && t.entry != nil {
 		x.dispatched = t
 	}
--- a/internal/entry/truth.go
+++ b/internal/entry/truth.go
@@ -19,33 +19,40 @@
 		return e.WithOutcome(errkind.Ran)
 	}
 	if x.consulted {
-		if x.mayHaveRun && e.Outcome() == errkind.NotRun {
+		if (x.mayHaveRun || x.ranEarlier) && e.Outcome() == errkind.NotRun {
 			return e.WithOutcome(errkind.Unknown)
 		}
 		return e
 	}
-	return x.h.truthful(x.ctx, x.w, x.key, e)
+	return x.h.truthful(x.ctx, x.w, x.key, x.repeatable, e)
 }
 
 // truthful states the outcome of a refused request that was not begun here. An
 // earlier try with the same key may have run, so its record is looked up.
-func (h *Handler) truthful(ctx context.Context, w http.ResponseWriter, key string, err error) error {
+// Repeatable tells that the request may be repeated, as far as is known.
+func (h *Handler) truthful(ctx context.Context, w http.ResponseWriter, key string, repeatable bool, err error) error {
 	e := errkind.From(err)
-	if key == "" || e.Outcome() != errkind.NotRun {
+	if key == "" || e.Outcome() != errkind.NotRun || e.Kind == errkind.KeyReused {
 		return e
 	}
 	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
 	defer cancel()
+	if e.Kind == errkind.ControlUnavailable {
+		// The group may be about to commit what another try began.
+		return e.WithOutcome(errkind.Unknown)
+	}
 	reply, queryErr := h.Control.Query(ctx, &controlapi.QueryRequest{Request: w.Header().Get(announce.HeaderRequestID)})
 	if queryErr != nil {
 		return e.WithOutcome(errkind.Unknown)
 	}
 	for i := range reply.Requests {
-		switch reply.Requests[i].State {
-		case "released":
-		case "settled":
+		switch state := reply.Requests[i].State; {
+		case state == "settled":
 			return e.WithOutcome(errkind.Ran)
+		case state == "released" && !repeatable:
+			return e
 		default:
+			// A request that may be repeated is also released after runs that delivered nothing.
 			return e.WithOutcome(errkind.Unknown)
 		}
 	}
