--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -8,6 +8,10 @@
 	HeaderRequestID = "X-Request-Id"
 	HeaderPriority  = "X-Priority"
 	HeaderAttempt   = "X-Attempt"
+	// HeaderIncarnation is the incarnation that a request is meant for. Another
+	// incarnation of the upstream answers 409 with its own incarnation in this
+	// header, and does not run the request.
+	HeaderIncarnation = "X-Upstream-Incarnation"
 )
 
 // Paths. An entry host serves PathAnnounce; an upstream serves the others.
@@ -105,12 +109,19 @@
 	Tokens int64 `json:"tokens"`
 }
 
+// The actions of an order.
+const (
+	ActionLoad   = "load"
+	ActionUnload = "unload"
+	ActionRole   = "role"
+)
+
 // Order asks an upstream to load or unload something or to change its role.
 type Order struct {
 	ID string `json:"id"`
 	// FencingNumber is the term of the leader that gave the order.
 	FencingNumber uint64 `json:"fencing_number"`
-	// Action is "load", "unload" or "role".
+	// Action is ActionLoad, ActionUnload or ActionRole.
 	Action  string `json:"action"`
 	Model   string `json:"model,omitempty"`
 	Version string `json:"version,omitempty"`
--- a/internal/containment/tracker.go
+++ b/internal/containment/tracker.go
@@ -168,14 +168,18 @@
 }
 
 // CheckOpen returns why the body may not be sent to the instance now, and
-// where it may be sent instead. Nothing is changed.
-func (t *Tracker) CheckOpen(hash string, to controlapi.Instance, nowMS int64) (*errkind.Error, []controlapi.Instance) {
+// where it may be sent instead. Own are the request's earlier dispatches, which
+// it has given up. Nothing is changed.
+func (t *Tracker) CheckOpen(hash string, to controlapi.Instance, nowMS int64, own ...controlapi.Instance) (*errkind.Error, []controlapi.Instance) {
 	b := t.bodies[hash]
 	if b == nil {
 		return nil, nil
 	}
+	if slices.Contains(b.Lost, to) {
+		return busy("upstream %s was lost with this request in flight", to.Upstream), nil
+	}
 	if b.Suspect {
-		if b.hasLiveOpen() {
+		if b.hasLiveOpen(own) {
 			return busy("another copy of a request that was in flight at a crash is running"), nil
 		}
 		if t.hasOtherSuspect(b, to) {
@@ -196,9 +200,16 @@
 	return errkind.New(errkind.SuspectBusy, format, args...).WithRetryAfter(SuspectRetryAfter)
 }
 
-// hasLiveOpen tells whether the body has an open dispatch on an instance that is not lost.
-func (b *tracked) hasLiveOpen() bool {
-	return slices.ContainsFunc(b.open, func(o opened) bool { return !slices.Contains(b.Lost, o.instance) })
+// hasLiveOpen tells whether the body has an open dispatch, beside own, on an
+// instance that is not lost.
+func (b *tracked) hasLiveOpen(own []controlapi.Instance) bool {
+	return slices.ContainsFunc(b.open, func(o opened) bool {
+		mine := 0
+		if slices.Contains(own, o.instance) {
+			mine = 1
+		}
+		return o.count > mine && !slices.Contains(b.Lost, o.instance)
+	})
 }
 
 // openOn returns the index of the instance among the open ones, or -1.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,7 +14,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
+	"github.com/godwitbend/godwitbend/internal/entry"
 	"github.com/godwitbend/godwitbend/internal/registry"
+	"github.com/godwitbend/godwitbend/internal/routing"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/session"
 	"github.com/godwitbend/godwitbend/internal/settings"
@@ -25,6 +27,8 @@
 const (
 	// drainTimeout bounds the wait for requests in flight at a shutdown.
 	drainTimeout = 10 * time.Minute
+	// recordsInterval is the time between two looks for records that are not closed yet.
+	recordsInterval = 10 * time.Millisecond
 	// closeTimeout bounds each of the last steps of a shutdown.
 	closeTimeout = 5 * time.Second
 )
@@ -40,8 +44,10 @@
 	standby  *standby.Client
 	journals []*standby.Journals
 	registry *registry.Registry
+	router   *routing.Router
 	replica  *controlReplica
 	forward  *forwarder
+	handler  *entry.Handler
 	// leaving fails the readiness check; draining refuses new work.
 	leaving  atomic.Bool
 	draining atomic.Bool
@@ -68,11 +74,18 @@
 	s := d.settings
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	waiting := context.AfterFunc(ctx, stop)
 	if err := d.start(background); err != nil {
 		d.abort(stop)
+		if ctx.Err() != nil {
+			return nil
+		}
 		return err
 	}
-	klog.InfoS("host started", "host", s.Host, "zone", s.Zone)
+	if !waiting() {
+		return d.shutdown(stop)
+	}
+	klog.InfoS("host started", "zone", s.Zone)
 	select {
 	case <-ctx.Done():
 	case err := <-d.failed():
@@ -105,7 +118,7 @@
 // away, then refuses new work, waits for the requests in flight, ends the
 // session and leaves the control group.
 func (d *Daemon) shutdown(stop context.CancelFunc) error {
-	klog.InfoS("draining", "host", d.settings.Host)
+	klog.InfoS("draining")
 	d.leaving.Store(true)
 	if d.callers != nil {
 		d.callers.SetKeepAlivesEnabled(false)
@@ -115,23 +128,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	err := shutdownServer(ctx, d.callers)
+	err = errors.Join(err, d.awaitRecords(ctx))
 	d.endSession()
 	err = errors.Join(err, shutdownServer(ctx, d.operators))
 	if d.replica != nil {
 		d.replica.stop()
 	}
-	stop()
-	d.wg.Wait()
-	for _, j := range d.journals {
-		err = errors.Join(err, j.Close())
-	}
-	d.forward.wg.Wait()
-	if d.replica != nil {
-		d.replica.transport.Wait()
-	}
-	d.upstreamHTTP.CloseIdleConnections()
-	err = errors.Join(err, d.rpc.Close(), d.metrics.Close())
-	klog.InfoS("host stopped", "host", d.settings.Host)
+	err = errors.Join(err, d.release(stop))
+	klog.InfoS("host stopped")
 	return err
 }
 
@@ -143,9 +147,25 @@
 	return eris.Wrap(srv.Shutdown(ctx), "drain requests in flight")
 }
 
+// awaitRecords waits until the records of the requests that were answered are closed.
+func (d *Daemon) awaitRecords(ctx context.Context) error {
+	ticker := time.NewTicker(recordsInterval)
+	defer ticker.Stop()
+	for d.handler.OpenRequests() > 0 {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "close the records of requests")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 func (d *Daemon) endSession() {
-	d.stopStandby()
-	d.standby.Close(context.Background())
+	if d.stopStandby != nil {
+		d.stopStandby()
+		d.standby.Close(context.Background())
+	}
 	d.stopSession()
 	<-d.sessionDone
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -70,7 +70,7 @@
 	ctx, watch := newWatch(x.work, streamIdle)
 	defer watch.stop()
 	if resumes > 0 {
-		pause(ctx, backoff(resumes))
+		pause(ctx, x.h.backoff(resumes))
 	}
 	resp, f := x.resume(ctx, t, state.events)
 	if f != nil {
@@ -121,7 +121,7 @@
 	if c.Usage != nil {
 		state.used = max(state.used, c.Usage.TotalTokens)
 	}
-	if state.output+c.tokens() > x.output || x.worst > 0 && state.used > x.worst {
+	if state.output+c.tokens() > x.output || !x.isRerun && state.used > x.worst+x.paid {
 		return true, x.cutStream(t, &c, state)
 	}
 	state.output += c.tokens()
@@ -149,7 +149,7 @@
 	x.h.counters.event("streams_cut")
 	_, _ = x.cancel(t)
 	state.held = append(state.held, cutEvent(last))
-	return x.endStream(state, x.worst, true)
+	return x.endStream(state, x.worst+x.paid, true)
 }
 
 // endStream commits the charge and writes the events that were held for it.
@@ -171,11 +171,15 @@
 	return errkind.From(err).WithOutcome(errkind.Ran).WithRetryAfter(controlRetry)
 }
 
-// breakOff ends a stream that can't be completed: what was delivered is
-// charged, and the caller is told that the answer is not whole.
+// breakOff ends a stream that can't be completed: a crash is reported, what was
+// used is charged, and the caller is told that the answer is not whole.
 func (x *exchange) breakOff(f *failure, t target, state *relay) *failure {
 	e := f.final
+	if f.broken {
+		_ = x.reportCrash(t)
+	}
 	if e == nil {
+		x.brokenOff = true
 		used, known := x.cancel(t)
 		if !known {
 			used = max(state.used, state.output)
@@ -193,6 +197,7 @@
 func (x *exchange) writeEvent(data []byte) *failure {
 	if !x.started {
 		x.started = true
+		x.firstByte = x.h.Now().Sub(x.tried)
 		x.w.Header().Set("Content-Type", "text/event-stream")
 		x.w.Header().Set("Cache-Control", "no-cache")
 		x.w.WriteHeader(http.StatusOK)
--- a/internal/fake/run.go
+++ b/internal/fake/run.go
@@ -34,6 +34,7 @@
 	faults      Faults
 	crashes     bool
 	slots       *slots
+	running     *sync.WaitGroup
 	place       *waiter
 	cache       *prefixCache
 	created     time.Time
@@ -55,7 +56,7 @@
 
 // generate runs the request to its end.
 func (r *run) generate() {
-	defer r.engine.running.Done()
+	defer r.running.Done()
 	defer r.slots.leave(r.place)
 	select {
 	case <-r.place.granted:
@@ -88,7 +89,7 @@
 }
 
 func (r *run) generateTokens() bool {
-	planned := r.req.OutputTokens(r.id)
+	planned := r.req.OutputTokens()
 	r.finish = "stop"
 	if planned == r.req.Limit() {
 		r.finish = "length"
@@ -96,7 +97,7 @@
 	if r.faults.ExtraTokens > 0 {
 		planned = r.req.Limit() + r.faults.ExtraTokens
 	}
-	seed := r.req.seed(r.id)
+	seed := r.req.seed()
 	for i := range planned {
 		if !r.sleep(r.engine.opts.TokenTime + r.faults.extraTokenTime()) {
 			return false
