Number the fields of an order

TestEachFieldOfAMessageHasItsOwnKey failed on main since orders became commands of the log: announce.Order was encoded by field names. The test is right (names cost bytes in each log entry); the fields have numbers now.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -118,13 +118,13 @@
 
 // Order asks an upstream to load or unload something or to change its role.
 type Order struct {
-	ID string `json:"id"`
+	ID string `json:"id" cbor:"1,keyasint"`
 	// FencingNumber is the term of the leader that gave the order.
-	FencingNumber uint64 `json:"fencing_number"`
+	FencingNumber uint64 `json:"fencing_number" cbor:"2,keyasint"`
 	// Action is ActionLoad, ActionUnload or ActionRole.
-	Action  string `json:"action"`
-	Model   string `json:"model,omitempty"`
-	Version string `json:"version,omitempty"`
-	Adapter string `json:"adapter,omitempty"`
-	Role    string `json:"role,omitempty"`
+	Action  string `json:"action" cbor:"3,keyasint"`
+	Model   string `json:"model,omitempty" cbor:"4,keyasint,omitempty"`
+	Version string `json:"version,omitempty" cbor:"5,keyasint,omitempty"`
+	Adapter string `json:"adapter,omitempty" cbor:"6,keyasint,omitempty"`
+	Role    string `json:"role,omitempty" cbor:"7,keyasint,omitempty"`
 }
