Refuse late copies of Begin and Dispatch

Cause, by reading: a command that was sent over two hosts may be committed once more after later ones of its owner. A late Dispatch then took back the word on what ran (a booking that ran on u1 was recorded on u2, and a new owner could have run it again), and a late Begin reopened a released record and held its reservation until the session's end. Dispatches are numbered per attempt now, and the Begin of a released attempt is refused. Further: a new owner's NotRun dropped the dispatch of an earlier attempt to the same instance, and the entry host kept naming an instance as not having run the call after a second try there that may have run.

--- a/internal/control/begin.go
+++ b/internal/control/begin.go
@@ -35,8 +35,10 @@
 		}}
 	case request.Unknown:
 		return refuse(errkind.New(errkind.OutcomeUnknown, "request %s may have run", r.ID))
-	default:
+	case request.Released:
 		return m.beginAgain(b, r)
+	default:
+		return refuse(errkind.New(errkind.Internal, "request %s is %s", r.ID, r.State))
 	}
 }
 
@@ -83,6 +85,9 @@
 
 // beginAgain runs a released request anew.
 func (m *Machine) beginAgain(b *controlapi.BeginRequest, r *request.Record) *controlapi.Result {
+	if r.IsLateResend(b) {
+		return refuse(errkind.New(errkind.StaleAttempt, "attempt %d of request %s was released", r.Attempt, r.ID).WithOutcome(errkind.NotRun))
+	}
 	return m.beginFirst(b, r, func(r *request.Record) {
 		m.requests.Reopen(r, func() { r.Restart(b) })
 	})
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -19,6 +19,9 @@
 	if !m.sessions.isOpen(r.Session) {
 		return refuse(errkind.New(errkind.SessionExpired, "session %s is not open", r.Session))
 	}
+	if err := r.TakeSequence(d.Sequence); err != nil {
+		return refuse(err)
+	}
 	m.dropNotRun(r, d.NotRun)
 	to := controlapi.Instance{Upstream: d.Upstream, Incarnation: d.UpstreamIncarnation}
 	if to.Upstream == "" || len(to.Upstream) > maxIDBytes {
@@ -48,7 +51,7 @@
 	return &controlapi.Result{}
 }
 
-// dropNotRun takes the owner's word that dispatches of the record did not run.
+// dropNotRun takes the owner's word that dispatches of its attempt did not run.
 func (m *Machine) dropNotRun(r *request.Record, notRun []controlapi.Instance) {
 	if dropped := r.DropDispatches(notRun); len(dropped) > 0 {
 		m.bodies.Close(r.BodyHash, dropped, containment.NotRun, m.nowMS)
--- a/internal/control/naive_test.go
+++ b/internal/control/naive_test.go
@@ -211,6 +211,9 @@
 	case s.state == request.Open && !orphaned && !b.Takeover:
 		return outcome{Status: controlapi.BeginInProgress, Attempt: s.attempt}
 	}
+	if s.state == request.Released && b.Try != 0 && s.session == b.Session && s.try == b.Try {
+		return refusal(errkind.StaleAttempt)
+	}
 	f := fact{what: "begin", id: b.RequestID, session: b.Session, budget: b.Budget, body: b.BodyHash, tokens: b.Tokens, attempt: s.attempt + 1, try: b.Try}
 	if s.state == request.Open {
 		f.takenOver, f.tokens, f.budget = true, s.tokens, s.budget
--- a/internal/control/session_test.go
+++ b/internal/control/session_test.go
@@ -86,6 +86,50 @@
 	f.must(f.release("booking", 1))
 }
 
+// A command that was sent twice over different hosts may come once more, after
+// later ones of the same owner.
+func TestLateCopiesOfCommandsChangeNothing(t *testing.T) {
+	f := newFixture(t, 100)
+	b := f.beginRequest("booking", hostA, 10)
+	b.Repeatable, b.Try, b.Upstream = false, 1, "u1"
+	f.must(f.begin(b))
+	send := func(sequence uint32, upstream string) *controlapi.Result {
+		return f.execute(&controlapi.Command{Dispatch: &controlapi.DispatchRequest{
+			RequestID: b.RequestID, Attempt: 1, Upstream: upstream, EarlierNotRun: true, Sequence: sequence,
+		}})
+	}
+	f.must(send(1, "u2"))
+	f.must(send(1, "u2"))
+	f.must(send(2, "u1"))
+	f.refused(send(1, "u2"), errkind.StaleAttempt)
+	f.end(hostA)
+	takeover := f.beginRequest("booking", hostB, 10)
+	f.Expect(f.must(f.begin(takeover)).Begin.Upstream).To(Equal("u1"))
+
+	free := f.beginRequest("free", hostB, 10)
+	free.Try = 2
+	f.must(f.begin(free))
+	f.must(f.release("free", 1))
+	f.refused(f.begin(free), errkind.StaleAttempt)
+	f.Expect(f.budget().Reserved).To(Equal(int64(10)))
+	free.Try = 3
+	f.must(f.begin(free))
+}
+
+// The new owner sends a request once more to where the old one sent it, and is
+// refused there. The old owner's run may still go on.
+func TestWordOfANewOwnerDoesNotCoverAnEarlierAttempt(t *testing.T) {
+	f := newFixture(t, 100)
+	f.beginDispatched("draft", true)
+	f.end(hostA)
+	takeover := f.beginRequest("draft", hostB, 10)
+	f.must(f.begin(takeover))
+	f.must(f.execute(&controlapi.Command{Dispatch: &controlapi.DispatchRequest{
+		RequestID: takeover.RequestID, Attempt: 2, Upstream: "u2", NotRun: []controlapi.Instance{{Upstream: "upstream-draft"}},
+	}}))
+	f.Expect(f.must(f.begin(takeover)).Begin.MayHaveRun).To(BeTrue())
+}
+
 func TestCommandOfAnotherSessionIsStale(t *testing.T) {
 	f := newFixture(t, 100)
 	f.beginDispatched("k", true)
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -102,6 +102,9 @@
 	// NotRun are earlier dispatches of this attempt that provably did not run. They no longer
 	// count, neither as runs nor as upstreams that the body was exposed to.
 	NotRun []Instance `cbor:"7,keyasint,omitempty"`
+	// Sequence numbers the dispatches of an attempt, rising from 1. A copy that arrives after a
+	// later dispatch is refused, so that its word on what ran does no harm. 0 is not checked.
+	Sequence uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // SettleRequest charges a request that ran and frees the rest of its reservation.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -175,6 +175,7 @@
 	switch {
 	case !f.notRun:
 		x.ran = append(x.ran, instance)
+		x.notRun = slices.DeleteFunc(x.notRun, func(i controlapi.Instance) bool { return i == instance })
 	case !slices.Contains(x.ran, instance):
 		x.notRun = append(x.notRun, instance)
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -88,6 +88,8 @@
 	// ran are the instances that may have run the call in this attempt, and notRun
 	// those that were recorded for it and provably did not.
 	ran, notRun []controlapi.Instance
+	// dispatches counts the Dispatch commands of the call.
+	dispatches uint32
 	// runOn are the only upstreams that containment lets the call run on, if any.
 	runOn []string
 	// tried is the time at which the present try began.
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -144,9 +144,11 @@
 	}
 	ctx, cancel := context.WithDeadline(x.work, x.deadline)
 	defer cancel()
+	x.dispatches++
 	res, err := x.h.commit(ctx, &controlapi.Command{Dispatch: &controlapi.DispatchRequest{
 		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, Upstream: t.entry.ID,
 		UpstreamIncarnation: t.incarnation, EarlierNotRun: !x.mayHaveRun, NotRun: x.notRun,
+		Sequence: x.dispatches,
 	}})
 	if res != nil {
 		x.confine(res)
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -67,6 +67,8 @@
 	TakenOver bool `cbor:"23,keyasint,omitempty"`
 	// Partial tells that a settled run was cut off before its end.
 	Partial bool `cbor:"24,keyasint,omitempty"`
+	// DispatchSequence is the number of the last Dispatch of the present attempt.
+	DispatchSequence uint32 `cbor:"25,keyasint,omitempty"`
 }
 
 // New returns the open record of a first attempt.
@@ -114,6 +116,7 @@
 	r.Attempt++
 	r.Session = b.Session
 	r.Try = b.Try
+	r.DispatchSequence = 0
 	r.Orphaned = false
 	r.OrphanedMS = 0
 }
@@ -128,6 +131,12 @@
 	return b.Upstream == "" || r.Earlier > 0 || slices.Contains(r.Dispatches, first)
 }
 
+// IsLateResend tells whether b is the Begin of an attempt that was released
+// since, arriving once more.
+func (r *Record) IsLateResend(b *controlapi.BeginRequest) bool {
+	return r.State == Released && b.Try != 0 && r.Session == b.Session && r.Try == b.Try
+}
+
 // MayHaveRun tells that an earlier attempt was dispatched and its fate is unknown.
 func (r *Record) MayHaveRun() bool { return r.Earlier > 0 }
 
@@ -165,22 +174,30 @@
 // AddDispatch records that the request is about to be sent to d.
 func (r *Record) AddDispatch(d controlapi.Instance) { r.Dispatches = append(r.Dispatches, d) }
 
-// DropDispatches drops those of the dispatches that are listed, which provably
-// did not run, and returns them.
+// TakeSequence takes note of the number of a Dispatch. It returns StaleAttempt
+// if a later one came before it.
+func (r *Record) TakeSequence(sequence uint32) *errkind.Error {
+	if sequence != 0 && sequence < r.DispatchSequence {
+		return errkind.New(errkind.StaleAttempt, "dispatch %d of request %s is superseded by %d", sequence, r.ID, r.DispatchSequence)
+	}
+	r.DispatchSequence = max(r.DispatchSequence, sequence)
+	return nil
+}
+
+// DropDispatches drops those of the present attempt's dispatches that are
+// listed, which provably did not run, and returns them. What an earlier attempt
+// sent to the same instance may still have run.
 func (r *Record) DropDispatches(listed []controlapi.Instance) []controlapi.Instance {
-	var dropped, kept []controlapi.Instance
-	earlier := 0
-	for i, d := range r.Dispatches {
+	var dropped []controlapi.Instance
+	kept := slices.Clone(r.Dispatches[:r.Earlier])
+	for _, d := range r.Dispatches[r.Earlier:] {
 		if slices.Contains(listed, d) {
 			dropped = append(dropped, d)
-			continue
-		}
-		kept = append(kept, d)
-		if i < r.Earlier {
-			earlier++
+		} else {
+			kept = append(kept, d)
 		}
 	}
-	r.Dispatches, r.Earlier = kept, earlier
+	r.Dispatches = kept
 	return dropped
 }
 
