Let a takeover name the attempt that it supersedes

Cause, by reading: two hosts that both learnt that an owner no longer serves a request took it over one after the other; the second took it from the first, which was running it. The second is told InProgress with the new owner now.

Conclusion: TestTakeoverNamesTheAttemptThatItSupersedes; the random trials draw it too and passed with -rapid.checks=2000 -rapid.seed=11; internal/entry, internal/standby and tests/fleet pass.

--- a/internal/control/begin.go
+++ b/internal/control/begin.go
@@ -154,7 +154,7 @@
 	if r.IsResend(b) {
 		return m.startedReply(r)
 	}
-	if !r.Orphaned && !b.Takeover {
+	if !r.Orphaned && !r.IsSuperseded(b) {
 		return &controlapi.Result{Begin: &controlapi.BeginReply{
 			Status: controlapi.BeginInProgress, Attempt: r.Attempt, Owner: r.Session,
 		}}
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -190,6 +190,26 @@
 	f.Expect(f.budget().Reserved).To(Equal(int64(10)))
 }
 
+// Two hosts learn that the owner no longer serves the request. The first that
+// takes it over keeps it.
+func TestTakeoverNamesTheAttemptThatItSupersedes(t *testing.T) {
+	f := newFixture(t, 100)
+	const hostC = "session-c"
+	f.must(f.open(hostC, 2))
+	f.must(f.begin(f.beginRequest("k", hostA, 10)))
+	takeover := func(session string) *controlapi.BeginReply {
+		b := f.beginRequest("k", session, 10)
+		b.Takeover, b.Supersedes = true, 1
+		return f.must(f.begin(b)).Begin
+	}
+	f.Expect(takeover(hostB).Status).To(Equal(controlapi.BeginTakenOver))
+	late := takeover(hostC)
+	f.Expect(late.Status).To(Equal(controlapi.BeginInProgress))
+	f.Expect(late.Owner).To(Equal(hostB))
+	f.Expect(late.Attempt).To(Equal(uint32(2)))
+	f.must(f.settle("k", 2, 5))
+}
+
 func TestRequestOfADeadHostIsTakenOver(t *testing.T) {
 	f := newFixture(t, 100)
 	b := f.beginRequest("k", hostA, 10)
--- a/internal/control/naive_test.go
+++ b/internal/control/naive_test.go
@@ -208,7 +208,7 @@
 	case s.state == request.Open && s.session == b.Session && s.try == b.Try &&
 		(b.Upstream == "" || len(s.sentBefore) > 0 || slices.Contains(s.sent, b.Upstream)):
 		return n.started(b.RequestID)
-	case s.state == request.Open && !orphaned && !b.Takeover:
+	case s.state == request.Open && !orphaned && (!b.Takeover || b.Supersedes != 0 && b.Supersedes != s.attempt):
 		return outcome{Status: controlapi.BeginInProgress, Attempt: s.attempt}
 	}
 	if s.state == request.Released && b.Try != 0 && s.session == b.Session && s.try == b.Try {
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -38,6 +38,9 @@
 	// Unkeyed tells that RequestID was generated because the caller gave no idempotency key.
 	// Its record is kept only as long as the owner may send commands again.
 	Unkeyed bool `cbor:"14,keyasint,omitempty"`
+	// Supersedes is the attempt that Takeover takes over, as told by BeginInProgress. If the
+	// record has another one by now, its owner is not superseded. 0 is not checked.
+	Supersedes uint32 `cbor:"15,keyasint,omitempty"`
 }
 
 // BeginStatus tells what a host does next with a request.
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -61,14 +61,16 @@
 }
 
 func (x *exchange) beginOrTakeOver(ctx context.Context, t target) (*controlapi.BeginReply, error) {
-	reply, err := x.executeBegin(ctx, t, false)
+	reply, err := x.executeBegin(ctx, t, 0)
 	if err == nil && reply.Status == controlapi.BeginInProgress && x.ownerGone(ctx, reply.Owner) {
-		return x.executeBegin(ctx, t, true)
+		return x.executeBegin(ctx, t, reply.Attempt)
 	}
 	return reply, err
 }
 
-func (x *exchange) executeBegin(ctx context.Context, t target, takeover bool) (*controlapi.BeginReply, error) {
+// executeBegin opens the record, or takes it over from the owner of the attempt
+// superseded, if that is not 0.
+func (x *exchange) executeBegin(ctx context.Context, t target, superseded uint32) (*controlapi.BeginReply, error) {
 	cmd := &controlapi.Command{Begin: &controlapi.BeginRequest{
 		RequestID:           x.requestID,
 		Organisation:        x.id.caller.Organisation,
@@ -81,7 +83,8 @@
 		Session:             x.session,
 		Upstream:            t.id(),
 		UpstreamIncarnation: t.incarnation,
-		Takeover:            takeover,
+		Takeover:            superseded != 0,
+		Supersedes:          superseded,
 		Try:                 x.h.tries.Add(1),
 		Unkeyed:             x.key == "" || x.isRerun,
 	}}
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -131,6 +131,12 @@
 	return b.Upstream == "" || r.Earlier > 0 || slices.Contains(r.Dispatches, first)
 }
 
+// IsSuperseded tells whether b takes the present attempt over from an owner
+// whose session lives.
+func (r *Record) IsSuperseded(b *controlapi.BeginRequest) bool {
+	return b.Takeover && (b.Supersedes == 0 || b.Supersedes == r.Attempt)
+}
+
 // IsLateResend tells whether b is the Begin of an attempt that was released
 // since, arriving once more.
 func (r *Record) IsLateResend(b *controlapi.BeginRequest) bool {
