Decode listed requests one by one; match plain patterns without path.Match

A list of requests decoded every record on the control goroutine; it now stops at its bound. The view agrees with the naive one on ids with '/' and on escaped patterns.

--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -15,18 +15,33 @@
 	zones       []string
 }
 
-// pattern matches upstream ids. Without special characters it is compared as it is.
+// special are the characters that path.Match does not take as they are.
+const special = `*?[\`
+
+// pattern matches upstream ids as path.Match does. The two common forms, a
+// plain id and a prefix with "*" behind it, are matched without it.
 type pattern struct {
-	text    string
-	literal bool
+	text string
+	// plain is the id, or the prefix, if there is no other special character.
+	plain    string
+	isPlain  bool
+	isPrefix bool
+}
+
+func compilePattern(text string) pattern {
+	plain, isPrefix := strings.CutSuffix(text, "*")
+	return pattern{text: text, plain: plain, isPlain: !strings.ContainsAny(plain, special), isPrefix: isPrefix}
 }
 
-func (p pattern) match(upstream string) bool {
-	if p.literal {
-		return p.text == upstream
+func (p *pattern) match(upstream string) bool {
+	if !p.isPlain {
+		matched, err := path.Match(p.text, upstream)
+		return err == nil && matched
 	}
-	matched, err := path.Match(p.text, upstream)
-	return err == nil && matched
+	if !p.isPrefix {
+		return upstream == p.plain
+	}
+	return strings.HasPrefix(upstream, p.plain) && strings.IndexByte(upstream[len(p.plain):], '/') < 0
 }
 
 // compileRules returns the rules of each organisation, in the order of the policies' names.
@@ -46,7 +61,7 @@
 		zones:       spec.Zones,
 	}
 	for _, text := range spec.Upstreams {
-		r.upstreams = append(r.upstreams, pattern{text, !strings.ContainsAny(text, `*?[\`)})
+		r.upstreams = append(r.upstreams, compilePattern(text))
 	}
 	return r
 }
@@ -80,8 +95,10 @@
 		if len(r.zones) > 0 && !slices.Contains(r.zones, zone) {
 			continue
 		}
-		if slices.ContainsFunc(r.upstreams, func(p pattern) bool { return p.match(upstream) }) {
-			return true
+		for j := range r.upstreams {
+			if r.upstreams[j].match(upstream) {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/config/view_test.go
+++ b/internal/config/view_test.go
@@ -59,7 +59,7 @@
 	spec, err := json.Marshal(config.PolicySpec{
 		Organisation: rapid.SampledFrom([]string{"a", "b", "*"}).Draw(t, "organisation"),
 		Services:     pick("services", "s1", "s2", "*"),
-		Upstreams:    pick("upstreams", "u1", "u2", "u*", "[v]1"),
+		Upstreams:    pick("upstreams", "u1", "u2", "u*", "[v]1", "*", `u\*`, "u?*"),
 		Zones:        rapid.SliceOfN(rapid.SampledFrom([]string{"z1", "z2"}), 0, 2).Draw(t, "zones"),
 	})
 	if err != nil {
@@ -103,7 +103,7 @@
 		}
 		for _, organisation := range []string{"a", "b", "c"} {
 			for _, service := range []string{"s1", "s2", "s3"} {
-				for _, upstream := range []string{"u1", "u3", "v1"} {
+				for _, upstream := range []string{"u1", "u3", "v1", "u/1", "u*"} {
 					for _, zone := range []string{"z1", "z3"} {
 						g.Expect(v.Allowed(organisation, service, upstream, zone)).To(
 							Equal(naiveAllowed(records, organisation, service, upstream, zone)), organisation+service+upstream+zone)
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -145,7 +145,7 @@
 // open requests and holders.
 func (m *Machine) CheckInvariants() error {
 	reserved := make(map[string]int64)
-	for _, r := range m.requests.Sorted() {
+	for r := range m.requests.All() {
 		if err := r.Check(); err != nil {
 			return err
 		}
--- a/internal/control/query.go
+++ b/internal/control/query.go
@@ -74,7 +74,7 @@
 }
 
 func (m *Machine) listRequests(organisation string) (list []controlapi.RequestStatus, truncated bool) {
-	for _, r := range m.requests.Sorted() {
+	for r := range m.requests.All() {
 		if organisation != "" && organisation != r.Organisation {
 			continue
 		}
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -113,14 +114,16 @@
 	return nil
 }
 
-// Sorted returns all records in the order of their ids.
-func (t *Table) Sorted() []*Record {
-	ids := t.ids()
-	records := make([]*Record, len(ids))
-	for i, id := range ids {
-		records[i] = t.Get(id)
+// All iterates over the records in the order of their ids. Closed ones are
+// decoded one by one.
+func (t *Table) All() iter.Seq[*Record] {
+	return func(yield func(*Record) bool) {
+		for _, id := range t.ids() {
+			if !yield(t.Get(id)) {
+				return
+			}
+		}
 	}
-	return records
 }
 
 func (t *Table) ids() []string {
