--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -82,7 +82,9 @@
 	// of records that were opened again are skipped.
 	closings [retentions]queue[closing]
 	// count is the number of records of each retention class, open ones included.
-	count    [retentions]int
+	count [retentions]int
+	// most bounds count.
+	most     [retentions]int
 	orphans  queue[orphan]
 	sequence uint64
 }
@@ -93,6 +95,7 @@
 		open:      make(map[string]*Record),
 		bySession: make(map[string]map[string]struct{}),
 		closed:    make(map[string]packed),
+		most:      maxRecords,
 	}
 }
 
@@ -147,7 +150,7 @@
 // bound, and none of them may be dropped early.
 func (t *Table) Full(r *Record) bool {
 	class := r.retention()
-	return class != unkeyed && t.count[class] >= maxRecords[class]
+	return class != unkeyed && t.count[class] >= t.most[class]
 }
 
 // Add takes in a new record that is open.
@@ -188,7 +191,7 @@
 	r.ClosedMS = nowMS
 	r.CloseSequence = t.sequence
 	t.keep(r, pack(r))
-	if class := r.retention(); class == unkeyed && t.count[class] > maxRecords[class] {
+	if class := r.retention(); class == unkeyed && t.count[class] > t.most[class] {
 		t.dropOldest(class)
 	}
 }
