--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -84,6 +84,8 @@
 		return m.release(cmd.Release)
 	case cmd.Crash != nil:
 		return m.crash(cmd.Crash)
+	case cmd.ClearBody != nil:
+		return m.clearBody(cmd.ClearBody)
 	case cmd.OpenSession != nil:
 		return m.openSession(cmd.OpenSession)
 	case cmd.EndSession != nil:
@@ -143,7 +145,7 @@
 // open requests and holders.
 func (m *Machine) CheckInvariants() error {
 	reserved := make(map[string]int64)
-	for _, r := range m.requests.Sorted() {
+	for r := range m.requests.All() {
 		if err := r.Check(); err != nil {
 			return err
 		}
--- a/internal/control/naive_test.go
+++ b/internal/control/naive_test.go
@@ -208,9 +208,12 @@
 	case s.state == request.Open && s.session == b.Session && s.try == b.Try &&
 		(b.Upstream == "" || len(s.sentBefore) > 0 || slices.Contains(s.sent, b.Upstream)):
 		return n.started(b.RequestID)
-	case s.state == request.Open && !orphaned && !b.Takeover:
+	case s.state == request.Open && !orphaned && (!b.Takeover || b.Supersedes != 0 && b.Supersedes != s.attempt):
 		return outcome{Status: controlapi.BeginInProgress, Attempt: s.attempt}
 	}
+	if s.state == request.Released && b.Try != 0 && s.session == b.Session && s.try == b.Try {
+		return refusal(errkind.StaleAttempt)
+	}
 	f := fact{what: "begin", id: b.RequestID, session: b.Session, budget: b.Budget, body: b.BodyHash, tokens: b.Tokens, attempt: s.attempt + 1, try: b.Try}
 	if s.state == request.Open {
 		f.takenOver, f.tokens, f.budget = true, s.tokens, s.budget
