--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/godwitbend/godwitbend/internal/admission"
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
@@ -22,6 +23,8 @@
 	method      string
 	path        string
 	contentType string
+	// below is the decoded path below /services/{service} of a plain call.
+	below string
 	// body is what is sent to the upstream.
 	body       []byte
 	bodyHash   string
@@ -74,10 +77,25 @@
 	mayHaveRun bool
 	// suspect tells that the call must run alone on its upstream.
 	suspect bool
+	// generation counts the records that were opened to complete the call, and
+	// paid is what the earlier ones charged, in tokens.
+	generation int
+	paid       int64
+	// ranBefore tells that the call ran and was charged under an earlier record.
+	ranBefore bool
 	// isRerun tells that the call is charged already, under another record.
 	isRerun bool
+	// ran are the instances that may have run the call in this attempt, and notRun
+	// those that were recorded for it and provably did not.
+	ran, notRun []controlapi.Instance
 	// runOn are the only upstreams that containment lets the call run on, if any.
 	runOn []string
+	// tried is the time at which the present try began.
+	tried time.Time
+	// firstByte is the time from there to the first byte of the answer.
+	firstByte time.Duration
+	// brokenOff tells that the answer was ended before it was whole.
+	brokenOff bool
 	// started tells that a byte of the answer has reached the caller.
 	started bool
 	// failed holds the upstreams that failed in this exchange.
@@ -228,14 +246,17 @@
 // choose claims a place at an upstream that has not failed in this exchange.
 func (x *exchange) choose() (target, error) {
 	req := &routing.Request{
-		Service: x.service,
-		Allowed: x.mayRunOn,
-		Exclude: x.failed,
-		Alone:   x.suspect,
-		Prefix:  x.prefix,
+		Service:      x.service,
+		Organisation: x.id.caller.Organisation,
+		Revision:     x.id.view.Revision(),
+		Allowed:      x.filter.Allows,
+		Only:         x.runOn,
+		Exclude:      x.failed,
+		Alone:        x.suspect,
+		Prefix:       x.prefix,
 	}
 	for {
-		e, err := x.h.Router.Choose(req, x.h.Registry.Snapshot(), x.h.Now(), globalRandom{})
+		e, err := x.h.Router.Choose(req, x.h.Registry.Snapshot(), x.h.Now(), x.h.Random)
 		if err != nil {
 			return target{}, err
 		}
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
@@ -130,11 +129,11 @@
 		return false
 	}
 	prompt, err := x.h.upstreams.tokenize(ctx, t.address, x.body)
-	if err != nil || prompt+x.output >= x.worst {
+	if err != nil || prompt+x.output-x.paid >= x.worst {
 		return false
 	}
 	x.h.counters.event("prompts_tokenized")
-	x.worst = prompt + x.output
+	x.worst = max(prompt+x.output-x.paid, 0)
 	return true
 }
 
@@ -147,13 +146,13 @@
 	defer cancel()
 	res, err := x.h.commit(ctx, &controlapi.Command{Dispatch: &controlapi.DispatchRequest{
 		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, Upstream: t.entry.ID,
-		UpstreamIncarnation: t.incarnation, EarlierNotRun: !x.mayHaveRun,
+		UpstreamIncarnation: t.incarnation, EarlierNotRun: !x.mayHaveRun, NotRun: x.notRun,
 	}})
 	if res != nil {
 		x.confine(res)
 	}
 	if err == nil {
-		x.dispatched = t
+		x.dispatched, x.notRun = t, nil
 	}
 	return err
 }
@@ -170,23 +169,23 @@
 	}
 }
 
-// mayRunOn tells whether policy and containment let the call run on an upstream.
-func (x *exchange) mayRunOn(upstream, zone string) bool {
-	if len(x.runOn) > 0 && !slices.Contains(x.runOn, upstream) {
-		return false
-	}
-	return x.filter.Allows(upstream, zone)
-}
-
 // settle charges the tokens that were used and closes the record. It returns
 // nil only when the charge is committed. Partial tells that the run was cut off.
 func (x *exchange) settle(tokens int64, answer *controlapi.StoredAnswer, partial bool) error {
 	return x.finish(&controlapi.Command{Settle: &controlapi.SettleRequest{
 		RequestID: x.requestID, Attempt: x.attempt, Session: x.session,
-		Tokens: max(tokens, 0), Answer: answer, Partial: partial,
+		Tokens: x.charge(tokens), Answer: answer, Partial: partial,
 	}})
 }
 
+// charge returns what is charged for a run that used tokens.
+func (x *exchange) charge(tokens int64) int64 {
+	if x.isRerun {
+		return 0
+	}
+	return max(tokens-x.paid, 0)
+}
+
 // settleUnknown closes the record of a call whose fate can't be learnt.
 func (x *exchange) settleUnknown() error {
 	return x.finish(&controlapi.Command{Settle: &controlapi.SettleRequest{
@@ -201,7 +200,7 @@
 		return nil
 	}
 	return x.finish(&controlapi.Command{Release: &controlapi.ReleaseRequest{
-		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, MayHaveRun: mayHaveRun,
+		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, MayHaveRun: mayHaveRun, NotRun: x.notRun,
 	}})
 }
 
