--- a/cmd/godwitbend-load/bench.go
+++ b/cmd/godwitbend-load/bench.go
@@ -12,8 +12,12 @@
 	"github.com/godwitbend/godwitbend/internal/trace"
 )
 
-// controlReplicas is the number of control replicas of a site.
-const controlReplicas = 3
+const (
+	// controlReplicas is the number of control replicas of a site.
+	controlReplicas = 3
+	// leaveGrace is longer than the time within which a leaving engine may get new work.
+	leaveGrace = 6 * time.Second
+)
 
 // engine is the speed of the engines of all runs.
 var engine = load.Engine{Capacity: 4, TokenTime: 10 * time.Millisecond, PromptTokenTime: 50 * time.Microsecond}
@@ -33,6 +37,7 @@
 	{load.Calm, 1.5, true},
 	{load.KillLeader, 0.7, false},
 	{load.KillEntry, 0.7, false},
+	{load.Leave, 0.7, false},
 }
 
 // bench runs scenarios on fresh sites.
@@ -83,7 +88,7 @@
 		Hosts:       b.hosts,
 		Control:     controlReplicas,
 		Budget:      b.budget,
-		EngineFlags: engine.Flags(),
+		EngineFlags: append(engine.Flags(), "--leave-grace", leaveGrace.String()),
 	})
 	if err != nil {
 		return err
@@ -100,6 +105,9 @@
 		if err := site.AddedLatency(ctx, r); err != nil {
 			return err
 		}
+		if err := site.ConfigurationInForce(ctx, r); err != nil {
+			return err
+		}
 	}
 	arrivals := b.arrivals(d)
 	speed := engine.Speed(arrivals, d.Engines, p.share)
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -27,6 +27,8 @@
 	firstUpstreamNumber = 100
 	requestTimeout      = 5 * time.Second
 	filePermissions     = 0o600
+	// drainDelay is several times the interval at which the load driver reads the readiness of hosts.
+	drainDelay = 500 * time.Millisecond
 )
 
 // FleetOptions describe a fleet.
@@ -109,6 +111,7 @@
 	s.Host = fmt.Sprintf("host-%d", i+1)
 	s.Zone = ZoneName(i, f.opts.Zones)
 	s.TLS = settings.TLS{Plaintext: true}
+	s.DrainDelay = settings.Duration{Duration: drainDelay}
 	hash := sha256.Sum256([]byte(f.operatorKey))
 	s.OperatorKeyHashes = []string{hex.EncodeToString(hash[:])}
 	if i < f.opts.Control {
--- a/internal/load/latency.go
+++ b/internal/load/latency.go
@@ -12,8 +12,12 @@
 	"github.com/godwitbend/godwitbend/internal/harness"
 )
 
-// latencyProbes is the number of calls that measure the added latency.
-const latencyProbes = 150
+const (
+	// latencyProbes is the number of calls that measure the added latency.
+	latencyProbes = 150
+	// configurationProbes is the number of changes of the configuration that are timed.
+	configurationProbes = 8
+)
 
 // AddedLatency writes the latency that the system adds to a repeatable call of
 // an idle site, beside the latency of the upstream itself.
@@ -66,3 +70,20 @@
 	}
 	return h, nil
 }
+
+// ConfigurationInForce writes the time that changes of a class take until they
+// are accepted, which they are when each live host serves under them.
+func (s *Site) ConfigurationInForce(ctx context.Context, r *Report) error {
+	class := s.opts.Deployment.Classes[0]
+	h := newHistogram()
+	for i := range configurationProbes {
+		start := time.Now()
+		host := s.Hosts[i%len(s.Hosts)]
+		limit := fmt.Sprint(class.Spec.QueueLimit + i%2)
+		if _, err := s.Ctl(ctx, host, "class", "apply", class.Name, "--queue-limit", limit); err != nil {
+			return err
+		}
+		_ = h.RecordValue(time.Since(start).Microseconds())
+	}
+	return r.Add("config_in_force_ms", milliseconds(h, 100), "ms", nil)
+}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -24,13 +24,15 @@
 	KillEntry Scenario = "kill_entry"
 	// FreezeLeader: the leader's host is frozen for a while, then runs on.
 	FreezeLeader Scenario = "freeze_leader"
+	// Leave: an engine is stopped by SIGTERM.
+	Leave Scenario = "leave"
 	// Drain: each host in turn is stopped by SIGTERM and started again.
 	Drain Scenario = "drain"
 )
 
 // ScenarioNames returns the names of all scenarios.
 func ScenarioNames() []string {
-	return []string{string(Calm), string(KillLeader), string(KillEntry), string(FreezeLeader), string(Drain)}
+	return []string{string(Calm), string(KillLeader), string(KillEntry), string(FreezeLeader), string(Leave), string(Drain)}
 }
 
 const (
@@ -146,6 +148,8 @@
 		s.Hosts[len(s.Hosts)-1].Kill()
 	case FreezeLeader:
 		return s.freezeLeader(ctx, o)
+	case Leave:
+		return s.Upstreams[0].Stop()
 	case Drain:
 		return s.drainEach(ctx)
 	}
--- a/tests/failure/upstreams_test.go
+++ b/tests/failure/upstreams_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"sync"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -20,13 +19,7 @@
 	s := newSite(t, trace.Heraut, func(o *load.SiteOptions) {
 		o.EngineFlags = []string{"--leave-grace", "6s"}
 	})
-	leaving := make(chan error, 1)
-	go func() {
-		time.Sleep(2 * time.Second)
-		leaving <- s.Upstreams[0].Stop()
-	}()
-	o := s.run(2*traceSize, load.Calm)
-	s.Expect(<-leaving).To(Succeed())
+	o := s.run(2*traceSize, load.Leave)
 	s.expectPromisesKept(o)
 	s.Expect(o.Findings.CutOffStreams).To(BeZero())
 	records, err := s.Truth(s.ctx, s.Upstreams[0])
