--- a/tests/failure/site_test.go
+++ b/tests/failure/site_test.go
@@ -23,6 +23,7 @@
 	traceRate    = 60
 	unhurried    = 1.0
 	failoverSize = 600
+	faultySize   = 150
 )
 
 // site is a small deployment under test.
