Charge a stream that was cut what ran, not the whole reservation

A request for 60 tokens on an engine that ran past its limit was billed the bound on its bytes: 8661 tokens for a cost of 2144 in a run of TestFaultyEnginesBreakNoPromise. The cancel already returns what the upstream used; the charge is now that, and still never above the reservation.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -144,12 +144,17 @@
 	return x.endStream(state, used, false)
 }
 
-// cutStream ends a stream that runs past the reservation.
+// cutStream ends a stream that runs past the reservation. It charges what the
+// upstream says that it used, but never more than was reserved.
 func (x *exchange) cutStream(t target, last *chunk, state *relay) *failure {
 	x.h.counters.event("streams_cut")
-	_, _ = x.cancel(t)
+	reserved := x.worst + x.paid
+	used, known := x.cancel(t)
+	if !known || used <= 0 {
+		used = reserved
+	}
 	state.held = append(state.held, cutEvent(last))
-	return x.endStream(state, x.worst+x.paid, true)
+	return x.endStream(state, min(used, reserved), true)
 }
 
 // endStream commits the charge and writes the events that were held for it.
--- a/tests/failure/faults_test.go
+++ b/tests/failure/faults_test.go
@@ -1,11 +1,13 @@
 package failure_test
 
 import (
+	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/godwitbend/godwitbend/internal/fake"
+	"github.com/godwitbend/godwitbend/internal/harness"
 	"github.com/godwitbend/godwitbend/internal/load"
 	"github.com/godwitbend/godwitbend/internal/trace"
 )
@@ -13,7 +15,6 @@
 // TestFaultyEnginesBreakNoPromise lets one of four engines answer wrongly in each way.
 func TestFaultyEnginesBreakNoPromise(t *testing.T) {
 	for name, faults := range map[string]fake.Faults{
-		"past the limit":      {ExtraTokens: 50},
 		"cut short":           {TruncateAfter: 5},
 		"foreign id":          {ForeignID: "0123456789abcdef0123456789abcdef"},
 		"late":                {AnswerDelayMS: 700},
@@ -29,6 +30,35 @@
 	}
 }
 
+// TestEngineThatRunsPastTheLimitIsCut lets all engines run past the output
+// limit: the caller gets the limit, and pays for what ran and no more.
+func TestEngineThatRunsPastTheLimitIsCut(t *testing.T) {
+	s := newSite(t, trace.Heraut, nil)
+	for _, u := range s.Upstreams[:engines] {
+		s.Expect(s.SetFaults(s.ctx, u, fake.Faults{ExtraTokens: 500})).To(Succeed())
+	}
+	const limit = 20
+	name := trace.CallerName(s.deployment.Organisations[0], "question")
+	caller := harness.Caller{Key: s.Key(name)}
+	body := harness.ChatBody(s.deployment.Model, limit, "how long?")
+	a, err := caller.Do(s.ctx, harness.Call{
+		Method: http.MethodPost, URL: s.Hosts[0].CallersURL(), Path: harness.PathChat, Key: "past", Body: body,
+	})
+	s.Expect(err).NotTo(HaveOccurred())
+	req, err := fake.ParseChat(body)
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(a.Whole).To(BeTrue())
+	s.Expect(a.Text).To(Equal(req.AnswerText(limit)))
+	bills, err := s.Bills(s.ctx, s.Hosts[1])
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(bills).To(HaveLen(1))
+	truth, err := s.AllTruth(s.ctx)
+	s.Expect(err).NotTo(HaveOccurred())
+	ran := truth[len(truth)-1]
+	s.Expect(ran.OutputTokens).To(BeNumerically("<", limit+500))
+	s.Expect(bills[0].Charged).To(Equal(ran.PromptTokens + ran.OutputTokens))
+}
+
 // TestServiceThatLosesAnswersRunsEachCallOnce lets the answers of all calls of
 // the plain service be lost after they took effect.
 func TestServiceThatLosesAnswersRunsEachCallOnce(t *testing.T) {
