Count the completions of a run that was cut off as parts of its bill

A stream that broke off is charged in part, and its retry is billed for the rest under a record whose id follows from the key.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -11,10 +11,13 @@
 
 // Request is all that one caller knows of one request.
 type Request struct {
-	ID         string
-	Budget     string
-	Class      string
-	Repeatable bool
+	ID string
+	// Completions are the ids of the records under which a run that was cut off
+	// and charged in part is completed.
+	Completions []string
+	Budget      string
+	Class       string
+	Repeatable  bool
 	// Cost is the charge of the request in tokens if it runs once; for a chat
 	// request it is known from the deterministic answer.
 	Cost    int64
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -121,6 +121,19 @@
 	g.Expect(f.Broken()).To(BeFalse())
 }
 
+func TestCompletionOfACutRunIsBilledForTheRest(t *testing.T) {
+	g := NewWithT(t)
+	e := evidence(audit.Answer{Cut: true, ReceivedMS: 5}, served(6, 10))
+	e.Requests[0].Repeatable = true
+	e.Requests[0].Completions = []string{"r-1"}
+	e.Bills[0].Charged = 4
+	g.Expect(audit.Check(e).UnbilledRuns).To(Equal(1))
+	e.Bills = append(e.Bills, controlapi.RequestStatus{RequestID: "r-1", State: "settled", Charged: 6})
+	g.Expect(audit.Check(e).Broken()).To(BeFalse())
+	e.Bills[1].Charged = 7
+	g.Expect(audit.Check(e).DoubleBills).To(Equal(1))
+}
+
 func TestWasteAndCutOffStreams(t *testing.T) {
 	g := NewWithT(t)
 	e := evidence(audit.Answer{SentMS: 0, ReceivedMS: 5, Cut: true}, served(6, 10))
--- a/internal/load/driver.go
+++ b/internal/load/driver.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/audit"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/harness"
@@ -23,6 +25,8 @@
 	maxBackoff     = 2 * time.Second
 	callTimeout    = 90 * time.Second
 	connectionPool = 1024
+	// maxCompletions bounds the records under which a run that was cut off is completed.
+	maxCompletions = 16
 )
 
 // Driver sends the arrivals of a trace as callers do: each at its time, whether
@@ -275,12 +279,13 @@
 // keep stores what is known of o after its last answer.
 func (d *Driver) keep(o *order) {
 	r := audit.Request{
-		ID:         o.id,
-		Budget:     o.arrival.Organisation,
-		Class:      o.arrival.Class,
-		Repeatable: o.arrival.Method != http.MethodPost,
-		Cost:       d.cost(o),
-		Answers:    o.answers,
+		ID:          o.id,
+		Completions: completions(o.arrival),
+		Budget:      o.arrival.Organisation,
+		Class:       o.arrival.Class,
+		Repeatable:  o.arrival.Method != http.MethodPost,
+		Cost:        d.cost(o),
+		Answers:     o.answers,
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -290,6 +295,15 @@
 	}
 }
 
+// completions returns the ids of the records under which a run that was cut off is completed.
+func completions(a *trace.Arrival) []string {
+	ids := make([]string, maxCompletions)
+	for i := range ids {
+		ids[i] = controlapi.RequestIDFor(a.Caller(), a.Key+"\x00"+strconv.Itoa(i+1))
+	}
+	return ids
+}
+
 // cost returns the charge of o if it runs once, in tokens.
 func (d *Driver) cost(o *order) int64 {
 	if o.chat != nil {
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -24,6 +24,8 @@
 	KillEntry Scenario = "kill_entry"
 	// FreezeLeader: the leader's host is frozen for a while, then runs on.
 	FreezeLeader Scenario = "freeze_leader"
+	// KillEngineAndLeader: an engine is killed, and the leader's host right after it.
+	KillEngineAndLeader Scenario = "kill_engine_and_leader"
 	// Leave: an engine is stopped by SIGTERM.
 	Leave Scenario = "leave"
 	// Drain: each host in turn is stopped by SIGTERM and started again.
@@ -32,7 +34,11 @@
 
 // ScenarioNames returns the names of all scenarios.
 func ScenarioNames() []string {
-	return []string{string(Calm), string(KillLeader), string(KillEntry), string(FreezeLeader), string(Leave), string(Drain)}
+	var names []string
+	for _, s := range []Scenario{Calm, KillLeader, KillEntry, FreezeLeader, KillEngineAndLeader, Leave, Drain} {
+		names = append(names, string(s))
+	}
+	return names
 }
 
 const (
@@ -137,13 +143,8 @@
 	}
 	o.FailedAt = time.Now()
 	switch scenario {
-	case KillLeader:
-		leader, err := s.Leader(ctx, s.Hosts[0])
-		if err != nil {
-			return err
-		}
-		o.FailedAt = time.Now()
-		leader.Kill()
+	case KillLeader, KillEngineAndLeader:
+		return s.killLeader(ctx, scenario == KillEngineAndLeader, o)
 	case KillEntry:
 		s.Hosts[len(s.Hosts)-1].Kill()
 	case FreezeLeader:
@@ -156,6 +157,20 @@
 	return nil
 }
 
+// killLeader kills the leader's host, and an engine just before it if asked to.
+func (s *Site) killLeader(ctx context.Context, engineToo bool, o *Outcome) error {
+	leader, err := s.Leader(ctx, s.Hosts[0])
+	if err != nil {
+		return err
+	}
+	o.FailedAt = time.Now()
+	if engineToo {
+		s.Upstreams[0].Kill()
+	}
+	leader.Kill()
+	return nil
+}
+
 func (s *Site) freezeLeader(ctx context.Context, o *Outcome) error {
 	leader, err := s.Leader(ctx, s.Hosts[0])
 	if err != nil {
--- a/tests/failure/hosts_test.go
+++ b/tests/failure/hosts_test.go
@@ -31,6 +31,11 @@
 	s.expectPromisesKept(s.run(failoverSize, load.KillLeader))
 }
 
+func TestEngineAndLeaderKilledTogether(t *testing.T) {
+	s := newSite(t, trace.Heraut, nil)
+	s.expectPromisesKept(s.run(failoverSize, load.KillEngineAndLeader))
+}
+
 func TestLeaderFrozenAndWokenUnderLoad(t *testing.T) {
 	s := newSite(t, trace.Carvalho, nil)
 	s.expectPromisesKept(s.run(failoverSize, load.FreezeLeader))
