--- a/cmd/godwitbend-load/bench.go
+++ b/cmd/godwitbend-load/bench.go
@@ -17,6 +17,10 @@
 	controlReplicas = 3
 	// leaveGrace is longer than the time within which a leaving engine may get new work.
 	leaveGrace = 6 * time.Second
+	// cacheBlocks is the memory of an engine's prefix cache: about half of all shared prefixes of Heraut & Klok.
+	cacheBlocks = "160"
+	// cacheGapEvery drops every so many of an engine's cache events.
+	cacheGapEvery = "20"
 )
 
 // engine is the speed of the engines of all runs.
@@ -88,7 +92,10 @@
 		Hosts:       b.hosts,
 		Control:     controlReplicas,
 		Budget:      b.budget,
-		EngineFlags: append(engine.Flags(), "--leave-grace", leaveGrace.String()),
+		EngineFlags: append(engine.Flags(),
+			"--leave-grace", leaveGrace.String(),
+			"--cache-blocks", cacheBlocks,
+			"--cache-gap-every", cacheGapEvery),
 	})
 	if err != nil {
 		return err
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -77,6 +77,10 @@
 	// WastedTokens is what upstreams ran of chat requests beyond one whole run of
 	// each, under whatever id. It is below 0 if runs were cut short.
 	WastedTokens int64
+	// PromptTokens counts the prompts of all finished runs, and CachedTokens the
+	// part of them that the engines had cached.
+	PromptTokens int64
+	CachedTokens int64
 	// Examples describe some of the broken promises.
 	Examples []string
 }
@@ -93,6 +97,11 @@
 	return float64(sum) / float64(f.Requests)
 }
 
+// PrefixHitRatio returns the part of the prompt tokens that was cached.
+func (f *Findings) PrefixHitRatio() float64 {
+	return float64(f.CachedTokens) / float64(max(1, f.PromptTokens))
+}
+
 // Broken tells whether a promise that must always hold was broken.
 func (f *Findings) Broken() bool {
 	return f.OverspendTokens != 0 || f.DoubleRuns != 0 || f.DoubleBills != 0 || f.UnbilledRuns != 0 ||
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -142,10 +142,11 @@
 	for _, tokens := range []int64{4, 10} {
 		e.Truth = append(e.Truth,
 			fake.TruthRecord{Event: fake.TruthStarted, RequestID: "r"},
-			fake.TruthRecord{Event: fake.TruthFinished, RequestID: "r", OutputTokens: tokens})
+			fake.TruthRecord{Event: fake.TruthFinished, RequestID: "r", PromptTokens: tokens, CachedTokens: tokens / 2})
 	}
 	f := audit.Check(e)
 	g.Expect(f.Broken()).To(BeFalse())
 	g.Expect(f.CutOffStreams).To(Equal(1))
 	g.Expect(f.WastedTokens).To(Equal(int64(4)))
+	g.Expect(f.PrefixHitRatio()).To(Equal(0.5))
 }
--- a/internal/audit/auditor.go
+++ b/internal/audit/auditor.go
@@ -56,6 +56,10 @@
 			a.ran[r.RequestID] += tokens
 			a.findings.WastedTokens += tokens
 		}
+		if r.Event == fake.TruthFinished {
+			a.findings.PromptTokens += r.PromptTokens
+			a.findings.CachedTokens += r.CachedTokens
+		}
 	}
 	return a
 }
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -85,7 +85,7 @@
 	}
 	for _, f := range findingFigures(naive.Findings) {
 		switch f.name {
-		case "served_share", "double_runs", "wrong_answers", "wasted_tokens", "unanswered":
+		case "served_share", "double_runs", "wrong_answers", "wasted_tokens", "unanswered", "prefix_hit_ratio":
 			values[f.name] = f.value
 		}
 	}
@@ -107,14 +107,16 @@
 		{"cut_off_streams", float64(f.CutOffStreams), "streams"},
 		{"new_work_after_leaving", float64(f.NewWorkAfterLeaving), "requests"},
 		{"wasted_tokens", float64(f.WastedTokens), "tokens"},
+		{"prefix_hit_ratio", f.PrefixHitRatio(), "ratio"},
 	}
+	fixed := len(figures)
 	for kind, n := range f.FalseRefusals {
 		figures = append(figures, figure{"false_refusals_" + string(kind), float64(n), "requests"})
 	}
 	for kind, n := range f.RefusalAnswers {
 		figures = append(figures, figure{"refusal_answers_" + string(kind), float64(n), "answers"})
 	}
-	slices.SortFunc(figures[13:], func(a, b figure) int {
+	slices.SortFunc(figures[fixed:], func(a, b figure) int {
 		if a.name < b.name {
 			return -1
 		}
