--- a/cmd/godwitbend-load/bench.go
+++ b/cmd/godwitbend-load/bench.go
@@ -86,12 +86,12 @@
 	}
 	defer os.RemoveAll(dir)
 	site, err := load.Start(ctx, load.SiteOptions{
-		Deployment:  d,
-		Bin:         b.bin,
-		Dir:         dir,
-		Hosts:       b.hosts,
-		Control:     controlReplicas,
-		Budget:      b.budget,
+		Deployment: d,
+		Bin:        b.bin,
+		Dir:        dir,
+		Hosts:      b.hosts,
+		Control:    controlReplicas,
+		Budget:     b.budget,
 		EngineFlags: append(engine.Flags(),
 			"--leave-grace", leaveGrace.String(),
 			"--cache-blocks", cacheBlocks,
