--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -11,10 +11,13 @@
 
 // Request is all that one caller knows of one request.
 type Request struct {
-	ID         string
-	Budget     string
-	Class      string
-	Repeatable bool
+	ID string
+	// Completions are the ids of the records under which a run that was cut off
+	// and charged in part is completed.
+	Completions []string
+	Budget      string
+	Class       string
+	Repeatable  bool
 	// Cost is the charge of the request in tokens if it runs once; for a chat
 	// request it is known from the deterministic answer.
 	Cost    int64
@@ -74,6 +77,10 @@
 	// WastedTokens is what upstreams ran of chat requests beyond one whole run of
 	// each, under whatever id. It is below 0 if runs were cut short.
 	WastedTokens int64
+	// PromptTokens counts the prompts of all finished runs, and CachedTokens the
+	// part of them that the engines had cached.
+	PromptTokens int64
+	CachedTokens int64
 	// Examples describe some of the broken promises.
 	Examples []string
 }
@@ -90,6 +97,11 @@
 	return float64(sum) / float64(f.Requests)
 }
 
+// PrefixHitRatio returns the part of the prompt tokens that was cached.
+func (f *Findings) PrefixHitRatio() float64 {
+	return float64(f.CachedTokens) / float64(max(1, f.PromptTokens))
+}
+
 // Broken tells whether a promise that must always hold was broken.
 func (f *Findings) Broken() bool {
 	return f.OverspendTokens != 0 || f.DoubleRuns != 0 || f.DoubleBills != 0 || f.UnbilledRuns != 0 ||
