--- a/internal/ctl/docs_test.go
+++ b/internal/ctl/docs_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/ctl"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 )
@@ -25,6 +26,7 @@
 
 // words splits a command line at spaces, with quotes, up to a redirection.
 func words(line string) []string {
+	line, _, _ = strings.Cut(line, " > ")
 	var list []string
 	var word strings.Builder
 	quote := rune(0)
@@ -34,8 +36,6 @@
 			quote = 0
 		case quote == 0 && (c == '\'' || c == '"'):
 			quote = c
-		case quote == 0 && c == '>':
-			return list
 		case quote == 0 && c == ' ':
 			if word.Len() > 0 {
 				list = append(list, word.String())
@@ -63,6 +63,40 @@
 	}
 }
 
+// prepare brings about what a command of the page is about.
+func prepare(r *rig, line string) {
+	const session = "entry-4-1b4e28ba-2fa1-11d2-883f-0016d3cca427"
+	switch {
+	case strings.Contains(line, "request get"):
+		r.execute(&controlapi.Command{Begin: &controlapi.BeginRequest{
+			RequestID: "3f2a9c0d5e6b7a8899aabbccddeeff00", Organisation: "carvalho", Caller: "bakery-12",
+			Budget: "carvalho-main", Service: "assistant", BodyHash: "x", Tokens: 5, Session: "s1",
+		}})
+	case strings.Contains(line, "grant write-off"):
+		r.execute(&controlapi.Command{OpenSession: &controlapi.OpenSession{
+			Session: session, Host: "entry-4", Zone: "z", Address: "127.0.0.5:1", SchemaMin: 1, SchemaMax: 2,
+		}})
+		r.execute(&controlapi.Command{Grant: &controlapi.GrantRequest{Session: session, Budget: "carvalho-main", Total: 50}})
+		r.execute(&controlapi.Command{EndSession: &controlapi.EndSession{Session: session}})
+	}
+}
+
+func TestCommandsOfTheOperationsPageRun(t *testing.T) {
+	r := newRig(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	r.Expect(err).NotTo(HaveOccurred())
+	t.Chdir(t.TempDir())
+	records := []byte(`{"kind": "organisation", "name": "of-the-file", "spec": {}}`)
+	r.Expect(os.WriteFile("records.json", records, 0o600)).To(Succeed())
+	for _, line := range commandsOf(string(page)) {
+		prepare(r, line)
+		out := r.ok(words(line)[1:]...)
+		if _, file, redirected := strings.Cut(line, " > "); redirected {
+			r.Expect(os.WriteFile(file, []byte(out), 0o600)).To(Succeed())
+		}
+	}
+}
+
 func TestCheckRefusesInvalidCommands(t *testing.T) {
 	g := NewWithT(t)
 	for _, line := range []string{"sing", "caller create", "budget top-up b", "usage --loud", "order u --action sing"} {
