--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
 	"github.com/godwitbend/godwitbend/internal/entry"
 	"github.com/godwitbend/godwitbend/internal/registry"
+	"github.com/godwitbend/godwitbend/internal/routing"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/session"
 	"github.com/godwitbend/godwitbend/internal/settings"
@@ -43,6 +44,7 @@
 	standby  *standby.Client
 	journals []*standby.Journals
 	registry *registry.Registry
+	router   *routing.Router
 	replica  *controlReplica
 	forward  *forwarder
 	handler  *entry.Handler
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -11,18 +11,19 @@
 )
 
 const (
-	defaultCapacity     = 8
-	defaultQueue        = 64
-	defaultCacheBlocks  = 4096
-	defaultRetention    = time.Minute
-	maxPrefixBlocks     = 128
-	cacheEventsPerTick  = 256
-	retryAfterSeconds   = "1"
-	headerRetryAfter    = "Retry-After"
-	reasonOwnCancelled  = "the request was cancelled before it arrived"
-	reasonQueueFull     = "the queue is full"
-	reasonUnknownID     = "the request is not known"
-	reasonNotServedHere = "the model is not loaded"
+	defaultCapacity        = 8
+	defaultQueue           = 64
+	defaultCacheBlocks     = 4096
+	defaultRetention       = time.Minute
+	maxPrefixBlocks        = 128
+	cacheEventsPerTick     = 256
+	retryAfterSeconds      = "1"
+	headerRetryAfter       = "Retry-After"
+	reasonOwnCancelled     = "the request was cancelled before it arrived"
+	reasonOtherIncarnation = "the request is meant for another incarnation"
+	reasonQueueFull        = "the queue is full"
+	reasonUnknownID        = "the request is not known"
+	reasonNotServedHere    = "the model is not loaded"
 )
 
 // EngineOptions are the settings of an Engine. Zero values mean defaults.
@@ -66,7 +67,8 @@
 	// life ends when the incarnation crashes.
 	life    context.Context
 	endLife context.CancelFunc
-	running sync.WaitGroup
+	// running counts the requests of the present incarnation.
+	running *sync.WaitGroup
 }
 
 // NewEngine returns an engine that serves the protocol of package announce.
@@ -100,10 +102,8 @@
 	}
 }
 
-// reset forgets all requests and the cache, as a restart does.
+// reset forgets all requests and the cache, as a restart does. The lock is held.
 func (e *Engine) reset() {
-	e.runsMu.Lock()
-	defer e.runsMu.Unlock()
 	if e.endLife != nil {
 		e.endLife()
 	}
@@ -111,6 +111,7 @@
 	e.slots = &slots{capacity: e.opts.Capacity, queueMax: e.opts.Queue}
 	e.cache = newPrefixCache(e.opts.CacheBlocks, e.opts.CacheGapEvery)
 	e.runs = map[string]*run{}
+	e.running = &sync.WaitGroup{}
 	e.cancelled = map[string]bool{}
 }
 
@@ -134,25 +135,32 @@
 
 // Wait returns when no request runs, or when ctx ends.
 func (e *Engine) Wait(ctx context.Context) error {
-	return waitGroup(ctx, &e.running)
+	e.runsMu.Lock()
+	running := e.running
+	e.runsMu.Unlock()
+	return waitGroup(ctx, running)
 }
 
 // Close ends all requests as a crash does.
 func (e *Engine) Close() {
 	e.runsMu.Lock()
 	e.endLife()
+	running := e.running
 	e.runsMu.Unlock()
-	e.running.Wait()
+	running.Wait()
 }
 
 // Crash drops all requests and starts the next incarnation.
 func (e *Engine) Crash() {
+	e.runsMu.Lock()
+	lost := e.running
 	e.reset()
-	e.running.Wait()
+	e.restart()
+	e.runsMu.Unlock()
+	lost.Wait()
 	if e.identity.OnCrash != nil {
 		e.identity.OnCrash()
 	}
-	e.restart()
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -175,6 +183,7 @@
 	}
 	started, status, reason := e.start(r, req, faults, faults.crashes(body))
 	if started == nil {
+		e.setIncarnation(w)
 		w.Header().Set(headerRetryAfter, retryAfterSeconds)
 		writeError(w, status, reason)
 		return
@@ -196,6 +205,9 @@
 	priority, _ := strconv.Atoi(r.Header.Get(announce.HeaderPriority))
 	e.runsMu.Lock()
 	defer e.runsMu.Unlock()
+	if !e.meant(r) {
+		return nil, http.StatusConflict, reasonOtherIncarnation
+	}
 	if e.cancelled[id] {
 		return nil, http.StatusConflict, reasonOwnCancelled
 	}
@@ -214,6 +226,7 @@
 		faults:      faults,
 		crashes:     crashes,
 		slots:       e.slots,
+		running:     e.running,
 		place:       place,
 		cache:       e.cache,
 		created:     time.Now(),
