Wait for orders and list them

Cause: an order may take longer than a call, or be refused by its upstream; the tool said success for any of these. An order needs an id, so that it is safe to send again.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -24,7 +24,7 @@
 )
 
 // attemptTimeout bounds one try, so that a silent server leaves time for the next one.
-const attemptTimeout = 5 * time.Second
+const attemptTimeout = 10 * time.Second
 
 // client sends calls to the first server that answers.
 type client struct {
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -85,25 +85,6 @@
 	return "?" + url.Values{"organisation": {name}}.Encode()
 }
 
-func (c *command) addOrder(app *kingpin.Application) {
-	clause := app.Command("order", "Order an upstream to load or unload something, or to change its role.")
-	var request operatorapi.OrderRequest
-	clause.Arg("upstream", "Id of the upstream.").Required().StringVar(&request.Upstream)
-	clause.Flag("action", "load, unload or role.").Required().EnumVar(&request.Order.Action, "load", "unload", "role")
-	clause.Flag("model", "Model.").StringVar(&request.Order.Model)
-	clause.Flag("version", "Version of the model.").StringVar(&request.Order.Version)
-	clause.Flag("adapter", "Adapter of the model.").StringVar(&request.Order.Adapter)
-	clause.Flag("role", "New role.").StringVar(&request.Order.Role)
-	c.calls(clause, func(ctx context.Context, cl *client) error {
-		request.Order.ID = c.id()
-		var done operatorapi.OrderReply
-		if err := cl.call(ctx, "POST", operatorapi.PathOrders, request, &done); err != nil {
-			return c.unknown(err)
-		}
-		return c.print(done, func() table { return orderTable(&done) })
-	})
-}
-
 func (c *command) addReplica(app *kingpin.Application) {
 	group := app.Command("replica", "Changes of the control group, one replica at a time.")
 	c.addReplicaChange(group, controlapi.ReplicaAdd, "Add a replica as a learner, under an id above every earlier one.")
--- a/internal/ctl/table.go
+++ b/internal/ctl/table.go
@@ -155,7 +155,3 @@
 		row("hosts behind", behind),
 	}
 }
-
-func orderTable(done *operatorapi.OrderReply) table {
-	return table{row("ORDER", "FENCING NUMBER", "STATE"), row(done.OrderID, done.FencingNumber, done.State)}
-}
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -62,6 +62,7 @@
 		OrderID:       status.Order.ID,
 		FencingNumber: status.Order.FencingNumber,
 		State:         string(status.State),
+		Detail:        status.Detail,
 	}, nil
 }
 
--- a/internal/operatorapi/messages.go
+++ b/internal/operatorapi/messages.go
@@ -171,16 +171,25 @@
 // OrderRequest sends an order to one upstream. The control group sets the fencing number.
 type OrderRequest struct {
 	// Upstream is the id of the upstream.
-	Upstream string         `json:"upstream"`
-	Order    announce.Order `json:"order"`
+	Upstream string `json:"upstream"`
+	// Order has an id, which makes a resend safe, and no fencing number.
+	Order announce.Order `json:"order"`
 }
 
-// OrderReply answers an order that the upstream took.
+// OrderReply tells how far an order has come. The same request sent again, with the
+// same order id, tells more of a pending one.
 type OrderReply struct {
 	OrderID       string `json:"order_id"`
 	FencingNumber uint64 `json:"fencing_number"`
-	// State is the upstream's word on the order, such as "done".
+	// State is a controlapi.OrderState.
 	State string `json:"state"`
+	// Detail is the upstream's reason if it refused the order.
+	Detail string `json:"detail,omitempty"`
+}
+
+// OrdersReply lists orders, oldest first.
+type OrdersReply struct {
+	Orders []controlapi.OrderStatus `json:"orders"`
 }
 
 // ErrorReply is the body of every answer that is not a success.
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -65,6 +65,7 @@
 	mux.HandleFunc("GET "+PathGrants, s.answer(s.grants))
 	mux.HandleFunc("POST "+PathGrants, s.answer(s.writeOff))
 	mux.HandleFunc("GET "+PathUpstream, s.answer(s.upstreams))
+	mux.HandleFunc("GET "+PathOrders, s.answer(s.orders))
 	mux.HandleFunc("POST "+PathOrders, s.answer(s.order))
 	mux.HandleFunc("/", s.answer(func(r *call) (*reply, error) {
 		return nil, errkind.New(errkind.NotFound, "no %s %s", r.Method, r.URL.Path)
--- a/internal/operatorapi/state.go
+++ b/internal/operatorapi/state.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 
-	"github.com/google/uuid"
-
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 )
@@ -121,33 +119,3 @@
 	}
 	return ok(UpstreamsReply{Upstreams: orEmpty(s.Upstreams())}), nil
 }
-
-// order passes an order on. An order without an id gets one.
-func (s *server) order(r *call) (*reply, error) {
-	var request OrderRequest
-	if err := decode(r, &request); err != nil {
-		return nil, err
-	}
-	if err := checkName(request.Upstream); err != nil {
-		return nil, err
-	}
-	switch request.Order.Action {
-	case "load", "unload", "role":
-	default:
-		return nil, errkind.New(errkind.InvalidRequest, "unknown action %q", request.Order.Action)
-	}
-	if request.Order.FencingNumber != 0 {
-		return nil, errkind.New(errkind.InvalidRequest, "the control group sets the fencing number")
-	}
-	if request.Order.ID == "" {
-		request.Order.ID = uuid.NewString()
-	}
-	if s.Order == nil {
-		return nil, errkind.New(errkind.NoUpstream, "this host passes no orders on")
-	}
-	done, err := s.Order(r.Context(), &request)
-	if err != nil {
-		return nil, err
-	}
-	return ok(done), nil
-}
