--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -45,9 +45,14 @@
 	cl := &client{http: &http.Client{Transport: c.Transport}, key: strings.TrimSpace(string(data))}
 	for _, list := range c.servers {
 		for _, server := range strings.Split(list, ",") {
-			cl.servers = append(cl.servers, baseURL(strings.TrimSpace(server)))
+			if server = strings.TrimSpace(server); server != "" {
+				cl.servers = append(cl.servers, baseURL(server))
+			}
 		}
 	}
+	if len(cl.servers) == 0 {
+		return nil, invalid("--server names no server")
+	}
 	return cl, nil
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -343,6 +343,7 @@
 		r.Expect(r.run("--help")).To(Equal(0))
 		r.Expect(r.run("sing")).To(Equal(2))
 		r.Expect(r.run("organisation", "create")).To(Equal(2))
+		r.Expect(r.run("--server", ",", "status")).To(Equal(2))
 		r.Expect(r.runBare("status")).To(Equal(6))
 		r.Expect(r.runBare("--key-file", r.write("other.key", "x"), "status")).To(Equal(6))
 		r.Expect(r.runBare("--key-file", filepath.Join(r.dir, "absent"), "status")).To(Equal(1))
