Describe the operators' HTTP API

Cause: scripts of operators use the API without the tool. The routes stand in one table now, and a test looks for each of them on the page.

--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -43,30 +43,9 @@
 func New(o Options) http.Handler {
 	s := &server{Options: o, keys: newKeyring(o.KeyHashes)}
 	mux := http.NewServeMux()
-	for kind := range plurals {
-		list := RecordsPath(kind)
-		mux.HandleFunc("GET "+list, s.answer(s.listRecords(kind)))
-		mux.HandleFunc("GET "+list+"/{name}", s.answer(s.getRecord(kind)))
-		mux.HandleFunc("PUT "+list+"/{name}", s.answer(s.putRecord(kind)))
-		mux.HandleFunc("DELETE "+list+"/{name}", s.answer(s.deleteRecord(kind)))
+	for _, r := range s.routes() {
+		mux.HandleFunc(r.method+" "+r.path, s.answer(r.handle))
 	}
-	mux.HandleFunc("POST "+PathPrefix+"budgets/{name}"+PathTopUps, s.answer(s.topUp))
-	mux.HandleFunc("GET "+PathRecords, s.answer(s.listRecords(allKinds)))
-	mux.HandleFunc("POST "+PathApply, s.answer(s.apply))
-	mux.HandleFunc("GET "+PathUsage, s.answer(s.usage))
-	mux.HandleFunc("GET "+PathRequests, s.answer(s.requests))
-	mux.HandleFunc("GET "+PathRequests+"/{id}", s.answer(s.request))
-	mux.HandleFunc("GET "+PathHosts, s.answer(s.hosts))
-	mux.HandleFunc("GET "+PathReplicas, s.answer(s.replicas))
-	mux.HandleFunc("POST "+PathReplicas, s.answer(s.changeReplica))
-	mux.HandleFunc("GET "+PathHistory, s.answer(s.history))
-	mux.HandleFunc("GET "+PathChanges+"/{id}", s.answer(s.change))
-	mux.HandleFunc("GET "+PathStatus, s.answer(s.status))
-	mux.HandleFunc("GET "+PathGrants, s.answer(s.grants))
-	mux.HandleFunc("POST "+PathGrants, s.answer(s.writeOff))
-	mux.HandleFunc("GET "+PathUpstream, s.answer(s.upstreams))
-	mux.HandleFunc("GET "+PathOrders, s.answer(s.orders))
-	mux.HandleFunc("POST "+PathOrders, s.answer(s.order))
 	mux.HandleFunc("/", s.answer(func(r *call) (*reply, error) {
 		return nil, errkind.New(errkind.NotFound, "no %s %s", r.Method, r.URL.Path)
 	}))
