Check the log and the metrics of running hosts; count refusals in one place

Cause: the logs of the programs were not checked to be JSON, and the counters of refusals and retries stood twice. Conclusion: go test ./internal/entry and go test -run TestHostsTalk ./tests/failure pass.

--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/telemetry"
 )
 
 // defaultRetryAfter is told for an error that does not know when to come back.
@@ -53,11 +54,11 @@
 }
 
 func (c *counters) refusal(k errkind.Kind) {
-	c.scope.Tagged(map[string]string{"kind": string(k)}).Counter("refusals").Inc(1)
+	telemetry.Refusal(c.scope, k).Inc(1)
 }
 
 func (c *counters) retry(r retryReason) {
-	c.scope.Tagged(map[string]string{"reason": string(r)}).Counter("retries").Inc(1)
+	telemetry.Retry(c.scope, string(r)).Inc(1)
 }
 
 func (c *counters) event(name string) {
--- a/tests/failure/tls_test.go
+++ b/tests/failure/tls_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,5 +60,32 @@
 	out, err := fleet.Ctl(ctx, fleet.Hosts[0], "organisation", "get", "o")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(out)).To(ContainSubstring("after restart 3"))
+	g.Expect(harness.Await(ctx, "the metrics say that the host is ready", func(ctx context.Context) error {
+		return findMetric(ctx, fleet.Hosts[0], "godwitbend_ready 1")
+	})).To(Succeed())
 	g.Expect(fleet.Stop()).To(Succeed())
+	for _, h := range fleet.Hosts {
+		_, tail, _ := strings.Cut(h.LogTail(), "\n")
+		for line := range strings.Lines(tail) {
+			g.Expect(json.Valid([]byte(line))).To(BeTrue(), line)
+		}
+	}
+}
+
+// findMetric looks for a line on the metrics page of h.
+func findMetric(ctx context.Context, h *harness.Host, line string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.OperatorsURL()+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	page, err := io.ReadAll(response.Body)
+	if err == nil && !strings.Contains(string(page), "\n"+line+"\n") {
+		err = fmt.Errorf("no line %q", line)
+	}
+	return err
 }
