Serve operators by HTTPS where the settings say so

Cause: an operator's key went over plain HTTP to the host, or needed a proxy before it. tls.operators serves the operators' listener with the host's certificate; the tool trusts the authority of --ca-file and calls servers by HTTPS then. Ruled out: client certificates for operators, who have keys already. Conclusion: go test ./internal/hosttls ./internal/settings ./internal/ctl passes; a host and the tool were also run by hand so.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -48,6 +48,7 @@
 	ctx         context.Context
 	servers     []string
 	keyFile     string
+	caFile      string
 	format      string
 	timeout     time.Duration
 	operationID string
@@ -113,6 +114,8 @@
 	app.Flag("server", "Address of the operators' API, as IP:port or URL; may be repeated or hold several with commas. The next is tried if one does not answer.").
 		Default("127.0.0.1:8082").Envar("GODWITBENDCTL_SERVER").StringsVar(&c.servers)
 	app.Flag("key-file", "File that holds the operator's key.").Envar("GODWITBENDCTL_KEY_FILE").StringVar(&c.keyFile)
+	app.Flag("ca-file", "File of the certificate authority that signed the servers' certificates; servers are called by HTTPS then.").
+		Envar("GODWITBENDCTL_CA_FILE").StringVar(&c.caFile)
 	app.Flag("output", "Output format.").Short('o').Default(formatTable).EnumVar(&c.format, formatTable, formatJSON)
 	app.Flag("timeout", "Time to wait for an answer, and for a change to be accepted.").
 		Default(defaultTimeout.String()).DurationVar(&c.timeout)
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/godwitbend/godwitbend/internal/hosttls"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
 )
 
@@ -42,11 +44,15 @@
 	if err != nil {
 		return nil, err
 	}
-	cl := &client{http: &http.Client{Transport: c.Transport}, key: strings.TrimSpace(string(data))}
+	transport, err := c.transport()
+	if err != nil {
+		return nil, err
+	}
+	cl := &client{http: &http.Client{Transport: transport}, key: strings.TrimSpace(string(data))}
 	for _, list := range c.servers {
 		for _, server := range strings.Split(list, ",") {
 			if server = strings.TrimSpace(server); server != "" {
-				cl.servers = append(cl.servers, baseURL(server))
+				cl.servers = append(cl.servers, c.baseURL(server))
 			}
 		}
 	}
@@ -56,8 +62,26 @@
 	return cl, nil
 }
 
-func baseURL(server string) string {
-	if !strings.Contains(server, "://") {
+// transport returns the transport that trusts the authority that the operator names.
+func (c *command) transport() (http.RoundTripper, error) {
+	if c.caFile == "" {
+		return c.Transport, nil
+	}
+	pool, err := hosttls.LoadPool(c.caFile)
+	if err != nil {
+		return nil, err
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}
+	return transport, nil
+}
+
+func (c *command) baseURL(server string) string {
+	switch {
+	case strings.Contains(server, "://"):
+	case c.caFile != "":
+		server = "https://" + server
+	default:
 		server = "http://" + server
 	}
 	return strings.TrimSuffix(server, "/")
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -6,8 +6,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"encoding/pem"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -461,6 +464,22 @@
 	r.Expect(r.stdout.String()).To(BeEmpty())
 }
 
+func TestServersAreCalledByHTTPS(t *testing.T) {
+	r := newRig(t)
+	server := httptest.NewUnstartedServer(r.servers["127.0.0.1:8082"])
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}
+	ca := r.write("ca.pem", string(pem.EncodeToMemory(block)))
+	address := server.Listener.Addr().String()
+	r.ok("--server", address, "--ca-file", ca, "status")
+	r.ok("certs", "--dir", filepath.Join(r.dir, "other"), "--host", "a=127.0.0.1")
+	other := filepath.Join(r.dir, "other", "ca.pem")
+	r.Expect(r.run("--server", address, "--ca-file", other, "--timeout", "1ms", "status")).To(Equal(7))
+	r.Expect(r.run("--server", address, "--ca-file", r.write("empty.pem", ""), "status")).To(Equal(1))
+}
+
 func TestCertificates(t *testing.T) {
 	r := newRig(t)
 	dir := filepath.Join(r.dir, "certs")
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -12,6 +12,7 @@
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
 	"github.com/godwitbend/godwitbend/internal/entry"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/hosttls"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
@@ -206,6 +207,9 @@
 	if err != nil {
 		return err
 	}
+	if operators, err = hosttls.SecureOperators(operators, d.settings.TLS); err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	telemetry.Register(mux, d.metrics.Handler, d.ready)
 	mux.Handle("/", operatorapi.New(operatorapi.Options{
--- a/internal/hosttls/hosttls.go
+++ b/internal/hosttls/hosttls.go
@@ -31,17 +31,13 @@
 	if s.Plaintext {
 		return &Network{}, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
+	certificate, err := loadCertificate(s)
 	if err != nil {
-		return nil, eris.Wrap(err, "load the certificate of the host")
+		return nil, err
 	}
-	authorities, err := os.ReadFile(s.CAFile)
+	pool, err := LoadPool(s.CAFile)
 	if err != nil {
-		return nil, eris.Wrap(err, "load the certificate authority")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authorities) {
-		return nil, eris.Errorf("%s holds no certificate", s.CAFile)
+		return nil, err
 	}
 	return &Network{config: &tls.Config{
 		MinVersion:   tls.VersionTLS13,
@@ -52,6 +48,40 @@
 	}}, nil
 }
 
+func loadCertificate(s settings.TLS) (tls.Certificate, error) {
+	certificate, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
+	return certificate, eris.Wrap(err, "load the certificate of the host")
+}
+
+// LoadPool returns the certificate authorities in the PEM file at path.
+func LoadPool(path string) (*x509.CertPool, error) {
+	authorities, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "load the certificate authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authorities) {
+		return nil, eris.Errorf("%s holds no certificate", path)
+	}
+	return pool, nil
+}
+
+// SecureOperators returns the operators' listener l with TLS if s asks for it.
+// Operators show a key, not a certificate.
+func SecureOperators(l net.Listener, s settings.TLS) (net.Listener, error) {
+	if !s.Operators {
+		return l, nil
+	}
+	certificate, err := loadCertificate(s)
+	if err != nil {
+		return nil, err
+	}
+	return tls.NewListener(l, &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+	}), nil
+}
+
 // Listen listens for other hosts on address, an IP:port. Accept returns only
 // connections whose peer has shown a certificate of the authority.
 func (n *Network) Listen(address string) (net.Listener, error) {
--- a/internal/hosttls/hosttls_test.go
+++ b/internal/hosttls/hosttls_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -138,6 +139,32 @@
 	f.Expect(exchange(client, l.Addr().String())).To(MatchError(ContainSubstring("127.0.0.9")))
 }
 
+func TestOperatorsAreServedByHTTPSIfTheSettingsSaySo(t *testing.T) {
+	f := newFixture(t)
+	s := f.settings(f.authority(), "127.0.0.1", time.Now())
+	for _, secured := range []bool{true, false} {
+		s.Operators = secured
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		f.Expect(err).NotTo(HaveOccurred())
+		l, err := hosttls.SecureOperators(raw, s)
+		f.Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: http.NotFoundHandler()}
+		t.Cleanup(func() { _ = server.Close() })
+		go func() { _ = server.Serve(l) }()
+		pool, err := hosttls.LoadPool(s.CAFile)
+		f.Expect(err).NotTo(HaveOccurred())
+		client := http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+		response, err := client.Get("https://" + raw.Addr().String())
+		if !secured {
+			f.Expect(err).To(HaveOccurred())
+			continue
+		}
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+		f.Expect(response.Body.Close()).To(Succeed())
+	}
+}
+
 func TestPlaintext(t *testing.T) {
 	f := newFixture(t)
 	n := f.network(settings.TLS{Plaintext: true})
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -177,6 +177,9 @@
 }
 
 func (c *checker) tls(t TLS) {
+	if t.Plaintext && t.Operators {
+		c.fault("tls.operators", "needs a certificate, so it excludes tls.plaintext")
+	}
 	files := []struct{ path, value string }{
 		{"tls.ca_file", t.CAFile}, {"tls.cert_file", t.CertFile}, {"tls.key_file", t.KeyFile},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,6 +115,8 @@
 	CertFile string `json:"cert_file,omitempty"`
 	// KeyFile holds the private key of CertFile, as PEM.
 	KeyFile string `json:"key_file,omitempty"`
+	// Operators serves operators by HTTPS with CertFile. Default: false.
+	Operators bool `json:"operators,omitempty"`
 }
 
 // Limits bound the input of callers.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -84,6 +84,7 @@
 		{`"127.0.0.3:8081"`, `"127.0.0.3:8081", "zone": "z"`, "replicas[1].zone"},
 		{`{"plaintext": true}`, `{"plaintext": true, "ca_file": "ca.pem"}`, "tls.ca_file"},
 		{`{"plaintext": true}`, `{"ca_file": "ca.pem", "cert_file": "c.pem"}`, "tls.key_file"},
+		{`{"plaintext": true}`, `{"plaintext": true, "operators": true}`, "tls.operators"},
 		{`{"plaintext": true}`, `{"plaintext": "yes", "ca_file": "a", "cert_file": "c", "key_file": "k"}`, "tls.plaintext"},
 		{`"bootstrap": true`, `"operator_key_hashes": ["ABC"]`, "operator_key_hashes[0]"},
 		{`"bootstrap": true`, `"operator_key_hashes": "abc"`, "operator_key_hashes"},
