--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -6,8 +6,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"encoding/pem"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -41,10 +44,15 @@
 	stdout  bytes.Buffer
 	stderr  bytes.Buffer
 	ids     int
+	// orderStates are the answers to orders in turn; the last one stays.
+	orderStates []controlapi.OrderState
 }
 
 func newRig(t *testing.T) *rig {
-	r := &rig{WithT: NewWithT(t), control: fakecontrol.New(), dir: t.TempDir()}
+	r := &rig{
+		WithT: NewWithT(t), control: fakecontrol.New(), dir: t.TempDir(),
+		orderStates: []controlapi.OrderState{controlapi.OrderDone},
+	}
 	sum := sha256.Sum256([]byte(operatorKey))
 	api := operatorapi.New(operatorapi.Options{
 		Host: "a", Control: r.control, KeyHashes: []string{hex.EncodeToString(sum[:])},
@@ -59,7 +67,11 @@
 			return nil
 		},
 		Order: func(_ context.Context, o *operatorapi.OrderRequest) (*operatorapi.OrderReply, error) {
-			return &operatorapi.OrderReply{OrderID: o.Order.ID, FencingNumber: 3, State: "done"}, nil
+			reply := &operatorapi.OrderReply{OrderID: o.Order.ID, FencingNumber: 3, State: string(r.orderStates[0])}
+			if len(r.orderStates) > 1 {
+				r.orderStates = r.orderStates[1:]
+			}
+			return reply, nil
 		},
 	})
 	r.servers = map[string]http.Handler{"127.0.0.1:8082": api}
@@ -334,6 +346,7 @@
 		r.Expect(r.run("--help")).To(Equal(0))
 		r.Expect(r.run("sing")).To(Equal(2))
 		r.Expect(r.run("organisation", "create")).To(Equal(2))
+		r.Expect(r.run("--server", ",", "status")).To(Equal(2))
 		r.Expect(r.runBare("status")).To(Equal(6))
 		r.Expect(r.runBare("--key-file", r.write("other.key", "x"), "status")).To(Equal(6))
 		r.Expect(r.runBare("--key-file", filepath.Join(r.dir, "absent"), "status")).To(Equal(1))
@@ -367,6 +380,30 @@
 	})
 }
 
+func TestOrderIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		load := []string{"order", "u1", "--action", "load", "--model", "m", "--model-version", "7"}
+		r.orderStates = []controlapi.OrderState{controlapi.OrderPending, controlapi.OrderPending, controlapi.OrderDone}
+		r.golden(`
+ORDER  FENCING NUMBER  STATE
+op-1   3               done
+`, load...)
+		r.orderStates = []controlapi.OrderState{controlapi.OrderFailed}
+		r.Expect(r.run(load...)).To(Equal(8))
+		r.orderStates = []controlapi.OrderState{controlapi.OrderPending}
+		r.Expect(r.run(load...)).To(Equal(3))
+		r.Expect(r.stderr.String()).To(ContainSubstring("--operation-id op-3"))
+		r.execute(&controlapi.Command{PlaceOrder: &controlapi.PlaceOrder{
+			Upstream: "u1", Order: announce.Order{ID: "x", Action: announce.ActionLoad, Model: "m"},
+		}})
+		r.golden(`
+ORDER  UPSTREAM  ACTION  MODEL  VERSION  ADAPTER  ROLE  STATE    DETAIL
+x      u1        load    m                              pending  
+`, "orders")
+	})
+}
+
 func TestNextServerIsTried(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
@@ -427,6 +464,22 @@
 	r.Expect(r.stdout.String()).To(BeEmpty())
 }
 
+func TestServersAreCalledByHTTPS(t *testing.T) {
+	r := newRig(t)
+	server := httptest.NewUnstartedServer(r.servers["127.0.0.1:8082"])
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}
+	ca := r.write("ca.pem", string(pem.EncodeToMemory(block)))
+	address := server.Listener.Addr().String()
+	r.ok("--server", address, "--ca-file", ca, "status")
+	r.ok("certs", "--dir", filepath.Join(r.dir, "other"), "--host", "a=127.0.0.1")
+	other := filepath.Join(r.dir, "other", "ca.pem")
+	r.Expect(r.run("--server", address, "--ca-file", other, "--timeout", "1ms", "status")).To(Equal(7))
+	r.Expect(r.run("--server", address, "--ca-file", r.write("empty.pem", ""), "status")).To(Equal(1))
+}
+
 func TestCertificates(t *testing.T) {
 	r := newRig(t)
 	dir := filepath.Join(r.dir, "certs")
