--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -262,6 +263,45 @@
 	})
 }
 
+// TestFrozenLeaderWakesWithoutStaleAnswers stops the leader in the middle of a
+// sync for a minute, while the others go on.
+func TestFrozenLeaderWakesWithoutStaleAnswers(t *testing.T) {
+	inGroup(t, 3, Options{}, func(gr *group) {
+		ctx := context.Background()
+		old := gr.leader()
+		id := old.Status().ID
+		wake := sync.OnceFunc(gr.disks[id].HoldSync())
+		defer wake()
+		answers := make(chan error, 3)
+		stale := false
+		go func() {
+			_, err := old.Propose(ctx, []byte("before"))
+			answers <- err
+		}()
+		synctest.Wait()
+		go func() { answers <- old.Read(ctx, func() { stale = true }) }()
+		go func() {
+			_, err := old.Propose(ctx, []byte("frozen"))
+			answers <- err
+		}()
+		time.Sleep(time.Minute)
+		var next *Replica
+		for other, r := range gr.replicas {
+			if other != id && r.Status().Role == replication.Leader {
+				next = r
+			}
+		}
+		gr.propose(next, "after")
+		wake()
+		for range 3 {
+			gr.g.Expect(<-answers).To(HaveOccurred())
+		}
+		gr.g.Expect(stale).To(BeFalse())
+		gr.caughtUp(id, "before", "after")
+		gr.g.Expect(gr.leader()).To(Equal(next))
+	})
+}
+
 func TestLeadershipIsAnnouncedAfterTheFirstEntry(t *testing.T) {
 	var seen []string
 	o := Options{OnLeadership: func(leader bool, term uint64) { seen = append(seen, fmt.Sprint(leader, term)) }}
