--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -76,6 +76,9 @@
 	Suspect bool `cbor:"9,keyasint,omitempty"`
 	// RunOn are upstreams on which the body may run now, if the error is SuspectBusy.
 	RunOn []Instance `cbor:"10,keyasint,omitempty"`
+	// Partial tells that a settled request was cut off before its end, so that Charged covers
+	// only a part of it.
+	Partial bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Instance is one incarnation of an upstream.
@@ -102,6 +105,9 @@
 	EarlierNotRun bool `cbor:"5,keyasint,omitempty"`
 	// Session is the sender's session; a command of another session than the owner's is refused.
 	Session string `cbor:"6,keyasint,omitempty"`
+	// NotRun are earlier dispatches of this attempt that provably did not run. They no longer
+	// count, neither as runs nor as upstreams that the body was exposed to.
+	NotRun []Instance `cbor:"7,keyasint,omitempty"`
 }
 
 // SettleRequest charges a request that ran and frees the rest of its reservation.
@@ -114,7 +120,7 @@
 	// Its whole reservation is charged and later tries are told OutcomeUnknown.
 	Unknown bool `cbor:"5,keyasint,omitempty"`
 	// Partial tells that the run was cut off before its end, so that it is no proof that the
-	// body is harmless to upstreams.
+	// body is harmless to upstreams, and that the charge covers only a part of the request.
 	Partial bool `cbor:"6,keyasint,omitempty"`
 	// Session is the sender's session, as in DispatchRequest.
 	Session string `cbor:"7,keyasint,omitempty"`
@@ -129,6 +135,8 @@
 	MayHaveRun bool `cbor:"3,keyasint,omitempty"`
 	// Session is the sender's session, as in DispatchRequest.
 	Session string `cbor:"4,keyasint,omitempty"`
+	// NotRun are dispatches that provably did not run, as in DispatchRequest.
+	NotRun []Instance `cbor:"5,keyasint,omitempty"`
 }
 
 // CrashReport tells that an upstream was lost with requests in flight.
@@ -279,6 +287,8 @@
 	Replicas bool `cbor:"10,keyasint,omitempty"`
 	// Grants lists the grants that are outstanding, those of ended sessions included.
 	Grants bool `cbor:"11,keyasint,omitempty"`
+	// Orders lists the orders to upstreams, oldest first.
+	Orders bool `cbor:"12,keyasint,omitempty"`
 }
 
 // QueryReply answers a QueryRequest.
@@ -294,7 +304,8 @@
 	Grants   []GrantStatus   `json:"grants,omitempty" cbor:"9,keyasint,omitempty"`
 	// CanLose is the number of further voters whose loss the group survives, with
 	// Replicas; nil if the leader does not know it.
-	CanLose *int `json:"can_lose,omitempty" cbor:"10,keyasint,omitempty"`
+	CanLose *int          `json:"can_lose,omitempty" cbor:"10,keyasint,omitempty"`
+	Orders  []OrderStatus `json:"orders,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
 // ReplicaAction is a change of the membership of the control group.
@@ -367,6 +378,8 @@
 	ReturnGrant   *ReturnGrantRequest   `cbor:"12,keyasint,omitempty"`
 	MergeJournal  *MergeJournalRequest  `cbor:"13,keyasint,omitempty"`
 	WriteOffGrant *WriteOffGrantRequest `cbor:"14,keyasint,omitempty"`
+	PlaceOrder    *PlaceOrder           `cbor:"15,keyasint,omitempty"`
+	FinishOrder   *FinishOrder          `cbor:"16,keyasint,omitempty"`
 }
 
 // Result is the outcome of a Command. Err is set on a refusal.
@@ -383,6 +396,8 @@
 	Merge *MergeReply  `cbor:"8,keyasint,omitempty"`
 	// WrittenOff is what WriteOffGrant charged, in tokens.
 	WrittenOff int64 `cbor:"9,keyasint,omitempty"`
+	// Order is the state of the order after PlaceOrder or FinishOrder.
+	Order *OrderStatus `cbor:"10,keyasint,omitempty"`
 }
 
 // Client is the control group as an entry host sees it. Execute returns the
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/routing"
 )
 
 // errAnswered tells that a failed try was answered to its end, or that nobody waits for an answer.
@@ -39,6 +41,10 @@
 		return err
 	}
 	for tries := 1; ; tries++ {
+		if err := x.recheck(t); err != nil {
+			t.leave()
+			return err
+		}
 		f := x.try(t)
 		if f == nil {
 			t.leave()
@@ -103,25 +109,41 @@
 func (x *exchange) try(t target) *failure {
 	leave := x.h.crashes.enter(t, x.requestID, x.bodyHash)
 	defer leave()
-	var f *failure
-	switch x.kind {
-	case callChatStream:
-		f = x.tryStream(t)
-	case callChatWhole:
-		f = x.tryWhole(t)
-	case callPlain:
-		f = x.tryPlain(t)
-	}
+	x.tried, x.firstByte = x.h.Now(), 0
+	f := x.send(t)
 	if f != nil && f.broken {
 		f.stop = x.reportCrash(t)
 	}
+	x.report(f, t)
 	return f
 }
 
+// report tells the router how the call fared at t.
+func (x *exchange) report(f *failure, t target) {
+	if f != nil && (f.callerGone || f.reason == reasonRefused) {
+		return
+	}
+	failed := x.brokenOff || f != nil && f.final == nil
+	x.h.Router.Report(t.entry, routing.Result{Service: x.service, Failed: failed, FirstByte: x.firstByte}, x.h.Now())
+}
+
+// send sends the call to t in the form of its kind.
+func (x *exchange) send(t target) *failure {
+	switch x.kind {
+	case callChatStream:
+		return x.tryStream(t)
+	case callChatWhole:
+		return x.tryWhole(t)
+	default:
+		return x.tryPlain(t)
+	}
+}
+
 // afterFailure decides whether another upstream may be tried. It returns the
 // final answer if not.
 func (x *exchange) afterFailure(f *failure, t target, tries int) error {
 	x.mayHaveRun = x.mayHaveRun || !f.notRun
+	x.noteRun(f, t)
 	x.h.Log.Info("try failed", "request_id", x.requestID, "organisation", x.id.caller.Organisation,
 		"upstream", t.entry.ID, "reason", f.reason, "detail", f.text)
 	if f.callerGone {
@@ -147,6 +169,17 @@
 	return err
 }
 
+// noteRun takes note of whether t may have run the call.
+func (x *exchange) noteRun(f *failure, t target) {
+	instance := controlapi.Instance{Upstream: t.entry.ID, Incarnation: t.incarnation}
+	switch {
+	case !f.notRun:
+		x.ran = append(x.ran, instance)
+	case !slices.Contains(x.ran, instance):
+		x.notRun = append(x.notRun, instance)
+	}
+}
+
 // mayRetry returns nil if a repeatable call may be sent again.
 func (x *exchange) mayRetry(f *failure, t target, tries int) error {
 	refusal := errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", f.reason).WithRetryAfter(upstreamRetry)
@@ -184,7 +217,7 @@
 	ctx, cancel := context.WithDeadline(x.work, x.deadline)
 	defer cancel()
 	if tries > 1 || !f.notRun {
-		pause(ctx, backoff(tries))
+		pause(ctx, x.h.backoff(tries))
 	}
 	t, err := x.chooseAgain()
 	if err != nil {
