--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -22,6 +22,7 @@
 	listeners map[string]*listener
 	cut       map[link]bool
 	conns     map[*conn]struct{}
+	written   map[link]int64
 	// changed is closed and replaced at each heal.
 	changed chan struct{}
 }
@@ -42,6 +43,7 @@
 		listeners: make(map[string]*listener),
 		cut:       make(map[link]bool),
 		conns:     make(map[*conn]struct{}),
+		written:   make(map[link]int64),
 		changed:   make(chan struct{}),
 	}
 }
@@ -81,6 +83,26 @@
 	n.changed = make(chan struct{})
 }
 
+// Written returns the bytes that were written, in both directions, over the
+// links between nodes for which both ends match.
+func (n *Net) Written(match func(node string) bool) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var sum int64
+	for l, bytes := range n.written {
+		if match(l.a) && match(l.b) {
+			sum += bytes
+		}
+	}
+	return sum
+}
+
+func (n *Net) count(l link, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.written[l] += int64(bytes)
+}
+
 // Reset closes all connections of a node, as the death of its process does.
 func (n *Net) Reset(node string) {
 	n.mu.Lock()
@@ -209,7 +231,9 @@
 	for {
 		cut, changed := c.net.state(c.link)
 		if !cut {
-			return c.Conn.Write(p)
+			written, err := c.Conn.Write(p)
+			c.net.count(c.link, written)
+			return written, err
 		}
 		select {
 		case <-changed:
--- a/tests/fleet/site_test.go
+++ b/tests/fleet/site_test.go
@@ -72,6 +72,8 @@
 	engine         fake.EngineOptions
 	// paid is the first top-up; 0 means a million tokens.
 	paid int64
+	// idleEngines is the number of engines beside the one of the tests.
+	idleEngines int
 }
 
 // run runs fn on a running and configured site, inside a bubble of virtual time.
@@ -88,6 +90,7 @@
 			s.start(h)
 		}
 		s.startUpstreams(o.engine)
+		s.startIdleEngines(o.idleEngines)
 		time.Sleep(settle)
 		s.configure(cmp.Or(o.paid, 1_000_000))
 		time.Sleep(settle)
@@ -172,6 +175,17 @@
 	s.serveUpstream(s.plain, s.plain, "service-1", "127.0.0.101:80")
 }
 
+func (s *site) startIdleEngines(count int) {
+	for i := range count {
+		id, address := fmt.Sprintf("idle-%d", i), fmt.Sprintf("127.0.1.%d:80", i+1)
+		e := fake.NewEngine(fake.EngineOptions{
+			Identity: fake.Identity{ID: id, Zone: "zone-2", Address: "http://" + address},
+			Models:   []announce.ServiceOffer{{Name: "other"}},
+		})
+		s.serveUpstream(e, e, id, address)
+	}
+}
+
 func (s *site) serveUpstream(h http.Handler, source fake.Announcing, name, address string) {
 	node := s.net.Node(name)
 	listener, err := node.Listen(address)
