--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -121,6 +121,19 @@
 	g.Expect(f.Broken()).To(BeFalse())
 }
 
+func TestCompletionOfACutRunIsBilledForTheRest(t *testing.T) {
+	g := NewWithT(t)
+	e := evidence(audit.Answer{Cut: true, ReceivedMS: 5}, served(6, 10))
+	e.Requests[0].Repeatable = true
+	e.Requests[0].Completions = []string{"r-1"}
+	e.Bills[0].Charged = 4
+	g.Expect(audit.Check(e).UnbilledRuns).To(Equal(1))
+	e.Bills = append(e.Bills, controlapi.RequestStatus{RequestID: "r-1", State: "settled", Charged: 6})
+	g.Expect(audit.Check(e).Broken()).To(BeFalse())
+	e.Bills[1].Charged = 7
+	g.Expect(audit.Check(e).DoubleBills).To(Equal(1))
+}
+
 func TestWasteAndCutOffStreams(t *testing.T) {
 	g := NewWithT(t)
 	e := evidence(audit.Answer{SentMS: 0, ReceivedMS: 5, Cut: true}, served(6, 10))
@@ -129,10 +142,11 @@
 	for _, tokens := range []int64{4, 10} {
 		e.Truth = append(e.Truth,
 			fake.TruthRecord{Event: fake.TruthStarted, RequestID: "r"},
-			fake.TruthRecord{Event: fake.TruthFinished, RequestID: "r", OutputTokens: tokens})
+			fake.TruthRecord{Event: fake.TruthFinished, RequestID: "r", PromptTokens: tokens, CachedTokens: tokens / 2})
 	}
 	f := audit.Check(e)
 	g.Expect(f.Broken()).To(BeFalse())
 	g.Expect(f.CutOffStreams).To(Equal(1))
 	g.Expect(f.WastedTokens).To(Equal(int64(4)))
+	g.Expect(f.PrefixHitRatio()).To(Equal(0.5))
 }
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -84,6 +84,8 @@
 		return m.release(cmd.Release)
 	case cmd.Crash != nil:
 		return m.crash(cmd.Crash)
+	case cmd.ClearBody != nil:
+		return m.clearBody(cmd.ClearBody)
 	case cmd.OpenSession != nil:
 		return m.openSession(cmd.OpenSession)
 	case cmd.EndSession != nil:
@@ -143,7 +145,7 @@
 // open requests and holders.
 func (m *Machine) CheckInvariants() error {
 	reserved := make(map[string]int64)
-	for _, r := range m.requests.Sorted() {
+	for r := range m.requests.All() {
 		if err := r.Check(); err != nil {
 			return err
 		}
@@ -187,10 +189,11 @@
 
 // Sessions returns the open sessions in the order of their ids.
 func (m *Machine) Sessions() []controlapi.HostInfo {
-	hosts := make([]controlapi.HostInfo, 0, len(m.sessions.open))
-	for _, s := range m.sessions.open {
-		hosts = append(hosts, controlapi.HostInfo{Session: s.Session, Host: s.Host, Zone: s.Zone, Address: s.Address})
-	}
-	slices.SortFunc(hosts, compareSessions)
-	return hosts
+	return slices.Clone(m.sessions.listed().hosts)
 }
+
+// SessionOpen tells whether a session is open.
+func (m *Machine) SessionOpen(id string) bool { return m.sessions.isOpen(id) }
+
+// SessionsVersion identifies the set of open sessions.
+func (m *Machine) SessionsVersion() uint64 { return m.sessions.listed().version }
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -81,7 +82,9 @@
 	// of records that were opened again are skipped.
 	closings [retentions]queue[closing]
 	// count is the number of records of each retention class, open ones included.
-	count    [retentions]int
+	count [retentions]int
+	// most bounds count.
+	most     [retentions]int
 	orphans  queue[orphan]
 	sequence uint64
 }
@@ -92,6 +95,7 @@
 		open:      make(map[string]*Record),
 		bySession: make(map[string]map[string]struct{}),
 		closed:    make(map[string]packed),
+		most:      maxRecords,
 	}
 }
 
@@ -113,14 +117,16 @@
 	return nil
 }
 
-// Sorted returns all records in the order of their ids.
-func (t *Table) Sorted() []*Record {
-	ids := t.ids()
-	records := make([]*Record, len(ids))
-	for i, id := range ids {
-		records[i] = t.Get(id)
+// All iterates over the records in the order of their ids. Closed ones are
+// decoded one by one.
+func (t *Table) All() iter.Seq[*Record] {
+	return func(yield func(*Record) bool) {
+		for _, id := range t.ids() {
+			if !yield(t.Get(id)) {
+				return
+			}
+		}
 	}
-	return records
 }
 
 func (t *Table) ids() []string {
@@ -144,7 +150,7 @@
 // bound, and none of them may be dropped early.
 func (t *Table) Full(r *Record) bool {
 	class := r.retention()
-	return class != unkeyed && t.count[class] >= maxRecords[class]
+	return class != unkeyed && t.count[class] >= t.most[class]
 }
 
 // Add takes in a new record that is open.
@@ -185,7 +191,7 @@
 	r.ClosedMS = nowMS
 	r.CloseSequence = t.sequence
 	t.keep(r, pack(r))
-	if class := r.retention(); class == unkeyed && t.count[class] > maxRecords[class] {
+	if class := r.retention(); class == unkeyed && t.count[class] > t.most[class] {
 		t.dropOldest(class)
 	}
 }
