Prove configuration and billing under random failures of whole fleets

Cause: failures were tested one at a time. Change: seeded schedules of cuts, isolations, resets, engine crashes, drains, top-ups and changes over five hosts, while clients retry at other hosts with the same key; every answer is compared with what ran and what was billed. Found: a first version of the audit took the completion of a request that was cut off (charged 8, then 21 of 29 tokens) for an underbilled one; it now adds up the records of one key.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,8 @@
 # Drives the real programs with the traces of both deployments; prints JSON lines.
 bench: build
 	bin/godwitbend-load --bin bin --seed $(SEED) --requests 300 bench
+
+# Runs random schedules of failures from SEED on, for longer than the tests do.
+soak:
+	SEED=$(SEED) SCHEDULES=$(or $(SCHEDULES),2000) go test -count=1 -timeout 60m -run Soak -v ./internal/replication
+	SEED=$(SEED) go test -count=1 -timeout 60m -run Soak -v ./tests/fleet
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/admission"
 	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
 	"github.com/godwitbend/godwitbend/internal/entry"
 	"github.com/godwitbend/godwitbend/internal/errkind"
@@ -25,9 +26,6 @@
 const (
 	// readHeaderTimeout bounds the reading of a request's header.
 	readHeaderTimeout = 10 * time.Second
-	// schemaMin and schemaMax bound the schema versions that this program serves under.
-	schemaMin = 1
-	schemaMax = 2
 )
 
 // start opens the listeners and starts every role of the host.
@@ -117,8 +115,8 @@
 		Host:      d.settings.Host,
 		Zone:      d.settings.Zone,
 		Address:   d.settings.Listen.Hosts,
-		SchemaMin: schemaMin,
-		SchemaMax: schemaMax,
+		SchemaMin: config.MinSchema,
+		SchemaMax: d.settings.SchemaMax,
 		Lease:     d.settings.ConfigLease.Duration,
 	})
 	ctx, d.stopSession = context.WithCancel(ctx)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,6 +6,8 @@
 	"regexp"
 	"slices"
 	"time"
+
+	"github.com/godwitbend/godwitbend/internal/config"
 )
 
 // Bounds of the settings.
@@ -45,6 +47,7 @@
 	c.operatorKeys(s.OperatorKeyHashes)
 	c.times(s)
 	c.limits(s.Limits)
+	c.number("schema_max", int64(s.SchemaMax), config.MinSchema, config.MaxSchema)
 	c.duration("orders.lease", s.Orders.Lease, minLease, maxDuration)
 	c.duration("orders.load_interval", s.Orders.LoadInterval, 0, maxDuration)
 	c.number("orders.loads", int64(s.Orders.Loads), 1, maxConcurrency)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/godwitbend/godwitbend/internal/config"
 )
 
 // Role is a job that a host takes on.
@@ -68,6 +70,10 @@
 	// DrainDelay is the time at a shutdown between failing the readiness check and
 	// refusing new work, in which the balancer moves callers away. Default: 2s.
 	DrainDelay Duration `json:"drain_delay"`
+	// SchemaMax is the newest schema version of records that the host serves under,
+	// at most that of the program. It holds the fleet back at an older version, so
+	// that older programs can return. Default: 2.
+	SchemaMax int `json:"schema_max"`
 	// Orders bound the orders to upstreams.
 	Orders Orders `json:"orders"`
 	// Log holds the settings of the log.
@@ -156,6 +162,7 @@
 		},
 		UpstreamTimeout: Duration{3 * time.Second},
 		DrainDelay:      Duration{2 * time.Second},
+		SchemaMax:       config.MaxSchema,
 		Orders:          Orders{Lease: Duration{10 * time.Second}, LoadInterval: Duration{time.Second}, Loads: 2},
 		Log:             Log{Level: "info"},
 	}
--- /dev/null
+++ b/tests/fleet/schedule_test.go
@@ -0,0 +1,235 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/fake"
+	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
+	"github.com/godwitbend/godwitbend/internal/settings"
+)
+
+const (
+	// scheduleSteps is the number of failures of one schedule.
+	scheduleSteps = 12
+	// soakSchedules is the number of schedules of a soak.
+	soakSchedules = 60
+	clients       = 4
+	maxTries      = 6
+)
+
+// try is one request of a client with all its tries.
+type try struct {
+	key   string
+	plain bool
+	// ok is the first whole answer's body or text; usage is that of a model request.
+	ok    string
+	usage int64
+	// notRun tells that every try was answered "not run".
+	notRun bool
+}
+
+// schedule drives random failures while clients send requests and retry them
+// at other hosts with the same key.
+type schedule struct {
+	*site
+	random *rand.Rand
+	mu     sync.Mutex
+	tries  []try
+	stop   chan struct{}
+	wg     sync.WaitGroup
+}
+
+func TestRandomFailuresBreakNoPromise(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed=", seed+1), func(t *testing.T) { runSchedule(t, seed+1) })
+	}
+}
+
+// TestSoak runs schedules from the seed in SEED on.
+func TestSoak(t *testing.T) {
+	first, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+	if err != nil {
+		t.Skip("SEED is not set")
+	}
+	for i := range uint64(soakSchedules) {
+		t.Run(fmt.Sprint("seed=", first+i), func(t *testing.T) { runSchedule(t, first+i) })
+	}
+}
+
+func runSchedule(t *testing.T, seed uint64) {
+	run(t, siteOptions{hosts: 5, control: 3}, func(s *site) {
+		c := &schedule{site: s, random: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{})}
+		for i := range clients {
+			random := rand.New(rand.NewPCG(seed, uint64(i+1)))
+			c.wg.Add(1)
+			go c.client(i, random)
+		}
+		for range scheduleSteps {
+			c.step()
+			time.Sleep(time.Duration(500+c.random.IntN(6000)) * time.Millisecond)
+		}
+		s.net.HealAll()
+		time.Sleep(20 * time.Second)
+		close(c.stop)
+		c.wg.Wait()
+		time.Sleep(20 * time.Second)
+		c.audit()
+	})
+}
+
+// step makes one failure, ends all cuts, or changes the fleet as operators do.
+func (c *schedule) step() {
+	a := c.hosts[c.random.IntN(len(c.hosts))]
+	b := c.hosts[c.random.IntN(len(c.hosts))]
+	switch c.random.IntN(7) {
+	case 0:
+		c.isolate(a)
+	case 1:
+		if a != b {
+			c.net.Cut(a.name, b.name)
+		}
+	case 2:
+		c.net.Cut(a.name, "service-1")
+	case 3:
+		c.net.Reset(a.name)
+	case 4:
+		c.net.HealAll()
+		c.restart(a, func(*settings.Settings) {})
+	case 5:
+		c.engine.Crash()
+	default:
+		c.net.HealAll()
+		time.Sleep(settle)
+		c.topUp(b, 1000)
+		c.must(b, c.write(config.KindOrganisation, "o", fmt.Sprintf(`{"display_name":"n%d"}`, c.random.IntN(100))))
+	}
+}
+
+// isolate cuts a host from all others; its callers and upstreams still reach it.
+func (c *schedule) isolate(h *host) {
+	for _, other := range c.hosts {
+		if other != h {
+			c.net.Cut(h.name, other.name)
+		}
+	}
+}
+
+func (c *schedule) client(id int, random *rand.Rand) {
+	defer c.wg.Done()
+	for i := 0; ; i++ {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(time.Duration(random.IntN(800)) * time.Millisecond):
+		}
+		t := try{key: fmt.Sprintf("c%d-%d", id, i), plain: random.IntN(2) == 0, notRun: true}
+		c.send(&t, random)
+		c.mu.Lock()
+		c.tries = append(c.tries, t)
+		c.mu.Unlock()
+	}
+}
+
+// send tries a request at random hosts until it is answered whole.
+func (c *schedule) send(t *try, random *rand.Rand) {
+	for range maxTries {
+		h := c.hosts[random.IntN(len(c.hosts))]
+		call := c.chat
+		body := "good morning " + t.key
+		if t.plain {
+			call = func(h *host, key, _ string) (*harness.Answer, error) { return c.next(h, key) }
+		}
+		answer, err := call(h, t.key, body)
+		if err != nil || answer.Refusal == nil || answer.Refusal.Outcome() != errkind.NotRun {
+			t.notRun = false
+		}
+		if err == nil && answer.Status == http.StatusOK && answer.Whole {
+			t.ok = answer.Text + string(answer.Body)
+			if answer.Usage != nil {
+				t.usage = answer.Usage.TotalTokens
+			}
+			return
+		}
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+	}
+}
+
+// audit compares what callers were told with what the stand-ins ran and what was billed.
+func (c *schedule) audit() {
+	c.t.Helper()
+	runs := make(map[string]int)
+	numbers := make(map[string]int64)
+	for _, r := range c.plain.Truth().Records() {
+		if r.Event == fake.TruthRan {
+			runs[r.RequestID]++
+			numbers[r.RequestID] = r.Number
+		}
+	}
+	started := make(map[string]bool)
+	for _, r := range c.engine.Truth().Records() {
+		started[r.RequestID] = started[r.RequestID] || r.Event == fake.TruthStarted
+	}
+	served := 0
+	for _, t := range c.tries {
+		id := controlapi.RequestIDFor("k", t.key)
+		c.Expect(runs[id]).To(BeNumerically("<=", 1), "%s ran more than once", t.key)
+		c.Expect(t.notRun && (runs[id] > 0 || started[id])).To(BeFalse(), "%s was told not run, and ran", t.key)
+		if t.ok == "" {
+			continue
+		}
+		served++
+		if t.plain {
+			c.Expect(runs[id]).To(Equal(1), "%s was answered", t.key)
+			c.Expect(t.ok).To(ContainSubstring(strconv.FormatInt(numbers[id], 10)))
+		}
+		c.expectBilledOnce(id, t)
+	}
+	b := c.budget(c.hosts[0])
+	c.Expect(b.Charged + b.Reserved + b.Granted).To(BeNumerically("<=", b.PaidIn))
+	c.Expect(served).To(BeNumerically(">", 0))
+	c.t.Logf("%d of %d requests were answered", served, len(c.tries))
+}
+
+// expectBilledOnce checks the charge of an answered request: that of its record,
+// and those of the records that completed a run which was cut off.
+func (c *schedule) expectBilledOnce(id string, t try) {
+	c.t.Helper()
+	charged, found := c.charged(id)
+	c.Expect(found).To(BeTrue(), t.key)
+	for generation := 1; ; generation++ {
+		more, found := c.charged(controlapi.RequestIDFor("k", t.key+"\x00"+strconv.Itoa(generation)))
+		if !found {
+			break
+		}
+		charged += more
+	}
+	want := int64(1)
+	if !t.plain {
+		want = t.usage
+	}
+	c.Expect(charged).To(Equal(want), "%s %s", t.key, id)
+}
+
+// charged returns the charge of a settled record; false if there is no record.
+func (c *schedule) charged(id string) (int64, bool) {
+	c.t.Helper()
+	var record controlapi.RequestStatus
+	if c.operate(c.hosts[0], http.MethodGet, operatorapi.PathRequests+"/"+id, nil, &record) == http.StatusNotFound {
+		return 0, false
+	}
+	c.Expect(record.State).To(Equal("settled"), id)
+	return record.Charged, true
+}
