--- a/internal/harness/usage.go
+++ b/internal/harness/usage.go
@@ -24,6 +24,8 @@
 	Processor time.Duration
 	// Memory is the most resident memory since its start, in bytes.
 	Memory int64
+	// Bytes counts what it read and wrote since its start, on sockets and files.
+	Bytes int64
 }
 
 // Usage returns what the process has used so far.
@@ -37,6 +39,10 @@
 	if err != nil {
 		return ProcessUsage{}, eris.Wrap(err, "read usage")
 	}
+	io, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return ProcessUsage{}, eris.Wrap(err, "read usage")
+	}
 	_, behindName, _ := strings.Cut(string(stat), ") ")
 	fields := strings.Fields(behindName)
 	if len(fields) < userTimeField+2 {
@@ -46,18 +52,20 @@
 	system, _ := strconv.ParseInt(fields[userTimeField+1], 10, 64)
 	return ProcessUsage{
 		Processor: time.Duration(user+system) * clockTick,
-		Memory:    peakMemory(string(status)),
+		Memory:    kibibyte * numberBehind(string(status), "VmHWM:"),
+		Bytes:     numberBehind(string(io), "rchar:") + numberBehind(string(io), "wchar:"),
 	}, nil
 }
 
-func peakMemory(status string) int64 {
-	for line := range strings.Lines(status) {
-		value, found := strings.CutPrefix(line, "VmHWM:")
+// numberBehind returns the first number in the line of text that begins with name, or 0.
+func numberBehind(text, name string) int64 {
+	for line := range strings.Lines(text) {
+		value, found := strings.CutPrefix(line, name)
 		if !found {
 			continue
 		}
-		size, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
-		return size * kibibyte
+		n, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
+		return n
 	}
 	return 0
 }
--- a/internal/load/hosts.go
+++ b/internal/load/hosts.go
@@ -26,8 +26,9 @@
 	return nil
 }
 
-// measureHosts adds up what the running daemons have used.
-func (s *Site) measureHosts(o *Outcome) {
+// usage adds up what the running daemons have used; Memory is the most of any.
+func (s *Site) usage() harness.ProcessUsage {
+	var sum harness.ProcessUsage
 	for _, h := range s.Hosts {
 		if !h.Running() {
 			continue
@@ -36,7 +37,9 @@
 		if err != nil {
 			continue
 		}
-		o.Processor += used.Processor
-		o.Memory = max(o.Memory, used.Memory)
+		sum.Processor += used.Processor
+		sum.Bytes += used.Bytes
+		sum.Memory = max(sum.Memory, used.Memory)
 	}
+	return sum
 }
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -165,11 +165,16 @@
 	return float64(first - failed)
 }
 
+// costFigures returns what the daemons used, which is known of calm runs only.
 func costFigures(o *Outcome) []figure {
-	perRequest := float64(o.Processor.Microseconds()) / float64(max(1, o.Findings.Requests))
+	if o.Used.Processor == 0 {
+		return nil
+	}
+	requests := float64(max(1, o.Findings.Requests))
 	return []figure{
-		{"cpu_us_per_request", perRequest, "us"},
-		{"rss_mb", float64(o.Memory) / mebibyte, "MB"},
+		{"cpu_us_per_request", float64(o.Used.Processor.Microseconds()) / requests, "us"},
+		{"bytes_per_request", float64(o.Used.Bytes) / requests, "bytes"},
+		{"rss_mb", float64(o.Used.Memory) / mebibyte, "MB"},
 	}
 }
 
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -58,14 +58,14 @@
 	// FailedAt is when the failure came; zero in calm.
 	FailedAt time.Time
 	Requests []audit.Request
-	// Processor is the processor time of all daemons, and Memory the most of any, in bytes.
-	Processor time.Duration
-	Memory    int64
+	// Used is what all daemons used during the run; Memory is the most of any.
+	Used harness.ProcessUsage
 }
 
 // Run sends the arrivals under a scenario and audits the result.
 func (s *Site) Run(ctx context.Context, arrivals []trace.Arrival, speed float64, scenario Scenario) (*Outcome, error) {
 	failing := make(chan error, 1)
+	before := s.usage()
 	driver := newDriver(s, newPicker(s))
 	var outcome Outcome
 	length := time.Duration(float64(arrivals[len(arrivals)-1].AtMS)/speed) * time.Millisecond
@@ -77,7 +77,11 @@
 	}
 	outcome.Samples = driver.Samples()
 	outcome.Requests = driver.Requests()
-	s.measureHosts(&outcome)
+	if scenario == Calm {
+		outcome.Used = s.usage()
+		outcome.Used.Processor -= before.Processor
+		outcome.Used.Bytes -= before.Bytes
+	}
 	evidence, err := s.Evidence(ctx, outcome.Requests)
 	if err != nil {
 		return nil, err
