--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -61,14 +61,16 @@
 }
 
 func (x *exchange) beginOrTakeOver(ctx context.Context, t target) (*controlapi.BeginReply, error) {
-	reply, err := x.executeBegin(ctx, t, false)
+	reply, err := x.executeBegin(ctx, t, 0)
 	if err == nil && reply.Status == controlapi.BeginInProgress && x.ownerGone(ctx, reply.Owner) {
-		return x.executeBegin(ctx, t, true)
+		return x.executeBegin(ctx, t, reply.Attempt)
 	}
 	return reply, err
 }
 
-func (x *exchange) executeBegin(ctx context.Context, t target, takeover bool) (*controlapi.BeginReply, error) {
+// executeBegin opens the record, or takes it over from the owner of the attempt
+// superseded, if that is not 0.
+func (x *exchange) executeBegin(ctx context.Context, t target, superseded uint32) (*controlapi.BeginReply, error) {
 	cmd := &controlapi.Command{Begin: &controlapi.BeginRequest{
 		RequestID:           x.requestID,
 		Organisation:        x.id.caller.Organisation,
@@ -81,7 +83,8 @@
 		Session:             x.session,
 		Upstream:            t.id(),
 		UpstreamIncarnation: t.incarnation,
-		Takeover:            takeover,
+		Takeover:            superseded != 0,
+		Supersedes:          superseded,
 		Try:                 x.h.tries.Add(1),
 		Unkeyed:             x.key == "" || x.isRerun,
 	}}
@@ -90,11 +93,11 @@
 		x.h.inBackground(func() { x.h.abandon(cmd) })
 		return nil, errkind.New(errkind.ControlUnavailable, "the record can't be opened").WithRetryAfter(controlRetry)
 	}
-	x.consulted = true
 	x.confine(res)
 	if res.Err != nil {
 		return nil, res.Err
 	}
+	x.consulted = true
 	x.takeBegin(res.Begin, t)
 	return res.Begin, nil
 }
@@ -104,6 +107,8 @@
 	x.suspect = x.suspect || reply.Suspect
 	x.begun = reply.Status == controlapi.BeginStarted || reply.Status == controlapi.BeginTakenOver
 	x.mayHaveRun = reply.Status != controlapi.BeginStarted && (reply.MayHaveRun || reply.Status != controlapi.BeginTakenOver)
+	// A request that may be repeated is also released after runs that delivered nothing.
+	x.ranEarlier = x.ranEarlier || x.begun && x.repeatable && reply.Attempt > 1
 	if x.begun && !reply.MayHaveRun && t.entry != nil {
 		x.dispatched = t
 	}
@@ -144,9 +149,11 @@
 	}
 	ctx, cancel := context.WithDeadline(x.work, x.deadline)
 	defer cancel()
+	x.dispatches++
 	res, err := x.h.commit(ctx, &controlapi.Command{Dispatch: &controlapi.DispatchRequest{
 		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, Upstream: t.entry.ID,
 		UpstreamIncarnation: t.incarnation, EarlierNotRun: !x.mayHaveRun, NotRun: x.notRun,
+		Sequence: x.dispatches,
 	}})
 	if res != nil {
 		x.confine(res)
