--- a/internal/ctl/docs_test.go
+++ b/internal/ctl/docs_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -97,6 +99,32 @@
 	}
 }
 
+var link = regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+
+func TestLinksOfThePagesLeadSomewhere(t *testing.T) {
+	g := NewWithT(t)
+	pages, err := filepath.Glob("../../docs/*.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, path := range append(pages, "../../README.md") {
+		page, err := os.ReadFile(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, found := range link.FindAllStringSubmatch(string(page), -1) {
+			g.Expect(filepath.Join(filepath.Dir(path), found[1])).To(BeAnExistingFile(), path)
+		}
+	}
+}
+
+func TestArchitecturePageNamesEveryPackage(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/ARCHITECTURE.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	packages, err := os.ReadDir("..")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, p := range packages {
+		g.Expect(string(page)).To(ContainSubstring("`" + p.Name() + "`"))
+	}
+}
+
 func TestCheckRefusesInvalidCommands(t *testing.T) {
 	g := NewWithT(t)
 	for _, line := range []string{"sing", "caller create", "budget top-up b", "usage --loud", "order u --action sing"} {
