--- a/tests/fleet/schedule_test.go
+++ b/tests/fleet/schedule_test.go
@@ -230,6 +230,6 @@
 	if c.operate(c.hosts[0], http.MethodGet, operatorapi.PathRequests+"/"+id, nil, &record) == http.StatusNotFound {
 		return 0, false
 	}
-	c.Expect(record.State).To(Equal("settled"), id)
+	c.Expect(record.State).To(Equal("settled"), "%+v", record)
 	return record.Charged, true
 }
