Give up callers that do not read, and hosts without a session

Cause: a caller that stopped reading held its place at the engine and its reservation for ever; a host without a session told callers "invalid_request", as the control group refuses a Begin without one.

Change: each write to a caller has 30 s; then the caller counts as gone. A host without a session refuses with session_expired, and a view that is missing at the check before the dispatch is a lapsed lease.

Conclusion: TestCallerThatDoesNotReadIsGivenUp fails without the deadline and passes with it.

--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -74,6 +74,9 @@
 	if h.Draining != nil && h.Draining() {
 		return errkind.New(errkind.Draining, "the host is shutting down").WithRetryAfter(drainRetry)
 	}
+	if h.Session() == "" {
+		return errkind.New(errkind.SessionExpired, "the host has no session yet").WithRetryAfter(leaseRetry)
+	}
 	return h.checkLease()
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -144,6 +144,24 @@
 	})
 }
 
+func TestCallerThatDoesNotReadIsGivenUp(t *testing.T) {
+	inSite(t, 10_000, func(s *site) {
+		e := s.addEngine(1, nil)
+		body := strings.Replace(streamBody, "{", `{"max_tokens":1000,`, 1)
+		req, err := http.NewRequest(http.MethodPost, "http://10.0.0.1:80"+chatPath, strings.NewReader(body))
+		s.Expect(err).NotTo(HaveOccurred())
+		bearer(callerKey)(req)
+		resp, err := s.net.client.Do(req)
+		s.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		time.Sleep(2 * writeTimeout)
+		s.Expect(s.host.OpenRequests()).To(BeZero())
+		s.Expect(s.control.only().State).To(Equal("settled"))
+		s.Expect(s.registry.Snapshot().Entries["engine-1"].InFlight()).To(BeZero())
+		s.Expect(e.Truth().Records()).NotTo(BeEmpty())
+	})
+}
+
 func TestCallThatMayNotBeRepeatedOutlivesItsCaller(t *testing.T) {
 	inSite(t, 1000, func(s *site) {
 		v := s.addService(1, func(o *fake.ServiceOptions) { o.WorkTime = time.Second })
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -136,6 +136,7 @@
 func (h *Handler) guard(serve func(w http.ResponseWriter, r *http.Request) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(announce.HeaderRequestID, newRequestID())
+		defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 		err := serve(w, r)
 		switch {
 		case err == nil:
@@ -147,6 +148,14 @@
 	}
 }
 
+// writeTimeout is how long a caller may take to read what it is sent.
+const writeTimeout = 30 * time.Second
+
+// allowWrite gives the caller writeTimeout from now to read the next part of the answer.
+func (h *Handler) allowWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(h.Now().Add(writeTimeout))
+}
+
 func newRequestID() string {
 	return controlapi.RequestIDFor("", uuid.NewString())
 }
--- a/internal/entry/recheck.go
+++ b/internal/entry/recheck.go
@@ -13,6 +13,9 @@
 		return err
 	}
 	view := x.h.View()
+	if view == nil {
+		return errkind.New(errkind.LeaseLapsed, "the host has no configuration").WithRetryAfter(leaseRetry)
+	}
 	if view.Revision() == x.id.view.Revision() {
 		return nil
 	}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -44,6 +44,7 @@
 	id := w.Header().Get(announce.HeaderRequestID)
 	h.Log.Info("request refused", telemetry.FieldRequestID, id, telemetry.FieldKind, e.Kind, "outcome", e.Outcome())
 	body, _ := json.Marshal(newErrorBody(e, id))
+	h.allowWrite(w)
 	e.WriteHeader(w)
 	_, _ = w.Write(body)
 }
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -68,7 +68,8 @@
 		"no upstream": {errkind.NoUpstream, errkind.NotRun, 1000, nil, func(s *site) answer {
 			return s.call(http.MethodPost, chatPath, strings.Replace(wholeBody, `"m"`, `"absent"`, 1))
 		}},
-		"draining": {errkind.Draining, errkind.NotRun, 0, func(s *site) { s.draining = true }, func(s *site) answer { return s.stream() }},
+		"draining":   {errkind.Draining, errkind.NotRun, 0, func(s *site) { s.draining = true }, func(s *site) answer { return s.stream() }},
+		"no session": {errkind.SessionExpired, errkind.NotRun, 0, func(s *site) { s.session = "" }, func(s *site) answer { return s.stream() }},
 		"lapsed lease": {errkind.LeaseLapsed, errkind.NotRun, 0, func(s *site) { s.lapsed = true }, func(s *site) answer {
 			return s.stream(key("k"))
 		}},
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -53,8 +53,10 @@
 	options  Options
 	host     *Handler
 	// lost ends a host by address, as a power cut does.
-	lost     map[string]func()
-	view     *config.View
+	lost map[string]func()
+	view *config.View
+	// session is that of the first host.
+	session  string
 	draining bool
 	atEnd    []func()
 	lapsed   bool
@@ -89,7 +91,7 @@
 func newSite(t *testing.T, paidIn int64, seed uint64) *site {
 	s := &site{
 		GomegaWithT: NewWithT(t), t: t, net: newNetwork(), control: newLocalControl(),
-		lost: map[string]func(){}, registry: registry.New(time.Hour), scope: tally.NewTestScope("", nil),
+		session: "session-1", lost: map[string]func(){}, registry: registry.New(time.Hour), scope: tally.NewTestScope("", nil),
 	}
 	s.view = config.NewView(records(), 1)
 	s.options = Options{
@@ -100,7 +102,7 @@
 	}
 	s.configure()
 	s.topUp(paidIn)
-	s.host = s.addHost("10.0.0.1:80", "session-1")
+	s.host = s.addHost("10.0.0.1:80", s.session)
 	return s
 }
 
@@ -111,6 +113,9 @@
 	}})
 	o := s.options
 	o.Session = func() string { return session }
+	if session == s.session {
+		o.Session = func() string { return s.session }
+	}
 	control := &hostControl{localControl: s.control}
 	o.Control, o.HTTPClient = control, s.net.newMortalClient(address, &control.dead)
 	h := New(o)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -207,6 +207,7 @@
 		x.w.Header().Set("Cache-Control", "no-cache")
 		x.w.WriteHeader(http.StatusOK)
 	}
+	x.h.allowWrite(x.w)
 	line := make([]byte, 0, len(data)+len("data: \n\n"))
 	line = append(line, "data: "...)
 	line = append(line, data...)
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -75,6 +75,7 @@
 		x.w.Header().Set("Content-Type", answer.ContentType)
 	}
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	x.h.allowWrite(x.w)
 	x.w.WriteHeader(answer.Status)
 	_, _ = x.w.Write(answer.Body)
 }
