Give stored answers without a place

Cause: a retry of a booking that had run was refused while the queue was full, though its answer was kept. Change: a refused call that may not be repeated is looked up, and a settled one is answered from its record. Conclusion: TestStoredAnswerNeedsNoPlace passes; it is refused without the change, as its host refuses every request.

--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -105,3 +106,26 @@
 		s.Expect(leaving.Announcement().State).To(Equal(announce.StateLeaving))
 	})
 }
+
+// fullAdmission refuses every request.
+type fullAdmission struct{}
+
+func (fullAdmission) Acquire(context.Context, admission.Ticket) (func(), error) {
+	return nil, errkind.New(errkind.Overloaded, "the queue is full")
+}
+
+func TestStoredAnswerNeedsNoPlace(t *testing.T) {
+	inSite(t, 1000, func(s *site) {
+		v := s.addService(1, nil)
+		s.options.Admission = fullAdmission{}
+		s.addHost(gated, "session-9")
+		first := s.nextNumber(key("k"))
+		s.Expect(first.status).To(Equal(200), first.body)
+		again := s.nextNumber(key("k"), via(gated))
+		s.Expect(again.body).To(Equal(first.body))
+		other := s.nextNumber(key("other"), via(gated))
+		s.Expect(other.refusal.Kind).To(Equal(errkind.Overloaded))
+		s.Expect(other.refusal.Outcome).To(Equal(errkind.NotRun))
+		s.Expect(v.Truth().Records()).To(HaveLen(1))
+	})
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -203,6 +203,9 @@
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	defer cancel()
 	release, err := x.h.Admission.Acquire(ctx, x.ticket())
+	if err != nil && x.giveStoredAnswer() {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -138,3 +138,24 @@
 	}
 	return x.proceed(ctx, reply, t)
 }
+
+// giveStoredAnswer gives the answer that the record keeps of a call that may not
+// be repeated and has run. That takes no place at an upstream, so a call that
+// was not admitted gets it too.
+func (x *exchange) giveStoredAnswer() bool {
+	if x.key == "" || x.repeatable {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, outcomeTimeout)
+	defer cancel()
+	status, err := x.h.Control.Query(ctx, &controlapi.QueryRequest{Request: x.requestID})
+	if err != nil || len(status.Requests) == 0 || status.Requests[0].State != "settled" {
+		return false
+	}
+	reply, err := x.executeBegin(ctx, target{}, 0)
+	if err != nil || reply.Answer == nil {
+		return false
+	}
+	x.write(reply.Answer)
+	return true
+}
