--- a/cmd/godwitbend-load/bench.go
+++ b/cmd/godwitbend-load/bench.go
@@ -33,15 +33,27 @@
 	share float64
 	// naive tells to run the naive way too.
 	naive bool
+	// exact pays in exactly what each organisation's requests cost.
+	exact bool
+}
+
+// name returns the name of the run in reports.
+func (p planned) name(d *trace.Deployment) string {
+	budget := ""
+	if p.exact {
+		budget = "/exact_budget"
+	}
+	return fmt.Sprintf("%s/%s/%.1f%s", d.Name, p.scenario, p.share, budget)
 }
 
 // standardPlan are the runs of the bench.
 var standardPlan = []planned{
-	{load.Calm, 0.7, true},
-	{load.Calm, 1.5, true},
-	{load.KillLeader, 0.7, false},
-	{load.KillEntry, 0.7, false},
-	{load.Leave, 0.7, false},
+	{load.Calm, 0.7, true, false},
+	{load.Calm, 1.5, true, false},
+	{load.Calm, 0.7, false, true},
+	{load.KillLeader, 0.7, false, false},
+	{load.KillEntry, 0.7, false, false},
+	{load.Leave, 0.7, false, false},
 }
 
 // bench runs scenarios on fresh sites.
@@ -85,7 +97,7 @@
 		return eris.Wrap(err, "make a directory")
 	}
 	defer os.RemoveAll(dir)
-	site, err := load.Start(ctx, load.SiteOptions{
+	opts := load.SiteOptions{
 		Deployment: d,
 		Bin:        b.bin,
 		Dir:        dir,
@@ -96,13 +108,16 @@
 			"--leave-grace", leaveGrace.String(),
 			"--cache-blocks", cacheBlocks,
 			"--cache-gap-every", cacheGapEvery),
-	})
+	}
+	if p.exact {
+		opts.Budgets = load.Costs(d, b.arrivals(d))
+	}
+	site, err := load.Start(ctx, opts)
 	if err != nil {
 		return err
 	}
 	defer site.Kill()
-	name := fmt.Sprintf("%s/%s/%.1f", d.Name, p.scenario, p.share)
-	report := load.Report{Out: os.Stdout, Scenario: name, Seed: b.seed}
+	report := load.Report{Out: os.Stdout, Scenario: p.name(d), Seed: b.seed}
 	return b.measure(ctx, site, d, p, &report)
 }
 
--- a/cmd/godwitbend-load/main.go
+++ b/cmd/godwitbend-load/main.go
@@ -32,6 +32,7 @@
 	scenario := run.Flag("scenario", "Scenario.").Default(string(load.Calm)).Enum(load.ScenarioNames()...)
 	share := run.Flag("load", "Load as a part of the engines' capacity.").Default("0.7").Float64()
 	naive := run.Flag("naive", "Run the naive way too.").Bool()
+	exact := run.Flag("exact-budget", "Pay in exactly what the requests cost.").Bool()
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -43,7 +44,7 @@
 	case all.FullCommand():
 		err = b.run(ctx, standardPlan)
 	case run.FullCommand():
-		err = b.run(ctx, []planned{{load.Scenario(*scenario), *share, *naive}})
+		err = b.run(ctx, []planned{{load.Scenario(*scenario), *share, *naive, *exact}})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/load/demand.go
+++ b/internal/load/demand.go
@@ -39,14 +39,50 @@
 
 // work returns the time for which a occupies an engine's place.
 func (e Engine) work(a *trace.Arrival) time.Duration {
-	if a.Method != "" {
-		return 0
-	}
-	req, err := fake.ParseChat(harness.ChatBody(a.Service, a.MaxTokens, a.Prompt()))
-	if err != nil {
+	req := chatOf(a)
+	if req == nil {
 		return 0
 	}
 	output := req.OutputTokens()
 	prompt := req.PromptTokens() * int64(a.TextBytes) / int64(a.PrefixBytes+a.TextBytes)
 	return time.Duration(output)*e.TokenTime + time.Duration(prompt)*e.PromptTokenTime
 }
+
+// Costs returns what the arrivals of each organisation cost if each runs once, in tokens.
+func Costs(d *trace.Deployment, arrivals []trace.Arrival) map[string]int64 {
+	costs := map[string]int64{}
+	for i := range arrivals {
+		a := &arrivals[i]
+		costs[a.Organisation] += cost(d, a, chatOf(a))
+	}
+	return costs
+}
+
+// chatOf returns the chat request of a, or nil if a is a plain call.
+func chatOf(a *trace.Arrival) *fake.ChatRequest {
+	if a.Method != "" {
+		return nil
+	}
+	req, err := fake.ParseChat(chatBody(a))
+	if err != nil {
+		return nil
+	}
+	return req
+}
+
+func chatBody(a *trace.Arrival) []byte {
+	return harness.ChatBody(a.Service, a.MaxTokens, a.Prompt())
+}
+
+// cost returns the charge of a if it runs once, in tokens; chat is chatOf(a).
+func cost(d *trace.Deployment, a *trace.Arrival, chat *fake.ChatRequest) int64 {
+	if chat != nil {
+		return chat.PromptTokens() + chat.OutputTokens()
+	}
+	for _, m := range d.Methods {
+		if m.Method == a.Method {
+			return m.Tokens
+		}
+	}
+	return 0
+}
--- a/internal/load/driver.go
+++ b/internal/load/driver.go
@@ -153,9 +153,8 @@
 		}
 		return o
 	}
-	body := harness.ChatBody(a.Service, a.MaxTokens, a.Prompt())
-	o.call = harness.Call{Method: http.MethodPost, Path: harness.PathChat, Key: a.Key, Body: body}
-	o.chat, _ = fake.ParseChat(body)
+	o.call = harness.Call{Method: http.MethodPost, Path: harness.PathChat, Key: a.Key, Body: chatBody(a)}
+	o.chat = chatOf(a)
 	return o
 }
 
@@ -284,7 +283,7 @@
 		Budget:      o.arrival.Organisation,
 		Class:       o.arrival.Class,
 		Repeatable:  o.arrival.Method != http.MethodPost,
-		Cost:        d.cost(o),
+		Cost:        cost(d.site.opts.Deployment, o.arrival, o.chat),
 		Answers:     o.answers,
 	}
 	d.mu.Lock()
@@ -304,19 +303,6 @@
 	return ids
 }
 
-// cost returns the charge of o if it runs once, in tokens.
-func (d *Driver) cost(o *order) int64 {
-	if o.chat != nil {
-		return o.chat.PromptTokens() + o.chat.OutputTokens()
-	}
-	for _, m := range d.site.opts.Deployment.Methods {
-		if m.Method == o.arrival.Method {
-			return m.Tokens
-		}
-	}
-	return 0
-}
-
 func sleepUntil(ctx context.Context, t time.Time) bool {
 	timer := time.NewTimer(time.Until(t))
 	defer timer.Stop()
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -39,8 +39,10 @@
 	// Hosts is the number of daemons, of which Control hold a control replica.
 	Hosts   int
 	Control int
-	// Budget is what is paid in for each organisation, in tokens.
-	Budget int64
+	// Budget is what is paid in for each organisation, in tokens, unless Budgets
+	// gives amounts by organisation.
+	Budget  int64
+	Budgets map[string]int64
 	// EngineFlags and ServiceFlags are further flags of the stand-ins.
 	EngineFlags  []string
 	ServiceFlags []string
@@ -130,7 +132,14 @@
 		return err
 	}
 	for _, o := range s.opts.Deployment.Organisations {
-		if err := s.TopUp(ctx, o, s.opts.Budget, "first-"+o); err != nil {
+		tokens := s.opts.Budget
+		if s.opts.Budgets != nil {
+			tokens = s.opts.Budgets[o]
+		}
+		if tokens == 0 {
+			continue
+		}
+		if err := s.TopUp(ctx, o, tokens, "first-"+o); err != nil {
 			return err
 		}
 	}
