--- a/cmd/godwitbend-load/bench.go
+++ b/cmd/godwitbend-load/bench.go
@@ -143,5 +143,11 @@
 			return err
 		}
 	}
-	return r.AddOutcome(outcome, naive)
+	if err := r.AddOutcome(outcome, naive); err != nil {
+		return err
+	}
+	if outcome.Findings.Broken() {
+		return eris.Errorf("a promise was broken: %q", outcome.Findings.Examples)
+	}
+	return nil
 }
