--- a/tests/failure/budget_test.go
+++ b/tests/failure/budget_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/harness"
@@ -66,3 +67,43 @@
 		}
 	}
 }
+
+// worstCase returns the most that a may be charged, in tokens.
+func worstCase(d *trace.Deployment, a *trace.Arrival) int64 {
+	if a.Method != "" {
+		return load.Costs(d, []trace.Arrival{*a})[a.Organisation]
+	}
+	req, err := fake.ParseChat(harness.ChatBody(a.Service, a.MaxTokens, a.Prompt()))
+	if err != nil {
+		return 0
+	}
+	return req.PromptTokens() + a.MaxTokens
+}
+
+// TestExactBudgetsRefuseOnlyWhatMayNotFit pays in exactly what all requests
+// cost: one is refused only if its worst case exceeds what its budget still holds.
+func TestExactBudgetsRefuseOnlyWhatMayNotFit(t *testing.T) {
+	d := trace.Find(trace.Heraut)
+	arrivals := trace.Generate(d, traceSeed, traceSize, traceRate)
+	s := newSite(t, trace.Heraut, func(o *load.SiteOptions) { o.Budgets = load.Costs(d, arrivals) })
+	o := s.run(traceSize, load.Calm)
+	s.Expect(o.Findings.Broken()).To(BeFalse(), "%+v", o.Findings)
+	budgets, err := s.Budgets(s.ctx, s.Hosts[0])
+	s.Expect(err).NotTo(HaveOccurred())
+	left := map[string]int64{}
+	for _, b := range budgets {
+		left[b.Budget] = b.PaidIn - b.Charged
+	}
+	byID := map[string]*trace.Arrival{}
+	for i := range arrivals {
+		a := &arrivals[i]
+		byID[controlapi.RequestIDFor(a.Caller(), a.Key)] = a
+	}
+	for _, r := range o.Requests {
+		if r.Answers[len(r.Answers)-1].Refusal == nil {
+			continue
+		}
+		a := byID[r.ID]
+		s.Expect(worstCase(d, a)).To(BeNumerically(">", left[r.Budget]), "%+v", a)
+	}
+}
