Take the settlement of a delivered answer late; let an abandoned call be taken over

A host that was cut off had journaled the settlement and delivered the answer; another host had taken the record over, could not learn the fate and stopped; the journaled settlement was then refused as stale. Nothing closed the record while that host's session lived, and the run was not billed. Change: a settlement whose answer was delivered is taken from a superseded attempt too, and after a release as far as the budget allows; an owner that stops without the fate of a call says so, and the next try takes over.

--- /dev/null
+++ b/internal/control/delivered_test.go
@@ -0,0 +1,91 @@
+package control_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+)
+
+func (f *fixture) settleDelivered(key string, attempt uint32, tokens int64) *controlapi.Result {
+	return f.execute(&controlapi.Command{Settle: &controlapi.SettleRequest{
+		RequestID: controlapi.RequestIDFor("crier", key), Attempt: attempt, Tokens: tokens, Session: hostA, Delivered: true,
+	}})
+}
+
+// takenOver opens a request at host A and lets host B take it over.
+func (f *fixture) takenOver(key string, repeatable bool) {
+	b := f.beginRequest(key, hostA, 100)
+	b.Repeatable = repeatable
+	b.Upstream, b.UpstreamIncarnation = "u-1", 1
+	f.must(f.begin(b))
+	again := *b
+	again.Session, again.Takeover, again.Supersedes = hostB, true, 1
+	f.Expect(f.must(f.begin(&again)).Begin.Status).To(Equal(controlapi.BeginTakenOver))
+}
+
+// A host that was cut off has delivered the whole answer and journaled its
+// settlement; meanwhile another host took the request over.
+func TestDeliveredSettlementOfASupersededAttemptIsBilledOnce(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		f := newFixture(t, 1000)
+		f.takenOver("r", repeatable)
+		f.Expect(f.must(f.settleDelivered("r", 1, 30)).Settled).To(Equal(int64(30)))
+		f.Expect(f.must(f.settleDelivered("r", 1, 30)).Settled).To(Equal(int64(30)))
+		f.Expect(f.must(f.settle("r", 2, 50)).Settled).To(Equal(int64(30)))
+		f.Expect(f.budget().Charged).To(Equal(int64(30)))
+		f.Expect(f.budget().Reserved).To(BeZero())
+	}
+}
+
+func TestDeliveredSettlementAfterTheReleaseIsCharged(t *testing.T) {
+	f := newFixture(t, 120)
+	f.takenOver("r", true)
+	f.must(f.release("r", 2))
+	f.must(f.begin(f.beginRequest("other", hostB, 100)))
+	result := f.must(f.settleDelivered("r", 1, 30))
+	f.Expect(result.Settled).To(Equal(int64(20)), "no more than the budget has left")
+	f.Expect(result.Overrun).To(Equal(int64(10)))
+	f.Expect(f.budget().Charged).To(Equal(int64(20)))
+}
+
+func TestSettlementOfASupersededAttemptIsStaleUnlessDelivered(t *testing.T) {
+	f := newFixture(t, 1000)
+	f.takenOver("r", true)
+	f.refused(f.settle("r", 1, 30), errkind.StaleAttempt)
+	f.refused(f.settleDelivered("r", 3, 30), errkind.StaleAttempt)
+}
+
+// The owner of a call that may not be repeated has stopped without learning its fate.
+func TestAbandonedRecordIsTakenOverByTheNextTry(t *testing.T) {
+	f := newFixture(t, 1000)
+	b := f.beginRequest("r", hostA, 100)
+	b.Repeatable = false
+	b.Upstream, b.UpstreamIncarnation = "u-1", 1
+	f.must(f.begin(b))
+	again := *b
+	again.Session, again.Try = hostB, 7
+	f.Expect(f.must(f.begin(&again)).Begin.Status).To(Equal(controlapi.BeginInProgress))
+	f.must(f.execute(&controlapi.Command{Release: &controlapi.ReleaseRequest{
+		RequestID: b.RequestID, Attempt: 1, Session: hostA, Abandoned: true,
+	}}))
+	reply := f.must(f.begin(&again)).Begin
+	f.Expect(reply.Status).To(Equal(controlapi.BeginTakenOver))
+	f.Expect(reply.MayHaveRun).To(BeTrue())
+	f.Expect(f.budget().Reserved).To(Equal(int64(100)))
+}
+
+// A record that nobody takes over is closed after the time for orphans.
+func TestAbandonedRecordIsClosedAsUnknownInTime(t *testing.T) {
+	f := newFixture(t, 1000)
+	f.beginDispatched("r", false)
+	f.must(f.execute(&controlapi.Command{Release: &controlapi.ReleaseRequest{
+		RequestID: controlapi.RequestIDFor("crier", "r"), Attempt: 1, Abandoned: true,
+	}}))
+	f.now += 10 * 60 * 1000
+	f.must(f.execute(&controlapi.Command{EndSession: &controlapi.EndSession{Session: "none"}}))
+	f.Expect(f.requestState("r")).To(Equal("unknown"))
+	f.Expect(f.budget().Reserved).To(BeZero())
+}
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -20,6 +20,10 @@
 	if err := r.CheckOpen(); err != nil {
 		return refuse(err)
 	}
+	if c.Abandoned && !r.Repeatable {
+		m.requests.Orphan(r, m.nowMS)
+		return &controlapi.Result{}
+	}
 	if c.MayHaveRun && !r.Repeatable {
 		return refuse(errkind.New(errkind.OutcomeUnknown, "request %s may not be repeated and may have run", r.ID))
 	}
--- a/internal/control/settle.go
+++ b/internal/control/settle.go
@@ -10,9 +10,15 @@
 // settle charges a request that ran. A repeated Settle of the attempt gets the first result.
 func (m *Machine) settle(s *controlapi.SettleRequest) *controlapi.Result {
 	r, err := m.attempt(s.RequestID, s.Attempt, s.Session)
+	if s.Delivered && errkind.Is(err, errkind.StaleAttempt) {
+		return m.settleDelivered(m.requests.Get(s.RequestID), s)
+	}
 	if err != nil {
 		return refuse(err)
 	}
+	if s.Delivered && r.State == request.Released {
+		return m.settleDelivered(r, s)
+	}
 	if r.State == request.Settled || r.State == request.Unknown {
 		return settledResult(r)
 	}
@@ -37,6 +43,29 @@
 	return settledResult(r)
 }
 
+// settleDelivered charges a request whose answer was delivered whole by an
+// attempt that was superseded, or whose reservation was freed, before its
+// settlement arrived. A record that is charged already stays as it is. Without
+// a reservation at most what the budget has left is charged.
+func (m *Machine) settleDelivered(r *request.Record, s *controlapi.SettleRequest) *controlapi.Result {
+	if s.Tokens < 0 || s.Partial || s.Unknown || s.Attempt > r.Attempt {
+		return refuse(errkind.New(errkind.StaleAttempt, "request %s is at attempt %d", r.ID, r.Attempt))
+	}
+	switch r.State {
+	case request.Open:
+		m.closeRecord(r, containment.NoEnd, func() int64 { return r.Settle(s.Tokens, s.Answer) })
+	case request.Released:
+		a := m.accounts[r.Budget]
+		charged := min(s.Tokens, max(a.Available(), 0))
+		must(a.Reserve(charged))
+		must(a.Settle(charged, charged))
+		r.SettleElsewhere(charged, s.Tokens)
+		r.Answer = s.Answer
+		m.requests.Renew(r, m.nowMS)
+	}
+	return settledResult(r)
+}
+
 func settledResult(r *request.Record) *controlapi.Result {
 	return &controlapi.Result{Settled: r.Charged, Overrun: r.Overrun}
 }
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -124,6 +124,10 @@
 	Partial bool `cbor:"6,keyasint,omitempty"`
 	// Session is the sender's session, as in DispatchRequest.
 	Session string `cbor:"7,keyasint,omitempty"`
+	// Delivered tells that the whole answer was passed on before the settlement
+	// reached the control group, which a host's journal had made durable. It is
+	// taken also from an attempt that was superseded since.
+	Delivered bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ReleaseRequest frees the reservation of a request that provably did not run.
@@ -137,6 +141,9 @@
 	Session string `cbor:"4,keyasint,omitempty"`
 	// NotRun are dispatches that provably did not run, as in DispatchRequest.
 	NotRun []Instance `cbor:"5,keyasint,omitempty"`
+	// Abandoned tells that the owner of a request that may not be repeated has
+	// stopped without learning its fate. The next try takes the record over.
+	Abandoned bool `cbor:"6,keyasint,omitempty"`
 }
 
 // OpenSession opens the session of an entry host.
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -214,7 +214,11 @@
 // releaseSoon frees what the record still reserves if the call did not run, or
 // may be repeated and delivered nothing. The answer waits for it only briefly.
 func (x *exchange) releaseSoon() {
-	if !x.begun || x.mayHaveRun && !x.repeatable {
+	if !x.begun {
+		return
+	}
+	if x.mayHaveRun && !x.repeatable {
+		x.h.inBackground(x.abandonRecord)
 		return
 	}
 	done := x.h.inBackground(func() { _ = x.release(x.mayHaveRun) })
@@ -226,6 +230,14 @@
 	}
 }
 
+// abandonRecord lets the next try take over the record of a call that may not
+// be repeated and whose fate could not be learnt.
+func (x *exchange) abandonRecord() {
+	_ = x.finish(&controlapi.Command{Release: &controlapi.ReleaseRequest{
+		RequestID: x.requestID, Attempt: x.attempt, Session: x.session, Abandoned: true,
+	}})
+}
+
 // inBackground runs f as part of the host's open work and closes the channel at its end.
 func (h *Handler) inBackground(f func()) <-chan struct{} {
 	done := make(chan struct{})
--- a/internal/standby/client.go
+++ b/internal/standby/client.go
@@ -229,14 +229,16 @@
 
 // deferSettle keeps the settlement of a request that the group holds open until
 // the group answers again. If another host takes the request over meanwhile,
-// its later attempt is billed and this settlement is refused as stale.
-func (c *Client) deferSettle(s *controlapi.SettleRequest) (*controlapi.Result, error) {
+// the first settlement that arrives is billed.
+func (c *Client) deferSettle(settle *controlapi.SettleRequest) (*controlapi.Result, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.o.Store.Append(c.current.session, []Record{{Settle: s}}); err != nil {
+	s := *settle
+	s.Delivered = !s.Partial
+	if err := c.o.Store.Append(c.current.session, []Record{{Settle: &s}}); err != nil {
 		return nil, errkind.New(errkind.ControlUnavailable, "the charge is not durable: %v", err)
 	}
-	c.deferred[s.RequestID] = &deferredSettle{session: c.current.session, settle: s}
+	c.deferred[s.RequestID] = &deferredSettle{session: c.current.session, settle: &s}
 	return &controlapi.Result{Settled: s.Tokens}, nil
 }
 
