Never call a request "not run" that a host which is cut off may have served

A second untruth: a caller whose organisation was disabled since, or whose service or method was removed, was told "not run" without a look at the record. Ruled out: saying "unknown" whenever grants are out, which would be always. Refusals after the caller is known consult the record first.

--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -177,6 +177,9 @@
 	HoldMS int64 `cbor:"3,keyasint,omitempty"`
 	// HostsVersion is that of the list of hosts that the host knows.
 	HostsVersion uint64 `cbor:"4,keyasint,omitempty"`
+	// Unmerged tells that the host serves from standby grants, or has charges in its
+	// journal that the control group does not know yet.
+	Unmerged bool `cbor:"5,keyasint,omitempty"`
 }
 
 // HeartbeatReply carries the lease and the configuration changes after the host's revision.
@@ -309,12 +312,13 @@
 	Grants   []GrantStatus   `json:"grants,omitempty" cbor:"9,keyasint,omitempty"`
 	// CanLose is the number of further voters whose loss the group survives, with
 	// Replicas; nil if the leader does not know it.
-	CanLose *int          `json:"can_lose,omitempty" cbor:"10,keyasint,omitempty"`
-	Orders  []OrderStatus `json:"orders,omitempty" cbor:"11,keyasint,omitempty"`
-
+	CanLose  *int            `json:"can_lose,omitempty" cbor:"10,keyasint,omitempty"`
+	Orders   []OrderStatus   `json:"orders,omitempty" cbor:"11,keyasint,omitempty"`
 	Suspects []SuspectStatus `json:"suspects,omitempty" cbor:"12,keyasint,omitempty"`
 	// Truncated tells that there are more request records than Requests holds.
 	Truncated bool `json:"truncated,omitempty" cbor:"13,keyasint,omitempty"`
+	// JournalsAwaited is as in Result, with Request.
+	JournalsAwaited bool `json:"journals_awaited,omitempty" cbor:"14,keyasint,omitempty"`
 }
 
 // ReplicaAction is a change of the membership of the control group.
@@ -408,6 +412,9 @@
 	WrittenOff int64 `cbor:"9,keyasint,omitempty"`
 	// Order is the state of the order after PlaceOrder or FinishOrder.
 	Order *OrderStatus `cbor:"10,keyasint,omitempty"`
+	// JournalsAwaited tells with the result of Begin that a host may have served
+	// requests from a standby grant that the control group does not know of yet.
+	JournalsAwaited bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Client is the control group as an entry host sees it. Execute returns the
--- a/internal/controlgroup/leases.go
+++ b/internal/controlgroup/leases.go
@@ -13,6 +13,9 @@
 	expires time.Time
 	// revision is the newest revision that the host has said it serves under.
 	revision uint64
+	// renewed is the time of the last heartbeat; unmerged is what it said.
+	renewed  time.Time
+	unmerged bool
 }
 
 // leaseTable holds the leases of all sessions as the present leader knows them.
@@ -56,7 +59,7 @@
 }
 
 // renew records a heartbeat that was answered with a new lease.
-func (t *leaseTable) renew(session string, revision uint64, now time.Time) {
+func (t *leaseTable) renew(session string, revision uint64, unmerged bool, now time.Time) {
 	l, ok := t.leases[session]
 	if !ok {
 		l = &lease{}
@@ -64,6 +67,8 @@
 	}
 	l.expires = now.Add(t.guarded())
 	l.revision = max(l.revision, revision)
+	l.renewed = now
+	l.unmerged = unmerged
 	t.notify()
 }
 
--- a/internal/controlgroup/leases_test.go
+++ b/internal/controlgroup/leases_test.go
@@ -13,10 +13,10 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	table := newLeaseTable(testLease)
-	table.renew("a", 7, now)
-	table.renew("b", 6, now)
+	table.renew("a", 7, false, now)
+	table.renew("b", 6, false, now)
 	g.Expect(table.inForce(7, now)).To(BeFalse())
-	table.renew("b", 7, now)
+	table.renew("b", 7, false, now)
 	g.Expect(table.inForce(7, now)).To(BeTrue())
 }
 
@@ -24,7 +24,7 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	table := newLeaseTable(testLease)
-	table.renew("cut", 6, now)
+	table.renew("cut", 6, false, now)
 	g.Expect(table.inForce(7, now.Add(testLease))).To(BeFalse(), "the host's clock may run slower")
 	g.Expect(table.inForce(7, now.Add(testLease+testLease/driftDivisor+1))).To(BeTrue())
 }
@@ -43,8 +43,8 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	table := newLeaseTable(testLease)
-	table.renew("a", 9, now)
-	table.renew("a", 8, now)
+	table.renew("a", 9, false, now)
+	table.renew("a", 8, false, now)
 	g.Expect(table.revision("a")).To(Equal(uint64(9)))
 	table.end("a")
 	g.Expect(table.revision("a")).To(BeZero())
--- a/internal/controlgroup/server.go
+++ b/internal/controlgroup/server.go
@@ -57,6 +57,8 @@
 	// committed; configured is closed and replaced when it rises.
 	revision   uint64
 	configured chan struct{}
+	// awaited is the latest look at the standby grants.
+	awaited awaited
 }
 
 // NewServer returns a server that is not bound to a replica yet.
@@ -179,6 +181,9 @@
 
 // afterCommit keeps the leases in step with a committed command.
 func (s *Server) afterCommit(ctx context.Context, cmd *controlapi.Command, result *controlapi.Result) {
+	if cmd.Begin != nil && !cmd.Begin.Unkeyed && cmd.Begin.Repeatable {
+		result.JournalsAwaited = s.journalsAwaited(ctx, cmd.Begin.Session)
+	}
 	if result.Err != nil {
 		return
 	}
@@ -237,6 +242,9 @@
 		moved, err := s.redirect(err)
 		return &QueryReply{redirect: deref(moved)}, err
 	}
+	if req.Request != "" {
+		out.Reply.JournalsAwaited = s.journalsAwaited(ctx, "")
+	}
 	if req.Replicas {
 		s.replicas(&out.Reply)
 	}
@@ -258,7 +266,7 @@
 // the receipt, so a deposed leader gives no lease.
 func (s *Server) Heartbeat(ctx context.Context, req *controlapi.Heartbeat) (*HeartbeatReply, error) {
 	s.mu.Lock()
-	s.leases.renew(req.Session, req.Revision, s.o.Now())
+	s.leases.renew(req.Session, req.Revision, req.Unmerged, s.o.Now())
 	s.mu.Unlock()
 	s.hold(ctx, req)
 	term, err := s.Replica().Barrier(ctx)
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -56,10 +56,11 @@
 			return err
 		}
 	}
-	d.startSession(ctx)
+	d.prepareSession()
 	if err := d.startStandby(ctx, srv); err != nil {
 		return err
 	}
+	d.runSession(ctx)
 	announcements := d.announcements(ctx)
 	handler := d.callerHandler()
 	d.handler = handler
@@ -104,7 +105,7 @@
 	return nil
 }
 
-func (d *Daemon) startSession(ctx context.Context) {
+func (d *Daemon) prepareSession() {
 	d.group = controlgroup.NewClient(controlgroup.ClientOptions{
 		RPC:      d.rpc,
 		Replicas: d.replicaList,
@@ -118,7 +119,12 @@
 		SchemaMin: config.MinSchema,
 		SchemaMax: d.settings.SchemaMax,
 		Lease:     d.settings.ConfigLease.Duration,
+		Unmerged:  func() bool { return d.standby.Unmerged() },
 	})
+}
+
+// runSession opens the session and keeps it until stopSession.
+func (d *Daemon) runSession(ctx context.Context) {
 	ctx, d.stopSession = context.WithCancel(ctx)
 	d.sessionDone = make(chan struct{})
 	go func() {
--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -30,7 +30,7 @@
 	return time.Duration(id.class.DeadlineMS) * time.Millisecond
 }
 
-// authenticate finds the caller of r by its bearer key.
+// authenticate finds the caller of r by its bearer key, as identify does.
 func (h *Handler) authenticate(r *http.Request) (*identity, error) {
 	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !found || key == "" {
@@ -45,21 +45,24 @@
 	return identify(view, hash)
 }
 
-// identify returns the caller whose key has the given hash, if it may have work done.
+// identify returns the caller whose key has the given hash. The identity is
+// returned with a Forbidden error too, if the caller is known but may have no
+// work done.
 func identify(view *config.View, hash string) (*identity, error) {
 	caller, ok := view.CallerByKeyHash(hash)
 	if !ok || subtle.ConstantTimeCompare([]byte(hash), []byte(caller.KeyHash)) != 1 {
 		return nil, errkind.New(errkind.Unauthenticated, "the key is not known")
 	}
+	id := &identity{view: view, caller: caller}
 	org, ok := view.Organisation(caller.Organisation)
 	if !ok || org.Disabled {
-		return nil, errkind.New(errkind.Forbidden, "the organisation is disabled")
+		return id, errkind.New(errkind.Forbidden, "the organisation is disabled")
 	}
-	class, ok := view.Class(caller.Class)
+	id.class, ok = view.Class(caller.Class)
 	if !ok {
-		return nil, errkind.New(errkind.Forbidden, "the caller's class does not exist")
+		return id, errkind.New(errkind.Forbidden, "the caller's class does not exist")
 	}
-	return &identity{view: view, caller: caller, class: class}, nil
+	return id, nil
 }
 
 // Times after which a caller is told to come back.
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -147,7 +147,7 @@
 	}
 	spec, err := in.service(req.Model, config.ServiceModel)
 	if err != nil {
-		return err
+		return h.truthful(r.Context(), w, in.key, true, err)
 	}
 	limit := req.limit(spec.MaxOutputTokens, h.Limits.OutputTokens)
 	body, err := limitOutput(in.body, req, limit)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -69,6 +69,9 @@
 	attempt uint32
 	// consulted tells that Begin told the state of the record, so that the outcome is known.
 	consulted bool
+	// journalsAwaited tells that another host may have served the request from a
+	// standby grant that the control group does not know of yet.
+	journalsAwaited bool
 	// begun tells that the record is open and owned by this exchange.
 	begun bool
 	// dispatched is the upstream that the record names as the next one to be tried.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -19,7 +19,7 @@
 	}
 	name := r.PathValue("service")
 	if _, err := in.service(name, config.ServicePlain); err != nil {
-		return err
+		return h.truthful(r.Context(), w, in.key, true, err)
 	}
 	below := "/" + r.PathValue("path")
 	if err := checkPath(r, below); err != nil {
@@ -27,7 +27,8 @@
 	}
 	method, ok := in.view.Method(name, r.Method, below)
 	if !ok {
-		return errkind.New(errkind.NotFound, "service %q has no method %s %s", name, r.Method, below)
+		err := errkind.New(errkind.NotFound, "service %q has no method %s %s", name, r.Method, below)
+		return h.truthful(r.Context(), w, in.key, true, err)
 	}
 	if !method.Repeatable && in.key == "" {
 		return errkind.New(errkind.KeyRequired, "the call may not be repeated; send an Idempotency-Key")
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -16,9 +16,9 @@
 
 // receive authenticates a request, checks that the host takes work, and reads it.
 func (h *Handler) receive(w http.ResponseWriter, r *http.Request) (*incoming, error) {
-	id, err := h.authenticate(r)
-	if err != nil {
-		return nil, err
+	id, refusal := h.authenticate(r)
+	if id == nil {
+		return nil, refusal
 	}
 	if err := h.Limits.checkHeader(r); err != nil {
 		return nil, err
@@ -30,8 +30,11 @@
 	if key != "" {
 		setRequestID(w, id.caller.Name, key)
 	}
-	if err := h.checkOpen(); err != nil {
-		return nil, h.truthful(r.Context(), w, key, true, err)
+	if refusal == nil {
+		refusal = h.checkOpen()
+	}
+	if refusal != nil {
+		return nil, h.truthful(r.Context(), w, key, true, refusal)
 	}
 	body, err := h.Limits.readBody(w, r)
 	if err != nil {
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -98,6 +98,7 @@
 		return nil, res.Err
 	}
 	x.consulted = true
+	x.journalsAwaited = res.JournalsAwaited
 	x.takeBegin(res.Begin, t)
 	return res.Begin, nil
 }
--- a/internal/entry/truth.go
+++ b/internal/entry/truth.go
@@ -19,7 +19,7 @@
 		return e.WithOutcome(errkind.Ran)
 	}
 	if x.consulted {
-		if (x.mayHaveRun || x.ranEarlier) && e.Outcome() == errkind.NotRun {
+		if (x.mayHaveRun || x.ranEarlier || x.journalsAwaited) && e.Outcome() == errkind.NotRun {
 			return e.WithOutcome(errkind.Unknown)
 		}
 		return e
@@ -45,6 +45,9 @@
 	if queryErr != nil {
 		return e.WithOutcome(errkind.Unknown)
 	}
+	if reply.JournalsAwaited && repeatable {
+		return e.WithOutcome(errkind.Unknown)
+	}
 	for i := range reply.Requests {
 		switch state := reply.Requests[i].State; {
 		case state == "settled":
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -45,6 +45,9 @@
 	SchemaMax int
 	// Lease is the expected length of the configuration lease; it sets the pace of heartbeats.
 	Lease time.Duration
+	// Unmerged tells whether the host has served from standby grants what the
+	// control group does not know yet.
+	Unmerged func() bool
 }
 
 // state is what traffic goroutines read.
@@ -158,6 +161,7 @@
 		Revision:     before.view.Revision(),
 		HoldMS:       s.interval().Milliseconds(),
 		HostsVersion: before.hostsVersion,
+		Unmerged:     !s.Connected() || s.o.Unmerged(),
 	}
 	reply, err := s.o.Group.Heartbeat(ctx, req)
 	if errkind.Is(err, errkind.SessionExpired) {
--- a/internal/standby/client.go
+++ b/internal/standby/client.go
@@ -255,3 +255,16 @@
 	}
 	d.note(b.Tokens, c.o.Now())
 }
+
+// Unmerged tells whether the host has served from its grants, or settled,
+// what the control group does not know yet.
+func (c *Client) Unmerged() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.ledgers() {
+		if !l.idle() {
+			return true
+		}
+	}
+	return len(c.deferred) > 0
+}
--- a/tests/fleet/standby_test.go
+++ b/tests/fleet/standby_test.go
@@ -8,7 +8,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
 	"github.com/godwitbend/godwitbend/internal/settings"
 )
 
@@ -153,3 +155,31 @@
 		s.Expect(b.Granted).To(BeNumerically("<", (b.PaidIn-b.Charged)/8+1))
 	})
 }
+
+// A request that ran on a host which is cut off is never called "not run" on
+// the other side, though the control group knows nothing of it yet.
+func TestRequestServedWhileCutOffIsNeverCalledNotRunElsewhere(t *testing.T) {
+	run(t, siteOptions{hosts: 5, control: 3, adjust: longLease}, func(s *site) {
+		cut, rest := s.hosts[4], s.hosts[:4]
+		s.warm(cut)
+		s.net.Partition(names(cut), names(rest...))
+		time.Sleep(5 * time.Second)
+		s.Expect(s.served(cut, "ran-alone")).To(BeTrue())
+		s.operate(rest[0], http.MethodPost, operatorapi.PathApply,
+			s.write(config.KindOrganisation, "o", `{"disabled":true}`), nil)
+		refusal := func(key string) *errkind.Error {
+			answer, err := s.chat(rest[0], key, "good morning")
+			s.Expect(err).NotTo(HaveOccurred())
+			s.Expect(answer.Refusal).NotTo(BeNil())
+			return answer.Refusal
+		}
+		s.Expect(refusal("ran-alone").Outcome()).To(Equal(errkind.Unknown), "while one host is cut off")
+		s.net.HealAll()
+		for range 20 {
+			s.Expect(refusal("ran-alone").Outcome()).NotTo(Equal(errkind.NotRun), "after the heal")
+			time.Sleep(200 * time.Millisecond)
+		}
+		s.Expect(refusal("ran-alone").Outcome()).To(Equal(errkind.Ran), "once the journal is merged")
+		s.Expect(refusal("never-ran").Outcome()).To(Equal(errkind.NotRun))
+	})
+}
