--- a/internal/control/grant.go
+++ b/internal/control/grant.go
@@ -73,9 +73,14 @@
 	}
 }
 
-func (m *Machine) listGrants() []controlapi.GrantStatus {
+// listGrants lists the grants of all holders, or of those of the sessions.
+func (m *Machine) listGrants(sessions []string) []controlapi.GrantStatus {
+	holders := m.grants.Holders()
+	if len(sessions) > 0 {
+		holders = m.grants.HoldersOf(sessions)
+	}
 	var list []controlapi.GrantStatus
-	for _, h := range m.grants.Holders() {
+	for _, h := range holders {
 		for _, g := range h.Grants {
 			list = append(list, grantStatus(h.Session, g, h.Ended))
 		}
--- a/internal/control/query.go
+++ b/internal/control/query.go
@@ -22,7 +22,7 @@
 	case q.Records != "":
 		reply.Records = m.listRecords(q)
 	case q.Budgets:
-		reply.Budgets = m.listBudgets(q.Organisation)
+		reply.Budgets = m.listBudgets(q)
 	case q.Request != "":
 		if r := m.requests.Get(q.Request); r != nil {
 			reply.Requests = []controlapi.RequestStatus{requestStatus(r)}
@@ -32,7 +32,7 @@
 	case q.History:
 		reply.History = m.history.after(q.HistoryMin)
 	case q.Grants:
-		reply.Grants = m.listGrants()
+		reply.Grants = m.listGrants(q.Only)
 	case q.Orders:
 		reply.Orders = m.listOrders()
 	case q.Suspects:
@@ -54,10 +54,15 @@
 	return records
 }
 
-func (m *Machine) listBudgets(organisation string) []controlapi.BudgetStatus {
+func (m *Machine) listBudgets(q *controlapi.QueryRequest) []controlapi.BudgetStatus {
+	names := q.Only
+	if len(names) == 0 {
+		names = slices.Sorted(maps.Keys(m.accounts))
+	}
 	var list []controlapi.BudgetStatus
-	for _, name := range slices.Sorted(maps.Keys(m.accounts)) {
-		if organisation == "" || organisation == m.accounts[name].organisation {
+	for _, name := range names {
+		a, ok := m.accounts[name]
+		if ok && (q.Organisation == "" || q.Organisation == a.organisation) {
 			list = append(list, m.budgetStatus(name))
 		}
 	}
--- a/internal/controlapi/messages.go
+++ b/internal/controlapi/messages.go
@@ -297,6 +297,8 @@
 	Orders bool `cbor:"12,keyasint,omitempty"`
 	// Suspects lists the bodies that were in flight when an upstream was lost.
 	Suspects bool `cbor:"13,keyasint,omitempty"`
+	// Only restricts Budgets to these names, and Grants to these sessions; empty means all.
+	Only []string `cbor:"20,keyasint,omitempty"`
 }
 
 // QueryReply answers a QueryRequest.
--- a/internal/grant/book.go
+++ b/internal/grant/book.go
@@ -57,6 +57,17 @@
 	return slices.SortedFunc(maps.Values(b.holders), func(x, y *Holder) int { return cmp.Compare(x.Session, y.Session) })
 }
 
+// HoldersOf returns the holders among the sessions.
+func (b *Book) HoldersOf(sessions []string) []*Holder {
+	var holders []*Holder
+	for _, session := range sessions {
+		if h, ok := b.holders[session]; ok {
+			holders = append(holders, h)
+		}
+	}
+	return holders
+}
+
 // Holder returns the holder of a session, or NotFound.
 func (b *Book) Holder(session string) (*Holder, error) {
 	h, ok := b.holders[session]
--- a/internal/standby/maintain.go
+++ b/internal/standby/maintain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -124,7 +125,11 @@
 		}
 		merged[l] = last
 	}
-	reply, err := c.o.Group.Query(ctx, &controlapi.QueryRequest{Grants: true})
+	sessions := c.sessionsWithGrants(ledgers)
+	if len(sessions) == 0 {
+		return nil
+	}
+	reply, err := c.o.Group.Query(ctx, &controlapi.QueryRequest{Grants: true, Only: sessions})
 	if err != nil {
 		return err
 	}
@@ -136,6 +141,20 @@
 	return nil
 }
 
+// sessionsWithGrants returns the sessions whose grants the group must be asked
+// about: those that hold one, and those of earlier processes.
+func (c *Client) sessionsWithGrants(ledgers []*ledger) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, l := range ledgers {
+		if l.session != "" && (l != c.current || len(l.grants) > 0) {
+			out = append(out, l.session)
+		}
+	}
+	return out
+}
+
 // merge sends the unmerged entries of l and returns the sequence of the last one taken.
 func (c *Client) merge(ctx context.Context, l *ledger) (uint64, error) {
 	c.mu.Lock()
@@ -239,7 +258,11 @@
 	if c.o.Store == nil {
 		return nil
 	}
-	reply, err := c.o.Group.Query(ctx, &controlapi.QueryRequest{Budgets: true})
+	budgets := c.wanted()
+	if len(budgets) == 0 {
+		return nil
+	}
+	reply, err := c.o.Group.Query(ctx, &controlapi.QueryRequest{Budgets: true, Only: budgets})
 	if err != nil {
 		return err
 	}
@@ -251,6 +274,26 @@
 	return nil
 }
 
+// wanted returns the budgets that have demand here or of which the host holds a grant.
+func (c *Client) wanted() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := make(map[string]bool)
+	for name, d := range c.demands {
+		if d.decay(c.o.Now()); d.rate == 0 {
+			delete(c.demands, name)
+			continue
+		}
+		names[name] = true
+	}
+	for name, g := range c.current.grants {
+		if g.status.Outstanding > 0 {
+			names[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 func (c *Client) adjustBudget(ctx context.Context, b controlapi.BudgetStatus) error {
 	c.mu.Lock()
 	l := c.current
