Do not pass announcements on to hosts that hear the upstream themselves

Ruled out: longer intervals between announcements, which break the 3 s in which a leaving upstream must get no new work. Change: a host names in its reply what it hears itself, and is not sent that for 10 s; when it hears an upstream no longer for 1.2 s it asks all for it again. That an upstream leaves is always passed on.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -12,6 +12,7 @@
 
 const (
 	methodAnnounce = "hosts/announce"
+	methodResume   = "hosts/resume-announcements"
 	// forwardQueueLength bounds the announcements that wait for one host; later ones are dropped.
 	forwardQueueLength = 1024
 	// forwardWindow is the time for which announcements are collected into one call.
@@ -25,6 +26,18 @@
 	Announcements []announce.Announcement `cbor:"1,keyasint"`
 }
 
+// announceReply names those upstreams of a batch that the receiver hears itself.
+type announceReply struct {
+	Direct []string `cbor:"1,keyasint,omitempty"`
+}
+
+// resumeRequest asks that the announcements of upstreams are passed on again.
+type resumeRequest struct {
+	// Address is that of the asking host.
+	Address   string   `cbor:"1,keyasint"`
+	Upstreams []string `cbor:"2,keyasint"`
+}
+
 type empty struct{}
 
 // forwarder passes announcements on to the other entry hosts, with one
@@ -37,6 +50,9 @@
 	mu     sync.Mutex
 	queues map[string]chan announce.Announcement
 	wg     sync.WaitGroup
+	// directly and suppressed keep announcements from hosts that hear them themselves.
+	directly   *directly
+	suppressed *suppressed
 }
 
 func newForwarder(ctx context.Context, self string, client *rpc.Client, hosts func() []controlapi.HostInfo) *forwarder {
@@ -46,15 +62,68 @@
 		client: client,
 		hosts:  hosts,
 		queues: make(map[string]chan announce.Announcement),
+
+		directly:   newDirectly(),
+		suppressed: newSuppressed(),
 	}
 }
 
-// forward queues an announcement for each other host. It never blocks.
-func (f *forwarder) forward(a announce.Announcement) {
+// register adds the methods by which hosts pass announcements on.
+func (f *forwarder) register(srv *rpc.Server, take func(announce.Announcement)) {
+	rpc.Handle(srv, methodAnnounce, func(_ context.Context, batch *announceBatch) (*announceReply, error) {
+		ids := make([]string, 0, len(batch.Announcements))
+		for _, a := range batch.Announcements {
+			take(a)
+			ids = append(ids, a.ID)
+		}
+		return &announceReply{Direct: f.directly.tell(ids, time.Now())}, nil
+	})
+	rpc.Handle(srv, methodResume, func(_ context.Context, req *resumeRequest) (*empty, error) {
+		f.suppressed.resume(req.Address, req.Upstreams)
+		return &empty{}, nil
+	})
+}
+
+// watchSilence asks the other hosts to pass on again what this host hears no
+// longer itself, until ctx ends.
+func (f *forwarder) watchSilence(ctx context.Context) {
+	ticker := time.NewTicker(resumeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if lost := f.directly.lost(time.Now()); len(lost) > 0 {
+			f.resume(ctx, lost)
+		}
+	}
+}
+
+func (f *forwarder) resume(ctx context.Context, upstreams []string) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	req := &resumeRequest{Address: f.self, Upstreams: upstreams}
+	var sent sync.WaitGroup
 	for _, host := range f.hosts() {
 		if host.Address == f.self {
 			continue
 		}
+		sent.Go(func() { _, _ = rpc.Call[resumeRequest, empty](ctx, f.client, host.Address, methodResume, req) })
+	}
+	sent.Wait()
+}
+
+// forward queues an announcement for each other host that does not hear the
+// upstream itself; that it leaves, for all. It never blocks.
+func (f *forwarder) forward(a announce.Announcement) {
+	now := time.Now()
+	for _, host := range f.hosts() {
+		hears := a.State != announce.StateLeaving && f.suppressed.has(host.Address, a.ID, now)
+		if host.Address == f.self || hears {
+			continue
+		}
 		select {
 		case f.queue(host.Address) <- a:
 		default:
@@ -111,5 +180,8 @@
 func (f *forwarder) send(address string, batch *announceBatch) {
 	ctx, cancel := context.WithTimeout(f.ctx, forwardTimeout)
 	defer cancel()
-	_, _ = rpc.Call[announceBatch, empty](ctx, f.client, address, methodAnnounce, batch)
+	reply, err := rpc.Call[announceBatch, announceReply](ctx, f.client, address, methodAnnounce, batch)
+	if err == nil {
+		f.suppressed.add(address, reply.Direct, time.Now())
+	}
 }
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -162,7 +162,13 @@
 // announcements returns the handler that takes upstreams' announcements in.
 func (d *Daemon) announcements(ctx context.Context) *registry.Handler {
 	d.forward = newForwarder(ctx, d.settings.Listen.Hosts, d.rpc, d.session.Hosts)
-	return &registry.Handler{Registry: d.registry, Forward: d.forward.forward, Observe: d.router.Observe}
+	d.goRun(func() { d.forward.watchSilence(ctx) })
+	return &registry.Handler{
+		Registry: d.registry,
+		Heard:    d.forward.directly.hear,
+		Forward:  d.forward.forward,
+		Observe:  d.router.Observe,
+	}
 }
 
 func (d *Daemon) callerHandler() *entry.Handler {
@@ -189,12 +195,7 @@
 
 // registerHostMethods adds what entry hosts ask of each other.
 func (d *Daemon) registerHostMethods(srv *rpc.Server, announcements *registry.Handler, handler *entry.Handler) {
-	rpc.Handle(srv, methodAnnounce, func(_ context.Context, batch *announceBatch) (*empty, error) {
-		for _, a := range batch.Announcements {
-			announcements.Take(a, false)
-		}
-		return &empty{}, nil
-	})
+	d.forward.register(srv, func(a announce.Announcement) { announcements.Take(a, false) })
 	controlgroup.RegisterRelay(srv, controlgroup.NewClient(controlgroup.ClientOptions{
 		RPC:      d.rpc,
 		Replicas: d.replicaList,
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -28,6 +28,9 @@
 	// Forward, if set, is called with each announcement that was news, to pass
 	// it on to the other hosts. It must not block.
 	Forward func(announce.Announcement)
+	// Heard, if set, is called with the id of the sender of each announcement that
+	// came from the upstream itself.
+	Heard func(id string, now time.Time)
 	// Observe, if set, is called with each announcement that was news.
 	Observe func(announce.Announcement, time.Time)
 	// Now returns the time; nil means time.Now.
@@ -46,6 +49,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if h.Heard != nil {
+		h.Heard(a.ID, time.Now())
+	}
 	h.Take(a, true)
 	w.WriteHeader(http.StatusNoContent)
 }
