Split the long files of the control group; one piece of code for periodic work

Change: sessions, configuration and queries, heartbeats and expiry, merging and sizing have files of their own; internal/periodic holds the loop; directories are synced by wal.OS. Behaviour stays as it is.

--- a/internal/controlgroup/seen.go
+++ b/internal/controlgroup/seen.go
@@ -15,6 +15,7 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/wal"
 )
 
 const (
@@ -99,16 +100,7 @@
 	if err := os.Rename(temporary, path); err != nil {
 		return eris.Wrap(err, "replace file")
 	}
-	return syncDirectory(filepath.Dir(path))
-}
-
-func syncDirectory(path string) error {
-	directory, err := os.Open(path)
-	if err != nil {
-		return eris.Wrap(err, "open directory")
-	}
-	err = errors.Join(directory.Sync(), directory.Close())
-	return eris.Wrapf(err, "sync %s", path)
+	return wal.OS{}.SyncDir(filepath.Dir(path))
 }
 
 // Filter returns the messages whose sender is on disk; it drops the others.
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/periodic"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 )
 
@@ -87,18 +88,11 @@
 // watchSilence asks the other hosts to pass on again what this host hears no
 // longer itself, until ctx ends.
 func (f *forwarder) watchSilence(ctx context.Context) {
-	ticker := time.NewTicker(resumeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Always(ctx, resumeInterval, func() {
 		if lost := f.directly.lost(time.Now()); len(lost) > 0 {
 			f.resume(ctx, lost)
 		}
-	}
+	})
 }
 
 func (f *forwarder) resume(ctx context.Context, upstreams []string) {
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -12,6 +12,7 @@
 	"github.com/godwitbend/godwitbend/internal/control"
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/periodic"
 	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
@@ -144,19 +145,13 @@
 
 // watchHealth reports the first failure of the replica's storage.
 func (c *controlReplica) watchHealth(ctx context.Context) {
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if err := c.replica.Status().Healthy; err != nil {
+	periodic.Run(ctx, healthInterval, func() bool {
+		err := c.replica.Status().Healthy
+		if err != nil {
 			c.failed <- eris.Wrap(err, "control replica storage")
-			return
 		}
-	}
+		return err == nil
+	})
 }
 
 // stop hands leadership over and closes the log.
--- a/internal/standby/journal.go
+++ b/internal/standby/journal.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/codec"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/wal"
 )
 
 const (
@@ -159,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := errors.Join(file.Truncate(size), file.Sync(), syncDirectory(j.directory)); err != nil {
+	if err := errors.Join(file.Truncate(size), file.Sync(), wal.OS{}.SyncDir(j.directory)); err != nil {
 		_ = file.Close()
 		return nil, err
 	}
@@ -217,11 +218,3 @@
 func (j *Journals) path(session string) string {
 	return filepath.Join(j.directory, filepath.Base(session)+journalSuffix)
 }
-
-func syncDirectory(path string) error {
-	directory, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(directory.Sync(), directory.Close())
-}
--- a/internal/standby/maintain.go
+++ b/internal/standby/maintain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/periodic"
 )
 
 const (
@@ -25,16 +25,7 @@
 
 // Run keeps the grants in step with the demand and merges journals until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	ticker := time.NewTicker(maintainInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.round(ctx, false)
-		}
-	}
+	periodic.Always(ctx, maintainInterval, func() { c.round(ctx, false) })
 }
 
 // Close merges what is left and returns all grants. Run must have returned and
@@ -91,95 +82,6 @@
 	return result, err
 }
 
-// flushDeferred sends the deferred settlements. One that the group refuses is
-// settled or superseded there.
-func (c *Client) flushDeferred(ctx context.Context) error {
-	c.mu.Lock()
-	waiting := make([]*deferredSettle, 0, len(c.deferred))
-	for _, d := range c.deferred {
-		waiting = append(waiting, d)
-	}
-	c.mu.Unlock()
-	for _, d := range waiting {
-		_, err := c.execute(ctx, &controlapi.Command{Settle: d.settle})
-		if errkind.Is(err, errkind.ControlUnavailable) || err != nil && errkind.From(err).Kind == errkind.Internal {
-			return err
-		}
-		c.mu.Lock()
-		delete(c.deferred, d.settle.RequestID)
-		c.mu.Unlock()
-	}
-	return nil
-}
-
-// mergeAll merges the journal of each ledger and takes in the grants as they are then.
-func (c *Client) mergeAll(ctx context.Context) error {
-	c.mu.Lock()
-	ledgers := c.ledgers()
-	c.mu.Unlock()
-	merged := make(map[*ledger]uint64, len(ledgers))
-	for _, l := range ledgers {
-		last, err := c.merge(ctx, l)
-		if err != nil {
-			return err
-		}
-		merged[l] = last
-	}
-	sessions := c.sessionsWithGrants(ledgers)
-	if len(sessions) == 0 {
-		return nil
-	}
-	reply, err := c.o.Group.Query(ctx, &controlapi.QueryRequest{Grants: true, Only: sessions})
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for l, last := range merged {
-		l.refresh(last, reply.Grants)
-	}
-	return nil
-}
-
-// sessionsWithGrants returns the sessions whose grants the group must be asked
-// about: those that hold one, and those of earlier processes.
-func (c *Client) sessionsWithGrants(ledgers []*ledger) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []string
-	for _, l := range ledgers {
-		if l.session != "" && (l != c.current || len(l.grants) > 0) {
-			out = append(out, l.session)
-		}
-	}
-	return out
-}
-
-// merge sends the unmerged entries of l and returns the sequence of the last one taken.
-func (c *Client) merge(ctx context.Context, l *ledger) (uint64, error) {
-	c.mu.Lock()
-	var entries []controlapi.JournalEntry
-	for _, e := range l.unmerged {
-		entries = append(entries, *e)
-	}
-	c.mu.Unlock()
-	var last uint64
-	for batch := range slices.Chunk(entries, mergeBatch) {
-		cmd := &controlapi.Command{MergeJournal: &controlapi.MergeJournalRequest{Session: l.session, Entries: batch}}
-		result, err := c.execute(ctx, cmd)
-		if errkind.Is(err, errkind.NotFound) {
-			klog.InfoS("journal of a session without grants dropped", "session", l.session, "entries", len(batch))
-			return batch[len(batch)-1].Sequence, nil
-		}
-		if err != nil {
-			return 0, err
-		}
-		last = result.Merge.Merged
-		klog.InfoS("journal merged", "session", l.session, "entries", len(batch), "charged", result.Merge.Charged)
-	}
-	return last, nil
-}
-
 // giveBackRetired returns the grants of ledgers that are idle, and forgets the
 // ledgers that hold nothing more.
 func (c *Client) giveBackRetired(ctx context.Context) error {
@@ -252,94 +154,3 @@
 		klog.ErrorS(err, "journal not removed", "session", l.session)
 	}
 }
-
-// adjust brings the grants of the present session towards their targets.
-func (c *Client) adjust(ctx context.Context) error {
-	if c.o.Store == nil {
-		return nil
-	}
-	budgets := c.wanted()
-	if len(budgets) == 0 {
-		return nil
-	}
-	reply, err := c.o.Group.Query(ctx, &controlapi.QueryRequest{Budgets: true, Only: budgets})
-	if err != nil {
-		return err
-	}
-	for _, b := range reply.Budgets {
-		if err := c.adjustBudget(ctx, b); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// wanted returns the budgets that have demand here or of which the host holds a grant.
-func (c *Client) wanted() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	names := make(map[string]bool)
-	for name, d := range c.demands {
-		if d.decay(c.o.Now()); d.rate == 0 {
-			delete(c.demands, name)
-			continue
-		}
-		names[name] = true
-	}
-	for name, g := range c.current.grants {
-		if g.status.Outstanding > 0 {
-			names[name] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(names))
-}
-
-func (c *Client) adjustBudget(ctx context.Context, b controlapi.BudgetStatus) error {
-	c.mu.Lock()
-	l := c.current
-	target, held, granted := c.targetOf(l, b)
-	c.mu.Unlock()
-	switch {
-	case l.session == "":
-		return nil
-	case held > slack*target:
-		return c.giveBack(ctx, l, b.Budget, l.session, held-target)
-	case held < target/slack:
-		return c.ask(ctx, l, b.Budget, granted+target-held)
-	}
-	return nil
-}
-
-// targetOf returns the grant that the host should hold of a budget, what it
-// holds, and the sum of all that it was ever granted.
-func (c *Client) targetOf(l *ledger, b controlapi.BudgetStatus) (target, held, granted int64) {
-	if g, ok := l.grants[b.Budget]; ok {
-		held = max(0, l.available(b.Budget))
-		granted = g.status.Granted
-	}
-	if d, ok := c.demands[b.Budget]; ok {
-		left := b.PaidIn - b.Charged - b.Reserved - b.Granted + held
-		target = d.target(left, c.o.Horizon, c.o.Now())
-	}
-	return target, held, granted
-}
-
-// ask requests a grant. The journal of the session exists before, so that a
-// restart of this host knows what it must give back.
-func (c *Client) ask(ctx context.Context, l *ledger, budget string, total int64) error {
-	if err := c.o.Store.Append(l.session, nil); err != nil {
-		return err
-	}
-	cmd := &controlapi.Command{Grant: &controlapi.GrantRequest{Session: l.session, Budget: budget, Total: total}}
-	result, err := c.execute(ctx, cmd)
-	if errkind.Is(err, errkind.BudgetExhausted) || errkind.Is(err, errkind.BudgetReserved) || errkind.Is(err, errkind.NotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l.grant(budget).status = *result.Grant
-	return nil
-}
--- a/internal/standby/remote.go
+++ b/internal/standby/remote.go
@@ -10,6 +10,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/periodic"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 )
 
@@ -102,16 +103,7 @@
 // Run merges the journals of ended sessions until ctx ends. It returns no
 // grants: another peer may hold later records.
 func (f *Foreign) Run(ctx context.Context) {
-	ticker := time.NewTicker(foreignInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f.round(ctx)
-		}
-	}
+	periodic.Always(ctx, foreignInterval, func() { f.round(ctx) })
 }
 
 func (f *Foreign) round(ctx context.Context) {
