--- a/tests/fleet/client_test.go
+++ b/tests/fleet/client_test.go
@@ -21,9 +21,9 @@
 
 func chatRequest() openai.ChatCompletionRequest {
 	return openai.ChatCompletionRequest{
-		Model:     model,
-		MaxTokens: 20,
-		Messages:  []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "good morning"}},
+		Model:               model,
+		MaxCompletionTokens: 20,
+		Messages:            []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "good morning"}},
 	}
 }
 
