--- a/tests/fleet/schedule_test.go
+++ b/tests/fleet/schedule_test.go
@@ -41,6 +41,14 @@
 	notRun bool
 }
 
+// price returns what an answered request costs, in tokens.
+func (t *try) price() int64 {
+	if t.plain {
+		return 1
+	}
+	return t.usage
+}
+
 // schedule drives random failures while clients send requests and retry them
 // at other hosts with the same key.
 type schedule struct {
@@ -54,7 +62,14 @@
 
 func TestRandomFailuresBreakNoPromise(t *testing.T) {
 	for seed := range uint64(4) {
-		t.Run(fmt.Sprint("seed=", seed+1), func(t *testing.T) { runSchedule(t, seed+1) })
+		t.Run(fmt.Sprint("seed=", seed+1), func(t *testing.T) { runSchedule(t, seed+1, 0) })
+	}
+}
+
+// The same while the budget runs dry again and again.
+func TestRandomFailuresNeverOverspendADryBudget(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed=", seed+1), func(t *testing.T) { runSchedule(t, seed+1, 1500) })
 	}
 }
 
@@ -65,12 +80,13 @@
 		t.Skip("SEED is not set")
 	}
 	for i := range uint64(soakSchedules) {
-		t.Run(fmt.Sprint("seed=", first+i), func(t *testing.T) { runSchedule(t, first+i) })
+		t.Run(fmt.Sprint("seed=", first+i), func(t *testing.T) { runSchedule(t, first+i, int64(i%2)*1500) })
 	}
 }
 
-func runSchedule(t *testing.T, seed uint64) {
-	run(t, siteOptions{hosts: 5, control: 3}, func(s *site) {
+// runSchedule runs one schedule; paid 0 stands for an ample budget.
+func runSchedule(t *testing.T, seed uint64, paid int64) {
+	run(t, siteOptions{hosts: 5, control: 3, paid: paid}, func(s *site) {
 		c := &schedule{site: s, random: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{})}
 		for i := range clients {
 			random := rand.New(rand.NewPCG(seed, uint64(i+1)))
@@ -182,7 +198,7 @@
 	for _, r := range c.engine.Truth().Records() {
 		started[r.RequestID] = started[r.RequestID] || r.Event == fake.TruthStarted
 	}
-	served := 0
+	served, used := 0, int64(0)
 	for _, t := range c.tries {
 		id := controlapi.RequestIDFor("k", t.key)
 		c.Expect(runs[id]).To(BeNumerically("<=", 1), "%s ran more than once", t.key)
@@ -191,6 +207,7 @@
 			continue
 		}
 		served++
+		used += t.price()
 		if t.plain {
 			c.Expect(runs[id]).To(Equal(1), "%s was answered", t.key)
 			c.Expect(t.ok).To(ContainSubstring(strconv.FormatInt(numbers[id], 10)))
@@ -199,6 +216,7 @@
 	}
 	b := c.budget(c.hosts[0])
 	c.Expect(b.Charged + b.Reserved + b.Granted).To(BeNumerically("<=", b.PaidIn))
+	c.Expect(used).To(BeNumerically("<=", b.PaidIn), "what was delivered exceeds what was paid")
 	c.Expect(served).To(BeNumerically(">", 0))
 	c.t.Logf("%d of %d requests were answered", served, len(c.tries))
 }
@@ -211,9 +229,5 @@
 	status := c.operate(c.hosts[0], http.MethodGet, operatorapi.PathRequests+"/"+id, nil, &record)
 	c.Expect(status).To(Equal(http.StatusOK), t.key)
 	c.Expect(record.State).To(Equal("settled"), "%+v", record)
-	want := int64(1)
-	if !t.plain {
-		want = t.usage
-	}
-	c.Expect(record.Charged+record.Completed).To(Equal(want), "%s %+v", t.key, record)
+	c.Expect(record.Charged+record.Completed).To(Equal(t.price()), "%s %+v", t.key, record)
 }
--- a/tests/fleet/site_test.go
+++ b/tests/fleet/site_test.go
@@ -186,13 +186,17 @@
 	}
 }
 
+// announcerOf names the node from which an upstream announces itself, so that
+// its announcements can be cut off alone.
+func announcerOf(upstream string) string { return upstream + "-announcer" }
+
 func (s *site) serveUpstream(h http.Handler, source fake.Announcing, name, address string) {
 	node := s.net.Node(name)
 	listener, err := node.Listen(address)
 	s.Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: h}
 	go func() { _ = server.Serve(listener) }()
-	client := node.Client()
+	client := s.net.Node(announcerOf(name)).Client()
 	announcer := &fake.Announcer{Source: source, Client: client}
 	for _, host := range s.hosts {
 		announcer.Hosts = append(announcer.Hosts, host.callers())
--- a/tests/fleet/standby_test.go
+++ b/tests/fleet/standby_test.go
@@ -56,16 +56,16 @@
 	s.Expect(b.Charged + b.Reserved + b.Granted).To(BeNumerically("<=", b.PaidIn))
 }
 
-// bothSidesServe cuts a host off during top-ups, lets both sides serve, some
-// requests on both, and checks the bill after the heal.
-func bothSidesServe(t *testing.T, adjust func(*settings.Settings), side func(s *site) (cut, rest []*host)) {
+// bothSidesServe cuts a host off during top-ups, lets both sides serve for a
+// number of seconds, some requests on both, and checks the bill after the heal.
+func bothSidesServe(t *testing.T, seconds int, adjust func(*settings.Settings), side func(s *site) (cut, rest []*host)) {
 	run(t, siteOptions{hosts: 5, control: 3, adjust: adjust}, func(s *site) {
 		cut, rest := side(s)
 		s.warm(cut[0])
 		s.net.Partition(names(cut...), names(rest...))
 		time.Sleep(5 * time.Second)
 		served := 0
-		for i := range 30 {
+		for i := range seconds {
 			s.Expect(s.served(rest[0], fmt.Sprintf("rest-%d", i))).To(BeTrue())
 			s.Expect(s.served(rest[0], fmt.Sprintf("both-%d", i))).To(BeTrue())
 			for _, key := range []string{"cut", "both"} {
@@ -87,18 +87,31 @@
 		b := s.budget(rest[0])
 		s.Expect(b.Charged).To(Equal(s.billed()))
 		s.expectWithinPaid(rest[0])
-		t.Logf("served %d of 60 while cut off", served)
+		t.Logf("served %d of %d while cut off", served, 2*seconds)
 	})
 }
 
 func TestHostWithADiskServesFromItsGrantWhileCutOff(t *testing.T) {
-	bothSidesServe(t, longLease, func(s *site) (cut, rest []*host) {
+	bothSidesServe(t, 30, longLease, func(s *site) (cut, rest []*host) {
 		return s.hosts[4:], s.hosts[:4]
 	})
 }
 
+// The leader itself is cut off silently for two minutes and keeps its callers.
+func TestLeaderThatIsCutOffForMinutesSpendsOnlyItsGrant(t *testing.T) {
+	bothSidesServe(t, 120, longLease, func(s *site) (cut, rest []*host) {
+		leader := s.leader()
+		for _, h := range s.hosts {
+			if h != leader {
+				rest = append(rest, h)
+			}
+		}
+		return []*host{leader}, rest
+	})
+}
+
 func TestHostWithoutADiskJournalsOnAPeerOfItsSide(t *testing.T) {
-	bothSidesServe(t, withoutDisk, func(s *site) (cut, rest []*host) {
+	bothSidesServe(t, 30, withoutDisk, func(s *site) (cut, rest []*host) {
 		follower := s.hosts[0]
 		if follower.daemon.Leads() {
 			follower = s.hosts[1]
