Serve requests from a grant that arrive at the moment of a cut

Ruled out: a shorter time, which a slow disk sync would exceed in calm. Change: a call to the group ends when the host finds that it is cut off, and a repeatable request is begun from the grant then. The group's record of it, if its Begin arrived, is closed by the merge, or released when the request is. Settlements end their wait in the same way and are journaled.

--- a/internal/standby/client.go
+++ b/internal/standby/client.go
@@ -7,8 +7,12 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/periodic"
 )
 
+// connectedPoll is the time between two looks whether the group still answers.
+const connectedPoll = 50 * time.Millisecond
+
 // Store makes the records of a session durable before Append returns.
 type Store interface {
 	Append(session string, records []Record) error
@@ -44,6 +48,9 @@
 	// deferred holds settlements that are durable here but not yet with the group.
 	deferred map[string]*deferredSettle
 	demands  map[string]*demand
+	// abandoned holds the Begins that may have reached the group and whose
+	// requests were released here.
+	abandoned []*controlapi.Command
 }
 
 type deferredSettle struct {
@@ -120,22 +127,48 @@
 	return c.o.Group.Execute(ctx, cmd)
 }
 
-// begin goes to the group if it answers or the grants cannot serve. A request
-// whose Begin may have reached the group is never begun from a grant as well.
+// begin goes to the group while it answers. A request whose Begin may have
+// reached the group may be begun from a grant too: the merge bills it once, and
+// what the group reserved for it is freed by the merge or by abandonBegins.
 func (c *Client) begin(ctx context.Context, cmd *controlapi.Command) (*controlapi.Result, error) {
 	if reply := c.unmerged(cmd.Begin); reply != nil {
 		return reply, nil
 	}
 	if !c.o.Connected() {
-		if reply, err := c.beginLocal(cmd.Begin); err == nil {
+		if reply, err := c.beginLocal(cmd.Begin, nil); err == nil {
 			return &controlapi.Result{Begin: reply}, nil
 		}
 	}
-	result, err := c.o.Group.Execute(ctx, cmd)
+	result, err := c.whileConnected(ctx, cmd)
 	if err == nil && result.Err == nil {
 		c.noteDemand(cmd.Begin)
 	}
-	return result, err
+	if err == nil || ctx.Err() != nil || c.o.Connected() {
+		return result, err
+	}
+	reply, localErr := c.beginLocal(cmd.Begin, cmd)
+	if localErr != nil {
+		return nil, err
+	}
+	return &controlapi.Result{Begin: reply}, nil
+}
+
+// whileConnected executes a command until the host finds that the group does
+// not answer any more.
+func (c *Client) whileConnected(ctx context.Context, cmd *controlapi.Command) (*controlapi.Result, error) {
+	if c.o.Store == nil || !c.o.Connected() {
+		return c.o.Group.Execute(ctx, cmd)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go periodic.Run(ctx, connectedPoll, func() bool {
+		if c.o.Connected() {
+			return true
+		}
+		cancel()
+		return false
+	})
+	return c.o.Group.Execute(ctx, cmd)
 }
 
 // unmerged answers for a request that was served from a grant and is not yet
@@ -160,7 +193,9 @@
 	return append([]*ledger{c.current}, c.retiring...)
 }
 
-func (c *Client) beginLocal(b *controlapi.BeginRequest) (*controlapi.BeginReply, error) {
+// beginLocal begins a request from the grant. sent is its Begin if that may
+// have reached the group.
+func (c *Client) beginLocal(b *controlapi.BeginRequest, sent *controlapi.Command) (*controlapi.BeginReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.o.Store == nil || c.current.session == "" || c.current.session != b.Session {
@@ -169,7 +204,11 @@
 	if c.deferred[b.RequestID] != nil {
 		return nil, errkind.New(errkind.ControlUnavailable, "the request is settled, but the control group does not know yet")
 	}
-	return c.current.begin(b)
+	reply, err := c.current.begin(b)
+	if err == nil && reply.Status == controlapi.BeginStarted {
+		c.current.open[b.RequestID].sent = sent
+	}
+	return reply, err
 }
 
 // owner returns the ledger in which the request is open under this attempt.
@@ -195,6 +234,9 @@
 	if l == nil {
 		return false
 	}
+	if sent := l.open[r.RequestID].sent; sent != nil {
+		c.abandoned = append(c.abandoned, sent)
+	}
 	l.release(r.RequestID)
 	return true
 }
@@ -206,7 +248,10 @@
 		return result, err
 	}
 	if c.o.Connected() || c.o.Store == nil || s.Unknown {
-		return c.o.Group.Execute(ctx, cmd)
+		result, err := c.whileConnected(ctx, cmd)
+		if err == nil || ctx.Err() != nil || c.o.Store == nil || c.o.Connected() || s.Unknown {
+			return result, err
+		}
 	}
 	return c.deferSettle(s)
 }
--- a/internal/standby/ledger.go
+++ b/internal/standby/ledger.go
@@ -16,6 +16,8 @@
 type openRequest struct {
 	begin   *controlapi.BeginRequest
 	attempt uint32
+	// sent is the Begin that may have reached the control group; nil if none was sent.
+	sent *controlapi.Command
 }
 
 // grantState is what a ledger knows of one grant.
--- a/internal/standby/maintain.go
+++ b/internal/standby/maintain.go
@@ -46,6 +46,9 @@
 	if err == nil {
 		err = c.mergeAll(ctx)
 	}
+	if err == nil {
+		err = c.abandonBegins(ctx)
+	}
 	if err == nil {
 		err = c.giveBackRetired(ctx)
 	}
--- a/internal/standby/merge.go
+++ b/internal/standby/merge.go
@@ -21,7 +21,7 @@
 	c.mu.Unlock()
 	for _, d := range waiting {
 		_, err := c.execute(ctx, &controlapi.Command{Settle: d.settle})
-		if errkind.Is(err, errkind.ControlUnavailable) || err != nil && errkind.From(err).Kind == errkind.Internal {
+		if onlyUnavailable(err) != nil {
 			return err
 		}
 		c.mu.Lock()
@@ -31,6 +31,48 @@
 	return nil
 }
 
+// abandonBegins frees what the group reserved for requests that were begun there
+// without an answer, and were released here. A record that was settled or taken
+// over since is left alone.
+func (c *Client) abandonBegins(ctx context.Context) error {
+	c.mu.Lock()
+	waiting := c.abandoned
+	c.abandoned = nil
+	c.mu.Unlock()
+	for i, begin := range waiting {
+		if err := c.abandonBegin(ctx, begin); err != nil {
+			c.mu.Lock()
+			c.abandoned = append(c.abandoned, waiting[i:]...)
+			c.mu.Unlock()
+			return err
+		}
+	}
+	return nil
+}
+
+// abandonBegin sends the Begin again to learn its attempt, and releases that.
+func (c *Client) abandonBegin(ctx context.Context, begin *controlapi.Command) error {
+	result, err := c.execute(ctx, begin)
+	if err != nil {
+		return onlyUnavailable(err)
+	}
+	if result.Begin.Status != controlapi.BeginStarted && result.Begin.Status != controlapi.BeginTakenOver {
+		return nil
+	}
+	_, err = c.execute(ctx, &controlapi.Command{Release: &controlapi.ReleaseRequest{
+		RequestID: begin.Begin.RequestID, Attempt: result.Begin.Attempt, MayHaveRun: true,
+	}})
+	return onlyUnavailable(err)
+}
+
+// onlyUnavailable returns err if the group did not answer, and nil for a refusal.
+func onlyUnavailable(err error) error {
+	if err == nil || errkind.Is(err, errkind.ControlUnavailable) || errkind.From(err).Kind == errkind.Internal {
+		return err
+	}
+	return nil
+}
+
 // mergeAll merges the journal of each ledger and takes in the grants as they are then.
 func (c *Client) mergeAll(ctx context.Context) error {
 	c.mu.Lock()
--- a/tests/fleet/standby_test.go
+++ b/tests/fleet/standby_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/harness"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
 	"github.com/godwitbend/godwitbend/internal/settings"
 )
@@ -196,3 +197,35 @@
 		s.Expect(refusal("never-ran").Outcome()).To(Equal(errkind.NotRun))
 	})
 }
+
+// Requests that arrive just as a host is cut off are served from its grant as
+// soon as it knows, though their Begin may have reached the control group.
+func TestRequestsAtTheMomentOfACutAreServed(t *testing.T) {
+	run(t, siteOptions{hosts: 5, control: 3, adjust: longLease}, func(s *site) {
+		cut := s.hosts[4]
+		s.warm(cut)
+		const requests = 10
+		answers := make(chan *harness.Answer, requests)
+		for i := range requests {
+			go func() {
+				time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+				answer, _ := s.chat(cut, fmt.Sprint("moment-", i), "good morning")
+				answers <- answer
+			}()
+		}
+		time.Sleep(250 * time.Millisecond)
+		s.net.Partition(names(cut), names(s.hosts[:4]...))
+		served := 0
+		for range requests {
+			if answer := <-answers; answer.Status == http.StatusOK && answer.Whole {
+				served++
+			}
+		}
+		s.Expect(served).To(Equal(requests))
+		s.net.HealAll()
+		time.Sleep(20 * time.Second)
+		b := s.budget(s.hosts[0])
+		s.Expect(b.Charged).To(Equal(s.billed()))
+		s.Expect(b.Reserved).To(BeZero())
+	})
+}
