--- a/tests/fleet/schedule_test.go
+++ b/tests/fleet/schedule_test.go
@@ -136,15 +136,6 @@
 	}
 }
 
-// isolate cuts a host from all others; its callers and upstreams still reach it.
-func (c *schedule) isolate(h *host) {
-	for _, other := range c.hosts {
-		if other != h {
-			c.net.Cut(h.name, other.name)
-		}
-	}
-}
-
 func (c *schedule) client(id int, random *rand.Rand) {
 	defer c.wg.Done()
 	for i := 0; ; i++ {
