--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -1,6 +1,7 @@
 package errkind_test
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -39,3 +40,11 @@
 	g.Expect(e.Body().Retry).To(BeTrue())
 	g.Expect(e.Body().Outcome).To(Equal(errkind.NotRun))
 }
+
+func TestAnErrorOfNoKindIsInternal(t *testing.T) {
+	g := NewWithT(t)
+	e := errkind.From(errors.New("unexpected"))
+	g.Expect(e.Kind).To(Equal(errkind.Internal))
+	g.Expect(e.Outcome()).To(Equal(errkind.Unknown))
+	g.Expect(errkind.Lookup("no such kind")).To(Equal(errkind.Lookup(errkind.Internal)))
+}
