Share one wait and one steady loop; name the senders of announcements

Cause: four copies of a wait that ends with a context, and names that needed explaining (duplicates; reading). Change: internal/timing has Sleep, Every and EveryUntil. Behaviour stays as it is.

--- a/internal/controlgroup/client.go
+++ b/internal/controlgroup/client.go
@@ -9,6 +9,7 @@
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -140,15 +141,10 @@
 
 // pause waits between tries; a hint of a leader is followed at once.
 func pause(ctx context.Context, hinted bool) error {
-	if hinted {
-		return ctx.Err()
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(retryDelay):
-		return nil
+	if !hinted {
+		timing.Sleep(ctx, retryDelay)
 	}
+	return ctx.Err()
 }
 
 // served remembers the target of a served call.
--- a/internal/controlgroup/expiry.go
+++ b/internal/controlgroup/expiry.go
@@ -6,12 +6,12 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
-	"github.com/godwitbend/godwitbend/internal/periodic"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // ExpireSessions ends sessions whose lease has lapsed, while this replica leads, until ctx ends.
 func (s *Server) ExpireSessions(ctx context.Context) {
-	periodic.Always(ctx, expiryInterval, func() { s.expireLapsed(ctx) })
+	timing.Every(ctx, expiryInterval, func() { s.expireLapsed(ctx) })
 }
 
 func (s *Server) expireLapsed(ctx context.Context) {
--- a/internal/controlgroup/joining.go
+++ b/internal/controlgroup/joining.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // ConfirmJoining returns once the group has said that replica id, whose disk is
@@ -22,10 +22,8 @@
 		if err == nil {
 			return confirmAbsent(ctx, client, reply.Replicas, id)
 		}
-		select {
-		case <-ctx.Done():
+		if !timing.Sleep(ctx, seenRetryDelay) {
 			return eris.Wrapf(ctx.Err(), "the control group has not confirmed that replica id %d may join", id)
-		case <-time.After(seenRetryDelay):
 		}
 	}
 }
--- a/internal/controlgroup/seen.go
+++ b/internal/controlgroup/seen.go
@@ -15,6 +15,7 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/wal"
 )
 
@@ -153,10 +154,8 @@
 		if err == nil {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !timing.Sleep(ctx, seenRetryDelay) {
 			return eris.Wrapf(ctx.Err(), "peer %s has not confirmed that replica id %d is new", peer, id)
-		case <-time.After(seenRetryDelay):
 		}
 	}
 }
--- a/internal/controlgroup/transport.go
+++ b/internal/controlgroup/transport.go
@@ -7,6 +7,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -73,10 +74,7 @@
 	defer t.wg.Done()
 	for t.ctx.Err() == nil {
 		t.pump(to, q)
-		select {
-		case <-t.ctx.Done():
-		case <-time.After(reconnectDelay):
-		}
+		timing.Sleep(t.ctx, reconnectDelay)
 	}
 }
 
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -14,28 +14,28 @@
 	resumeInterval = 200 * time.Millisecond
 )
 
-// directly keeps which upstreams this host hears itself, and which of them it
+// directSenders keeps which upstreams this host hears itself, and which of them it
 // has told other hosts of. Invariant: an upstream that was told of and is no
 // longer heard is returned by lost, so that the others pass its announcements on again.
-type directly struct {
+type directSenders struct {
 	mu    sync.Mutex
 	heard map[string]time.Time
 	told  map[string]bool
 }
 
-func newDirectly() *directly {
-	return &directly{heard: make(map[string]time.Time), told: make(map[string]bool)}
+func newDirectSenders() *directSenders {
+	return &directSenders{heard: make(map[string]time.Time), told: make(map[string]bool)}
 }
 
 // hear notes an announcement that came from the upstream itself.
-func (d *directly) hear(id string, now time.Time) {
+func (d *directSenders) hear(id string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heard[id] = now
 }
 
 // tell returns which of ids are heard directly, and notes that a host is told so.
-func (d *directly) tell(ids []string, now time.Time) []string {
+func (d *directSenders) tell(ids []string, now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []string
@@ -52,7 +52,7 @@
 
 // lost returns the upstreams that hosts were told of and that are heard no
 // longer, once each.
-func (d *directly) lost(now time.Time) []string {
+func (d *directSenders) lost(now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []string
@@ -69,18 +69,18 @@
 	return out
 }
 
-// suppressed keeps which upstreams other hosts hear themselves.
-type suppressed struct {
+// suppressions keeps which upstreams other hosts hear themselves.
+type suppressions struct {
 	mu    sync.Mutex
 	until map[string]map[string]time.Time
 }
 
-func newSuppressed() *suppressed {
-	return &suppressed{until: make(map[string]map[string]time.Time)}
+func newSuppressions() *suppressions {
+	return &suppressions{until: make(map[string]map[string]time.Time)}
 }
 
 // add notes that the host at address hears the upstreams itself.
-func (s *suppressed) add(address string, ids []string, now time.Time) {
+func (s *suppressions) add(address string, ids []string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.until[address] == nil {
@@ -92,7 +92,7 @@
 }
 
 // resume ends the suppression of upstreams towards the host at address.
-func (s *suppressed) resume(address string, ids []string) {
+func (s *suppressions) resume(address string, ids []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, id := range ids {
@@ -101,7 +101,7 @@
 }
 
 // has tells whether the host at address hears the upstream itself.
-func (s *suppressed) has(address, id string, now time.Time) bool {
+func (s *suppressions) has(address, id string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	until, ok := s.until[address][id]
--- a/internal/daemon/direct_test.go
+++ b/internal/daemon/direct_test.go
@@ -11,7 +11,7 @@
 
 func TestUpstreamThatFallsSilentIsAskedForAgain(t *testing.T) {
 	g := NewWithT(t)
-	d := newDirectly()
+	d := newDirectSenders()
 	d.hear("a", heardAt)
 	d.hear("b", heardAt)
 	g.Expect(d.tell([]string{"a", "c"}, heardAt)).To(ConsistOf("a"))
@@ -23,7 +23,7 @@
 
 func TestSuppressionEndsByTimeOrRequest(t *testing.T) {
 	g := NewWithT(t)
-	s := newSuppressed()
+	s := newSuppressions()
 	s.add("host", []string{"a", "b"}, heardAt)
 	g.Expect(s.has("host", "a", heardAt)).To(BeTrue())
 	g.Expect(s.has("other", "a", heardAt)).To(BeFalse())
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -7,8 +7,8 @@
 
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
-	"github.com/godwitbend/godwitbend/internal/periodic"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -51,9 +51,9 @@
 	mu     sync.Mutex
 	queues map[string]chan announce.Announcement
 	wg     sync.WaitGroup
-	// directly and suppressed keep announcements from hosts that hear them themselves.
-	directly   *directly
-	suppressed *suppressed
+	// direct and suppressions keep announcements from hosts that hear them themselves.
+	direct       *directSenders
+	suppressions *suppressions
 }
 
 func newForwarder(ctx context.Context, self string, client *rpc.Client, hosts func() []controlapi.HostInfo) *forwarder {
@@ -64,8 +64,8 @@
 		hosts:  hosts,
 		queues: make(map[string]chan announce.Announcement),
 
-		directly:   newDirectly(),
-		suppressed: newSuppressed(),
+		direct:       newDirectSenders(),
+		suppressions: newSuppressions(),
 	}
 }
 
@@ -77,10 +77,10 @@
 			take(a)
 			ids = append(ids, a.ID)
 		}
-		return &announceReply{Direct: f.directly.tell(ids, time.Now())}, nil
+		return &announceReply{Direct: f.direct.tell(ids, time.Now())}, nil
 	})
 	rpc.Handle(srv, methodResume, func(_ context.Context, req *resumeRequest) (*empty, error) {
-		f.suppressed.resume(req.Address, req.Upstreams)
+		f.suppressions.resume(req.Address, req.Upstreams)
 		return &empty{}, nil
 	})
 }
@@ -88,8 +88,8 @@
 // watchSilence asks the other hosts to pass on again what this host hears no
 // longer itself, until ctx ends.
 func (f *forwarder) watchSilence(ctx context.Context) {
-	periodic.Always(ctx, resumeInterval, func() {
-		if lost := f.directly.lost(time.Now()); len(lost) > 0 {
+	timing.Every(ctx, resumeInterval, func() {
+		if lost := f.direct.lost(time.Now()); len(lost) > 0 {
 			f.resume(ctx, lost)
 		}
 	})
@@ -114,7 +114,7 @@
 func (f *forwarder) forward(a announce.Announcement) {
 	now := time.Now()
 	for _, host := range f.hosts() {
-		hears := a.State != announce.StateLeaving && f.suppressed.has(host.Address, a.ID, now)
+		hears := a.State != announce.StateLeaving && f.suppressions.has(host.Address, a.ID, now)
 		if host.Address == f.self || hears {
 			continue
 		}
@@ -176,6 +176,6 @@
 	defer cancel()
 	reply, err := rpc.Call[announceBatch, announceReply](ctx, f.client, address, methodAnnounce, batch)
 	if err == nil {
-		f.suppressed.add(address, reply.Direct, time.Now())
+		f.suppressions.add(address, reply.Direct, time.Now())
 	}
 }
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -8,6 +8,7 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
 	"github.com/godwitbend/godwitbend/internal/ordersender"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -69,10 +70,8 @@
 func (d *Daemon) awaitOrder(ctx context.Context, status *controlapi.OrderStatus) (*controlapi.OrderStatus, error) {
 	end := time.Now().Add(orderWait)
 	for status.State == controlapi.OrderPending && time.Now().Before(end) {
-		select {
-		case <-ctx.Done():
+		if !timing.Sleep(ctx, orderPoll) {
 			return nil, errkind.New(errkind.ControlUnavailable, "the order is placed, its end is not known yet").WithOutcome(errkind.Unknown)
-		case <-time.After(orderPoll):
 		}
 		reply, err := d.group.Query(ctx, &controlapi.QueryRequest{Orders: true})
 		if err != nil {
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -12,11 +12,11 @@
 	"github.com/godwitbend/godwitbend/internal/control"
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
 	"github.com/godwitbend/godwitbend/internal/errkind"
-	"github.com/godwitbend/godwitbend/internal/periodic"
 	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/settings"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -145,7 +145,7 @@
 
 // watchHealth reports the first failure of the replica's storage.
 func (c *controlReplica) watchHealth(ctx context.Context) {
-	periodic.Run(ctx, healthInterval, func() bool {
+	timing.EveryUntil(ctx, healthInterval, func() bool {
 		err := c.replica.Status().Healthy
 		if err != nil {
 			c.failed <- eris.Wrap(err, "control replica storage")
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -165,7 +165,7 @@
 	d.goRun(func() { d.forward.watchSilence(ctx) })
 	return &registry.Handler{
 		Registry: d.registry,
-		Heard:    d.forward.directly.hear,
+		Heard:    d.forward.direct.hear,
 		Forward:  d.forward.forward,
 		Observe:  d.router.Observe,
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/routing"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // errAnswered tells that a failed try was answered to its end, or that nobody waits for an answer.
@@ -96,7 +97,7 @@
 			return t, nil
 		}
 		t.leave()
-		if !errkind.Is(err, errkind.SuspectBusy) || !pause(ctx, wait) {
+		if !errkind.Is(err, errkind.SuspectBusy) || !timing.Sleep(ctx, wait) {
 			return target{}, err
 		}
 		if t, err = x.chooseAgain(); err != nil {
@@ -219,7 +220,7 @@
 	ctx, cancel := context.WithDeadline(x.work, x.deadline)
 	defer cancel()
 	if tries > 1 || !f.notRun {
-		pause(ctx, x.h.backoff(tries))
+		timing.Sleep(ctx, x.h.backoff(tries))
 	}
 	t, err := x.chooseAgain()
 	if err != nil {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // call is a checked request of a caller.
@@ -249,7 +250,7 @@
 			return t, err
 		}
 		known := len(x.h.Registry.Snapshot().Pool(x.service).All) > 0
-		if !known || !pause(ctx, choicePoll) {
+		if !known || !timing.Sleep(ctx, choicePoll) {
 			return target{}, err
 		}
 	}
@@ -294,7 +295,7 @@
 		}
 		clear(x.failed)
 		maps.Copy(x.failed, x.fenced)
-		if !pause(ctx, choicePoll) {
+		if !timing.Sleep(ctx, choicePoll) {
 			return target{}, err
 		}
 	}
--- a/internal/entry/fate.go
+++ b/internal/entry/fate.go
@@ -8,6 +8,7 @@
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -37,7 +38,7 @@
 			x.failed[t.entry.ID] = true
 			return nil
 		}
-		if !pause(ctx, fatePoll) {
+		if !timing.Sleep(ctx, fatePoll) {
 			return x.fatePending()
 		}
 	}
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -8,6 +8,7 @@
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -46,7 +47,7 @@
 			continue
 		}
 		suspect := errkind.Is(err, errkind.SuspectBusy)
-		if !suspect && !errkind.Is(err, errkind.BudgetReserved) || !pause(ctx, wait) {
+		if !suspect && !errkind.Is(err, errkind.BudgetReserved) || !timing.Sleep(ctx, wait) {
 			t.leave()
 			return nil, target{}, err
 		}
@@ -278,7 +279,7 @@
 		if err == nil {
 			return res, nil
 		}
-		if !pause(ctx, recordRetryDelay) {
+		if !timing.Sleep(ctx, recordRetryDelay) {
 			return nil, errkind.New(errkind.ControlUnavailable, "the record can't be written").WithRetryAfter(controlRetry)
 		}
 	}
@@ -300,15 +301,3 @@
 		RequestID: begin.Begin.RequestID, Attempt: res.Begin.Attempt, Session: begin.Begin.Session,
 	}})
 }
-
-// pause waits for d; it returns false if ctx ended before.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // maxResumes bounds how often one stream is resumed at its upstream.
@@ -70,7 +71,7 @@
 	ctx, watch := newWatch(x.work, streamIdle)
 	defer watch.stop()
 	if resumes > 0 {
-		pause(ctx, x.h.backoff(resumes))
+		timing.Sleep(ctx, x.h.backoff(resumes))
 	}
 	resp, f := x.resume(ctx, t, state.events)
 	if f != nil {
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // ServiceOptions are the settings of a Service.
@@ -176,7 +177,7 @@
 	case <-c.ctx.Done():
 		dropConnection()
 	}
-	if !pause(c.ctx, s.opts.WorkTime) {
+	if !timing.Sleep(c.ctx, s.opts.WorkTime) {
 		dropConnection()
 	}
 	if faults.crashes(body) {
@@ -188,7 +189,7 @@
 	if !done {
 		dropConnection()
 	}
-	if !pause(s.lifetime(), s.opts.AnswerTime+faults.answerDelay()) || faults.DropAnswers {
+	if !timing.Sleep(s.lifetime(), s.opts.AnswerTime+faults.answerDelay()) || faults.DropAnswers {
 		dropConnection()
 	}
 	if faults.ForeignID != "" {
@@ -283,18 +284,3 @@
 	}
 	s.writeState(w, c.state)
 }
-
-// pause waits for d and tells whether ctx still lives.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/fake/weights.go
+++ b/internal/fake/weights.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // WeightStore is a stand-in for the weight store: it serves at a limited rate,
@@ -33,7 +35,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *WeightStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !pause(r.Context(), s.reserve()) {
+	if !timing.Sleep(r.Context(), s.reserve()) {
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/load/driver.go
+++ b/internal/load/driver.go
@@ -15,6 +15,7 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/trace"
 )
 
@@ -87,7 +88,7 @@
 	for i := range arrivals {
 		a := &arrivals[i]
 		due := start.Add(time.Duration(float64(a.AtMS)/speed) * time.Millisecond)
-		if !sleepUntil(ctx, due) {
+		if !timing.Sleep(ctx, time.Until(due)) {
 			break
 		}
 		open.Go(func() { d.serve(ctx, a, due) })
@@ -129,7 +130,7 @@
 	var calls sync.WaitGroup
 	if a.ResendMS > 0 {
 		calls.Go(func() {
-			if sleepUntil(ctx, due.Add(time.Duration(a.ResendMS)*time.Millisecond)) {
+			if timing.Sleep(ctx, time.Until(due.Add(time.Duration(a.ResendMS)*time.Millisecond))) {
 				d.untilAnswered(ctx, o)
 			}
 		})
@@ -174,7 +175,7 @@
 			wait = backoff
 			backoff = min(2*backoff, maxBackoff)
 		}
-		if !sleepUntil(ctx, time.Now().Add(wait)) {
+		if !timing.Sleep(ctx, wait) {
 			return
 		}
 	}
@@ -302,14 +303,3 @@
 	}
 	return ids
 }
-
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/load/picker.go
+++ b/internal/load/picker.go
@@ -7,6 +7,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/trace"
 )
 
@@ -68,7 +69,7 @@
 }
 
 func (p *picker) watchHost(ctx context.Context, i int, h *harness.Host) {
-	for sleepUntil(ctx, time.Now().Add(probeInterval)) {
+	for timing.Sleep(ctx, probeInterval) {
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
 		ready := p.site.Ready(probe, h)
 		cancel()
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -8,6 +8,7 @@
 	"github.com/godwitbend/godwitbend/internal/audit"
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/trace"
 )
 
@@ -142,7 +143,7 @@
 
 // fail lets the failure of a scenario come at a time.
 func (s *Site) fail(ctx context.Context, scenario Scenario, at time.Time, o *Outcome) error {
-	if scenario == Calm || !sleepUntil(ctx, at) {
+	if scenario == Calm || !timing.Sleep(ctx, time.Until(at)) {
 		return nil
 	}
 	o.FailedAt = time.Now()
@@ -183,7 +184,7 @@
 	o.FailedAt = time.Now()
 	leader.Freeze()
 	defer leader.Continue()
-	sleepUntil(ctx, time.Now().Add(freezeTime))
+	timing.Sleep(ctx, freezeTime)
 	return nil
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -14,6 +14,7 @@
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -110,7 +111,7 @@
 			continue
 		}
 		if !s.heartbeat(ctx) {
-			pause(ctx, openRetryDelay)
+			timing.Sleep(ctx, openRetryDelay)
 		}
 	}
 }
@@ -120,13 +121,6 @@
 	return min(s.o.Lease/heartbeatsPerLease, maxHeartbeatInterval)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (s *Session) open(ctx context.Context) {
 	id := s.o.Host + "-" + uuid.NewString()
 	cmd := &controlapi.Command{OpenSession: &controlapi.OpenSession{
@@ -143,7 +137,7 @@
 	}
 	if err != nil {
 		klog.InfoS("session not opened", "error", err.Error())
-		pause(ctx, openRetryDelay)
+		timing.Sleep(ctx, openRetryDelay)
 		return
 	}
 	s.update(func(next *state) { next.id = id })
--- a/internal/standby/client.go
+++ b/internal/standby/client.go
@@ -7,7 +7,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
-	"github.com/godwitbend/godwitbend/internal/periodic"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // connectedPoll is the time between two looks whether the group still answers.
@@ -161,7 +161,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go periodic.Run(ctx, connectedPoll, func() bool {
+	go timing.EveryUntil(ctx, connectedPoll, func() bool {
 		if c.o.Connected() {
 			return true
 		}
--- a/internal/standby/maintain.go
+++ b/internal/standby/maintain.go
@@ -9,7 +9,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
-	"github.com/godwitbend/godwitbend/internal/periodic"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -25,7 +25,7 @@
 
 // Run keeps the grants in step with the demand and merges journals until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	periodic.Always(ctx, maintainInterval, func() { c.round(ctx, false) })
+	timing.Every(ctx, maintainInterval, func() { c.round(ctx, false) })
 }
 
 // Close merges what is left and returns all grants. Run must have returned and
--- a/internal/standby/remote.go
+++ b/internal/standby/remote.go
@@ -10,8 +10,8 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
-	"github.com/godwitbend/godwitbend/internal/periodic"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -103,7 +103,7 @@
 // Run merges the journals of ended sessions until ctx ends. It returns no
 // grants: another peer may hold later records.
 func (f *Foreign) Run(ctx context.Context) {
-	periodic.Always(ctx, foreignInterval, func() { f.round(ctx) })
+	timing.Every(ctx, foreignInterval, func() { f.round(ctx) })
 }
 
 func (f *Foreign) round(ctx context.Context) {
