Drain a host whose replica lost its storage

Cause: reading the daemon showed that a storage error of the replica ended the process at once, which cut off the streams in flight, though the host could still serve through the other replicas. Change: the host fails its readiness check, drains and then exits with the error.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,8 +90,7 @@
 	case <-ctx.Done():
 	case err := <-d.failed():
 		klog.ErrorS(err, "host stops")
-		stop()
-		return err
+		return errors.Join(err, d.shutdown(stop))
 	}
 	return d.shutdown(stop)
 }
