--- a/internal/standby/journal.go
+++ b/internal/standby/journal.go
@@ -46,6 +46,9 @@
 	if err := os.MkdirAll(directory, directoryPerm); err != nil {
 		return nil, eris.Wrap(err, "make the journal directory")
 	}
+	if err := (wal.OS{}).SyncDir(filepath.Dir(directory)); err != nil {
+		return nil, err
+	}
 	return &Journals{directory: directory, files: make(map[string]*os.File)}, nil
 }
 
