Use the one way to replace a file, and redirects by value

Cause: reading the whole change again: seen.go wrote wal.WriteSynced once more, a pointer to a redirect was made only to be dereferenced, and a wait stood beside timing.Sleep. Change: those three are gone. The file of seen replica ids, which holds nothing secret, has the mode of the log's files now.

--- a/internal/controlgroup/heartbeat.go
+++ b/internal/controlgroup/heartbeat.go
@@ -20,7 +20,7 @@
 	term, err := s.Replica().Barrier(ctx)
 	if err != nil {
 		moved, err := s.redirect(err)
-		return &HeartbeatReply{redirect: deref(moved)}, err
+		return &HeartbeatReply{redirect: moved}, err
 	}
 	out := &HeartbeatReply{}
 	open := false
--- a/internal/controlgroup/membership.go
+++ b/internal/controlgroup/membership.go
@@ -25,7 +25,7 @@
 		return nil, refused
 	}
 	moved, err := s.redirect(err)
-	return &ReplicaChangeReply{redirect: deref(moved)}, err
+	return &ReplicaChangeReply{redirect: moved}, err
 }
 
 // refusedChange returns the answer to a change that the group refuses, or nil if
--- a/internal/controlgroup/seen.go
+++ b/internal/controlgroup/seen.go
@@ -22,7 +22,6 @@
 const (
 	methodSeen = "replication/seen"
 	seenFile   = "seen-replicas.json"
-	filePerm   = 0o600
 	// seenRetryDelay is the time between two rounds of questions to peers.
 	seenRetryDelay = 100 * time.Millisecond
 )
@@ -79,31 +78,13 @@
 	if err != nil {
 		return eris.Wrap(err, "encode seen replicas")
 	}
-	if err := writeSynced(s.path, data); err != nil {
+	if err := wal.WriteSynced(wal.OS{}, s.path, data); err != nil {
 		return err
 	}
 	s.ids[id] = true
 	return nil
 }
 
-// writeSynced replaces the file at path so that a crash leaves the old or the new content.
-func writeSynced(path string, data []byte) error {
-	temporary := path + ".tmp"
-	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePerm)
-	if err != nil {
-		return eris.Wrap(err, "create file")
-	}
-	_, err = file.Write(data)
-	err = errors.Join(err, file.Sync(), file.Close())
-	if err != nil {
-		return eris.Wrapf(err, "write %s", temporary)
-	}
-	if err := os.Rename(temporary, path); err != nil {
-		return eris.Wrap(err, "replace file")
-	}
-	return wal.OS{}.SyncDir(filepath.Dir(path))
-}
-
 // Filter returns the messages whose sender is on disk; it drops the others.
 func (s *SeenReplicas) Filter(msgs []replication.Message) []replication.Message {
 	out := msgs[:0]
--- a/internal/controlgroup/server.go
+++ b/internal/controlgroup/server.go
@@ -138,25 +138,18 @@
 func (s *Server) Execute(ctx context.Context, req *ExecuteRequest) (*ExecuteReply, error) {
 	cmd := req.Command
 	result, moved, err := s.propose(ctx, &cmd)
-	if err != nil || moved != nil {
-		return &ExecuteReply{redirect: deref(moved)}, err
+	if err != nil || moved.NotLeader {
+		return &ExecuteReply{redirect: moved}, err
 	}
 	s.afterCommit(ctx, &cmd, result)
 	return &ExecuteReply{Result: *result}, nil
 }
 
-func deref(r *redirect) redirect {
-	if r == nil {
-		return redirect{}
-	}
-	return *r
-}
-
-func (s *Server) propose(ctx context.Context, cmd *controlapi.Command) (*controlapi.Result, *redirect, error) {
+func (s *Server) propose(ctx context.Context, cmd *controlapi.Command) (*controlapi.Result, redirect, error) {
 	cmd.TimeMS = s.o.Now().UnixMilli()
 	data, err := codec.Marshal(cmd)
 	if err != nil {
-		return nil, nil, err
+		return nil, redirect{}, err
 	}
 	value, err := s.Replica().Propose(ctx, data)
 	if err != nil {
@@ -165,18 +158,18 @@
 	}
 	result, ok := value.(*controlapi.Result)
 	if !ok {
-		return nil, nil, errkind.New(errkind.Internal, "state machine returned %T", value)
+		return nil, redirect{}, errkind.New(errkind.Internal, "state machine returned %T", value)
 	}
-	return result, nil, nil
+	return result, redirect{}, nil
 }
 
 // redirect turns a NotLeaderError into a redirect, and any other error into ControlUnavailable.
-func (s *Server) redirect(err error) (*redirect, error) {
+func (s *Server) redirect(err error) (redirect, error) {
 	var notLeader *replica.NotLeaderError
 	if errors.As(err, &notLeader) {
-		return &redirect{NotLeader: true, Leader: s.address(notLeader.Leader)}, nil
+		return redirect{NotLeader: true, Leader: s.address(notLeader.Leader)}, nil
 	}
-	return nil, errkind.New(errkind.ControlUnavailable, "%v", err)
+	return redirect{}, errkind.New(errkind.ControlUnavailable, "%v", err)
 }
 
 // afterCommit keeps the leases in step with a committed command.
@@ -240,7 +233,7 @@
 	err := s.Replica().Read(ctx, func() { out.Reply = *s.o.Machine.Query(req) })
 	if err != nil {
 		moved, err := s.redirect(err)
-		return &QueryReply{redirect: deref(moved)}, err
+		return &QueryReply{redirect: moved}, err
 	}
 	if req.Request != "" {
 		out.Reply.JournalsAwaited = s.journalsAwaited(ctx, "")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/godwitbend/godwitbend/internal/settings"
 	"github.com/godwitbend/godwitbend/internal/standby"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -148,13 +149,9 @@
 
 // awaitRecords waits until the records of the requests that were answered are closed.
 func (d *Daemon) awaitRecords(ctx context.Context) error {
-	ticker := time.NewTicker(recordsInterval)
-	defer ticker.Stop()
 	for d.handler.OpenRequests() > 0 {
-		select {
-		case <-ctx.Done():
+		if !timing.Sleep(ctx, recordsInterval) {
 			return eris.Wrap(ctx.Err(), "close the records of requests")
-		case <-ticker.C:
 		}
 	}
 	return nil
