--- a/cmd/godwitbendd/main.go
+++ b/cmd/godwitbendd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,8 +13,10 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/daemon"
+	"github.com/godwitbend/godwitbend/internal/node"
 	"github.com/godwitbend/godwitbend/internal/settings"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/platform"
 )
 
 func main() {
@@ -21,34 +24,68 @@
 	path := app.Flag("settings", "The settings file of the host, JSON.").Required().String()
 	run := app.Command("run", "Serve until SIGTERM or SIGINT, then drain.").Default()
 	check := app.Command("check", "Check the settings file and exit.")
+	runNode := app.Command("node", "Serve as a host of a gateway fleet on the users' platform.")
+	checkNode := app.Command("check-node", "Check the settings file of a host of a gateway fleet and exit.")
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
-	s, err := settings.Load(*path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	var code int
 	switch command {
-	case check.FullCommand():
-		fmt.Println("the settings are valid")
 	case run.FullCommand():
-		os.Exit(serve(s))
+		code = withSettings(*path, settings.Load, serve)
+	case check.FullCommand():
+		code = withSettings(*path, settings.Load, valid[settings.Settings])
+	case runNode.FullCommand():
+		code = withSettings(*path, settings.LoadNode, func(s *settings.Node) int { return serveNode(*path, s) })
+	case checkNode.FullCommand():
+		code = withSettings(*path, settings.LoadNode, valid[settings.Node])
+	}
+	os.Exit(code)
+}
+
+// withSettings calls fn with the settings at path and returns its exit code.
+func withSettings[T any](path string, load func(string) (*T, error), fn func(*T) int) int {
+	s, err := load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
 	}
+	return fn(s)
 }
 
-// serve runs the host and returns the exit code.
+func valid[T any](*T) int {
+	fmt.Println("the settings are valid")
+	return 0
+}
+
+// serve runs a host with the project's own interface and returns the exit code.
 func serve(s *settings.Settings) int {
-	if err := telemetry.SetupLog(os.Stderr, s.Log.Level, s.Host); err != nil {
+	return supervise(os.Stderr, s.Log.Level, s.Host, func(ctx context.Context) error {
+		network, err := daemon.NewTCP(s)
+		if err != nil {
+			return err
+		}
+		return daemon.New(s, network).Run(ctx)
+	})
+}
+
+// serveNode runs a host of a gateway fleet and returns the exit code.
+func serveNode(path string, s *settings.Node) int {
+	out := telemetry.NewBoundedWriter(os.Stdout)
+	defer out.Close()
+	return supervise(out, s.Log.Level, s.Host, func(ctx context.Context) error {
+		return node.Run(ctx, path, s, platform.Adapter())
+	})
+}
+
+// supervise sets the log up, runs fn until it ends or a signal comes, and returns the exit code.
+func supervise(log io.Writer, level, host string, fn func(context.Context) error) int {
+	if err := telemetry.SetupLog(log, level, host); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	defer klog.Flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	network, err := daemon.NewTCP(s)
-	if err == nil {
-		err = daemon.New(s, network).Run(ctx)
-	}
-	if err != nil {
+	if err := fn(ctx); err != nil {
 		klog.ErrorS(err, "host failed")
 		return 1
 	}
--- /dev/null
+++ b/internal/catalog/validate.go
@@ -0,0 +1,102 @@
+package catalog
+
+import (
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Validate checks the document as a whole. The error says what is wrong first.
+func (d *Document) Validate() error {
+	if d.Version == 0 {
+		return eris.New("the version is missing")
+	}
+	services := map[string]bool{}
+	for i := range d.Services {
+		name := d.Services[i].Name
+		if name == "" {
+			return eris.New("a service has no name")
+		}
+		if services[name] {
+			return eris.Errorf("service %q is listed twice", name)
+		}
+		services[name] = true
+	}
+	if err := d.validateRoutes(services); err != nil {
+		return err
+	}
+	return d.validateOrganisations()
+}
+
+func (d *Document) validateRoutes(services map[string]bool) error {
+	places := map[[2]string]string{}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.validate(services); err != nil {
+			return eris.Wrapf(err, "route %q", r.Name)
+		}
+		place := [2]string{r.Host, r.Prefix}
+		if other, taken := places[place]; taken {
+			return eris.Errorf("routes %q and %q have the same host and prefix", other, r.Name)
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) validate(services map[string]bool) error {
+	switch {
+	case r.Name == "":
+		return eris.New("the name is missing")
+	case r.Host == "":
+		return eris.New("the host is missing")
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return eris.Errorf("the prefix %q does not begin and end with a slash", r.Prefix)
+	case r.Kind < Idempotent || r.Kind > Streaming:
+		return eris.New("the kind is unknown")
+	case r.Timeout <= 0:
+		return eris.New("the timeout is not above 0")
+	case r.MaxAttempts < 0:
+		return eris.New("the number of attempts is negative")
+	case len(r.Targets) == 0:
+		return eris.New("no service is named")
+	}
+	sum := 0
+	for _, t := range r.Targets {
+		if !services[t.Service] {
+			return eris.Errorf("service %q is unknown", t.Service)
+		}
+		if t.Weight < 0 {
+			return eris.Errorf("the weight of service %q is negative", t.Service)
+		}
+		sum += t.Weight
+	}
+	if sum == 0 {
+		return eris.New("the weights add up to 0")
+	}
+	return nil
+}
+
+func (d *Document) validateOrganisations() error {
+	names, keys := map[string]bool{}, map[string]string{}
+	for i := range d.Organisations {
+		o := &d.Organisations[i]
+		if o.Name == "" {
+			return eris.New("an organisation has no name")
+		}
+		if names[o.Name] {
+			return eris.Errorf("organisation %q is listed twice", o.Name)
+		}
+		names[o.Name] = true
+		if o.Prepaid != nil && *o.Prepaid < 0 {
+			return eris.Errorf("the prepaid total of organisation %q is negative", o.Name)
+		}
+		for _, key := range o.Keys {
+			if other, taken := keys[key]; taken && other != o.Name {
+				return eris.Errorf("organisations %q and %q share a key", other, o.Name)
+			}
+			keys[key] = o.Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlnode/batch.go
@@ -0,0 +1,122 @@
+package controlnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
+	"github.com/godwitbend/godwitbend/internal/replica"
+	"github.com/godwitbend/godwitbend/internal/timing"
+)
+
+const (
+	// batchDelay is the time for which reports are gathered into one log entry.
+	batchDelay = 4 * time.Millisecond
+	// maxBatchedReports bounds the reports of one log entry.
+	maxBatchedReports = 256
+	// commitTimeout bounds the commit of a batch.
+	commitTimeout = 700 * time.Millisecond
+)
+
+// reportBatcher commits the reports of many hosts as one command, so that the
+// log grows by the rate of batches and not by that of calls.
+type reportBatcher struct {
+	node  *Node
+	queue chan *submission
+}
+
+// submission is one host's part of a batch.
+type submission struct {
+	req  *SyncRequest
+	done chan submitted
+}
+
+type submitted struct {
+	reply *prepaid.Reply
+	err   error
+}
+
+func newReportBatcher(n *Node) *reportBatcher {
+	return &reportBatcher{node: n, queue: make(chan *submission, maxBatchedReports)}
+}
+
+// submit commits the opening and the report of req; the reply is nil without a report.
+func (b *reportBatcher) submit(ctx context.Context, req *SyncRequest) (*prepaid.Reply, error) {
+	if req.Opening == nil && req.Report == nil {
+		return nil, nil
+	}
+	s := &submission{req: req, done: make(chan submitted, 1)}
+	select {
+	case b.queue <- s:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case out := <-s.done:
+		return out.reply, out.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (b *reportBatcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-b.queue:
+			timing.Sleep(ctx, batchDelay)
+			b.commit(ctx, b.collect(first))
+		}
+	}
+}
+
+func (b *reportBatcher) collect(first *submission) []*submission {
+	batch := []*submission{first}
+	for len(batch) < maxBatchedReports {
+		select {
+		case s := <-b.queue:
+			batch = append(batch, s)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (b *reportBatcher) commit(ctx context.Context, batch []*submission) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	command := &fleetstate.Command{}
+	for _, s := range batch {
+		if s.req.Opening != nil {
+			command.Openings = append(command.Openings, *s.req.Opening)
+		}
+		if s.req.Report != nil {
+			command.Reports = append(command.Reports, fleetstate.HostReport{Host: s.req.Host, Report: *s.req.Report})
+		}
+	}
+	r := b.node.replica.Load()
+	if r == nil {
+		answerAll(batch, nil, &replica.NotLeaderError{})
+		return
+	}
+	result, err := propose(ctx, r, command)
+	answerAll(batch, result, err)
+}
+
+func answerAll(batch []*submission, result *fleetstate.Result, err error) {
+	next := 0
+	for _, s := range batch {
+		var out submitted
+		switch {
+		case err != nil:
+			out.err = err
+		case s.req.Report != nil:
+			out.reply = &result.Replies[next]
+			next++
+		}
+		s.done <- out
+	}
+}
--- /dev/null
+++ b/internal/controlnode/sync.go
@@ -0,0 +1,104 @@
+package controlnode
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/fleetstate"
+)
+
+const (
+	// syncTimeout bounds the commit of a host's report.
+	syncTimeout = 800 * time.Millisecond
+	// hostRetention is the time without a call after which a gateway host counts as gone.
+	hostRetention = 3 * time.Second
+	// tableInterval is the time between two sendings of the unchanged table of
+	// upstreams to a host, which shows it how long each has been silent.
+	tableInterval = 3 * time.Second
+)
+
+// gatewayHost is what the leader knows of a gateway host.
+type gatewayHost struct {
+	seen     time.Time
+	tabled   time.Time
+	inFlight map[string]int
+}
+
+// sync serves MethodSync.
+func (n *Node) sync(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
+	r, route := n.leader()
+	if r == nil {
+		return &SyncReply{Routed: route}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	result, err := n.reports.submit(ctx, req)
+	if err != nil {
+		route, err := n.routed(err)
+		return &SyncReply{Routed: route}, err
+	}
+	reply := &SyncReply{Prepaid: result, Epoch: n.epoch, Members: n.Members()}
+	n.addDocument(req, reply)
+	n.addTraffic(req, reply, time.Now())
+	return reply, nil
+}
+
+func (n *Node) addDocument(req *SyncRequest, reply *SyncReply) {
+	d := n.machine.Load().Document()
+	reply.Version = d.Version
+	if d.Version > req.Version {
+		reply.Document = d
+	}
+}
+
+// addTraffic notes the host's load and tells it of the upstreams and the load of the others.
+func (n *Node) addTraffic(req *SyncRequest, reply *SyncReply, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.hosts[req.Host]
+	if h == nil {
+		h = &gatewayHost{}
+		n.hosts[req.Host] = h
+	}
+	h.seen, h.inFlight = now, req.InFlight
+	reply.InFlight = map[string]int{}
+	for name, other := range n.hosts {
+		if now.Sub(other.seen) > hostRetention {
+			delete(n.hosts, name)
+			continue
+		}
+		if name == req.Host {
+			continue
+		}
+		for id, count := range other.inFlight {
+			reply.InFlight[id] += count
+		}
+	}
+	reply.Hosts = len(n.hosts)
+	reply.Revision = n.table.Revision()
+	if req.Epoch != n.epoch || req.Revision != reply.Revision || now.Sub(h.tabled) >= tableInterval {
+		h.tabled = now
+		reply.Upstreams = n.tableRecords(now)
+	}
+	n.crashes.add(req.Crashes, now)
+	reply.Quarantined = n.crashes.quarantined(now)
+}
+
+// closeSession serves MethodClose.
+func (n *Node) closeSession(ctx context.Context, req *CloseRequest) (*CloseReply, error) {
+	r, route := n.leader()
+	if r == nil {
+		return &CloseReply{Routed: route}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	command := &fleetstate.Command{Closings: []fleetstate.Closing{{Host: req.Host, Session: req.Session}}}
+	if _, err := propose(ctx, r, command); err != nil {
+		route, err := n.routed(err)
+		return &CloseReply{Routed: route}, err
+	}
+	klog.InfoS("session of a host closed", "gateway", req.Host)
+	return &CloseReply{}, nil
+}
--- /dev/null
+++ b/internal/controlnode/upstreams.go
@@ -0,0 +1,145 @@
+package controlnode
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/presence"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
+)
+
+const (
+	// exchangeInterval is the time between two sendings of the whole table to the
+	// other control hosts, for what was lost on its way.
+	exchangeInterval = time.Second
+	// forwardTimeout bounds the passing on of one report.
+	forwardTimeout = 600 * time.Millisecond
+	// forwardQueue bounds the reports that wait for one control host.
+	forwardQueue = 1024
+)
+
+// Report takes in what an upstream says of itself, and passes it on.
+func (n *Node) Report(u presence.Upstream) {
+	now := time.Now()
+	if !n.takeReport(u, now) {
+		return
+	}
+	record := UpstreamRecord{Upstream: u}
+	for _, address := range n.contacts() {
+		select {
+		case n.peerQueue(address) <- record:
+		default:
+			klog.InfoS("report of an upstream not passed on: queue full", "upstream", u.ID, "control_host", address)
+		}
+	}
+}
+
+func (n *Node) takeReport(u presence.Upstream, seen time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := n.table.Revision()
+	news := n.table.Report(u, seen)
+	if n.table.Revision() != before {
+		klog.InfoS("upstream changed", "upstream", u.ID, "address", u.Address, "service", u.Service,
+			"state", u.State.String(), "started", u.Started, "sequence", u.Sequence, "revision", n.table.Revision())
+	}
+	return news
+}
+
+// KnownStart returns the start of the process that last reported under an id.
+func (n *Node) KnownStart(id string) (started int64, known bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.table.Record(id); r != nil {
+		return r.Started, true
+	}
+	return 0, false
+}
+
+func (n *Node) peerQueue(address string) chan UpstreamRecord {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	q := n.peers[address]
+	if q == nil {
+		q = make(chan UpstreamRecord, forwardQueue)
+		n.peers[address] = q
+		n.goRun(func() { n.forward(n.ctx, address, q) })
+	}
+	return q
+}
+
+// forward passes reports on to one control host, as many at a time as wait.
+func (n *Node) forward(ctx context.Context, address string, q chan UpstreamRecord) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-q:
+			n.sendUpstreams(ctx, address, collectRecords(first, q))
+		}
+	}
+}
+
+func collectRecords(first UpstreamRecord, q chan UpstreamRecord) []UpstreamRecord {
+	records := []UpstreamRecord{first}
+	for {
+		select {
+		case r := <-q:
+			records = append(records, r)
+		default:
+			return records
+		}
+	}
+}
+
+func (n *Node) sendUpstreams(ctx context.Context, address string, records []UpstreamRecord) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	msg := &UpstreamsMessage{Records: records}
+	if _, err := rpc.Call[UpstreamsMessage, UpstreamsReply](ctx, n.rpc, address, MethodUpstreams, msg); err != nil {
+		klog.V(2).InfoS("reports of upstreams not passed on", "control_host", address, "error", err.Error())
+	}
+}
+
+// takeUpstreams serves MethodUpstreams.
+func (n *Node) takeUpstreams(_ context.Context, msg *UpstreamsMessage) (*UpstreamsReply, error) {
+	now := time.Now()
+	for i := range msg.Records {
+		n.takeReport(msg.Records[i].Upstream, now.Add(-msg.Records[i].Age))
+	}
+	return &UpstreamsReply{}, nil
+}
+
+// tableRecords returns the whole table; n.mu is held.
+func (n *Node) tableRecords(now time.Time) []UpstreamRecord {
+	var records []UpstreamRecord
+	for _, r := range n.table.All() {
+		records = append(records, UpstreamRecord{Upstream: r.Upstream, Age: now.Sub(r.Seen)})
+	}
+	slices.SortFunc(records, func(a, b UpstreamRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return records
+}
+
+func (n *Node) maintainUpstreams(ctx context.Context) {
+	timing.Every(ctx, exchangeInterval, func() {
+		now := time.Now()
+		n.mu.Lock()
+		silent := n.table.Expire(now)
+		records := n.tableRecords(now)
+		n.mu.Unlock()
+		for _, id := range silent {
+			klog.InfoS("upstream dropped: silent", "upstream", id, "after", presence.Retention.String())
+		}
+		if len(records) == 0 {
+			return
+		}
+		for _, address := range n.contacts() {
+			n.goRun(func() { n.sendUpstreams(ctx, address, records) })
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/budget.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
+)
+
+const (
+	// tokensWait bounds the wait for tokens while the control group can be reached.
+	tokensWait = 300 * time.Millisecond
+	// tokensRetry is when a host is likely to have got tokens that others gave back.
+	tokensRetry = 500 * time.Millisecond
+	// cutOffRetry is the time to come back to a host without tokens that is cut off.
+	cutOffRetry = time.Second
+)
+
+// budgeted tells whether the request draws on a prepaid budget.
+func (q *request) budgeted() bool {
+	return q.organisation != nil && q.organisation.Prepaid != nil && q.InputTokens+q.OutputTokens > 0
+}
+
+// reserve sets the worst case of the request aside.
+func (q *request) reserve() *errkind.Error {
+	if !q.budgeted() {
+		return nil
+	}
+	need := q.InputTokens + q.OutputTokens
+	if need > *q.organisation.Prepaid {
+		return errkind.New(errkind.BudgetExhausted, "the request is larger than what was paid in")
+	}
+	waiting, cancel := context.WithTimeout(q.ctx, tokensWait)
+	defer cancel()
+	for {
+		inTouch := q.handler.Sync.InTouch(time.Now())
+		switch q.handler.Sync.Allowance().Reserve(q.organisation.Name, need, q.handler.Clock()) {
+		case prepaid.Granted:
+			q.reserved = need
+			return nil
+		case prepaid.Exhausted:
+			return errkind.New(errkind.BudgetExhausted, "the balance does not cover %d tokens", need)
+		case prepaid.Short:
+		}
+		if !inTouch {
+			return errkind.New(errkind.BudgetReserved, "this host lacks %d tokens and is cut off", need).WithRetryAfter(cutOffRetry)
+		}
+		if !q.handler.Sync.AwaitContact(waiting) {
+			return errkind.New(errkind.BudgetReserved, "this host lacks %d tokens", need).WithRetryAfter(tokensRetry)
+		}
+	}
+}
+
+// settle charges what was used: nothing if no upstream ran the request, and
+// otherwise the prompt and the events that reached the caller.
+func (q *request) settle() {
+	if q.reserved == 0 {
+		return
+	}
+	used := int64(0)
+	if q.ran {
+		perEvent := int64(1)
+		if q.service != nil && q.service.Engine != nil {
+			perEvent = max(q.service.Engine.EventTokens, 1)
+		}
+		used = q.InputTokens + min(q.events*perEvent, q.OutputTokens)
+	}
+	q.handler.Sync.Allowance().Settle(q.organisation.Name, q.reserved, used)
+}
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,346 @@
+package gateway
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/catalog"
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
+)
+
+const (
+	// noUpstreamRetry is the usual time until an upstream has reported again.
+	noUpstreamRetry = time.Second
+	// fullRetry is the time in which a place becomes free at an upstream that is full.
+	fullRetry = 300 * time.Millisecond
+	// leastTime is the time below which an upstream can't answer any more.
+	leastTime = 5 * time.Millisecond
+	// answerLimit bounds the answer of a plain service, in bytes.
+	answerLimit = 16 << 20
+	// plainQueueFactor and engineQueueFactor are the open requests per slot at
+	// which an upstream is full.
+	plainQueueFactor  = 3
+	engineQueueFactor = 2
+)
+
+// step is what follows an attempt.
+type step uint8
+
+const (
+	// finished: the caller has its answer.
+	finished step = iota
+	// elsewhere: the request has not run at this upstream.
+	elsewhere
+	// unknown: it may have run, and the caller has nothing yet.
+	unknown
+	// cut: the caller has a part of a stream.
+	cut
+	// failed: the upstream failed a request that it ran; held holds its answer.
+	failed
+)
+
+// attempt is the exchange with one upstream.
+type attempt struct {
+	*request
+	target *placement.Upstream
+	// held is a failure of the upstream that is passed on if there is no other attempt.
+	held *heldAnswer
+	// retryAfter is the upstream's word on when it has room.
+	retryAfter time.Duration
+}
+
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// dispatch sends the request to upstreams until it is answered.
+func (q *request) dispatch(w http.ResponseWriter) *errkind.Error {
+	target := q.pickTarget()
+	q.service = q.view.Index.Service(target)
+	q.handler.Retries.Request(target, q.arrived)
+	for {
+		if q.ctx.Err() != nil || q.left() < leastTime {
+			return q.giveUp(w, nil)
+		}
+		upstream, refusal := q.choose(target)
+		if refusal != nil {
+			return q.giveUp(w, refusal)
+		}
+		a := &attempt{request: q, target: upstream}
+		next := a.run(w)
+		q.handler.Pool.Release(upstream)
+		if next == finished {
+			return nil
+		}
+		if !q.mayRetry(target, next) {
+			return a.conclude(w, next)
+		}
+		telemetry.Retry(q.handler.Scope, q.saw).Inc(1)
+		klog.InfoS("request goes to another upstream", append(q.logFields(), "left_ms", q.left().Milliseconds())...)
+	}
+}
+
+// pickTarget draws the service by the weights of the route.
+func (q *request) pickTarget() string {
+	targets := q.route.Targets
+	if len(targets) == 1 {
+		return targets[0].Service
+	}
+	sum := 0
+	for _, t := range targets {
+		sum += t.Weight
+	}
+	draw := rand.IntN(sum)
+	for _, t := range targets {
+		if draw -= t.Weight; draw < 0 {
+			return t.Service
+		}
+	}
+	return targets[len(targets)-1].Service
+}
+
+func (q *request) choose(service string) (*placement.Upstream, *errkind.Error) {
+	part, has := q.sharedPart()
+	upstream, reason := q.handler.Pool.Choose(&placement.Request{
+		Service: service, Part: part, HasPart: has, Exclude: q.exclude, Limit: q.placeLimit(),
+	}, time.Now())
+	switch reason {
+	case placement.Chosen:
+		return upstream, nil
+	case placement.Full:
+		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q are full", service).WithRetryAfter(fullRetry)
+	case placement.None:
+		return nil, errkind.New(errkind.NoUpstream, "no upstream of service %q is known", service).WithRetryAfter(noUpstreamRetry)
+	default:
+		return nil, errkind.New(errkind.NoUpstream, "each upstream of service %q was tried", service).WithRetryAfter(noUpstreamRetry)
+	}
+}
+
+// sharedPart returns the last part of the prompt that other requests share.
+func (q *request) sharedPart() (hash uint64, ok bool) {
+	switch n := len(q.Prompt); n {
+	case 0:
+		return 0, false
+	case 1:
+		return q.Prompt[0].Hash, true
+	default:
+		return q.Prompt[n-2].Hash, true
+	}
+}
+
+func (q *request) placeLimit() func(*placement.Upstream) int {
+	engine := (*catalog.Engine)(nil)
+	if q.service != nil {
+		engine = q.service.Engine
+	}
+	return func(u *placement.Upstream) int {
+		if engine != nil {
+			return max(engine.Slots, u.Slots, 1) * engineQueueFactor
+		}
+		return max(u.Slots, 1) * plainQueueFactor
+	}
+}
+
+// mayRetry tells whether another upstream may be tried. A request that may have
+// run goes on only if it is repeatable.
+func (q *request) mayRetry(service string, next step) bool {
+	if q.ctx.Err() != nil || q.left() < leastTime {
+		return false
+	}
+	if next != elsewhere && !q.route.Repeatable() {
+		return false
+	}
+	if next == cut && !q.resumable {
+		return false
+	}
+	if q.saw == sawUnreachable {
+		return len(q.exclude) < maxDials
+	}
+	if q.attempts >= max(q.route.MaxAttempts, 1) {
+		return false
+	}
+	return q.handler.Retries.Retry(service, q.view.Hosts, time.Now())
+}
+
+// maxDials bounds the upstreams that are tried without reaching any.
+const maxDials = 4
+
+// The reasons of failed attempts, as counted and logged.
+const (
+	sawUnreachable = "unreachable"
+	sawFull        = "full"
+	sawMisdirected = "misdirected"
+	sawNoAnswer    = "no_answer"
+	sawForeign     = "foreign_answer"
+	sawBroken      = "broken_answer"
+	sawFailure     = "failure"
+)
+
+// giveUp answers when no further attempt is made: with the refusal, unless the
+// caller has a part of an answer already.
+func (q *request) giveUp(_ http.ResponseWriter, refusal *errkind.Error) *errkind.Error {
+	if q.events > 0 {
+		q.abort("no upstream for the rest of the stream")
+	}
+	switch {
+	case q.ran:
+		return errkind.New(errkind.OutcomeUnknown, "the deadline passed before an answer came")
+	case refusal != nil:
+		return refusal
+	default:
+		return errkind.New(errkind.DeadlineUnmet, "the deadline passed before the request was sent").WithRetryAfter(fullRetry)
+	}
+}
+
+// conclude answers after the last attempt.
+func (a *attempt) conclude(w http.ResponseWriter, next step) *errkind.Error {
+	switch next {
+	case failed:
+		a.deliver(w, a.held)
+		return nil
+	case cut:
+		a.abort("the stream broke off")
+	case elsewhere:
+		if !a.ran {
+			return errkind.New(errkind.Overloaded, "no upstream took the request: %s", a.saw).
+				WithRetryAfter(max(a.retryAfter, fullRetry))
+		}
+	}
+	if a.left() < leastTime {
+		return errkind.New(errkind.OutcomeUnknown, "the deadline passed before an answer came")
+	}
+	return errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", a.saw)
+}
+
+// abort closes the caller's connection, so that a part of an answer does not
+// look like the whole.
+func (q *request) abort(reason string) {
+	klog.InfoS("stream cut off", append(q.logFields(), "reason", reason, "events", q.events)...)
+	panic(http.ErrAbortHandler)
+}
+
+// run makes one attempt.
+func (a *attempt) run(w http.ResponseWriter) step {
+	a.exclude = append(a.exclude, a.target.ID)
+	answer, err := upstreamhttp.Do(a.ctx, a.target.Address, a.encode())
+	var unreachable *upstreamhttp.UnreachableError
+	if errors.As(err, &unreachable) {
+		if a.ctx.Err() == nil {
+			a.observe(placement.Unreachable)
+		}
+		a.saw = sawUnreachable
+		return elsewhere
+	}
+	a.attempts++
+	a.upstream = a.target.ID
+	if err != nil {
+		a.ran = true
+		a.lost()
+		a.saw = sawNoAnswer
+		return a.brokenStep()
+	}
+	defer answer.Close()
+	return a.read(w, answer)
+}
+
+func (a *attempt) encode() *upstreamhttp.Request {
+	f := &Forwarding{Upstream: a.target.ID, Left: a.left(), Rank: a.rank(), ResumeAfter: a.ResumeAfter, Resumes: a.Resumes}
+	if a.organisation != nil {
+		f.Organisation = a.organisation.Name
+	}
+	if a.events > 0 {
+		f.ResumeAfter, f.Resumes = a.lastEvent, true
+	}
+	return &upstreamhttp.Request{
+		Method: a.Method, URI: a.URI, Host: a.Authority, Header: a.handler.Dialect.Encode(a.Call, f),
+		Body: a.Body, HasBody: a.HasBody,
+	}
+}
+
+// rank is the organisation's rank if it has one, and else the route's.
+func (q *request) rank() int {
+	if q.organisation != nil && q.organisation.Rank != nil {
+		return *q.organisation.Rank
+	}
+	return q.route.Rank
+}
+
+// brokenStep tells what follows an exchange that broke.
+func (a *attempt) brokenStep() step {
+	if a.events > 0 {
+		return cut
+	}
+	return unknown
+}
+
+func (a *attempt) observe(o placement.Outcome) {
+	a.handler.Pool.Observe(a.target, o, time.Now())
+}
+
+// lost notes that the upstream broke off. That it left with its caller says nothing.
+func (a *attempt) lost() {
+	if a.ctx.Err() != nil {
+		a.observe(placement.Abandoned)
+		return
+	}
+	a.observe(placement.Failed)
+	a.handler.Sync.ReportCrash(controlnode.Crash{Fingerprint: a.fingerprint(), Upstream: a.target.ID})
+}
+
+// read handles the header of an answer.
+func (a *attempt) read(w http.ResponseWriter, answer *upstreamhttp.Answer) step {
+	verdict := a.handler.Dialect.Judge(a.Call, answer.Response)
+	switch {
+	case verdict.OtherProcess:
+		a.observe(placement.Misdirected)
+		a.saw = sawMisdirected
+		return elsewhere
+	case verdict.NotRun:
+		a.observe(placement.Refused)
+		a.saw, a.retryAfter = sawFull, verdict.RetryAfter
+		return elsewhere
+	case verdict.Foreign:
+		a.ran = true
+		a.observe(placement.Failed)
+		a.saw = sawForeign
+		return a.brokenStep()
+	}
+	a.ran = true
+	if a.route.Kind == catalog.Streaming && answer.StatusCode < http.StatusMultipleChoices {
+		return a.stream(w, answer)
+	}
+	return a.whole(w, answer)
+}
+
+// whole passes on an answer that is not a stream. It is read to its end first,
+// so that the caller never gets a part.
+func (a *attempt) whole(w http.ResponseWriter, answer *upstreamhttp.Answer) step {
+	body, err := answer.ReadBody(answerLimit)
+	if err != nil {
+		a.lost()
+		a.saw = sawBroken
+		return a.brokenStep()
+	}
+	held := &heldAnswer{status: answer.StatusCode, header: a.handler.Dialect.AnswerHeader(answer.Header), body: body}
+	a.observe(placement.Served)
+	if a.events > 0 {
+		a.saw = sawFailure
+		return cut
+	}
+	if answer.StatusCode >= http.StatusInternalServerError && a.route.Repeatable() {
+		a.saw, a.held = sawFailure, held
+		return failed
+	}
+	a.deliver(w, held)
+	return finished
+}
--- /dev/null
+++ b/internal/hostsync/client.go
@@ -0,0 +1,361 @@
+// Package hostsync keeps a gateway host in touch with the control group: it
+// fetches the configuration, the upstreams and grants, and reports use.
+package hostsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/catalog"
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/netconn"
+	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+)
+
+const (
+	// interval is the time between two calls: a change must be in force within two
+	// seconds, and an upstream that leaves gets work for as long.
+	interval = 250 * time.Millisecond
+	// wakeInterval is the least time between two calls when requests wait for tokens.
+	wakeInterval = 15 * time.Millisecond
+	// callTimeout bounds one call.
+	callTimeout = 700 * time.Millisecond
+	// dialTimeout and silence bound the time lost to a host that can't be reached.
+	dialTimeout = 250 * time.Millisecond
+	silence     = time.Second
+	// closeTimeout bounds the closing of the session.
+	closeTimeout = 800 * time.Millisecond
+	// touchWindow is the time since the latest contact for which the group counts as reachable.
+	touchWindow = time.Second
+	// maxCrashes bounds the crashes that wait to be reported.
+	maxCrashes = 256
+)
+
+// Options are the settings of a Client.
+type Options struct {
+	// Host is the host's name.
+	Host string
+	// Seeds are the addresses of control hosts that are known at the start.
+	Seeds func() []string
+	// Decode reads a document.
+	Decode func(content []byte) (*catalog.Document, error)
+	// Pool is kept up to date with the upstreams.
+	Pool *placement.Pool
+	// Clock returns the boot-time clock in ns.
+	Clock func() int64
+}
+
+// View is what the host knows of the fleet. It is immutable.
+type View struct {
+	Index *catalog.Index
+	// Hosts is the number of gateway hosts.
+	Hosts int
+	// Quarantined are the fingerprints of requests that must not run.
+	Quarantined map[uint64]bool
+}
+
+// Client talks to the control group.
+type Client struct {
+	options   Options
+	rpc       *rpc.Client
+	opening   prepaid.Opening
+	allowance *prepaid.Allowance
+	view      atomic.Pointer[View]
+	contacted atomic.Pointer[time.Time] // the latest contact
+	wake      chan struct{}
+
+	// What follows belongs to Run.
+	opened   bool
+	target   string
+	members  []string
+	version  uint64
+	epoch    uint64
+	revision uint64
+	inTouch  bool
+
+	mu      sync.Mutex
+	crashes []controlnode.Crash
+	// round is closed and replaced after each contact; waiters watch it.
+	round chan struct{}
+}
+
+// New returns a client that has not talked to anyone.
+func New(o Options) *Client {
+	session := rand.Uint64()
+	return &Client{
+		options: o,
+		rpc: rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+			return netconn.Dial(ctx, address, dialTimeout, silence)
+		}),
+		opening:   prepaid.Opening{Host: o.Host, Session: session, Clock: o.Clock(), Wall: time.Now().UnixNano()},
+		allowance: prepaid.NewAllowance(session),
+		wake:      make(chan struct{}, 1),
+		round:     make(chan struct{}),
+	}
+}
+
+// View returns what is known, or nil before the first configuration.
+func (c *Client) View() *View { return c.view.Load() }
+
+// Allowance returns the host's share of the budgets.
+func (c *Client) Allowance() *prepaid.Allowance { return c.allowance }
+
+// InTouch tells whether the control group answered lately.
+func (c *Client) InTouch(now time.Time) bool {
+	at := c.contacted.Load()
+	return at != nil && now.Sub(*at) < touchWindow
+}
+
+// ReportCrash tells the group that an upstream broke down with a request.
+func (c *Client) ReportCrash(crash controlnode.Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) < maxCrashes {
+		c.crashes = append(c.crashes, crash)
+	}
+}
+
+// AwaitContact asks for a call at once, and waits until one has ended that began
+// after this call, or until ctx ends.
+func (c *Client) AwaitContact(ctx context.Context) bool {
+	c.mu.Lock()
+	round := c.round
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-round:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Run calls the leader at intervals until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := c.contact(ctx)
+		c.noteContact(err)
+		c.pause(ctx, started, err)
+	}
+}
+
+func (c *Client) pause(ctx context.Context, started time.Time, err error) {
+	timer := time.NewTimer(time.Until(started.Add(interval)))
+	defer timer.Stop()
+	if err != nil {
+		// A wake-up would only repeat the failure.
+		timer.Reset(wakeInterval)
+	}
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-c.wake:
+		if rest := time.Until(started.Add(wakeInterval)); rest > 0 {
+			time.Sleep(rest)
+		}
+	}
+}
+
+// noteContact logs when the group is lost or found again, and frees the waiters.
+func (c *Client) noteContact(err error) {
+	if err == nil {
+		now := time.Now()
+		c.contacted.Store(&now)
+	}
+	if touch := err == nil; touch != c.inTouch {
+		c.inTouch = touch
+		if touch {
+			klog.InfoS("control group regained", "leader", c.target)
+		} else {
+			klog.InfoS("control group lost", "error", err.Error())
+		}
+	}
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.round)
+	c.round = make(chan struct{})
+}
+
+// contact makes one call to the leader, which it looks for if need be.
+func (c *Client) contact(ctx context.Context) error {
+	req := c.request()
+	var last error
+	for _, address := range c.addresses() {
+		for range 2 {
+			reply, err := c.call(ctx, address, req)
+			if err != nil {
+				last = err
+				break
+			}
+			if !reply.NotLeader {
+				c.target = address
+				return c.take(req, reply)
+			}
+			last = eris.New("the leader is not known")
+			if address = reply.Leader; address == "" {
+				break
+			}
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	c.target = ""
+	return last
+}
+
+// addresses returns where the leader may be: the last one first, then the known
+// members and the seeds in random order.
+func (c *Client) addresses() []string {
+	known := append(slices.Clone(c.members), c.options.Seeds()...)
+	slices.Sort(known)
+	known = slices.Compact(known)
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	if c.target == "" {
+		return known
+	}
+	known = slices.DeleteFunc(known, func(a string) bool { return a == c.target })
+	return append([]string{c.target}, known...)
+}
+
+func (c *Client) call(ctx context.Context, address string, req *controlnode.SyncRequest) (*controlnode.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return rpc.Call[controlnode.SyncRequest, controlnode.SyncReply](ctx, c.rpc, address, controlnode.MethodSync, req)
+}
+
+func (c *Client) request() *controlnode.SyncRequest {
+	req := &controlnode.SyncRequest{
+		Host: c.options.Host, Version: c.version, Epoch: c.epoch, Revision: c.revision,
+		InFlight: c.options.Pool.InFlight(),
+	}
+	if !c.opened {
+		req.Opening = &c.opening
+	}
+	req.Report = c.allowance.Report(c.options.Clock())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	req.Crashes = slices.Clone(c.crashes)
+	return req
+}
+
+// take takes in a reply of the leader.
+func (c *Client) take(req *controlnode.SyncRequest, reply *controlnode.SyncReply) error {
+	now := time.Now()
+	if reply.Prepaid != nil {
+		if reply.Prepaid.Unknown && c.opened {
+			return eris.New("the control group does not know this host's session")
+		}
+		c.opened = true
+		c.allowance.Acknowledge(reply.Prepaid, c.options.Clock())
+	}
+	if len(reply.Members) > 0 {
+		c.members = reply.Members
+	}
+	c.epoch, c.revision = reply.Epoch, reply.Revision
+	if reply.Upstreams != nil {
+		c.options.Pool.Update(seen(reply.Upstreams, now), now)
+	}
+	c.options.Pool.Synced(reply.InFlight, now)
+	c.mu.Lock()
+	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
+	c.mu.Unlock()
+	return c.publish(reply)
+}
+
+func seen(records []controlnode.UpstreamRecord, now time.Time) []placement.Seen {
+	list := make([]placement.Seen, 0, len(records))
+	for i := range records {
+		list = append(list, placement.Seen{Upstream: records[i].Upstream, At: now.Add(-records[i].Age)})
+	}
+	return list
+}
+
+// publish replaces the view if anything in it has changed. The version never falls.
+func (c *Client) publish(reply *controlnode.SyncReply) error {
+	old := c.view.Load()
+	next := &View{Hosts: reply.Hosts, Quarantined: make(map[uint64]bool, len(reply.Quarantined))}
+	for _, fingerprint := range reply.Quarantined {
+		next.Quarantined[fingerprint] = true
+	}
+	if old != nil {
+		next.Index = old.Index
+	}
+	if d := reply.Document; d != nil && d.Version > c.version {
+		index, err := c.decode(d)
+		if err != nil {
+			return err
+		}
+		next.Index, c.version = index, d.Version
+		c.allowance.Watch(budgeted(index.Document))
+		klog.InfoS("configuration in force", "version", d.Version, "routes", len(index.Document.Routes))
+	}
+	if next.Index == nil {
+		return nil
+	}
+	c.view.Store(next)
+	return nil
+}
+
+func (c *Client) decode(d *fleetstate.Document) (*catalog.Index, error) {
+	content, err := fleetstate.Decompress(d.Content)
+	if err != nil {
+		return nil, err
+	}
+	document, err := c.options.Decode(content)
+	if err != nil {
+		return nil, err
+	}
+	return catalog.NewIndex(document), nil
+}
+
+// budgeted returns the organisations that have a prepaid budget.
+func budgeted(d *catalog.Document) []string {
+	var names []string
+	for i := range d.Organisations {
+		if d.Organisations[i].Prepaid != nil {
+			names = append(names, d.Organisations[i].Name)
+		}
+	}
+	return names
+}
+
+// Close reports the last use and ends the session, so that nothing is written
+// off. It is called after Run has returned and the last request has ended.
+func (c *Client) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	// The first call repeats a report that may be on its way; the second has the rest.
+	for range 2 {
+		if err := c.contact(ctx); err != nil {
+			return eris.Wrap(err, "report the last use")
+		}
+	}
+	req := &controlnode.CloseRequest{Host: c.options.Host, Session: c.opening.Session}
+	reply, err := rpc.Call[controlnode.CloseRequest, controlnode.CloseReply](ctx, c.rpc, c.target, controlnode.MethodClose, req)
+	if err != nil {
+		return err
+	}
+	if reply.NotLeader {
+		return eris.New("the leader has changed")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/telemetry"
+)
+
+// controlShutdown bounds the wait for calls of operators and upstreams.
+const controlShutdown = time.Second
+
+// runControl runs a control host until ctx ends.
+func runControl(ctx context.Context, s *watched, adapter Adapter, metrics *telemetry.Metrics) error {
+	control := controlnode.New(controlnode.Options{
+		Host: s.Host, Address: s.Listen.Hosts, Directory: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.hostSeeds,
+	})
+	ready := func() error {
+		if _, running := control.Status(); !running {
+			return errkind.New(errkind.ControlUnavailable, "the host has not joined the control group")
+		}
+		return ctx.Err()
+	}
+	if err := serveMetrics(s.Node, metrics, ready); err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	done := make(chan struct{})
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		defer close(done)
+		failed <- control.Run(running)
+	}()
+	callers := &http.Server{Handler: adapter.Control(control), ReadHeaderTimeout: callerHeaderTimeout}
+	if err := serve(s.Listen.Control, callers); err != nil {
+		return err
+	}
+	klog.InfoS("host started")
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+	closing, cancel := context.WithTimeout(context.Background(), controlShutdown)
+	defer cancel()
+	if err := callers.Shutdown(closing); err != nil {
+		klog.InfoS("calls in flight at the stop", "error", err.Error())
+	}
+	stop()
+	<-done
+	return <-failed
+}
--- /dev/null
+++ b/internal/placement/pool.go
@@ -0,0 +1,184 @@
+// Package placement chooses the upstream for a request of a gateway: requests
+// that share a part of their prompt go to the same few upstreams on all hosts,
+// and others to the one with the least load.
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/presence"
+)
+
+const (
+	// silentAfter is the time without a report, while the control group can be
+	// reached, after which an upstream is used last: three heartbeats.
+	silentAfter = 4 * time.Second
+	// ejectAfter is the number of failures in a row after which an upstream is ejected.
+	ejectAfter = 2
+	// ejectFirst and ejectMax bound the time of an ejection, which doubles each time.
+	ejectFirst = 1500 * time.Millisecond
+	ejectMax   = 8 * time.Second
+	// unreachableFor is the time for which an upstream that took no connection is passed over.
+	unreachableFor = time.Second
+)
+
+// Upstream is one process of an upstream as this host sees it. Its fields are
+// guarded by the pool.
+type Upstream struct {
+	presence.Upstream
+	seen time.Time
+	// own and others are the open requests of this host and of all other hosts.
+	own, others int
+	// failures are those in a row; ejections those since the last success.
+	failures, ejections int
+	// avoidUntil ends an ejection.
+	avoidUntil time.Time
+	// probing tells that a request tests an upstream whose ejection has ended.
+	probing bool
+}
+
+// load is the number of open requests that the host knows of.
+func (u *Upstream) load() int { return u.own + u.others }
+
+// Pool holds the upstreams. It is safe for concurrent use.
+type Pool struct {
+	zone string
+
+	mu        sync.Mutex
+	table     *presence.Table
+	upstreams map[string]*Upstream
+	services  map[string][]*Upstream
+	// synced is when the table was last confirmed by the control group.
+	synced time.Time
+}
+
+// NewPool returns an empty pool of a host in zone.
+func NewPool(zone string) *Pool {
+	return &Pool{
+		zone: zone, table: presence.NewTable(),
+		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
+	}
+}
+
+// Seen is an upstream with the time of its latest report.
+type Seen struct {
+	presence.Upstream
+	At time.Time
+}
+
+// Update takes in what the control group knows of upstreams.
+func (p *Pool) Update(records []Seen, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.table.Revision()
+	for _, r := range records {
+		p.table.Report(r.Upstream, r.At)
+	}
+	p.table.Expire(now)
+	for _, u := range p.upstreams {
+		if r := p.table.Record(u.ID); r != nil {
+			u.seen = r.Seen
+		}
+	}
+	if p.table.Revision() != before {
+		p.rebuild()
+	}
+}
+
+// rebuild brings the upstreams in line with the table. A new process under an
+// old id starts without a history.
+func (p *Pool) rebuild() {
+	upstreams := map[string]*Upstream{}
+	p.services = map[string][]*Upstream{}
+	for _, r := range p.table.All() {
+		u := p.upstreams[r.ID]
+		if u == nil || u.Started != r.Started {
+			u = &Upstream{}
+		}
+		u.Upstream, u.seen = r.Upstream, r.Seen
+		upstreams[r.ID] = u
+		if r.State == presence.Ready {
+			p.services[r.Service] = append(p.services[r.Service], u)
+		}
+	}
+	p.upstreams = upstreams
+}
+
+// Synced notes a contact with the control group and the load of the other hosts.
+func (p *Pool) Synced(others map[string]int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.synced = now
+	for id, u := range p.upstreams {
+		u.others = others[id]
+	}
+}
+
+// InFlight returns the open requests of this host by upstream.
+func (p *Pool) InFlight() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := map[string]int{}
+	for id, u := range p.upstreams {
+		if u.own > 0 {
+			counts[id] = u.own
+		}
+	}
+	return counts
+}
+
+// Known tells whether any upstream of a service is ready.
+func (p *Pool) Known(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.services[service]) > 0
+}
+
+// Release gives back the place that Choose took.
+func (p *Pool) Release(u *Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u.own--
+}
+
+// Outcome is how a request fared at an upstream.
+type Outcome uint8
+
+// The outcomes of a request.
+const (
+	// Served: the upstream answered, whatever the answer.
+	Served Outcome = iota
+	// Refused: the upstream was full. This says nothing of its health.
+	Refused
+	// Unreachable: the upstream took no connection.
+	Unreachable
+	// Failed: the upstream broke off, fell silent or sent what is no answer.
+	Failed
+	// Misdirected: another process has the address.
+	Misdirected
+	// Abandoned: the caller left before anything was known.
+	Abandoned
+)
+
+// Observe takes in how a request fared.
+func (p *Pool) Observe(u *Upstream, o Outcome, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u.probing = false
+	switch o {
+	case Served:
+		u.failures, u.ejections, u.avoidUntil = 0, 0, time.Time{}
+	case Unreachable:
+		u.avoidUntil = now.Add(unreachableFor)
+	case Misdirected:
+		u.avoidUntil = now.Add(ejectMax)
+	case Failed:
+		u.failures++
+		if u.failures >= ejectAfter {
+			u.avoidUntil = now.Add(min(ejectFirst<<min(u.ejections, 4), ejectMax))
+			u.ejections++
+		}
+	case Refused, Abandoned:
+	}
+}
--- /dev/null
+++ b/internal/prepaid/book.go
@@ -0,0 +1,193 @@
+package prepaid
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// surplusDivisor is the part of the balance beyond what hosts want, 1 in N, that
+	// is spread evenly over the hosts, so that one with new demand can serve while cut off.
+	surplusDivisor = 2
+	// returnSlackDivisor keeps hosts from returning small amounts back and forth.
+	returnSlackDivisor = 8
+	// maxProvableGap bounds the time between a session's last report and the start
+	// of the host's next process for which the envelope is relied on.
+	maxProvableGap = 30 * time.Second
+)
+
+// Book is the control group's record of prepaid budgets. It is deterministic.
+type Book struct {
+	Accounts map[string]*Account `cbor:"1,keyasint"`
+	// Sessions holds the open session of each host by the host's name.
+	Sessions map[string]*Session `cbor:"2,keyasint"`
+}
+
+// Account is the budget of one organisation.
+type Account struct {
+	// Prepaid is the total paid in. Limited is false while no budget is kept.
+	Prepaid int64 `cbor:"1,keyasint"`
+	Limited bool  `cbor:"2,keyasint"`
+	// Charged is what ended sessions have used, or may have used.
+	Charged int64 `cbor:"3,keyasint"`
+	// WrittenOff is the part of Charged that was not reported as used.
+	WrittenOff int64 `cbor:"4,keyasint"`
+}
+
+// Session is what the group knows of one process of a host.
+type Session struct {
+	ID       uint64              `cbor:"1,keyasint"`
+	Seq      uint64              `cbor:"2,keyasint"`
+	Clock    int64               `cbor:"3,keyasint"`
+	Holdings map[string]*Holding `cbor:"4,keyasint"`
+}
+
+// Holding is one organisation's part of a session.
+type Holding struct {
+	Use     `cbor:"1,keyasint"`
+	Granted int64 `cbor:"2,keyasint"`
+}
+
+// free is what the host holds beyond what it has used and reserved.
+func (h *Holding) free() int64 { return h.Granted - h.Returned - h.Used - h.Reserved }
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{Accounts: map[string]*Account{}, Sessions: map[string]*Session{}}
+}
+
+// SetPrepaid replaces the totals paid in. Accounts of organisations that are not
+// named keep what was charged.
+func (b *Book) SetPrepaid(totals map[string]int64) {
+	for name, a := range b.Accounts {
+		if _, named := totals[name]; !named {
+			a.Limited = false
+		}
+	}
+	for name, total := range totals {
+		a := b.account(name)
+		a.Prepaid, a.Limited = total, true
+	}
+}
+
+func (b *Book) account(name string) *Account {
+	a := b.Accounts[name]
+	if a == nil {
+		a = &Account{}
+		b.Accounts[name] = a
+	}
+	return a
+}
+
+// Open begins the session of a host's new process. What the process before it
+// may have spent is charged.
+func (b *Book) Open(o Opening) {
+	old := b.Sessions[o.Host]
+	if old != nil && old.ID == o.Session {
+		return
+	}
+	if old != nil {
+		gap := time.Duration(o.Clock - old.Clock)
+		for name, h := range old.Holdings {
+			b.end(name, h, gap)
+		}
+	}
+	b.Sessions[o.Host] = &Session{ID: o.Session, Clock: o.Clock, Holdings: map[string]*Holding{}}
+}
+
+// Close ends the session of a host that stops, after its last report. The host
+// spends nothing after it has asked for this.
+func (b *Book) Close(host string, session uint64) {
+	s := b.Sessions[host]
+	if s == nil || s.ID != session {
+		return
+	}
+	for name, h := range s.Holdings {
+		b.account(name).Charged += h.Used + h.Reserved
+	}
+	delete(b.Sessions, host)
+}
+
+// end charges a holding of a process that died at most gap after its last report.
+func (b *Book) end(name string, h *Holding, gap time.Duration) {
+	a := b.account(name)
+	charged := h.Granted - h.Returned
+	if gap >= 0 && gap <= maxProvableGap {
+		charged = min(charged, h.Used+h.Reserved+h.envelope(gap))
+	}
+	a.Charged += charged
+	a.WrittenOff += charged - h.Used
+}
+
+// envelope is the most that the host reserves within d after the report.
+func (u *Use) envelope(d time.Duration) int64 {
+	return u.Burst + int64(float64(u.Rate)*d.Seconds())
+}
+
+// Apply takes in a report and grants what the balances allow.
+func (b *Book) Apply(host string, r *Report) Reply {
+	s := b.Sessions[host]
+	if s == nil || s.ID != r.Session {
+		return Reply{Seq: r.Seq, Unknown: true}
+	}
+	if r.Seq > s.Seq {
+		s.Seq, s.Clock = r.Seq, r.Clock
+		for _, u := range r.Uses {
+			s.holding(u.Organisation).Use = u
+		}
+	}
+	reply := Reply{Seq: r.Seq}
+	for _, name := range slices.Sorted(maps.Keys(s.Holdings)) {
+		reply.Grants = append(reply.Grants, b.grant(name, s.Holdings[name]))
+	}
+	return reply
+}
+
+func (s *Session) holding(name string) *Holding {
+	h := s.Holdings[name]
+	if h == nil {
+		h = &Holding{}
+		s.Holdings[name] = h
+	}
+	return h
+}
+
+// grant raises a holding towards its share of the balance.
+func (b *Book) grant(name string, h *Holding) Grant {
+	a := b.account(name)
+	if !a.Limited {
+		return Grant{Organisation: name, Granted: h.Granted, Hosts: len(b.Sessions)}
+	}
+	undistributed, balance, wanted := a.Prepaid-a.Charged, int64(0), int64(0)
+	for _, s := range b.Sessions {
+		other := s.Holdings[name]
+		if other == nil {
+			continue
+		}
+		undistributed -= other.Granted - other.Returned
+		balance += other.free()
+		wanted += other.Want
+	}
+	balance += undistributed
+	target := share(balance, h.Want, wanted, int64(len(b.Sessions)))
+	if more := min(target-h.free(), undistributed); more > 0 {
+		h.Granted += more
+	}
+	return Grant{
+		Organisation: name, Granted: h.Granted, Target: target + target/returnSlackDivisor,
+		Balance: balance, Hosts: len(b.Sessions),
+	}
+}
+
+// share returns the free tokens that a host should hold: what it wants and an
+// even part of the surplus, or its part of a balance that is too small for all.
+func share(balance, want, wanted, hosts int64) int64 {
+	if balance <= 0 {
+		return 0
+	}
+	if wanted > balance {
+		return int64(float64(balance) * float64(want) / float64(wanted))
+	}
+	return want + (balance-wanted)/surplusDivisor/max(hosts, 1)
+}
--- /dev/null
+++ b/internal/prepaid/messages.go
@@ -0,0 +1,75 @@
+// Package prepaid keeps organisations within what they paid in while hosts
+// admit requests on their own. The control group grants tokens to hosts, hosts
+// report what they used, and what a dead host can't have spent is recovered.
+//
+// Two parts work together: Book is the control group's record, a deterministic
+// aggregate; Allowance is what one host holds. For each organisation
+//
+//	charged by ended sessions + granted to open sessions - returned <= prepaid
+//
+// holds after each grant, and a host spends no more than its grants. A host
+// further limits itself to an envelope that grows with the time since its last
+// acknowledged report, so that the Book can bound what a host that died shortly
+// after that report has spent.
+package prepaid
+
+// Use is what a host says of one organisation. All but Want, Burst and Rate are
+// totals since the session began.
+type Use struct {
+	Organisation string `cbor:"1,keyasint"`
+	// Used is the number of tokens charged.
+	Used int64 `cbor:"2,keyasint,omitempty"`
+	// Reserved is the worst case of the requests in flight.
+	Reserved int64 `cbor:"3,keyasint,omitempty"`
+	// Returned is the number of tokens given back unused.
+	Returned int64 `cbor:"4,keyasint,omitempty"`
+	// Want is the number of free tokens that the host would like to hold.
+	Want int64 `cbor:"5,keyasint,omitempty"`
+	// Burst and Rate, in tokens and tokens per second, bound what the host
+	// reserves after this report until a later one is acknowledged.
+	Burst int64 `cbor:"6,keyasint,omitempty"`
+	Rate  int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Report is a host's account of its session.
+type Report struct {
+	Session uint64 `cbor:"1,keyasint"`
+	// Seq rises with each new report; one that is sent again keeps it.
+	Seq uint64 `cbor:"2,keyasint"`
+	// Clock is the host's boot-time clock when the report was made, in ns. That
+	// clock counts suspended time and continues over restarts of the process.
+	Clock int64 `cbor:"3,keyasint"`
+	Uses  []Use `cbor:"4,keyasint,omitempty"`
+}
+
+// Grant is the control group's word on one organisation at one host.
+type Grant struct {
+	Organisation string `cbor:"1,keyasint"`
+	// Granted is the total granted since the session began.
+	Granted int64 `cbor:"2,keyasint,omitempty"`
+	// Target is the number of free tokens that the host should keep; it returns more.
+	Target int64 `cbor:"3,keyasint,omitempty"`
+	// Balance is what is neither used nor reserved anywhere.
+	Balance int64 `cbor:"4,keyasint,omitempty"`
+	// Hosts is the number of open sessions.
+	Hosts int `cbor:"5,keyasint,omitempty"`
+}
+
+// Reply acknowledges a report.
+type Reply struct {
+	Seq uint64 `cbor:"1,keyasint"`
+	// Unknown tells that the session is not open; the host must open a new one.
+	Unknown bool    `cbor:"2,keyasint,omitempty"`
+	Grants  []Grant `cbor:"3,keyasint,omitempty"`
+}
+
+// Opening begins a session of a host and ends the one before it.
+type Opening struct {
+	Host string `cbor:"1,keyasint"`
+	// Session is a random number.
+	Session uint64 `cbor:"2,keyasint"`
+	// Clock and Wall are the host's boot-time clock and its time of day when the
+	// process started, in ns.
+	Clock int64 `cbor:"3,keyasint"`
+	Wall  int64 `cbor:"4,keyasint"`
+}
