--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -76,6 +76,16 @@
 	InFlight map[string]int `cbor:"7,keyasint,omitempty"`
 	// Crashes names requests whose upstream broke down while it ran them.
 	Crashes []Crash `cbor:"8,keyasint,omitempty"`
+	// Peer is how other gateway hosts reach this one.
+	Peer Peer `cbor:"9,keyasint"`
+	// Peers is the number of the list of gateway hosts that the host has.
+	Peers uint64 `cbor:"10,keyasint,omitempty"`
+}
+
+// Peer is a gateway host.
+type Peer struct {
+	Session uint64 `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
 }
 
 // Crash is the loss of an upstream while it ran a request.
@@ -105,6 +115,9 @@
 	InFlight map[string]int `cbor:"10,keyasint,omitempty"`
 	// Quarantined are the fingerprints of requests that no upstream survives.
 	Quarantined []uint64 `cbor:"11,keyasint,omitempty"`
+	// Peers are the gateway hosts, if the list has changed; PeersRevision numbers it.
+	Peers         []Peer `cbor:"12,keyasint,omitempty"`
+	PeersRevision uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // UpstreamRecord is an upstream on its way between hosts.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -68,10 +68,12 @@
 	members map[uint64]string // addresses by replica id; kept when a replica leaves
 	table   *presence.Table
 	hosts   map[string]*gatewayHost
-	crashes crashCounter
-	peers   map[string]chan UpstreamRecord
-	wg      sync.WaitGroup
-	ctx     context.Context
+	// peersRevision numbers the changes of the set of gateway hosts.
+	peersRevision uint64
+	crashes       crashCounter
+	peers         map[string]chan UpstreamRecord
+	wg            sync.WaitGroup
+	ctx           context.Context
 }
 
 // New returns a control host that is not started.
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -24,6 +24,7 @@
 	seen     time.Time
 	tabled   time.Time
 	inFlight map[string]int
+	peer     Peer
 }
 
 // sync serves MethodSync.
@@ -62,11 +63,15 @@
 		h = &gatewayHost{}
 		n.hosts[req.Host] = h
 	}
-	h.seen, h.inFlight = now, req.InFlight
+	if h.peer != req.Peer {
+		n.peersRevision++
+	}
+	h.seen, h.inFlight, h.peer = now, req.InFlight, req.Peer
 	reply.InFlight = map[string]int{}
 	for name, other := range n.hosts {
 		if now.Sub(other.seen) > hostRetention {
 			delete(n.hosts, name)
+			n.peersRevision++
 			continue
 		}
 		if name == req.Host {
@@ -82,6 +87,12 @@
 		h.tabled = now
 		reply.Upstreams = n.tableRecords(now)
 	}
+	reply.PeersRevision = n.peersRevision
+	if req.Epoch != n.epoch || req.Peers != n.peersRevision {
+		for _, other := range n.hosts {
+			reply.Peers = append(reply.Peers, other.peer)
+		}
+	}
 	n.crashes.add(req.Crashes, now)
 	reply.Quarantined = n.crashes.quarantined(now)
 }
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// tokensWait bounds the wait for tokens while the control group can be reached.
-	tokensWait = 300 * time.Millisecond
+	// tokensWait bounds the wait for the control group, which answers within some
+	// ten milliseconds when it can be reached.
+	tokensWait = 80 * time.Millisecond
 	// tokensRetry is when a host is likely to have got tokens that others gave back.
 	tokensRetry = 500 * time.Millisecond
 	// cutOffRetry is the time to come back to a host without tokens that is cut off.
@@ -22,7 +23,8 @@
 	return q.organisation != nil && q.organisation.Prepaid != nil && q.InputTokens+q.OutputTokens > 0
 }
 
-// reserve sets the worst case of the request aside.
+// reserve sets the worst case of the request aside. If this host holds too
+// little, it asks the control group while that can be reached, and then other hosts.
 func (q *request) reserve() *errkind.Error {
 	if !q.budgeted() {
 		return nil
@@ -31,25 +33,50 @@
 	if need > *q.organisation.Prepaid {
 		return errkind.New(errkind.BudgetExhausted, "the request is larger than what was paid in")
 	}
-	waiting, cancel := context.WithTimeout(q.ctx, tokensWait)
-	defer cancel()
-	for {
-		inTouch := q.handler.Sync.InTouch(time.Now())
-		switch q.handler.Sync.Allowance().Reserve(q.organisation.Name, need, q.handler.Clock()) {
+	switch q.tryReserve(need) {
+	case prepaid.Granted:
+		return nil
+	case prepaid.Exhausted:
+		return q.exhausted(need)
+	case prepaid.Short:
+	}
+	inTouch := q.handler.Sync.InTouch(time.Now()) && q.awaitGroup()
+	if inTouch {
+		switch q.tryReserve(need) {
 		case prepaid.Granted:
-			q.reserved = need
 			return nil
 		case prepaid.Exhausted:
-			return errkind.New(errkind.BudgetExhausted, "the balance does not cover %d tokens", need)
+			return q.exhausted(need)
 		case prepaid.Short:
 		}
-		if !inTouch {
-			return errkind.New(errkind.BudgetReserved, "this host lacks %d tokens and is cut off", need).WithRetryAfter(cutOffRetry)
-		}
-		if !q.handler.Sync.AwaitContact(waiting) {
-			return errkind.New(errkind.BudgetReserved, "this host lacks %d tokens", need).WithRetryAfter(tokensRetry)
-		}
 	}
+	if q.handler.Sync.Fetch(q.ctx, q.organisation.Name, need) && q.tryReserve(need) == prepaid.Granted {
+		return nil
+	}
+	retry := cutOffRetry
+	if inTouch {
+		retry = tokensRetry
+	}
+	return errkind.New(errkind.BudgetReserved, "this host lacks %d tokens", need).WithRetryAfter(retry)
+}
+
+func (q *request) awaitGroup() bool {
+	waiting, cancel := context.WithTimeout(q.ctx, tokensWait)
+	defer cancel()
+	return q.handler.Sync.AwaitContact(waiting)
+}
+
+func (q *request) tryReserve(need int64) prepaid.Verdict {
+	d := q.handler.Sync.Allowance().Reserve(q.organisation.Name, need, q.handler.Clock())
+	q.tokens = &d
+	if d.Verdict == prepaid.Granted {
+		q.reserved = need
+	}
+	return d.Verdict
+}
+
+func (q *request) exhausted(need int64) *errkind.Error {
+	return errkind.New(errkind.BudgetExhausted, "the balance does not cover %d tokens", need)
 }
 
 // settle charges what was used: nothing if no upstream ran the request, and
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,6 +14,7 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/hostsync"
 	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/retrylimit"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
 )
@@ -94,6 +95,8 @@
 	deadline time.Time
 	ctx      context.Context
 	reserved int64
+	// tokens is the latest decision on the budget, or nil.
+	tokens *prepaid.Decision
 	// ran tells that an upstream may have begun to work on it.
 	ran bool
 	// events and lastEvent are what the caller got of a stream.
@@ -185,6 +188,10 @@
 	if q.organisation != nil {
 		fields = append(fields, telemetry.FieldOrganisation, q.organisation.Name)
 	}
+	if t := q.tokens; t != nil && t.Verdict != prepaid.Granted {
+		fields = append(fields, "tokens_held", t.Held, "tokens_allowed", t.Allowed, "balance", t.Balance,
+			"balance_age_ms", t.BalanceAge.Milliseconds())
+	}
 	if q.attempts > 0 {
 		fields = append(fields, "upstream", q.upstream, "attempts", q.attempts)
 	}
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -46,6 +46,8 @@
 type Options struct {
 	// Host is the host's name.
 	Host string
+	// Address is where other gateway hosts reach this one.
+	Address string
 	// Seeds are the addresses of control hosts that are known at the start.
 	Seeds func() []string
 	// Decode reads a document.
@@ -82,10 +84,12 @@
 	version  uint64
 	epoch    uint64
 	revision uint64
+	peersAt  uint64
 	inTouch  bool
 
 	mu      sync.Mutex
 	crashes []controlnode.Crash
+	peers   []controlnode.Peer
 	// round is closed and replaced after each contact; waiters watch it.
 	round chan struct{}
 }
@@ -245,7 +249,8 @@
 func (c *Client) request() *controlnode.SyncRequest {
 	req := &controlnode.SyncRequest{
 		Host: c.options.Host, Version: c.version, Epoch: c.epoch, Revision: c.revision,
-		InFlight: c.options.Pool.InFlight(),
+		InFlight: c.options.Pool.InFlight(), Peers: c.peersAt,
+		Peer: controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
 	if !c.opened {
 		req.Opening = &c.opening
@@ -270,13 +275,16 @@
 	if len(reply.Members) > 0 {
 		c.members = reply.Members
 	}
-	c.epoch, c.revision = reply.Epoch, reply.Revision
+	c.epoch, c.revision, c.peersAt = reply.Epoch, reply.Revision, reply.PeersRevision
 	if reply.Upstreams != nil {
 		c.options.Pool.Update(seen(reply.Upstreams, now), now)
 	}
 	c.options.Pool.Synced(reply.InFlight, now)
 	c.mu.Lock()
 	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
+	if reply.Peers != nil {
+		c.peers = reply.Peers
+	}
 	c.mu.Unlock()
 	return c.publish(reply)
 }
--- /dev/null
+++ b/internal/hostsync/transfer.go
@@ -0,0 +1,118 @@
+package hostsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+)
+
+// methodTransfer moves tokens between gateway hosts.
+const methodTransfer = "/fleet/Transfer"
+
+const (
+	// transferTimeout bounds one request for tokens: hosts are a few milliseconds apart.
+	transferTimeout = 120 * time.Millisecond
+	// transferTries is the number of hosts that are asked for one request.
+	transferTries = 3
+	// transferAhead is the time of demand that is asked for beyond the need.
+	transferAhead = time.Second
+)
+
+// transferRequest asks a host for tokens.
+type transferRequest struct {
+	Organisation string `cbor:"1,keyasint"`
+	// To is the session of the host that asks.
+	To uint64 `cbor:"2,keyasint"`
+	// Need is the least that helps, Want what would help further.
+	Need int64 `cbor:"3,keyasint"`
+	Want int64 `cbor:"4,keyasint"`
+}
+
+// transferReply tells how many tokens were given, and what is left.
+type transferReply struct {
+	Tokens int64 `cbor:"1,keyasint,omitempty"`
+	Free   int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// NewServer returns the server for the calls of other gateway hosts.
+func (c *Client) NewServer() *rpc.Server {
+	srv := rpc.NewServer()
+	rpc.Handle(srv, methodTransfer, func(_ context.Context, req *transferRequest) (*transferReply, error) {
+		tokens, free := c.allowance.Give(req.Organisation, req.To, req.Need, req.Want, c.options.Clock())
+		if tokens > 0 {
+			klog.InfoS("tokens given to another host", "organisation", req.Organisation, "tokens", tokens,
+				"need", req.Need, "free", free, "session", req.To)
+		}
+		return &transferReply{Tokens: tokens, Free: free}, nil
+	})
+	return srv
+}
+
+// Fetch asks other hosts for tokens, and tells whether it got need or more.
+func (c *Client) Fetch(ctx context.Context, organisation string, need int64) bool {
+	req := &transferRequest{
+		Organisation: organisation, To: c.opening.Session, Need: need,
+		Want: need + c.allowance.Demand(organisation, c.options.Clock())*int64(transferAhead/time.Second),
+	}
+	for _, peer := range c.givers(organisation, need) {
+		if ctx.Err() != nil {
+			return false
+		}
+		if c.fetchFrom(ctx, peer, req) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Client) fetchFrom(ctx context.Context, peer controlnode.Peer, req *transferRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	reply, err := rpc.Call[transferRequest, transferReply](ctx, c.rpc, peer.Address, methodTransfer, req)
+	if err != nil {
+		klog.InfoS("no tokens from another host", "organisation", req.Organisation, "peer", peer.Address, "error", err.Error())
+		return false
+	}
+	c.allowance.NoteHolder(req.Organisation, peer.Session, reply.Free)
+	if reply.Tokens == 0 {
+		return false
+	}
+	c.allowance.Receive(req.Organisation, reply.Tokens)
+	klog.InfoS("tokens got from another host", "organisation", req.Organisation, "tokens", reply.Tokens,
+		"need", req.Need, "peer", peer.Address)
+	return true
+}
+
+// givers returns the hosts to ask: those that are known to hold enough, the
+// richest first, and then others at random.
+func (c *Client) givers(organisation string, need int64) []controlnode.Peer {
+	c.mu.Lock()
+	peers := make(map[uint64]controlnode.Peer, len(c.peers))
+	for _, p := range c.peers {
+		if p.Session != c.opening.Session {
+			peers[p.Session] = p
+		}
+	}
+	c.mu.Unlock()
+	var list []controlnode.Peer
+	for _, h := range c.allowance.Holders(organisation) {
+		if p, found := peers[h.Session]; found {
+			delete(peers, h.Session)
+			if h.Free >= need {
+				list = append(list, p)
+			}
+		}
+	}
+	others := make([]controlnode.Peer, 0, len(peers))
+	for _, p := range peers {
+		others = append(others, p)
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	list = append(list, others...)
+	return list[:min(len(list), transferTries)]
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/gateway"
 	"github.com/godwitbend/godwitbend/internal/hostsync"
+	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/retrylimit"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
@@ -30,7 +31,7 @@
 func runGateway(ctx context.Context, s *watched, adapter Adapter, metrics *telemetry.Metrics) error {
 	pool := placement.NewPool(s.Zone)
 	client := hostsync.New(hostsync.Options{
-		Host: s.Host, Seeds: s.hostSeeds, Decode: adapter.DecodeDocument, Pool: pool, Clock: bootClock,
+		Host: s.Host, Address: s.Listen.Hosts, Seeds: s.hostSeeds, Decode: adapter.DecodeDocument, Pool: pool, Clock: bootClock,
 	})
 	limit := retrylimit.Settings{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration}
 	handler := gateway.NewHandler(gateway.Options{
@@ -59,6 +60,15 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	hosts, err := netconn.Listen(s.Listen.Hosts, callerSilence)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := client.NewServer().Serve(background, hosts); err != nil {
+			klog.ErrorS(err, "server for hosts ended")
+		}
+	}()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +42,17 @@
 	Exhausted
 )
 
+// Decision is the answer to a reservation with what decided it.
+type Decision struct {
+	Verdict Verdict
+	// Held is what the host held unused, and Allowed the part of it that its
+	// envelope allowed, when the request came.
+	Held, Allowed int64
+	// Balance is what was neither used nor reserved anywhere, as of BalanceAge ago.
+	Balance    int64
+	BalanceAge time.Duration
+}
+
 // Allowance is what one host may spend. It is safe for concurrent use; the
 // boot-time clock is passed in, in ns.
 type Allowance struct {
@@ -48,14 +60,19 @@
 	session uint64
 	seq     uint64
 	// sent is the report that waits for its acknowledgement, or nil.
-	sent *Report
-	// sentNeeds tells whether a need was noted after sent was made.
+	sent     *Report
 	accounts map[string]*allotment
 }
 
 // allotment is one organisation's part of an Allowance.
 type allotment struct {
 	granted, returned, used, reserved int64
+	// credited is the part of granted that other hosts are known to have given;
+	// received is what came from them, given what went to them.
+	credited, received int64
+	given              []Transfer
+	givenTotal         int64
+	holders            []Holder
 	// acked and pending are the envelopes of the acknowledged report and of the
 	// one on its way; both bind, since either may be the latest that the group knows.
 	acked, pending *envelope
@@ -74,7 +91,7 @@
 	changed bool
 }
 
-// envelope limits used+reserved to base + rate*(now-clock).
+// envelope limits what is spent to base + rate*(now-clock), for ReserveDelay.
 type envelope struct {
 	base, rate, clock int64
 }
@@ -83,7 +100,11 @@
 	if e == nil {
 		return math.MaxInt64
 	}
-	return e.base + int64(float64(e.rate)*time.Duration(now-e.clock).Seconds())
+	age := time.Duration(now - e.clock)
+	if age > ReserveDelay {
+		return math.MaxInt64
+	}
+	return e.base + int64(float64(e.rate)*age.Seconds())
 }
 
 // NewAllowance returns the empty allowance of a session.
@@ -113,22 +134,27 @@
 }
 
 // Reserve sets need tokens aside for a request of organisation.
-func (a *Allowance) Reserve(organisation string, need, now int64) Verdict {
+func (a *Allowance) Reserve(organisation string, need, now int64) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := a.allotment(organisation)
 	t.ask(need, now)
-	if t.used+t.reserved+need <= t.limit(now) {
+	t.changed = true
+	spent := t.spent()
+	d := Decision{
+		Held: t.held() - spent, Allowed: t.limit(now) - spent,
+		Balance: t.balance, BalanceAge: time.Duration(now - t.balanceAt),
+	}
+	if need <= d.Allowed {
 		t.reserved += need
-		t.changed = true
-		return Granted
+		return d
 	}
 	t.need += need
-	t.changed = true
-	if t.balanceKnown && need > t.balance && time.Duration(now-t.balanceAt) < balanceFreshness {
-		return Exhausted
+	d.Verdict = Short
+	if t.balanceKnown && need > t.balance && d.BalanceAge < balanceFreshness {
+		d.Verdict = Exhausted
 	}
-	return Short
+	return d
 }
 
 // Settle ends a reservation and charges what was used of it.
@@ -141,9 +167,18 @@
 	t.changed = true
 }
 
-// limit is the most that used+reserved may reach now.
+// held is what the host has got and not returned. Tokens on their way from
+// another host may be known to the group first, or to this host.
+func (t *allotment) held() int64 {
+	return t.granted - t.credited + max(t.received, t.credited) - t.returned
+}
+
+// spent is what can't be spent again.
+func (t *allotment) spent() int64 { return t.used + t.reserved + t.givenTotal }
+
+// limit is the most that may be spent by now.
 func (t *allotment) limit(now int64) int64 {
-	return min(t.granted-t.returned, t.acked.limit(now), t.pending.limit(now))
+	return min(t.held(), t.acked.limit(now), t.pending.limit(now))
 }
 
 func (t *allotment) ask(tokens, now int64) {
@@ -193,11 +228,11 @@
 		Want: int64(rate*horizon.Seconds()+burst) + t.need,
 		Rate: int64(rate), Burst: int64(burst) + t.need,
 	}
-	if excess := t.granted - t.returned - t.used - t.reserved - max(t.target, 0); t.balanceKnown && excess > 0 {
+	if excess := t.held() - t.spent() - max(t.target, 0); t.balanceKnown && excess > 0 {
 		t.returned += excess
 	}
-	u.Returned = t.returned
-	t.pending = &envelope{base: u.Used + u.Reserved + u.Burst, rate: u.Rate, clock: now}
+	u.Returned, u.Given = t.returned, slices.Clone(t.given)
+	t.pending = &envelope{base: t.spent() + u.Burst, rate: u.Rate, clock: now}
 	t.need = int64(float64(t.need) * wantDecay)
 	t.changed = false
 	return u
@@ -218,31 +253,8 @@
 	a.sent = nil
 	for _, g := range reply.Grants {
 		t := a.allotment(g.Organisation)
-		t.granted, t.target = max(t.granted, g.Granted), g.Target
+		t.granted, t.credited = max(t.granted, g.Granted), max(t.credited, g.Credited)
+		t.target, t.holders = g.Target, g.Holders
 		t.balance, t.hosts, t.balanceAt, t.balanceKnown = g.Balance, g.Hosts, at, true
 	}
 }
-
-// Pending tells whether a request lacked tokens since the last report.
-func (a *Allowance) Pending() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, t := range a.accounts {
-		if t.need > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// Idle tells whether no request holds a reservation.
-func (a *Allowance) Idle() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, t := range a.accounts {
-		if t.reserved > 0 {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -1,6 +1,7 @@
 package prepaid
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -12,9 +13,8 @@
 	surplusDivisor = 2
 	// returnSlackDivisor keeps hosts from returning small amounts back and forth.
 	returnSlackDivisor = 8
-	// maxProvableGap bounds the time between a session's last report and the start
-	// of the host's next process for which the envelope is relied on.
-	maxProvableGap = 30 * time.Second
+	// maxHolders is the number of holders that a host is told of.
+	maxHolders = 4
 )
 
 // Book is the control group's record of prepaid budgets. It is deterministic.
@@ -47,10 +47,15 @@
 type Holding struct {
 	Use     `cbor:"1,keyasint"`
 	Granted int64 `cbor:"2,keyasint"`
+	// Credited is the part of Granted that came from other hosts.
+	Credited int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// held is what the host has got and not passed on.
+func (h *Holding) held() int64 { return h.Granted - h.Returned - h.given() }
+
 // free is what the host holds beyond what it has used and reserved.
-func (h *Holding) free() int64 { return h.Granted - h.Returned - h.Used - h.Reserved }
+func (h *Holding) free() int64 { return h.held() - h.Used - h.Reserved }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
@@ -112,8 +117,8 @@
 // end charges a holding of a process that died at most gap after its last report.
 func (b *Book) end(name string, h *Holding, gap time.Duration) {
 	a := b.account(name)
-	charged := h.Granted - h.Returned
-	if gap >= 0 && gap <= maxProvableGap {
+	charged := h.held()
+	if gap >= 0 && gap <= ReserveDelay {
 		charged = min(charged, h.Used+h.Reserved+h.envelope(gap))
 	}
 	a.Charged += charged
@@ -134,16 +139,50 @@
 	if r.Seq > s.Seq {
 		s.Seq, s.Clock = r.Seq, r.Clock
 		for _, u := range r.Uses {
-			s.holding(u.Organisation).Use = u
+			h := s.holding(u.Organisation)
+			b.transfer(u.Organisation, &h.Use, &u)
+			h.Use = u
 		}
 	}
 	reply := Reply{Seq: r.Seq}
 	for _, name := range slices.Sorted(maps.Keys(s.Holdings)) {
-		reply.Grants = append(reply.Grants, b.grant(name, s.Holdings[name]))
+		g := b.grant(name, s.Holdings[name])
+		g.Credited, g.Holders = s.Holdings[name].Credited, b.holders(name, s)
+		reply.Grants = append(reply.Grants, g)
 	}
 	return reply
 }
 
+// transfer credits the receivers with what a host gave since its last report.
+// What a receiver whose session has ended got is charged.
+func (b *Book) transfer(name string, old, now *Use) {
+	for _, t := range now.Given {
+		tokens := t.Tokens
+		if i := slices.IndexFunc(old.Given, func(o Transfer) bool { return o.To == t.To }); i >= 0 {
+			tokens -= old.Given[i].Tokens
+		}
+		if tokens == 0 {
+			continue
+		}
+		if to := b.session(t.To); to != nil {
+			h := to.holding(name)
+			h.Granted += tokens
+			h.Credited += tokens
+		} else {
+			b.account(name).Charged += tokens
+		}
+	}
+}
+
+func (b *Book) session(id uint64) *Session {
+	for _, s := range b.Sessions {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
 func (s *Session) holding(name string) *Holding {
 	h := s.Holdings[name]
 	if h == nil {
@@ -165,7 +204,7 @@
 		if other == nil {
 			continue
 		}
-		undistributed -= other.Granted - other.Returned
+		undistributed -= other.held()
 		balance += other.free()
 		wanted += other.Want
 	}
@@ -180,6 +219,20 @@
 	}
 }
 
+// holders returns the other sessions with the most free tokens.
+func (b *Book) holders(name string, self *Session) []Holder {
+	var list []Holder
+	for _, s := range b.Sessions {
+		if h := s.Holdings[name]; s != self && h != nil && h.free() > 0 {
+			list = append(list, Holder{Session: s.ID, Free: h.free()})
+		}
+	}
+	slices.SortFunc(list, func(a, b Holder) int {
+		return cmp.Or(cmp.Compare(b.Free, a.Free), cmp.Compare(a.Session, b.Session))
+	})
+	return list[:min(len(list), maxHolders)]
+}
+
 // share returns the free tokens that a host should hold: what it wants and an
 // even part of the surplus, or its part of a balance that is too small for all.
 func share(balance, want, wanted, hosts int64) int64 {
--- a/internal/prepaid/messages.go
+++ b/internal/prepaid/messages.go
@@ -7,12 +7,24 @@
 //
 //	charged by ended sessions + granted to open sessions - returned <= prepaid
 //
-// holds after each grant, and a host spends no more than its grants. A host
-// further limits itself to an envelope that grows with the time since its last
-// acknowledged report, so that the Book can bound what a host that died shortly
-// after that report has spent.
+// holds after each grant, and a host spends no more than its grants. Until it
+// has been without the control group for ReserveDelay, a host further limits
+// itself to an envelope that grows with the time since its last acknowledged
+// report, so that the Book can bound what a host that died shortly after that
+// report has spent.
+//
+// Hosts that lack tokens while the control group is away get them from each
+// other. The giver reports the transfer; until then the Book counts the tokens
+// as the giver's, so that they are never counted as nobody's.
 package prepaid
 
+import "time"
+
+// ReserveDelay is the time without an acknowledged report after which a host may
+// spend all that it holds. A host that is killed and back within it has most of
+// its grants recovered; one that is cut off has only its envelope for as long.
+const ReserveDelay = 3500 * time.Millisecond
+
 // Use is what a host says of one organisation. All but Want, Burst and Rate are
 // totals since the session began.
 type Use struct {
@@ -29,6 +41,30 @@
 	// reserves after this report until a later one is acknowledged.
 	Burst int64 `cbor:"6,keyasint,omitempty"`
 	Rate  int64 `cbor:"7,keyasint,omitempty"`
+	// Given holds what went to other hosts.
+	Given []Transfer `cbor:"8,keyasint,omitempty"`
+}
+
+// Transfer is what a host has given to another one since its session began.
+type Transfer struct {
+	// To is the session of the receiver.
+	To     uint64 `cbor:"1,keyasint"`
+	Tokens int64  `cbor:"2,keyasint"`
+}
+
+// given is the sum of the transfers.
+func (u *Use) given() int64 {
+	total := int64(0)
+	for _, t := range u.Given {
+		total += t.Tokens
+	}
+	return total
+}
+
+// Holder is a host that holds free tokens.
+type Holder struct {
+	Session uint64 `cbor:"1,keyasint"`
+	Free    int64  `cbor:"2,keyasint"`
 }
 
 // Report is a host's account of its session.
@@ -53,6 +89,10 @@
 	Balance int64 `cbor:"4,keyasint,omitempty"`
 	// Hosts is the number of open sessions.
 	Hosts int `cbor:"5,keyasint,omitempty"`
+	// Credited is the part of Granted that came from other hosts.
+	Credited int64 `cbor:"6,keyasint,omitempty"`
+	// Holders are the other hosts with the most free tokens.
+	Holders []Holder `cbor:"7,keyasint,omitempty"`
 }
 
 // Reply acknowledges a report.
