--- a/internal/controlnode/batch.go
+++ b/internal/controlnode/batch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/replica"
@@ -88,7 +90,7 @@
 func (b *reportBatcher) commit(ctx context.Context, batch []*submission) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	command := &fleetstate.Command{}
+	command := &fleetstate.Command{Stamp: time.Now().UnixNano()}
 	for _, s := range batch {
 		if s.req.Opening != nil {
 			command.Openings = append(command.Openings, *s.req.Opening)
@@ -104,6 +106,9 @@
 	}
 	result, err := propose(ctx, r, command)
 	answerAll(batch, result, err)
+	if err == nil {
+		logEnded(result.Ended)
+	}
 }
 
 func answerAll(batch []*submission, result *fleetstate.Result, err error) {
@@ -120,3 +125,10 @@
 		s.done <- out
 	}
 }
+
+func logEnded(list []prepaid.Ended) {
+	for _, e := range list {
+		klog.InfoS("session of a dead process settled", "gateway", e.Host, "gap_ms", e.Gap.Milliseconds(),
+			"bounded", e.Bounded, "charged", e.Charged, "written_off", e.WrittenOff)
+	}
+}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -24,10 +24,10 @@
 )
 
 const (
-	// tick, electionTicks and heartbeatTicks let a group elect a leader within about
-	// three seconds, on hosts with a tenth of a core and slow disks.
-	tick           = 100 * time.Millisecond
-	electionTicks  = 10
+	// tick, electionTicks and heartbeatTicks let a group elect a leader within about a
+	// second, and allow for syncs of 60 ms on a slow disk.
+	tick           = 50 * time.Millisecond
+	electionTicks  = 12
 	heartbeatTicks = 2
 	// snapshotEntries keeps the log of a host with 128 MB of disk small.
 	snapshotEntries = 2000
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -39,6 +39,8 @@
 	Openings []prepaid.Opening `cbor:"2,keyasint,omitempty"`
 	Reports  []HostReport      `cbor:"3,keyasint,omitempty"`
 	Closings []Closing         `cbor:"4,keyasint,omitempty"`
+	// Stamp is the proposer's time of day in Unix ns.
+	Stamp int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Result is what Apply returns.
@@ -47,6 +49,8 @@
 	Version uint64
 	// Replies answer the reports, in their order.
 	Replies []prepaid.Reply
+	// Ended tells how the sessions of processes that were replaced were settled.
+	Ended []prepaid.Ended
 	// Err tells that the command could not be read.
 	Err error
 }
@@ -90,13 +94,15 @@
 		return &Result{Version: m.state.Document.Version, Err: eris.Wrap(err, "read a command of the log")}
 	}
 	m.put(c.Document)
+	result := &Result{Version: m.state.Document.Version}
 	for _, o := range c.Openings {
-		m.state.Book.Open(o)
+		if ended := m.state.Book.Open(o, c.Stamp); ended != nil {
+			result.Ended = append(result.Ended, *ended)
+		}
 	}
-	result := &Result{Version: m.state.Document.Version}
 	for i := range c.Reports {
 		r := &c.Reports[i]
-		result.Replies = append(result.Replies, m.state.Book.Apply(r.Host, &r.Report))
+		result.Replies = append(result.Replies, m.state.Book.Apply(r.Host, &r.Report, c.Stamp))
 	}
 	for _, end := range c.Closings {
 		m.state.Book.Close(end.Host, end.Session)
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -253,9 +253,11 @@
 		Peer: controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
 	if !c.opened {
-		req.Opening = &c.opening
+		opening := c.opening
+		opening.Age = c.options.Clock() - opening.Clock
+		req.Opening = &opening
 	}
-	req.Report = c.allowance.Report(c.options.Clock())
+	req.Report = c.allowance.Report(prepaid.Instant{Boot: c.options.Clock(), Wall: time.Now().UnixNano()})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	req.Crashes = slices.Clone(c.crashes)
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -13,14 +13,20 @@
 	// horizon is how long a host should be able to serve without the control
 	// group. The users' deployments lose it for 9 s at a time.
 	horizon = 10 * time.Second
-	// surge is the factor over the recent demand that a host prepares for: the
+	// surge is the factor over the recent demand that a host may spend at: the
 	// users' busiest organisations send two to three times their usual.
-	surge = 2.5
+	surge = 2
+	// stock is the factor over the recent demand that a host holds for its horizon;
+	// what it lacks in a surge it gets from other hosts.
+	stock = 1.5
 	// touchWindow is the demand that a host prepares for between two reports.
 	touchWindow = time.Second
 	// floorDivisor sets the least rate of an envelope: the balance in N seconds
 	// over all hosts, for organisations that the host has not seen yet.
 	floorDivisor = 60
+	// burstRequests is the number of the largest recent requests that a host may
+	// admit at once between two reports.
+	burstRequests = 1.2
 	// burstDivisor bounds a burst by the host's part of the balance: 1 in N of it.
 	burstDivisor = 4
 	// balanceFreshness is the age up to which a balance is good for a final refusal.
@@ -198,14 +204,15 @@
 
 // Report returns the report to send. One that was not acknowledged is returned
 // again as it was: the group may have it.
-func (a *Allowance) Report(now int64) *Report {
+func (a *Allowance) Report(at Instant) *Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sent != nil {
 		return a.sent
 	}
 	a.seq++
-	r := &Report{Session: a.session, Seq: a.seq, Clock: now}
+	now := at.Boot
+	r := &Report{Session: a.session, Seq: a.seq, Clock: now, Wall: at.Wall}
 	for name, t := range a.accounts {
 		if !t.changed && t.demand < 1 {
 			continue
@@ -222,10 +229,10 @@
 	rate := t.demand / demandWindow.Seconds() * surge
 	share := float64(max(t.balance, 0)) / float64(max(t.hosts, 1))
 	rate = max(rate, share/floorDivisor)
-	burst := max(rate*touchWindow.Seconds(), min(t.largest*surge, share/burstDivisor))
+	burst := max(rate*touchWindow.Seconds(), min(t.largest*burstRequests, share/burstDivisor))
 	u := Use{
 		Organisation: name, Used: t.used, Reserved: t.reserved,
-		Want: int64(rate*horizon.Seconds()+burst) + t.need,
+		Want: int64(rate*stock/surge*horizon.Seconds()+burst) + t.need,
 		Rate: int64(rate), Burst: int64(burst) + t.need,
 	}
 	if excess := t.held() - t.spent() - max(t.target, 0); t.balanceKnown && excess > 0 {
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -10,9 +10,15 @@
 const (
 	// surplusDivisor is the part of the balance beyond what hosts want, 1 in N, that
 	// is spread evenly over the hosts, so that one with new demand can serve while cut off.
-	surplusDivisor = 2
+	surplusDivisor = 8
 	// returnSlackDivisor keeps hosts from returning small amounts back and forth.
 	returnSlackDivisor = 8
+	// clockAgreement is the difference up to which a host's boot-time clock and time
+	// of day count as having run on together.
+	clockAgreement = 500 * time.Millisecond
+	// clockDoubt is added to a time that was measured by times of day, which differ
+	// between machines.
+	clockDoubt = 700 * time.Millisecond
 	// maxHolders is the number of holders that a host is told of.
 	maxHolders = 4
 )
@@ -41,6 +47,10 @@
 	Seq      uint64              `cbor:"2,keyasint"`
 	Clock    int64               `cbor:"3,keyasint"`
 	Holdings map[string]*Holding `cbor:"4,keyasint"`
+	// Wall is the host's time of day at its latest report, and Stamp that of the
+	// control host that committed it, both in Unix ns.
+	Wall  int64 `cbor:"5,keyasint,omitempty"`
+	Stamp int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Holding is one organisation's part of a session.
@@ -85,20 +95,55 @@
 	return a
 }
 
+// Ended tells how the session of a dead process was settled.
+type Ended struct {
+	Host string
+	// Gap is the time from the last report to the start of the next process.
+	Gap time.Duration
+	// Bounded tells that the envelope bounds what the process has spent.
+	Bounded bool
+	// Charged and WrittenOff are the tokens charged, and those of them that were
+	// not reported as used.
+	Charged, WrittenOff int64
+}
+
 // Open begins the session of a host's new process. What the process before it
-// may have spent is charged.
-func (b *Book) Open(o Opening) {
+// may have spent is charged; Ended is nil if there was none. stamp is the time of
+// day of the control host that commits the command.
+func (b *Book) Open(o Opening, stamp int64) *Ended {
 	old := b.Sessions[o.Host]
 	if old != nil && old.ID == o.Session {
-		return
+		return nil
 	}
-	if old != nil {
-		gap := time.Duration(o.Clock - old.Clock)
-		for name, h := range old.Holdings {
-			b.end(name, h, gap)
-		}
+	b.Sessions[o.Host] = &Session{ID: o.Session, Clock: o.Clock, Wall: o.Wall, Stamp: stamp, Holdings: map[string]*Holding{}}
+	if old == nil {
+		return nil
+	}
+	ended := &Ended{Host: o.Host}
+	ended.Gap, ended.Bounded = old.gap(o, stamp)
+	for name, h := range old.Holdings {
+		b.end(name, h, ended)
+	}
+	return ended
+}
+
+// gap returns the most time that can have passed between the session's last
+// report and the death of its process, and whether it is short enough for the
+// envelope to hold. The host's boot-time clock tells it exactly, unless the
+// machine itself was restarted, as shown by a time of day that has gone another
+// way. Then two times of day on different machines must both say that it is
+// short, with doubt added: only one that was stepped back would mislead.
+func (s *Session) gap(o Opening, stamp int64) (time.Duration, bool) {
+	boot, wall := time.Duration(o.Clock-s.Clock), time.Duration(o.Wall-s.Wall)
+	if boot >= 0 && (boot-wall).Abs() <= clockAgreement {
+		return boot, boot <= ReserveDelay
+	}
+	if wall < 0 {
+		return wall, false
 	}
-	b.Sessions[o.Host] = &Session{ID: o.Session, Clock: o.Clock, Holdings: map[string]*Holding{}}
+	control := time.Duration(stamp - s.Stamp - o.Age)
+	longest := max(wall, control) + clockDoubt
+	return longest, longest <= ReserveDelay
 }
 
 // Close ends the session of a host that stops, after its last report. The host
@@ -114,15 +159,17 @@
 	delete(b.Sessions, host)
 }
 
-// end charges a holding of a process that died at most gap after its last report.
-func (b *Book) end(name string, h *Holding, gap time.Duration) {
+// end charges a holding of a process that died.
+func (b *Book) end(name string, h *Holding, ended *Ended) {
 	a := b.account(name)
 	charged := h.held()
-	if gap >= 0 && gap <= ReserveDelay {
-		charged = min(charged, h.Used+h.Reserved+h.envelope(gap))
+	if ended.Bounded {
+		charged = min(charged, h.Used+h.Reserved+h.envelope(ended.Gap))
 	}
 	a.Charged += charged
 	a.WrittenOff += charged - h.Used
+	ended.Charged += charged
+	ended.WrittenOff += charged - h.Used
 }
 
 // envelope is the most that the host reserves within d after the report.
@@ -130,14 +177,15 @@
 	return u.Burst + int64(float64(u.Rate)*d.Seconds())
 }
 
-// Apply takes in a report and grants what the balances allow.
-func (b *Book) Apply(host string, r *Report) Reply {
+// Apply takes in a report and grants what the balances allow. stamp is the time of
+// day of the control host that commits the command.
+func (b *Book) Apply(host string, r *Report, stamp int64) Reply {
 	s := b.Sessions[host]
 	if s == nil || s.ID != r.Session {
 		return Reply{Seq: r.Seq, Unknown: true}
 	}
 	if r.Seq > s.Seq {
-		s.Seq, s.Clock = r.Seq, r.Clock
+		s.Seq, s.Clock, s.Wall, s.Stamp = r.Seq, r.Clock, r.Wall, stamp
 		for _, u := range r.Uses {
 			h := s.holding(u.Organisation)
 			b.transfer(u.Organisation, &h.Use, &u)
--- a/internal/prepaid/messages.go
+++ b/internal/prepaid/messages.go
@@ -23,7 +23,7 @@
 // ReserveDelay is the time without an acknowledged report after which a host may
 // spend all that it holds. A host that is killed and back within it has most of
 // its grants recovered; one that is cut off has only its envelope for as long.
-const ReserveDelay = 3500 * time.Millisecond
+const ReserveDelay = 5 * time.Second
 
 // Use is what a host says of one organisation. All but Want, Burst and Rate are
 // totals since the session began.
@@ -76,6 +76,16 @@
 	// clock counts suspended time and continues over restarts of the process.
 	Clock int64 `cbor:"3,keyasint"`
 	Uses  []Use `cbor:"4,keyasint,omitempty"`
+	// Wall is the host's time of day when the report was made, in Unix ns.
+	Wall int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Instant is a moment on the two clocks of a host, in ns.
+type Instant struct {
+	// Boot is the time since the machine's start, suspended time included.
+	Boot int64
+	// Wall is the time of day as Unix time; it may be stepped.
+	Wall int64
 }
 
 // Grant is the control group's word on one organisation at one host.
@@ -112,4 +122,6 @@
 	// process started, in ns.
 	Clock int64 `cbor:"3,keyasint"`
 	Wall  int64 `cbor:"4,keyasint"`
+	// Age is the time since the process started, in ns, when this was sent.
+	Age int64 `cbor:"5,keyasint,omitempty"`
 }
