Keep SIGHUP caught while a host stops

Cause: the watcher of the settings file gave the signal back when the stop began, and a SIGHUP 3 s later (seed turnover) ended the process with 17 streams open.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -36,10 +36,11 @@
 // hostSeeds returns the addresses of the present seeds for other hosts.
 func (w *watched) hostSeeds() []string { return slices.Clone(*w.seeds.Load()) }
 
+// run looks at the file until ctx ends. SIGHUP stays caught afterwards: its
+// default action would end a process that is still answering requests.
 func (w *watched) run(ctx context.Context) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
