--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -79,6 +79,8 @@
 	CacheTokens int64
 	// EventTokens is the largest number of output tokens in one event of a stream.
 	EventTokens int64
+	// Transfers tells that engines can fetch parts of prompts from each other.
+	Transfers bool
 }
 
 // Service is a group of upstreams that serve the same requests.
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/presence"
 	"github.com/godwitbend/godwitbend/internal/replication"
@@ -72,8 +73,8 @@
 	// Epoch and Revision name the table of upstreams that the host has.
 	Epoch    uint64 `cbor:"5,keyasint,omitempty"`
 	Revision uint64 `cbor:"6,keyasint,omitempty"`
-	// InFlight is the number of requests that the host has open, by upstream.
-	InFlight map[string]int `cbor:"7,keyasint,omitempty"`
+	// Loads is the load by the host, by upstream.
+	Loads map[string]placement.Load `cbor:"7,keyasint,omitempty"`
 	// Crashes names requests whose upstream broke down while it ran them.
 	Crashes []Crash `cbor:"8,keyasint,omitempty"`
 	// Peer is how other gateway hosts reach this one.
@@ -111,8 +112,8 @@
 	Members []string `cbor:"8,keyasint,omitempty"`
 	// Hosts is the number of gateway hosts that call regularly.
 	Hosts int `cbor:"9,keyasint,omitempty"`
-	// InFlight is the number of requests that the other hosts have open, by upstream.
-	InFlight map[string]int `cbor:"10,keyasint,omitempty"`
+	// Loads is the load by the other hosts, by upstream.
+	Loads map[string]placement.Load `cbor:"10,keyasint,omitempty"`
 	// Quarantined are the fingerprints of requests that no upstream survives.
 	Quarantined []uint64 `cbor:"11,keyasint,omitempty"`
 	// Peers are the gateway hosts, if the list has changed; PeersRevision numbers it.
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/placement"
 )
 
 const (
@@ -21,10 +22,10 @@
 
 // gatewayHost is what the leader knows of a gateway host.
 type gatewayHost struct {
-	seen     time.Time
-	tabled   time.Time
-	inFlight map[string]int
-	peer     Peer
+	seen   time.Time
+	tabled time.Time
+	loads  map[string]placement.Load
+	peer   Peer
 }
 
 // sync serves MethodSync.
@@ -66,8 +67,8 @@
 	if h.peer != req.Peer {
 		n.peersRevision++
 	}
-	h.seen, h.inFlight, h.peer = now, req.InFlight, req.Peer
-	reply.InFlight = map[string]int{}
+	h.seen, h.loads, h.peer = now, req.Loads, req.Peer
+	reply.Loads = map[string]placement.Load{}
 	for name, other := range n.hosts {
 		if now.Sub(other.seen) > hostRetention {
 			delete(n.hosts, name)
@@ -77,8 +78,11 @@
 		if name == req.Host {
 			continue
 		}
-		for id, count := range other.inFlight {
-			reply.InFlight[id] += count
+		for id, load := range other.loads {
+			sum := reply.Loads[id]
+			sum.Open += load.Open
+			sum.Unread += load.Unread
+			reply.Loads[id] = sum
 		}
 	}
 	reply.Hosts = len(n.hosts)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -19,7 +19,7 @@
 	maps.Copy(w.Header(), held.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
 	w.WriteHeader(held.status)
-	a.handler.first.RecordDuration(time.Since(a.arrived))
+	a.noteFirst()
 	if _, err := w.Write(held.body); err != nil {
 		klog.InfoS("answer not delivered", append(a.logFields(), "error", err.Error())...)
 		return
@@ -45,6 +45,7 @@
 			a.saw = sawBroken
 			return a.brokenStep()
 		}
+		a.handler.Pool.Begin(a.target, time.Now())
 		if event.HasID && a.events > 0 && event.ID <= a.lastEvent {
 			continue
 		}
@@ -63,11 +64,21 @@
 	maps.Copy(w.Header(), a.handler.Dialect.AnswerHeader(answer.Header))
 	w.Header().Del("Content-Length")
 	w.WriteHeader(answer.StatusCode)
-	a.handler.first.RecordDuration(time.Since(a.arrived))
+	a.noteFirst()
+}
+
+func (q *request) noteFirst() {
+	q.first = time.Since(q.arrived)
+	q.handler.first.RecordDuration(q.first)
 }
 
 // pass writes one event; false means that the caller has left.
 func (a *attempt) pass(w http.ResponseWriter, event *upstreamhttp.Event) bool {
+	now := time.Now()
+	if a.events > 0 {
+		a.longest = max(a.longest, now.Sub(a.previous))
+	}
+	a.previous = now
 	a.events++
 	a.resumable = event.HasID
 	if event.HasID {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -57,6 +57,8 @@
 	Left time.Duration
 	// Rank orders requests at the upstream; 0 goes first.
 	Rank int
+	// CacheSource is the address of an upstream to fetch parts of the prompt from, or empty.
+	CacheSource string
 	// ResumeAfter is the last event that the caller has, if Resumes.
 	ResumeAfter int64
 	Resumes     bool
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -50,7 +50,7 @@
 // attempt is the exchange with one upstream.
 type attempt struct {
 	*request
-	target *placement.Upstream
+	target *placement.Place
 	// held is a failure of the upstream that is passed on if there is no other attempt.
 	held *heldAnswer
 	// retryAfter is the upstream's word on when it has room.
@@ -72,13 +72,13 @@
 		if q.ctx.Err() != nil || q.left() < leastTime {
 			return q.giveUp(w, nil)
 		}
-		upstream, refusal := q.choose(target)
+		place, refusal := q.choose(target)
 		if refusal != nil {
 			return q.giveUp(w, refusal)
 		}
-		a := &attempt{request: q, target: upstream}
+		a := &attempt{request: q, target: place}
 		next := a.run(w)
-		q.handler.Pool.Release(upstream)
+		q.handler.Pool.Release(place)
 		if next == finished {
 			return nil
 		}
@@ -109,14 +109,11 @@
 	return targets[len(targets)-1].Service
 }
 
-func (q *request) choose(service string) (*placement.Upstream, *errkind.Error) {
-	part, has := q.sharedPart()
-	upstream, reason := q.handler.Pool.Choose(&placement.Request{
-		Service: service, Part: part, HasPart: has, Exclude: q.exclude, Limit: q.placeLimit(),
-	}, time.Now())
+func (q *request) choose(service string) (*placement.Place, *errkind.Error) {
+	place, reason := q.handler.Pool.Choose(q.placement(service), time.Now())
 	switch reason {
 	case placement.Chosen:
-		return upstream, nil
+		return place, nil
 	case placement.Full:
 		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q are full", service).WithRetryAfter(fullRetry)
 	case placement.None:
@@ -126,16 +123,19 @@
 	}
 }
 
-// sharedPart returns the last part of the prompt that other requests share.
-func (q *request) sharedPart() (hash uint64, ok bool) {
-	switch n := len(q.Prompt); n {
-	case 0:
-		return 0, false
-	case 1:
-		return q.Prompt[0].Hash, true
-	default:
-		return q.Prompt[n-2].Hash, true
+// placement describes the request for the choice of an upstream. The last part
+// of a prompt is the request's own, unless it is the only one.
+func (q *request) placement(service string) *placement.Request {
+	r := &placement.Request{Service: service, Tokens: q.InputTokens, Exclude: q.exclude, Limit: q.placeLimit()}
+	if q.service != nil && q.service.Engine != nil {
+		r.Transfers = q.service.Engine.Transfers
+	}
+	shared := q.Prompt[:max(len(q.Prompt)-1, min(len(q.Prompt), 1))]
+	for _, part := range shared {
+		r.Part, r.HasPart = part.Hash, true
+		r.PartTokens += part.Tokens
 	}
+	return r
 }
 
 func (q *request) placeLimit() func(*placement.Upstream) int {
@@ -254,7 +254,10 @@
 }
 
 func (a *attempt) encode() *upstreamhttp.Request {
-	f := &Forwarding{Upstream: a.target.ID, Left: a.left(), Rank: a.rank(), ResumeAfter: a.ResumeAfter, Resumes: a.Resumes}
+	f := &Forwarding{
+		Upstream: a.target.ID, Left: a.left(), Rank: a.rank(), CacheSource: a.target.Source,
+		ResumeAfter: a.ResumeAfter, Resumes: a.Resumes,
+	}
 	if a.organisation != nil {
 		f.Organisation = a.organisation.Name
 	}
@@ -325,6 +328,7 @@
 // whole passes on an answer that is not a stream. It is read to its end first,
 // so that the caller never gets a part.
 func (a *attempt) whole(w http.ResponseWriter, answer *upstreamhttp.Answer) step {
+	a.handler.Pool.Begin(a.target, time.Now())
 	body, err := answer.ReadBody(answerLimit)
 	if err != nil {
 		a.lost()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -103,9 +103,14 @@
 	events    int64
 	lastEvent int64
 	resumable bool
-	attempts  int
-	exclude   []string
-	upstream  string
+	// first is when the caller got the first byte, and longest the longest pause
+	// between two events.
+	first    time.Duration
+	longest  time.Duration
+	previous time.Time
+	attempts int
+	exclude  []string
+	upstream string
 	// saw is the reason of the latest failed attempt.
 	saw string
 }
@@ -195,6 +200,12 @@
 	if q.attempts > 0 {
 		fields = append(fields, "upstream", q.upstream, "attempts", q.attempts)
 	}
+	if q.Call != nil && q.InputTokens > 0 {
+		fields = append(fields, "input_tokens", q.InputTokens)
+	}
+	if q.first > 0 {
+		fields = append(fields, "first_ms", q.first.Milliseconds(), "longest_pause_ms", q.longest.Milliseconds())
+	}
 	if q.saw != "" {
 		fields = append(fields, "last_failure", q.saw)
 	}
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -249,7 +249,7 @@
 func (c *Client) request() *controlnode.SyncRequest {
 	req := &controlnode.SyncRequest{
 		Host: c.options.Host, Version: c.version, Epoch: c.epoch, Revision: c.revision,
-		InFlight: c.options.Pool.InFlight(), Peers: c.peersAt,
+		Loads: c.options.Pool.Loads(), Peers: c.peersAt,
 		Peer: controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
 	if !c.opened {
@@ -281,7 +281,7 @@
 	if reply.Upstreams != nil {
 		c.options.Pool.Update(seen(reply.Upstreams, now), now)
 	}
-	c.options.Pool.Synced(reply.InFlight, now)
+	c.options.Pool.Synced(reply.Loads, now)
 	c.mu.Lock()
 	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
 	if reply.Peers != nil {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -9,29 +9,56 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// The costs of a choice, in prompt tokens to read: engines read some 50 tokens a
+// millisecond, and reading is what the first event of an answer waits for.
 const (
-	// spill is the number of requests by which the load of the first upstream for
-	// a shared part may exceed that of the next before the next is taken.
-	spill = 4
-	// places is the number of upstreams among which a shared part is spread.
-	places = 3
-	// zonePenalty is the load at which an upstream of the own zone is as good as
-	// an idle one of another zone.
-	zonePenalty = 1
+	// openCost is the delay by one running request, which slows each step of an engine.
+	openCost = 60
+	// transferCost is the delay and the price of moving a shared part between
+	// engines; reading one again costs its tokens.
+	transferCost = 2500
+	// strayCost keeps a part on few engines, whose memory is limited.
+	strayCost = 30000
+	// plainZoneCost is the number of requests by which an upstream of another zone
+	// must be less loaded than one of the own zone.
+	plainZoneCost = 1
+	// partRetention is how long a part counts as kept after its last use.
+	partRetention = 45 * time.Second
+	// maxParts bounds the parts that are remembered for an upstream.
+	maxParts = 4096
 )
 
 // Request is what a choice depends on.
 type Request struct {
 	Service string
-	// Part is the hash of the shared part of the prompt; HasPart is false without one.
-	Part    uint64
-	HasPart bool
+	// Tokens is the size of the prompt; 0 for plain services.
+	Tokens int64
+	// Part is the hash of the last part of the prompt that other requests share,
+	// and PartTokens the size up to its end. HasPart is false without one.
+	Part       uint64
+	PartTokens int64
+	HasPart    bool
+	// Transfers tells that engines can fetch a part from each other.
+	Transfers bool
 	// Exclude holds the ids of upstreams that were tried.
 	Exclude []string
 	// Limit is the number of open requests at which an upstream is full.
 	Limit func(u *Upstream) int
 }
 
+// Place is a request's place at an upstream. Release gives it back.
+type Place struct {
+	*Upstream
+	// Source is the address of an upstream that is likely to keep the shared part,
+	// if this one does not; it may be empty.
+	Source string
+
+	part    uint64
+	hasPart bool
+	unread  int64
+	began   bool
+}
+
 // Reason tells why no upstream was chosen.
 type Reason uint8
 
@@ -47,24 +74,63 @@
 	Full
 )
 
-// Choose returns the upstream for a request and takes a place there, which the
-// caller gives back by Release.
-func (p *Pool) Choose(req *Request, now time.Time) (*Upstream, Reason) {
+// Choose takes a place for a request.
+func (p *Pool) Choose(req *Request, now time.Time) (*Place, Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates, reason := p.candidates(req, now)
 	if reason != Chosen {
 		return nil, reason
 	}
-	best := p.leastLoaded(candidates)
+	l := &Place{Upstream: p.leastLoaded(candidates), unread: req.Tokens}
 	if req.HasPart {
-		best = sticky(candidates, req.Part)
+		l = p.bySharedPart(req, candidates, now)
+	}
+	l.own.Open++
+	l.own.Unread += l.unread
+	if !l.avoidUntil.IsZero() {
+		l.probing = true
 	}
-	best.own++
-	if !best.avoidUntil.IsZero() {
-		best.probing = true
+	return l, Chosen
+}
+
+// Begin notes that the upstream has read the prompt and answers.
+func (p *Pool) Begin(l *Place, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begin(l)
+	if l.hasPart {
+		l.Upstream.keep(l.part, now)
+	}
+}
+
+func (p *Pool) begin(l *Place) {
+	if !l.began {
+		l.began = true
+		l.own.Unread -= l.unread
+	}
+}
+
+// Release gives the place back.
+func (p *Pool) Release(l *Place) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begin(l)
+	l.own.Open--
+}
+
+// keep notes that the upstream has read a part.
+func (u *Upstream) keep(part uint64, now time.Time) {
+	if u.parts == nil || len(u.parts) >= maxParts {
+		u.parts = map[uint64]time.Time{}
 	}
-	return best, Chosen
+	u.parts[part] = now
+}
+
+// keeps tells whether the upstream is likely to have a part in memory.
+func (u *Upstream) keeps(part uint64, now time.Time) bool {
+	at, read := u.parts[part]
+	return read && now.Sub(at) < partRetention
 }
 
 // candidates returns the upstreams that may be chosen: the sound ones, or else
@@ -79,7 +145,7 @@
 	for _, u := range all {
 		switch {
 		case slices.Contains(req.Exclude, u.ID):
-		case req.Limit != nil && u.load() >= req.Limit(u):
+		case req.Limit != nil && u.open() >= req.Limit(u):
 			full = true
 		case p.sound(u, now):
 			sound = append(sound, u)
@@ -109,29 +175,55 @@
 
 func (p *Pool) leastLoaded(candidates []*Upstream) *Upstream {
 	return slices.MinFunc(candidates, func(a, b *Upstream) int {
-		return cmp.Or(cmp.Compare(p.cost(a), p.cost(b)), cmp.Compare(a.own, b.own), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(p.plainCost(a), p.plainCost(b)), cmp.Compare(a.own.Open, b.own.Open), cmp.Compare(a.ID, b.ID))
 	})
 }
 
-func (p *Pool) cost(u *Upstream) int {
+func (p *Pool) plainCost(u *Upstream) int {
 	if u.Zone == p.zone {
-		return u.load()
+		return u.open()
 	}
-	return u.load() + zonePenalty
+	return u.open() + plainZoneCost
 }
 
-// sticky returns the upstream for a shared part: by rendezvous hashing, which all
-// hosts compute alike, and bounded by load.
-func sticky(candidates []*Upstream, part uint64) *Upstream {
-	slices.SortFunc(candidates, func(a, b *Upstream) int {
-		return cmp.Or(cmp.Compare(weight(b.ID, part), weight(a.ID, part)), cmp.Compare(a.ID, b.ID))
+// bySharedPart weighs what an engine has to read, for the request itself and for
+// those before it, against moving the shared part. Where nothing is known the
+// part's home by rendezvous hashing, which all hosts compute alike, is taken to
+// keep it.
+func (p *Pool) bySharedPart(req *Request, candidates []*Upstream, now time.Time) *Place {
+	home := slices.MaxFunc(candidates, func(a, b *Upstream) int {
+		return cmp.Or(cmp.Compare(weight(a.ID, req.Part), weight(b.ID, req.Part)), cmp.Compare(a.ID, b.ID))
 	})
-	best := candidates[0]
-	for _, u := range candidates[1:min(places, len(candidates))] {
-		if best.load() > u.load()+spill {
-			best = u
+	holder := home
+	if !home.keeps(req.Part, now) {
+		for _, u := range candidates {
+			if u.keeps(req.Part, now) {
+				holder = u
+			}
 		}
 	}
+	best := &Place{}
+	bestCost := int64(-1)
+	for _, u := range candidates {
+		unread, extra := req.Tokens, int64(0)
+		switch {
+		case u.keeps(req.Part, now):
+			unread -= req.PartTokens
+		case u == home:
+		case req.Transfers && holder.keeps(req.Part, now):
+			unread -= req.PartTokens
+			extra = transferCost + strayCost
+		default:
+			extra = strayCost
+		}
+		cost := u.unread() + unread + extra + int64(u.open())*openCost
+		if bestCost < 0 || cost < bestCost || cost == bestCost && u.ID < best.ID {
+			best, bestCost = &Place{Upstream: u, part: req.Part, hasPart: true, unread: max(unread, 0)}, cost
+		}
+	}
+	if req.Transfers && holder != best.Upstream && !best.keeps(req.Part, now) {
+		best.Source = holder.Address
+	}
 	return best
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -28,8 +28,10 @@
 type Upstream struct {
 	presence.Upstream
 	seen time.Time
-	// own and others are the open requests of this host and of all other hosts.
-	own, others int
+	// own and others are the load by this host and by all other hosts.
+	own, others Load
+	// parts holds when a shared part was last read here, as far as this host knows.
+	parts map[uint64]time.Time
 	// failures are those in a row; ejections those since the last success.
 	failures, ejections int
 	// avoidUntil ends an ejection.
@@ -38,8 +40,17 @@
 	probing bool
 }
 
-// load is the number of open requests that the host knows of.
-func (u *Upstream) load() int { return u.own + u.others }
+// Load is the work at an upstream.
+type Load struct {
+	// Open is the number of requests, and Unread that of prompt tokens which are
+	// still to be read.
+	Open   int   `cbor:"1,keyasint,omitempty"`
+	Unread int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// open and unread are the load that the host knows of.
+func (u *Upstream) open() int     { return u.own.Open + u.others.Open }
+func (u *Upstream) unread() int64 { return u.own.Unread }
 
 // Pool holds the upstreams. It is safe for concurrent use.
 type Pool struct {
@@ -106,7 +117,7 @@
 }
 
 // Synced notes a contact with the control group and the load of the other hosts.
-func (p *Pool) Synced(others map[string]int, now time.Time) {
+func (p *Pool) Synced(others map[string]Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.synced = now
@@ -115,31 +126,17 @@
 	}
 }
 
-// InFlight returns the open requests of this host by upstream.
-func (p *Pool) InFlight() map[string]int {
+// Loads returns the load by this host, by upstream.
+func (p *Pool) Loads() map[string]Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	counts := map[string]int{}
+	loads := map[string]Load{}
 	for id, u := range p.upstreams {
-		if u.own > 0 {
-			counts[id] = u.own
+		if u.own != (Load{}) {
+			loads[id] = u.own
 		}
 	}
-	return counts
-}
-
-// Known tells whether any upstream of a service is ready.
-func (p *Pool) Known(service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.services[service]) > 0
-}
-
-// Release gives back the place that Choose took.
-func (p *Pool) Release(u *Upstream) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u.own--
+	return loads
 }
 
 // Outcome is how a request fared at an upstream.
@@ -162,9 +159,10 @@
 )
 
 // Observe takes in how a request fared.
-func (p *Pool) Observe(u *Upstream, o Outcome, now time.Time) {
+func (p *Pool) Observe(l *Place, o Outcome, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	u := l.Upstream
 	u.probing = false
 	switch o {
 	case Served:
--- a/internal/prepaid/messages.go
+++ b/internal/prepaid/messages.go
@@ -23,7 +23,7 @@
 // ReserveDelay is the time without an acknowledged report after which a host may
 // spend all that it holds. A host that is killed and back within it has most of
 // its grants recovered; one that is cut off has only its envelope for as long.
-const ReserveDelay = 5 * time.Second
+const ReserveDelay = 3 * time.Second
 
 // Use is what a host says of one organisation. All but Want, Burst and Rate are
 // totals since the session began.
