Let gateway hosts tell each other their loads and which parts engines have read

Cause: a host saw the reading of long prompts by others 250 ms late, or not at all while cut off, and sent short prompts behind them; without knowledge of others' reads, strays were read again instead of fetched.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -69,6 +69,11 @@
 			klog.ErrorS(err, "server for hosts ended")
 		}
 	}()
+	go func() {
+		if err := client.Gossip(background); err != nil {
+			klog.ErrorS(err, "loads are not exchanged with other hosts")
+		}
+	}()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,7 +18,7 @@
 	// engines; reading one again costs its tokens.
 	transferCost = 2500
 	// strayCost keeps a part on few engines, whose memory is limited.
-	strayCost = 30000
+	strayCost = 8000
 	// plainZoneCost is the number of requests by which an upstream of another zone
 	// must be less loaded than one of the own zone.
 	plainZoneCost = 1
@@ -88,6 +88,7 @@
 	}
 	l.own.Open++
 	l.own.Unread += l.unread
+	p.noteChange()
 	if !l.avoidUntil.IsZero() {
 		l.probing = true
 	}
@@ -98,9 +99,13 @@
 func (p *Pool) Begin(l *Place, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if l.began {
+		return
+	}
 	p.begin(l)
 	if l.hasPart {
 		l.Upstream.keep(l.part, now)
+		p.noteKept(Kept{Part: l.part, Upstream: l.ID})
 	}
 }
 
@@ -108,6 +113,7 @@
 	if !l.began {
 		l.began = true
 		l.own.Unread -= l.unread
+		p.noteChange()
 	}
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -28,8 +28,9 @@
 type Upstream struct {
 	presence.Upstream
 	seen time.Time
-	// own and others are the load by this host and by all other hosts.
-	own, others Load
+	// own is the load by this host. others is that by all other hosts: as the
+	// control group told it, and as they told it themselves.
+	own, others, heard Load
 	// parts holds when a shared part was last read here, as far as this host knows.
 	parts map[uint64]time.Time
 	// failures are those in a row; ejections those since the last success.
@@ -49,8 +50,8 @@
 }
 
 // open and unread are the load that the host knows of.
-func (u *Upstream) open() int     { return u.own.Open + u.others.Open }
-func (u *Upstream) unread() int64 { return u.own.Unread }
+func (u *Upstream) open() int     { return u.own.Open + max(u.others.Open, u.heard.Open) }
+func (u *Upstream) unread() int64 { return u.own.Unread + u.heard.Unread }
 
 // Pool holds the upstreams. It is safe for concurrent use.
 type Pool struct {
@@ -60,6 +61,12 @@
 	table     *presence.Table
 	upstreams map[string]*Upstream
 	services  map[string][]*Upstream
+	// peers holds what other hosts said of their load, by session.
+	peers map[uint64]*peerLoad
+	// recent holds the parts whose reading this host has seen lately.
+	recent []Kept
+	// changed holds a token when the own load has changed.
+	changed chan struct{}
 	// synced is when the table was last confirmed by the control group.
 	synced time.Time
 }
@@ -69,6 +76,7 @@
 	return &Pool{
 		zone: zone, table: presence.NewTable(),
 		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
+		peers: map[uint64]*peerLoad{}, changed: make(chan struct{}, 1),
 	}
 }
 
