Recover the reserves of dead gateway processes by the word of their witnesses

A host opens its reserve only after a majority of its witnesses has noted it; the witnesses of a dead session deny it through the log, and the charge comes back. Also: the first election of a starting group is eager, and the envelope is smaller (surge 1.3, half a second, 0.6 of the largest request).

--- a/internal/controlnode/batch.go
+++ b/internal/controlnode/batch.go
@@ -35,30 +35,31 @@
 }
 
 type submitted struct {
-	reply *prepaid.Reply
-	err   error
+	reply     *prepaid.Reply
+	questions []prepaid.Question
+	err       error
 }
 
 func newReportBatcher(n *Node) *reportBatcher {
 	return &reportBatcher{node: n, queue: make(chan *submission, maxBatchedReports)}
 }
 
-// submit commits the opening and the report of req; the reply is nil without a report.
-func (b *reportBatcher) submit(ctx context.Context, req *SyncRequest) (*prepaid.Reply, error) {
+// submit commits the opening and the report of req.
+func (b *reportBatcher) submit(ctx context.Context, req *SyncRequest) (submitted, error) {
 	if req.Opening == nil && req.Report == nil {
-		return nil, nil
+		return submitted{}, nil
 	}
 	s := &submission{req: req, done: make(chan submitted, 1)}
 	select {
 	case b.queue <- s:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return submitted{}, ctx.Err()
 	}
 	select {
 	case out := <-s.done:
-		return out.reply, out.err
+		return out, out.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return submitted{}, ctx.Err()
 	}
 }
 
@@ -95,6 +96,9 @@
 		if s.req.Opening != nil {
 			command.Openings = append(command.Openings, *s.req.Opening)
 		}
+		for _, dead := range s.req.Denied {
+			command.Denials = append(command.Denials, prepaid.Denial{Session: dead, Witness: s.req.Peer.Session})
+		}
 		if s.req.Report != nil {
 			command.Reports = append(command.Reports, fleetstate.HostReport{Host: s.req.Host, Report: *s.req.Report})
 		}
@@ -107,7 +111,7 @@
 	result, err := propose(ctx, r, command)
 	answerAll(batch, result, err)
 	if err == nil {
-		logEnded(result.Ended)
+		logSettled(result)
 	}
 }
 
@@ -119,16 +123,19 @@
 		case err != nil:
 			out.err = err
 		case s.req.Report != nil:
-			out.reply = &result.Replies[next]
+			out.reply, out.questions = &result.Replies[next], result.Questions[next]
 			next++
 		}
 		s.done <- out
 	}
 }
 
-func logEnded(list []prepaid.Ended) {
-	for _, e := range list {
+func logSettled(result *fleetstate.Result) {
+	if result.Recovered > 0 {
+		klog.InfoS("tokens of a dead process recovered: witnesses deny that it opened its reserve", "tokens", result.Recovered)
+	}
+	for _, e := range result.Ended {
 		klog.InfoS("session of a dead process settled", "gateway", e.Host, "gap_ms", e.Gap.Milliseconds(),
-			"bounded", e.Bounded, "charged", e.Charged, "written_off", e.WrittenOff)
+			"bounded", e.Bounded, "charged", e.Charged, "written_off", e.WrittenOff, "doubtful", e.Doubtful)
 	}
 }
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -145,7 +145,7 @@
 	r, err := replica.Start(replica.Options{
 		ID: id.ReplicaID, Peers: id.Founders, Bootstrap: len(id.Founders) > 0,
 		Directory: n.options.Directory, Machine: machine, Transport: n.transport,
-		TickInterval: tick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		TickInterval: tick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, EagerStart: true,
 		SnapshotEntries: snapshotEntries, SegmentBytes: segmentBytes, Seed: n.epoch,
 		OnLeadership: func(leads bool, term uint64) {
 			klog.InfoS("leadership changed", "replica", id.ReplicaID, "leads", leads, "term", term)
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -79,6 +79,9 @@
 	Crashes []Crash `cbor:"8,keyasint,omitempty"`
 	// Peer is how other gateway hosts reach this one.
 	Peer Peer `cbor:"9,keyasint"`
+	// Denied are the dead sessions that had not opened their reserve, as far as this
+	// host was to note it.
+	Denied []uint64 `cbor:"11,keyasint,omitempty"`
 	// Peers is the number of the list of gateway hosts that the host has.
 	Peers uint64 `cbor:"10,keyasint,omitempty"`
 }
@@ -116,6 +119,8 @@
 	Loads map[string]placement.Load `cbor:"10,keyasint,omitempty"`
 	// Quarantined are the fingerprints of requests that no upstream survives.
 	Quarantined []uint64 `cbor:"11,keyasint,omitempty"`
+	// Questions ask the host about dead sessions.
+	Questions []prepaid.Question `cbor:"14,keyasint,omitempty"`
 	// Peers are the gateway hosts, if the list has changed; PeersRevision numbers it.
 	Peers         []Peer `cbor:"12,keyasint,omitempty"`
 	PeersRevision uint64 `cbor:"13,keyasint,omitempty"`
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -41,7 +41,7 @@
 		route, err := n.routed(err)
 		return &SyncReply{Routed: route}, err
 	}
-	reply := &SyncReply{Prepaid: result, Epoch: n.epoch, Members: n.Members()}
+	reply := &SyncReply{Prepaid: result.reply, Questions: result.questions, Epoch: n.epoch, Members: n.Members()}
 	n.addDocument(req, reply)
 	n.addTraffic(req, reply, time.Now())
 	return reply, nil
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -39,6 +39,8 @@
 	Openings []prepaid.Opening `cbor:"2,keyasint,omitempty"`
 	Reports  []HostReport      `cbor:"3,keyasint,omitempty"`
 	Closings []Closing         `cbor:"4,keyasint,omitempty"`
+	// Denials are the words of witnesses of dead sessions.
+	Denials []prepaid.Denial `cbor:"6,keyasint,omitempty"`
 	// Stamp is the proposer's time of day in Unix ns.
 	Stamp int64 `cbor:"5,keyasint,omitempty"`
 }
@@ -51,6 +53,10 @@
 	Replies []prepaid.Reply
 	// Ended tells how the sessions of processes that were replaced were settled.
 	Ended []prepaid.Ended
+	// Questions are for the witnesses among the reporting hosts, in the order of Replies.
+	Questions [][]prepaid.Question
+	// Recovered is the number of tokens that came back by Denials.
+	Recovered int64
 	// Err tells that the command could not be read.
 	Err error
 }
@@ -100,8 +106,12 @@
 			result.Ended = append(result.Ended, *ended)
 		}
 	}
+	for _, d := range c.Denials {
+		result.Recovered += m.state.Book.Deny(d)
+	}
 	for i := range c.Reports {
 		r := &c.Reports[i]
+		result.Questions = append(result.Questions, m.state.Book.Questions(r.Report.Session))
 		result.Replies = append(result.Replies, m.state.Book.Apply(r.Host, &r.Report, c.Stamp))
 	}
 	for _, end := range c.Closings {
@@ -129,6 +139,9 @@
 	if err := codec.Unmarshal(data, &s); err != nil {
 		return eris.Wrap(err, "read the state of the fleet")
 	}
+	if s.Book.Doubtful == nil {
+		s.Book.Doubtful = map[uint64]*prepaid.DoubtfulSession{}
+	}
 	m.state = s
 	m.publish()
 	return nil
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -73,6 +73,7 @@
 	rpc       *rpc.Client
 	opening   prepaid.Opening
 	allowance *prepaid.Allowance
+	witness   *prepaid.Witness
 	view      atomic.Pointer[View]
 	contacted atomic.Pointer[time.Time] // the latest contact
 	wake      chan struct{}
@@ -85,6 +86,7 @@
 	epoch    uint64
 	revision uint64
 	peersAt  uint64
+	denied   []uint64
 	inTouch  bool
 
 	mu      sync.Mutex
@@ -104,6 +106,7 @@
 		}),
 		opening:   prepaid.Opening{Host: o.Host, Session: session, Clock: o.Clock(), Wall: time.Now().UnixNano()},
 		allowance: prepaid.NewAllowance(session),
+		witness:   prepaid.NewWitness(),
 		wake:      make(chan struct{}, 1),
 		round:     make(chan struct{}),
 	}
@@ -153,6 +156,9 @@
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := c.contact(ctx)
+		if err != nil {
+			c.openReserve(ctx)
+		}
 		c.noteContact(err)
 		c.pause(ctx, started, err)
 	}
@@ -250,14 +256,15 @@
 	req := &controlnode.SyncRequest{
 		Host: c.options.Host, Version: c.version, Epoch: c.epoch, Revision: c.revision,
 		Loads: c.options.Pool.Loads(), Peers: c.peersAt,
-		Peer: controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
+		Denied: c.denied,
+		Peer:   controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
 	if !c.opened {
 		opening := c.opening
 		opening.Age = c.options.Clock() - opening.Clock
 		req.Opening = &opening
 	}
-	req.Report = c.allowance.Report(prepaid.Instant{Boot: c.options.Clock(), Wall: time.Now().UnixNano()})
+	req.Report = c.allowance.Report(prepaid.Instant{Boot: c.options.Clock(), Wall: time.Now().UnixNano()}, c.witnesses())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	req.Crashes = slices.Clone(c.crashes)
@@ -274,6 +281,7 @@
 		c.opened = true
 		c.allowance.Acknowledge(reply.Prepaid, c.options.Clock())
 	}
+	c.denied = c.answer(reply.Questions)
 	if len(reply.Members) > 0 {
 		c.members = reply.Members
 	}
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -42,6 +42,7 @@
 // NewServer returns the server for the calls of other gateway hosts.
 func (c *Client) NewServer() *rpc.Server {
 	srv := rpc.NewServer()
+	c.handleWitness(srv)
 	rpc.Handle(srv, methodTransfer, func(_ context.Context, req *transferRequest) (*transferReply, error) {
 		tokens, free := c.allowance.Give(req.Organisation, req.To, req.Need, req.Want, c.options.Clock())
 		if tokens > 0 {
--- /dev/null
+++ b/internal/hostsync/witness.go
@@ -0,0 +1,111 @@
+package hostsync
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+)
+
+// methodWitness notes that a host opens its reserve.
+const methodWitness = "/fleet/Witness"
+
+// witnessTimeout bounds the call of one witness.
+const witnessTimeout = 200 * time.Millisecond
+
+type witnessRequest struct {
+	Session uint64 `cbor:"1,keyasint"`
+	Seq     uint64 `cbor:"2,keyasint"`
+}
+
+type witnessReply struct {
+	Noted bool `cbor:"1,keyasint,omitempty"`
+}
+
+func (c *Client) handleWitness(srv *rpc.Server) {
+	rpc.Handle(srv, methodWitness, func(_ context.Context, req *witnessRequest) (*witnessReply, error) {
+		noted := c.witness.Note(req.Session, req.Seq)
+		klog.InfoS("opening of a reserve", "session", req.Session, "report", req.Seq, "noted", noted)
+		return &witnessReply{Noted: noted}, nil
+	})
+}
+
+// witnesses returns the sessions of the hosts that this one takes as witnesses:
+// those that follow its own in the order of sessions, so that they spread.
+func (c *Client) witnesses() []uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := c.opening.Session
+	var list []uint64
+	for _, p := range c.peers {
+		if p.Session != own {
+			list = append(list, p.Session)
+		}
+	}
+	slices.SortFunc(list, func(a, b uint64) int { return cmp.Compare(a-own, b-own) })
+	return list[:min(len(list), prepaid.MaxWitnesses)]
+}
+
+// openReserve opens the reserve when it is due and the witnesses note it.
+func (c *Client) openReserve(ctx context.Context) {
+	opening := c.allowance.Due(c.options.Clock())
+	if opening == nil {
+		return
+	}
+	noted := c.askWitnesses(ctx, opening)
+	if c.allowance.Open(opening, noted) {
+		klog.InfoS("reserve opened: the control group is away", "report", opening.Seq, "witnesses", len(noted))
+	}
+}
+
+func (c *Client) askWitnesses(ctx context.Context, o *prepaid.ReserveOpening) []uint64 {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var noted []uint64
+	var asked sync.WaitGroup
+	for _, peer := range c.peersIn(o.Lists) {
+		asked.Go(func() {
+			req := &witnessRequest{Session: o.Session, Seq: o.Seq}
+			reply, err := rpc.Call[witnessRequest, witnessReply](ctx, c.rpc, peer.Address, methodWitness, req)
+			if err != nil || !reply.Noted {
+				return // the host counts as one that has not noted it
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			noted = append(noted, peer.Session)
+		})
+	}
+	asked.Wait()
+	return noted
+}
+
+func (c *Client) peersIn(lists [][]uint64) []controlnode.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var found []controlnode.Peer
+	for _, p := range c.peers {
+		if slices.ContainsFunc(lists, func(list []uint64) bool { return slices.Contains(list, p.Session) }) {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+// answer returns the dead sessions that this host denies to have opened their reserve.
+func (c *Client) answer(questions []prepaid.Question) []uint64 {
+	var denied []uint64
+	for _, q := range questions {
+		if c.witness.Answer(q) {
+			denied = append(denied, q.Session)
+		}
+	}
+	return denied
+}
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -15,18 +15,18 @@
 	horizon = 10 * time.Second
 	// surge is the factor over the recent demand that a host may spend at: the
 	// users' busiest organisations send two to three times their usual.
-	surge = 2
+	surge = 1.3
 	// stock is the factor over the recent demand that a host holds for its horizon;
 	// what it lacks in a surge it gets from other hosts.
 	stock = 1.5
 	// touchWindow is the demand that a host prepares for between two reports.
-	touchWindow = time.Second
+	touchWindow = 500 * time.Millisecond
 	// floorDivisor sets the least rate of an envelope: the balance in N seconds
 	// over all hosts, for organisations that the host has not seen yet.
 	floorDivisor = 60
 	// burstRequests is the number of the largest recent requests that a host may
 	// admit at once between two reports.
-	burstRequests = 1.2
+	burstRequests = 0.6
 	// burstDivisor bounds a burst by the host's part of the balance: 1 in N of it.
 	burstDivisor = 4
 	// balanceFreshness is the age up to which a balance is good for a final refusal.
@@ -66,7 +66,11 @@
 	session uint64
 	seq     uint64
 	// sent is the report that waits for its acknowledgement, or nil.
-	sent     *Report
+	sent *Report
+	// acked is the report that was acknowledged last, or nil.
+	acked *Report
+	// opened tells that the witnesses have noted the opening of the reserve.
+	opened   bool
 	accounts map[string]*allotment
 }
 
@@ -97,17 +101,17 @@
 	changed bool
 }
 
-// envelope limits what is spent to base + rate*(now-clock), for ReserveDelay.
+// envelope limits what is spent to base + rate*(now-clock) until the reserve is open.
 type envelope struct {
 	base, rate, clock int64
 }
 
-func (e *envelope) limit(now int64) int64 {
+func (e *envelope) limit(now int64, opened bool) int64 {
 	if e == nil {
 		return math.MaxInt64
 	}
 	age := time.Duration(now - e.clock)
-	if age > ReserveDelay {
+	if age > SoloDelay || opened && age > ReserveDelay {
 		return math.MaxInt64
 	}
 	return e.base + int64(float64(e.rate)*age.Seconds())
@@ -148,7 +152,7 @@
 	t.changed = true
 	spent := t.spent()
 	d := Decision{
-		Held: t.held() - spent, Allowed: t.limit(now) - spent,
+		Held: t.held() - spent, Allowed: t.limit(now, a.opened) - spent,
 		Balance: t.balance, BalanceAge: time.Duration(now - t.balanceAt),
 	}
 	if need <= d.Allowed {
@@ -183,8 +187,8 @@
 func (t *allotment) spent() int64 { return t.used + t.reserved + t.givenTotal }
 
 // limit is the most that may be spent by now.
-func (t *allotment) limit(now int64) int64 {
-	return min(t.held(), t.acked.limit(now), t.pending.limit(now))
+func (t *allotment) limit(now int64, opened bool) int64 {
+	return min(t.held(), t.acked.limit(now, opened), t.pending.limit(now, opened))
 }
 
 func (t *allotment) ask(tokens, now int64) {
@@ -202,9 +206,10 @@
 	t.demandAt = now
 }
 
-// Report returns the report to send. One that was not acknowledged is returned
+// Report returns the report to send, with the hosts that the host takes as its
+// witnesses. One that was not acknowledged is returned
 // again as it was: the group may have it.
-func (a *Allowance) Report(at Instant) *Report {
+func (a *Allowance) Report(at Instant, witnesses []uint64) *Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sent != nil {
@@ -212,7 +217,7 @@
 	}
 	a.seq++
 	now := at.Boot
-	r := &Report{Session: a.session, Seq: a.seq, Clock: now, Wall: at.Wall}
+	r := &Report{Session: a.session, Seq: a.seq, Clock: now, Wall: at.Wall, Witnesses: witnesses}
 	for name, t := range a.accounts {
 		if !t.changed && t.demand < 1 {
 			continue
@@ -257,7 +262,7 @@
 		t.acked, t.pending = t.pending, nil
 	}
 	at := a.sent.Clock
-	a.sent = nil
+	a.sent, a.acked, a.opened = nil, a.sent, false
 	for _, g := range reply.Grants {
 		t := a.allotment(g.Organisation)
 		t.granted, t.credited = max(t.granted, g.Granted), max(t.credited, g.Credited)
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -28,6 +28,8 @@
 	Accounts map[string]*Account `cbor:"1,keyasint"`
 	// Sessions holds the open session of each host by the host's name.
 	Sessions map[string]*Session `cbor:"2,keyasint"`
+	// Doubtful holds the dead sessions whose charge depends on their witnesses.
+	Doubtful map[uint64]*DoubtfulSession `cbor:"3,keyasint,omitempty"`
 }
 
 // Account is the budget of one organisation.
@@ -51,6 +53,8 @@
 	// control host that committed it, both in Unix ns.
 	Wall  int64 `cbor:"5,keyasint,omitempty"`
 	Stamp int64 `cbor:"6,keyasint,omitempty"`
+	// Witnesses are those of the latest report.
+	Witnesses []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Holding is one organisation's part of a session.
@@ -69,7 +73,9 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{Accounts: map[string]*Account{}, Sessions: map[string]*Session{}}
+	return &Book{
+		Accounts: map[string]*Account{}, Sessions: map[string]*Session{}, Doubtful: map[uint64]*DoubtfulSession{},
+	}
 }
 
 // SetPrepaid replaces the totals paid in. Accounts of organisations that are not
@@ -105,6 +111,9 @@
 	// Charged and WrittenOff are the tokens charged, and those of them that were
 	// not reported as used.
 	Charged, WrittenOff int64
+	// Doubtful is the part that comes back if the witnesses deny that the reserve
+	// was opened.
+	Doubtful int64
 }
 
 // Open begins the session of a host's new process. What the process before it
@@ -120,30 +129,41 @@
 		return nil
 	}
 	ended := &Ended{Host: o.Host}
-	ended.Gap, ended.Bounded = old.gap(o, stamp)
+	var known bool
+	ended.Gap, known = old.gap(o, stamp)
+	ended.Bounded = known && ended.Gap <= ReserveDelay
+	doubtful := &DoubtfulSession{Seq: old.Seq, Witnesses: old.Witnesses, Tokens: map[string]int64{}}
 	for name, h := range old.Holdings {
-		b.end(name, h, ended)
+		bounded := min(h.held(), h.Used+h.Reserved+h.envelope(ended.Gap))
+		charged := h.held()
+		if ended.Bounded {
+			charged = bounded
+		}
+		b.charge(name, charged, h.Used, ended)
+		doubtful.Tokens[name] = charged - bounded
+		ended.Doubtful += charged - bounded
+	}
+	if known && ended.Gap <= SoloDelay && ended.Doubtful > 0 && len(old.Witnesses) > 0 {
+		b.Doubtful[old.ID] = doubtful
 	}
 	return ended
 }
 
 // gap returns the most time that can have passed between the session's last
-// report and the death of its process, and whether it is short enough for the
-// envelope to hold. The host's boot-time clock tells it exactly, unless the
+// report and the death of its process, and whether it is known. The host's boot-time clock tells it exactly, unless the
 // machine itself was restarted, as shown by a time of day that has gone another
 // way. Then two times of day on different machines must both say that it is
 // short, with doubt added: only one that was stepped back would mislead.
 func (s *Session) gap(o Opening, stamp int64) (time.Duration, bool) {
 	boot, wall := time.Duration(o.Clock-s.Clock), time.Duration(o.Wall-s.Wall)
 	if boot >= 0 && (boot-wall).Abs() <= clockAgreement {
-		return boot, boot <= ReserveDelay
+		return boot, true
 	}
 	if wall < 0 {
 		return wall, false
 	}
 	control := time.Duration(stamp - s.Stamp - o.Age)
-	longest := max(wall, control) + clockDoubt
-	return longest, longest <= ReserveDelay
+	return max(wall, control) + clockDoubt, true
 }
 
 // Close ends the session of a host that stops, after its last report. The host
@@ -159,17 +179,13 @@
 	delete(b.Sessions, host)
 }
 
-// end charges a holding of a process that died.
-func (b *Book) end(name string, h *Holding, ended *Ended) {
+// charge charges what a dead process has used, or may have used.
+func (b *Book) charge(name string, tokens, used int64, ended *Ended) {
 	a := b.account(name)
-	charged := h.held()
-	if ended.Bounded {
-		charged = min(charged, h.Used+h.Reserved+h.envelope(ended.Gap))
-	}
-	a.Charged += charged
-	a.WrittenOff += charged - h.Used
-	ended.Charged += charged
-	ended.WrittenOff += charged - h.Used
+	a.Charged += tokens
+	a.WrittenOff += tokens - used
+	ended.Charged += tokens
+	ended.WrittenOff += tokens - used
 }
 
 // envelope is the most that the host reserves within d after the report.
@@ -185,7 +201,7 @@
 		return Reply{Seq: r.Seq, Unknown: true}
 	}
 	if r.Seq > s.Seq {
-		s.Seq, s.Clock, s.Wall, s.Stamp = r.Seq, r.Clock, r.Wall, stamp
+		s.Seq, s.Clock, s.Wall, s.Stamp, s.Witnesses = r.Seq, r.Clock, r.Wall, stamp, r.Witnesses
 		for _, u := range r.Uses {
 			h := s.holding(u.Organisation)
 			b.transfer(u.Organisation, &h.Use, &u)
--- a/internal/prepaid/messages.go
+++ b/internal/prepaid/messages.go
@@ -21,9 +21,19 @@
 import "time"
 
 // ReserveDelay is the time without an acknowledged report after which a host may
-// spend all that it holds. A host that is killed and back within it has most of
-// its grants recovered; one that is cut off has only its envelope for as long.
-const ReserveDelay = 3 * time.Second
+// spend all that it holds, once a majority of its witnesses has noted so. Two
+// seconds cover the restart of a whole fleet after a loss of power.
+const ReserveDelay = 2500 * time.Millisecond
+
+// SoloDelay is the time after which a host that reaches no witnesses may do so too.
+// It covers the restart of a single host.
+const SoloDelay = 6 * time.Second
+
+// MaxWitnesses is the number of hosts that a host takes as its witnesses.
+const MaxWitnesses = 7
+
+// majority is the number of witnesses that must note the opening of a reserve.
+func majority(witnesses int) int { return witnesses/2 + 1 }
 
 // Use is what a host says of one organisation. All but Want, Burst and Rate are
 // totals since the session began.
@@ -78,6 +88,23 @@
 	Uses  []Use `cbor:"4,keyasint,omitempty"`
 	// Wall is the host's time of day when the report was made, in Unix ns.
 	Wall int64 `cbor:"5,keyasint,omitempty"`
+	// Witnesses are the sessions of the hosts that must note it before this host
+	// opens its reserve.
+	Witnesses []uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Denial is a witness's word that a session has not opened its reserve after its
+// last report, and can no more.
+type Denial struct {
+	Session uint64 `cbor:"1,keyasint"`
+	Witness uint64 `cbor:"2,keyasint"`
+}
+
+// Question asks witnesses whether a dead session had opened its reserve.
+type Question struct {
+	Session uint64 `cbor:"1,keyasint"`
+	// Seq is the session's last report.
+	Seq uint64 `cbor:"2,keyasint"`
 }
 
 // Instant is a moment on the two clocks of a host, in ns.
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -31,7 +31,7 @@
 		return 0, 0
 	}
 	t.decay(now)
-	free = t.limit(now) - t.spent()
+	free = t.limit(now, a.opened) - t.spent()
 	if free < need {
 		return 0, max(free, 0)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -47,6 +47,8 @@
 	TickInterval   time.Duration
 	ElectionTicks  int
 	HeartbeatTicks int
+	// EagerStart shortens the wait before the first election.
+	EagerStart bool
 	// SnapshotEntries is the number of applied entries between snapshots; 0
 	// stands for DefaultSnapshotEntries.
 	SnapshotEntries uint64
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -148,7 +148,7 @@
 	r.snapshot = base.Meta.Index
 	o := r.options
 	r.node, err = replication.New(replication.Config{
-		ID: o.ID, ElectionTicks: o.ElectionTicks, HeartbeatTicks: o.HeartbeatTicks,
+		ID: o.ID, ElectionTicks: o.ElectionTicks, HeartbeatTicks: o.HeartbeatTicks, EagerStart: o.EagerStart,
 		Random:    rand.New(rand.NewPCG(o.Seed, o.ID)),
 		HardState: r.store.hard, Snapshot: base.Meta, Entries: entries, Disabled: o.mechanisms,
 	})
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -23,6 +23,9 @@
 	// election. It must be more than HeartbeatTicks.
 	ElectionTicks  int
 	HeartbeatTicks int
+	// EagerStart shortens the wait before the first election of a node, for a group
+	// that starts as a whole. A live leader is not disturbed: the pre-vote fails.
+	EagerStart bool
 	// Random spreads the election timeouts.
 	Random *rand.Rand
 
@@ -93,6 +96,9 @@
 	n.log.committed = max(n.log.base, min(cfg.HardState.Commit, n.log.last()))
 	n.persisted = n.hardState()
 	n.becomeFollower(n.term, None)
+	if cfg.EagerStart {
+		n.electionTimeout = n.heartbeatTicks + n.random.IntN(n.electionTicks/2+1)
+	}
 	return n, nil
 }
 
