Open reserves after 0.7 s noted by witnesses, gather tokens from several hosts

Now only the burst counts until the reserve is open, and the delay covers the restart of a whole fleet (3.4 s).

--- a/internal/controlnode/batch.go
+++ b/internal/controlnode/batch.go
@@ -30,8 +30,10 @@
 
 // submission is one host's part of a batch.
 type submission struct {
-	req  *SyncRequest
-	done chan submitted
+	req *SyncRequest
+	// arrived is the time of day in Unix ns.
+	arrived int64
+	done    chan submitted
 }
 
 type submitted struct {
@@ -49,7 +51,7 @@
 	if req.Opening == nil && req.Report == nil {
 		return submitted{}, nil
 	}
-	s := &submission{req: req, done: make(chan submitted, 1)}
+	s := &submission{req: req, arrived: time.Now().UnixNano(), done: make(chan submitted, 1)}
 	select {
 	case b.queue <- s:
 	case <-ctx.Done():
@@ -91,16 +93,20 @@
 func (b *reportBatcher) commit(ctx context.Context, batch []*submission) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	command := &fleetstate.Command{Stamp: time.Now().UnixNano()}
+	command := &fleetstate.Command{}
 	for _, s := range batch {
 		if s.req.Opening != nil {
-			command.Openings = append(command.Openings, *s.req.Opening)
+			opening := *s.req.Opening
+			opening.Stamp = s.arrived
+			command.Openings = append(command.Openings, opening)
 		}
 		for _, dead := range s.req.Denied {
 			command.Denials = append(command.Denials, prepaid.Denial{Session: dead, Witness: s.req.Peer.Session})
 		}
 		if s.req.Report != nil {
-			command.Reports = append(command.Reports, fleetstate.HostReport{Host: s.req.Host, Report: *s.req.Report})
+			command.Reports = append(command.Reports, fleetstate.HostReport{
+				Host: s.req.Host, Report: *s.req.Report, Stamp: s.arrived,
+			})
 		}
 	}
 	r := b.node.replica.Load()
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
@@ -30,6 +31,8 @@
 	// leaderlessLimit is the time without a leader after which a replica asks
 	// whether it still belongs to the group.
 	leaderlessLimit = 4 * time.Second
+	// summaryInterval is the time between two lines of the log for each budget.
+	summaryInterval = 10 * time.Second
 	// minVoters is the number of voters that no removal goes below.
 	minVoters = 3
 )
@@ -179,7 +182,7 @@
 // supervise watches the replica and, on the leader, the membership. It returns
 // nil when ctx ends.
 func (n *Node) supervise(ctx, background context.Context, r *replica.Replica) error {
-	lastLed := time.Now()
+	lastLed, summarised := time.Now(), time.Now()
 	lastActive := map[uint64]time.Time{}
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
@@ -199,6 +202,10 @@
 		case s.Role == replication.Leader:
 			lastLed = now
 			n.superviseMembers(background, r, s, lastActive, now)
+			if now.Sub(summarised) > summaryInterval {
+				summarised = now
+				n.logBudgets(background, r)
+			}
 		case s.Leader != replication.None:
 			lastLed = now
 			clear(lastActive)
@@ -312,3 +319,18 @@
 		return nil
 	}
 }
+
+// logBudgets writes the state of each budget to the log.
+func (n *Node) logBudgets(ctx context.Context, r *replica.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	var list []prepaid.Summary
+	if err := r.Inspect(ctx, func() { list = n.machine.Load().Book().Summaries() }); err != nil {
+		klog.InfoS("budgets not read", "error", err.Error())
+		return
+	}
+	for _, s := range list {
+		klog.InfoS("budget", "organisation", s.Organisation, "prepaid", s.Prepaid, "charged", s.Charged,
+			"written_off", s.WrittenOff, "used", s.Used, "reserved", s.Reserved, "free", s.Free, "undistributed", s.Undistributed)
+	}
+}
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -25,6 +25,8 @@
 type HostReport struct {
 	Host   string         `cbor:"1,keyasint"`
 	Report prepaid.Report `cbor:"2,keyasint"`
+	// Stamp is the time of day of the control host at which it arrived, in Unix ns.
+	Stamp int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Closing ends the session of a host that stops.
@@ -40,9 +42,7 @@
 	Reports  []HostReport      `cbor:"3,keyasint,omitempty"`
 	Closings []Closing         `cbor:"4,keyasint,omitempty"`
 	// Denials are the words of witnesses of dead sessions.
-	Denials []prepaid.Denial `cbor:"6,keyasint,omitempty"`
-	// Stamp is the proposer's time of day in Unix ns.
-	Stamp int64 `cbor:"5,keyasint,omitempty"`
+	Denials []prepaid.Denial `cbor:"5,keyasint,omitempty"`
 }
 
 // Result is what Apply returns.
@@ -102,7 +102,7 @@
 	m.put(c.Document)
 	result := &Result{Version: m.state.Document.Version}
 	for _, o := range c.Openings {
-		if ended := m.state.Book.Open(o, c.Stamp); ended != nil {
+		if ended := m.state.Book.Open(o); ended != nil {
 			result.Ended = append(result.Ended, *ended)
 		}
 	}
@@ -112,7 +112,7 @@
 	for i := range c.Reports {
 		r := &c.Reports[i]
 		result.Questions = append(result.Questions, m.state.Book.Questions(r.Report.Session))
-		result.Replies = append(result.Replies, m.state.Book.Apply(r.Host, &r.Report, c.Stamp))
+		result.Replies = append(result.Replies, m.state.Book.Apply(r.Host, &r.Report, r.Stamp))
 	}
 	for _, end := range c.Closings {
 		m.state.Book.Close(end.Host, end.Session)
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -50,7 +50,8 @@
 		case prepaid.Short:
 		}
 	}
-	if q.handler.Sync.Fetch(q.ctx, q.organisation.Name, need) && q.tryReserve(need) == prepaid.Granted {
+	lacking := need - max(q.tokens.Allowed, 0)
+	if q.handler.Sync.Fetch(q.ctx, q.organisation.Name, lacking) && q.tryReserve(need) == prepaid.Granted {
 		return nil
 	}
 	retry := cutOffRetry
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -21,6 +21,7 @@
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -153,12 +154,10 @@
 
 // Run calls the leader at intervals until ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	go timing.Every(ctx, reserveInterval, func() { c.openReserve(ctx) })
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := c.contact(ctx)
-		if err != nil {
-			c.openReserve(ctx)
-		}
 		c.noteContact(err)
 		c.pause(ctx, started, err)
 	}
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -18,7 +18,7 @@
 	// transferTimeout bounds one request for tokens: hosts are a few milliseconds apart.
 	transferTimeout = 120 * time.Millisecond
 	// transferTries is the number of hosts that are asked for one request.
-	transferTries = 3
+	transferTries = 8
 	// transferAhead is the time of demand that is asked for beyond the need.
 	transferAhead = time.Second
 )
@@ -54,44 +54,42 @@
 	return srv
 }
 
-// Fetch asks other hosts for tokens, and tells whether it got need or more.
+// Fetch asks other hosts for tokens, one after the other, and tells whether it got
+// need or more. What it got of less stays here.
 func (c *Client) Fetch(ctx context.Context, organisation string, need int64) bool {
-	req := &transferRequest{
-		Organisation: organisation, To: c.opening.Session, Need: need,
-		Want: need + c.allowance.Demand(organisation, c.options.Clock())*int64(transferAhead/time.Second),
-	}
-	for _, peer := range c.givers(organisation, need) {
+	ahead := c.allowance.Demand(organisation, c.options.Clock()) * int64(transferAhead/time.Second)
+	for _, peer := range c.givers(organisation) {
 		if ctx.Err() != nil {
 			return false
 		}
-		if c.fetchFrom(ctx, peer, req) {
+		req := &transferRequest{Organisation: organisation, To: c.opening.Session, Need: need, Want: need + ahead}
+		if need -= c.fetchFrom(ctx, peer, req); need <= 0 {
 			return true
 		}
 	}
 	return false
 }
 
-func (c *Client) fetchFrom(ctx context.Context, peer controlnode.Peer, req *transferRequest) bool {
+func (c *Client) fetchFrom(ctx context.Context, peer controlnode.Peer, req *transferRequest) int64 {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	reply, err := rpc.Call[transferRequest, transferReply](ctx, c.rpc, peer.Address, methodTransfer, req)
 	if err != nil {
 		klog.InfoS("no tokens from another host", "organisation", req.Organisation, "peer", peer.Address, "error", err.Error())
-		return false
+		return 0
 	}
 	c.allowance.NoteHolder(req.Organisation, peer.Session, reply.Free)
-	if reply.Tokens == 0 {
-		return false
+	if reply.Tokens > 0 {
+		c.allowance.Receive(req.Organisation, reply.Tokens)
+		klog.InfoS("tokens got from another host", "organisation", req.Organisation, "tokens", reply.Tokens,
+			"need", req.Need, "peer", peer.Address)
 	}
-	c.allowance.Receive(req.Organisation, reply.Tokens)
-	klog.InfoS("tokens got from another host", "organisation", req.Organisation, "tokens", reply.Tokens,
-		"need", req.Need, "peer", peer.Address)
-	return true
+	return reply.Tokens
 }
 
-// givers returns the hosts to ask: those that are known to hold enough, the
+// givers returns the hosts to ask: those that are known to hold tokens, the
 // richest first, and then others at random.
-func (c *Client) givers(organisation string, need int64) []controlnode.Peer {
+func (c *Client) givers(organisation string) []controlnode.Peer {
 	c.mu.Lock()
 	peers := make(map[uint64]controlnode.Peer, len(c.peers))
 	for _, p := range c.peers {
@@ -104,9 +102,7 @@
 	for _, h := range c.allowance.Holders(organisation) {
 		if p, found := peers[h.Session]; found {
 			delete(peers, h.Session)
-			if h.Free >= need {
-				list = append(list, p)
-			}
+			list = append(list, p)
 		}
 	}
 	others := make([]controlnode.Peer, 0, len(peers))
--- a/internal/hostsync/witness.go
+++ b/internal/hostsync/witness.go
@@ -17,8 +17,12 @@
 // methodWitness notes that a host opens its reserve.
 const methodWitness = "/fleet/Witness"
 
-// witnessTimeout bounds the call of one witness.
-const witnessTimeout = 200 * time.Millisecond
+const (
+	// witnessTimeout bounds the call of one witness.
+	witnessTimeout = 200 * time.Millisecond
+	// reserveInterval is the time between two looks whether the reserve is to be opened.
+	reserveInterval = 100 * time.Millisecond
+)
 
 type witnessRequest struct {
 	Session uint64 `cbor:"1,keyasint"`
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -26,9 +26,9 @@
 	floorDivisor = 60
 	// burstRequests is the number of the largest recent requests that a host may
 	// admit at once between two reports.
-	burstRequests = 0.6
+	burstRequests = 0.4
 	// burstDivisor bounds a burst by the host's part of the balance: 1 in N of it.
-	burstDivisor = 4
+	burstDivisor = 6
 	// balanceFreshness is the age up to which a balance is good for a final refusal.
 	balanceFreshness = time.Second
 	// wantDecay is the factor per report by which an unmet need is forgotten.
@@ -101,20 +101,27 @@
 	changed bool
 }
 
-// envelope limits what is spent to base + rate*(now-clock) until the reserve is open.
+// envelope limits what is spent around a report.
 type envelope struct {
+	// base is what was spent at the report, and the burst.
 	base, rate, clock int64
 }
 
+// limit is the most that may be spent by now. opened tells that the witnesses have
+// noted the opening of the reserve.
 func (e *envelope) limit(now int64, opened bool) int64 {
 	if e == nil {
 		return math.MaxInt64
 	}
 	age := time.Duration(now - e.clock)
-	if age > SoloDelay || opened && age > ReserveDelay {
+	switch {
+	case age > SoloDelay || opened && age > ReserveDelay:
 		return math.MaxInt64
+	case opened:
+		return e.base + int64(float64(e.rate)*max(age-OpenDelay, 0).Seconds())
+	default:
+		return e.base
 	}
-	return e.base + int64(float64(e.rate)*age.Seconds())
 }
 
 // NewAllowance returns the empty allowance of a session.
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -117,31 +117,30 @@
 }
 
 // Open begins the session of a host's new process. What the process before it
-// may have spent is charged; Ended is nil if there was none. stamp is the time of
-// day of the control host that commits the command.
-func (b *Book) Open(o Opening, stamp int64) *Ended {
+// may have spent is charged; Ended is nil if there was none.
+func (b *Book) Open(o Opening) *Ended {
 	old := b.Sessions[o.Host]
 	if old != nil && old.ID == o.Session {
 		return nil
 	}
-	b.Sessions[o.Host] = &Session{ID: o.Session, Clock: o.Clock, Wall: o.Wall, Stamp: stamp, Holdings: map[string]*Holding{}}
+	b.Sessions[o.Host] = &Session{ID: o.Session, Clock: o.Clock, Wall: o.Wall, Stamp: o.Stamp, Holdings: map[string]*Holding{}}
 	if old == nil {
 		return nil
 	}
 	ended := &Ended{Host: o.Host}
 	var known bool
-	ended.Gap, known = old.gap(o, stamp)
+	ended.Gap, known = old.gap(o)
 	ended.Bounded = known && ended.Gap <= ReserveDelay
 	doubtful := &DoubtfulSession{Seq: old.Seq, Witnesses: old.Witnesses, Tokens: map[string]int64{}}
 	for name, h := range old.Holdings {
-		bounded := min(h.held(), h.Used+h.Reserved+h.envelope(ended.Gap))
+		closed := min(h.held(), h.Used+h.Reserved+h.Burst)
 		charged := h.held()
 		if ended.Bounded {
-			charged = bounded
+			charged = min(charged, closed+h.opened(ended.Gap))
 		}
 		b.charge(name, charged, h.Used, ended)
-		doubtful.Tokens[name] = charged - bounded
-		ended.Doubtful += charged - bounded
+		doubtful.Tokens[name] = charged - closed
+		ended.Doubtful += charged - closed
 	}
 	if known && ended.Gap <= SoloDelay && ended.Doubtful > 0 && len(old.Witnesses) > 0 {
 		b.Doubtful[old.ID] = doubtful
@@ -154,7 +153,7 @@
 // machine itself was restarted, as shown by a time of day that has gone another
 // way. Then two times of day on different machines must both say that it is
 // short, with doubt added: only one that was stepped back would mislead.
-func (s *Session) gap(o Opening, stamp int64) (time.Duration, bool) {
+func (s *Session) gap(o Opening) (time.Duration, bool) {
 	boot, wall := time.Duration(o.Clock-s.Clock), time.Duration(o.Wall-s.Wall)
 	if boot >= 0 && (boot-wall).Abs() <= clockAgreement {
 		return boot, true
@@ -162,7 +161,7 @@
 	if wall < 0 {
 		return wall, false
 	}
-	control := time.Duration(stamp - s.Stamp - o.Age)
+	control := time.Duration(o.Stamp - s.Stamp - o.Age)
 	return max(wall, control) + clockDoubt, true
 }
 
@@ -188,13 +187,14 @@
 	ended.WrittenOff += tokens - used
 }
 
-// envelope is the most that the host reserves within d after the report.
-func (u *Use) envelope(d time.Duration) int64 {
-	return u.Burst + int64(float64(u.Rate)*d.Seconds())
+// opened is the most that the host reserves beyond its burst within d after the
+// report, if it opens its reserve.
+func (u *Use) opened(d time.Duration) int64 {
+	return int64(float64(u.Rate) * max(d-OpenDelay, 0).Seconds())
 }
 
 // Apply takes in a report and grants what the balances allow. stamp is the time of
-// day of the control host that commits the command.
+// day of the control host at which the report arrived, in Unix ns.
 func (b *Book) Apply(host string, r *Report, stamp int64) Reply {
 	s := b.Sessions[host]
 	if s == nil || s.ID != r.Session {
--- a/internal/prepaid/messages.go
+++ b/internal/prepaid/messages.go
@@ -7,11 +7,11 @@
 //
 //	charged by ended sessions + granted to open sessions - returned <= prepaid
 //
-// holds after each grant, and a host spends no more than its grants. Until it
-// has been without the control group for ReserveDelay, a host further limits
-// itself to an envelope that grows with the time since its last acknowledged
-// report, so that the Book can bound what a host that died shortly after that
-// report has spent.
+// holds after each grant, and a host spends no more than its grants. While it is in
+// touch with the control group, and for a while after, a host further limits
+// itself to an envelope around its last acknowledged report, and lets other hosts
+// witness when it goes beyond, so that the Book can bound what a host that died
+// shortly after that report has spent.
 //
 // Hosts that lack tokens while the control group is away get them from each
 // other. The giver reports the transfer; until then the Book counts the tokens
@@ -20,10 +20,15 @@
 
 import "time"
 
-// ReserveDelay is the time without an acknowledged report after which a host may
-// spend all that it holds, once a majority of its witnesses has noted so. Two
-// seconds cover the restart of a whole fleet after a loss of power.
-const ReserveDelay = 2500 * time.Millisecond
+// OpenDelay is the time without an acknowledged report after which a host opens its
+// reserve: it spends beyond its burst, once a majority of its witnesses has noted
+// so. Reports are acknowledged four times a second.
+const OpenDelay = 700 * time.Millisecond
+
+// ReserveDelay is the time without an acknowledged report after which a host whose
+// reserve is open may spend all that it holds; until then a rate bounds it. It
+// covers the restart of a whole fleet, which leaves no witnesses.
+const ReserveDelay = 3400 * time.Millisecond
 
 // SoloDelay is the time after which a host that reaches no witnesses may do so too.
 // It covers the restart of a single host.
@@ -47,8 +52,9 @@
 	Returned int64 `cbor:"4,keyasint,omitempty"`
 	// Want is the number of free tokens that the host would like to hold.
 	Want int64 `cbor:"5,keyasint,omitempty"`
-	// Burst and Rate, in tokens and tokens per second, bound what the host
-	// reserves after this report until a later one is acknowledged.
+	// Burst, in tokens, bounds what the host reserves after this report until its
+	// reserve is open, and Rate, in tokens per second, what it reserves then until
+	// ReserveDelay has passed.
 	Burst int64 `cbor:"6,keyasint,omitempty"`
 	Rate  int64 `cbor:"7,keyasint,omitempty"`
 	// Given holds what went to other hosts.
@@ -151,4 +157,6 @@
 	Wall  int64 `cbor:"4,keyasint"`
 	// Age is the time since the process started, in ns, when this was sent.
 	Age int64 `cbor:"5,keyasint,omitempty"`
+	// Stamp is the time of day of the control host at which this arrived, in Unix ns.
+	Stamp int64 `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -20,9 +20,9 @@
 	return nil
 }
 
-// Give sets tokens aside for the session of another host and returns how many:
-// need at least, or none. Beyond need, up to want, it keeps what this host is
-// likely to use itself.
+// Give sets tokens aside for the session of another host and returns how many, and
+// what is left. It gives what is needed or else the part of it that it has; beyond
+// that, up to want, it keeps what this host is likely to use itself.
 func (a *Allowance) Give(organisation string, to uint64, need, want, now int64) (tokens, free int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -31,13 +31,12 @@
 		return 0, 0
 	}
 	t.decay(now)
-	free = t.limit(now, a.opened) - t.spent()
-	if free < need {
-		return 0, max(free, 0)
-	}
+	free = max(t.limit(now, a.opened)-t.spent(), 0)
 	keep := int64(t.demand / demandWindow.Seconds() * ownReserve.Seconds())
-	tokens = max(need, min(want, free-keep))
-	t.give(to, tokens)
+	tokens = max(min(need, free), min(want, free-keep))
+	if tokens > 0 {
+		t.give(to, tokens)
+	}
 	return tokens, free - tokens
 }
 
--- a/internal/prepaid/witness.go
+++ b/internal/prepaid/witness.go
@@ -6,14 +6,14 @@
 	"sync"
 )
 
-// DoubtfulSession is a dead session that was charged with all that it held. The
-// part beyond its envelope comes back when so many witnesses deny the opening of
-// its reserve that no majority can have noted it.
+// DoubtfulSession is a dead session that was charged with what it can have spent if
+// it opened its reserve. The part beyond its burst comes back when so many witnesses
+// deny the opening that no majority can have noted it.
 type DoubtfulSession struct {
 	Seq       uint64   `cbor:"1,keyasint"`
 	Witnesses []uint64 `cbor:"2,keyasint"`
 	Denied    []uint64 `cbor:"3,keyasint,omitempty"`
-	// Tokens holds the part beyond the envelope by organisation.
+	// Tokens holds the part beyond the burst by organisation.
 	Tokens map[string]int64 `cbor:"4,keyasint"`
 }
 
@@ -98,11 +98,11 @@
 }
 
 // Due returns the opening of the reserve that is due, or nil: the host has been
-// without an acknowledged report for ReserveDelay.
+// without an acknowledged report for OpenDelay.
 func (a *Allowance) Due(now int64) *ReserveOpening {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.opened || a.acked == nil || now-a.acked.Clock <= int64(ReserveDelay) {
+	if a.opened || a.acked == nil || now-a.acked.Clock <= int64(OpenDelay) {
 		return nil
 	}
 	opening := &ReserveOpening{Session: a.session, Seq: a.acked.Seq, Lists: [][]uint64{a.acked.Witnesses}}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -16,6 +16,11 @@
 
 func (n *Node) resetElectionTimeout() {
 	n.electionElapsed = 0
+	n.eager = n.eager && n.leader == None
+	if n.eager {
+		n.electionTimeout = n.heartbeatTicks + n.random.IntN(n.electionTicks)/2
+		return
+	}
 	n.electionTimeout = n.electionTicks + n.random.IntN(n.electionTicks)
 }
 
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -23,8 +23,9 @@
 	// election. It must be more than HeartbeatTicks.
 	ElectionTicks  int
 	HeartbeatTicks int
-	// EagerStart shortens the wait before the first election of a node, for a group
-	// that starts as a whole. A live leader is not disturbed: the pre-vote fails.
+	// EagerStart shortens the election timeouts of a node that has not heard of a
+	// leader since its start, for a group that starts as a whole. A live leader is
+	// not disturbed: the pre-vote fails.
 	EagerStart bool
 	// Random spreads the election timeouts.
 	Random *rand.Rand
@@ -45,6 +46,8 @@
 	heartbeatTicks int
 	random         *rand.Rand
 	disabled       Mechanisms
+	// eager is set until the node has heard of a leader.
+	eager bool
 
 	term   uint64
 	vote   uint64
@@ -95,10 +98,8 @@
 	}
 	n.log.committed = max(n.log.base, min(cfg.HardState.Commit, n.log.last()))
 	n.persisted = n.hardState()
+	n.eager = cfg.EagerStart
 	n.becomeFollower(n.term, None)
-	if cfg.EagerStart {
-		n.electionTimeout = n.heartbeatTicks + n.random.IntN(n.electionTicks/2+1)
-	}
 	return n, nil
 }
 
