--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -93,7 +93,9 @@
 	mu      sync.Mutex
 	crashes []controlnode.Crash
 	peers   []controlnode.Peer
-	// round is closed and replaced after each contact; waiters watch it.
+	// begun and ended number the contacts; ended is that of the latest successful one.
+	begun, ended uint64
+	// round is closed and replaced after each successful contact; waiters watch it.
 	round chan struct{}
 }
 
@@ -134,21 +136,28 @@
 	}
 }
 
-// AwaitContact asks for a call at once, and waits until one has ended that began
-// after this call, or until ctx ends.
+// AwaitContact asks for a call at once, and waits until one has succeeded that began
+// after this call. False means that ctx has ended first.
 func (c *Client) AwaitContact(ctx context.Context) bool {
 	c.mu.Lock()
-	round := c.round
+	target := c.begun + 1
 	c.mu.Unlock()
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-	select {
-	case <-round:
-		return true
-	case <-ctx.Done():
-		return false
+	for {
+		c.mu.Lock()
+		done, round := c.ended >= target, c.round
+		c.mu.Unlock()
+		if done {
+			return true
+		}
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+		select {
+		case <-round:
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
@@ -199,12 +208,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ended = c.begun
 	close(c.round)
 	c.round = make(chan struct{})
 }
 
 // contact makes one call to the leader, which it looks for if need be.
 func (c *Client) contact(ctx context.Context) error {
+	c.mu.Lock()
+	c.begun++
+	c.mu.Unlock()
 	req := c.request()
 	var last error
 	for _, address := range c.addresses() {
