--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -15,7 +15,7 @@
 	horizon = 10 * time.Second
 	// surge is the factor over the recent demand that a host may spend at: the
 	// users' busiest organisations send two to three times their usual.
-	surge = 2.2
+	surge = 3
 	// stock is the factor over the recent demand that a host holds for its horizon;
 	// what it lacks in a surge it gets from other hosts.
 	stock = 1.5
