--- a/internal/hostsync/gossip.go
+++ b/internal/hostsync/gossip.go
@@ -32,7 +32,7 @@
 type loadMessage struct {
 	Session uint64                    `cbor:"1,keyasint"`
 	Seq     uint64                    `cbor:"2,keyasint"`
-	Loads   map[string]placement.Load `cbor:"3,keyasint,omitempty"`
+	Loads   map[uint32]placement.Load `cbor:"3,keyasint,omitempty"`
 	// Recent are the shared parts that were read lately.
 	Recent []placement.Kept `cbor:"4,keyasint,omitempty"`
 }
@@ -78,7 +78,7 @@
 	}
 	pool := c.options.Pool
 	data, err := codec.Marshal(&loadMessage{
-		Session: c.opening.Session, Seq: seq, Loads: pool.Loads(), Recent: pool.Recent(),
+		Session: c.opening.Session, Seq: seq, Loads: pool.ShortLoads(), Recent: pool.Recent(),
 	})
 	if err != nil || len(data) > maxDatagram {
 		klog.V(2).InfoS("loads not told", "bytes", len(data), "error", err)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -24,6 +24,8 @@
 	plainZoneCost = 1
 	// partRetention is how long a part counts as kept after its last use.
 	partRetention = 45 * time.Second
+	// toldTokens is the size from which other hosts are told at once of a prompt to read.
+	toldTokens = 2000
 	// maxParts bounds the parts that are remembered for an upstream.
 	maxParts = 4096
 )
@@ -88,7 +90,9 @@
 	}
 	l.own.Open++
 	l.own.Unread += l.unread
-	p.noteChange()
+	if l.unread >= toldTokens {
+		p.noteChange()
+	}
 	if !l.avoidUntil.IsZero() {
 		l.probing = true
 	}
@@ -105,7 +109,7 @@
 	p.begin(l)
 	if l.hasPart {
 		l.Upstream.keep(l.part, now)
-		p.noteKept(Kept{Part: l.part, Upstream: l.ID})
+		p.noteKept(Kept{Part: l.part, Upstream: shortName(l.ID)})
 	}
 }
 
@@ -113,7 +117,9 @@
 	if !l.began {
 		l.began = true
 		l.own.Unread -= l.unread
-		p.noteChange()
+		if l.unread >= toldTokens {
+			p.noteChange()
+		}
 	}
 }
 
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // peerRetention is the time for which the load of a host that has fallen silent counts.
@@ -12,18 +14,22 @@
 type peerLoad struct {
 	seq   uint64
 	at    time.Time
-	loads map[string]Load
+	loads map[uint32]Load
 }
 
 // Kept tells that an upstream has read a shared part.
 type Kept struct {
-	Part     uint64 `cbor:"1,keyasint"`
-	Upstream string `cbor:"2,keyasint"`
+	Part uint64 `cbor:"1,keyasint"`
+	// Upstream is the short name of the upstream.
+	Upstream uint32 `cbor:"2,keyasint"`
 }
 
+// shortName is the name of an upstream in messages between hosts.
+func shortName(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // maxRecent is the number of parts read lately that hosts tell each other; each is
 // told several times, since messages get lost.
-const maxRecent = 24
+const maxRecent = 8
 
 // Recent returns the parts whose reading this host has seen lately.
 func (p *Pool) Recent() []Kept {
@@ -39,6 +45,15 @@
 	p.recent = append(p.recent, k)
 }
 
+// ShortLoads returns the load by this host, by the short names of upstreams.
+func (p *Pool) ShortLoads() map[uint32]Load {
+	loads := map[uint32]Load{}
+	for id, load := range p.Loads() {
+		loads[shortName(id)] = load
+	}
+	return loads
+}
+
 // Changed returns a channel that gets a token when the own load has changed.
 func (p *Pool) Changed() <-chan struct{} { return p.changed }
 
@@ -50,7 +65,7 @@
 }
 
 // Hear takes in the load of another host. Messages may come late or out of order.
-func (p *Pool) Hear(session, seq uint64, loads map[string]Load, recent []Kept, now time.Time) {
+func (p *Pool) Hear(session, seq uint64, loads map[uint32]Load, recent []Kept, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.peers[session]
@@ -61,8 +76,12 @@
 	if seq <= peer.seq {
 		return
 	}
+	names := make(map[uint32]*Upstream, len(p.upstreams))
+	for id, u := range p.upstreams {
+		names[shortName(id)] = u
+	}
 	for _, k := range recent {
-		if u := p.upstreams[k.Upstream]; u != nil {
+		if u := names[k.Upstream]; u != nil {
 			u.keep(k.Part, now)
 		}
 	}
@@ -76,7 +95,7 @@
 			continue
 		}
 		for upstream, load := range other.loads {
-			if u := p.upstreams[upstream]; u != nil {
+			if u := names[upstream]; u != nil {
 				u.heard.Open += load.Open
 				u.heard.Unread += load.Unread
 			}
