--- /dev/null
+++ b/internal/controlnode/group_test.go
@@ -0,0 +1,216 @@
+package controlnode_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/presence"
+)
+
+const eventually = 20 * time.Second
+
+// subnets numbers the loopback networks of the tests of this process.
+var subnets atomic.Int32
+
+// group is a control group on loopback addresses.
+type group struct {
+	t       *testing.T
+	g       *WithT
+	dir     string
+	subnet  string
+	members map[int]*member
+}
+
+type member struct {
+	node   *controlnode.Node
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func newGroup(t *testing.T) *group {
+	t.Parallel()
+	pid := os.Getpid()
+	gr := &group{
+		t: t, g: NewWithT(t), dir: t.TempDir(), members: map[int]*member{},
+		subnet: fmt.Sprintf("127.%d.%d", 64+pid%128, (pid/128+int(subnets.Add(1))*37)%250),
+	}
+	t.Cleanup(func() {
+		for i := range gr.members {
+			gr.stop(i)
+		}
+	})
+	return gr
+}
+
+func (gr *group) address(i int) string { return fmt.Sprintf("%s.%d:7040", gr.subnet, i) }
+
+func (gr *group) directory(i int) string { return filepath.Join(gr.dir, fmt.Sprint(i)) }
+
+func (gr *group) start(i int, bootstrap bool) {
+	gr.g.Expect(os.MkdirAll(gr.directory(i), 0o750)).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{cancel: cancel, done: make(chan error, 1)}
+	m.node = controlnode.New(controlnode.Options{
+		Host: fmt.Sprintf("control-%d", i), Address: gr.address(i), Directory: gr.directory(i), Bootstrap: bootstrap,
+		Seeds: func() []string { return []string{gr.address(1), gr.address(2), gr.address(3)} },
+	})
+	go func() { m.done <- m.node.Run(ctx) }()
+	gr.members[i] = m
+}
+
+func (gr *group) stop(i int) {
+	m := gr.members[i]
+	delete(gr.members, i)
+	m.cancel()
+	gr.g.Expect(<-m.done).To(Succeed())
+}
+
+func (gr *group) startAll(bootstrap bool) {
+	for i := 1; i <= 5; i++ {
+		gr.start(i, bootstrap)
+	}
+}
+
+// voters returns the addresses of the voters as the leader knows them.
+func (gr *group) voters() []string {
+	var list []string
+	for _, m := range gr.members {
+		s, running := m.node.Status()
+		if !running || s.Role.String() != "leader" {
+			continue
+		}
+		for _, p := range s.Peers {
+			if !p.Learner {
+				list = append(list, p.Address)
+			}
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (gr *group) awaitVoters(members ...int) {
+	var want []string
+	for _, i := range members {
+		want = append(want, gr.address(i))
+	}
+	gr.g.Eventually(gr.voters, eventually, "50ms").Should(Equal(want))
+}
+
+func (gr *group) put(i int, version uint64, content string) uint64 {
+	compressed, err := fleetstate.Compress([]byte(content))
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	var inForce uint64
+	gr.g.Eventually(func() error {
+		inForce, err = gr.members[i].node.PutDocument(context.Background(), fleetstate.Document{Version: version, Content: compressed})
+		return err
+	}, eventually).Should(Succeed())
+	return inForce
+}
+
+func (gr *group) read(i int) func() (string, error) {
+	return func() (string, error) {
+		d, err := gr.members[i].node.NewestDocument(context.Background())
+		if err != nil {
+			return "", err
+		}
+		content, err := fleetstate.Decompress(d.Content)
+		return fmt.Sprintf("%d %s", d.Version, content), err
+	}
+}
+
+func (gr *group) expectRead(want string) {
+	for i := range gr.members {
+		gr.g.Eventually(gr.read(i), eventually).Should(Equal(want), "control host %d", i)
+	}
+}
+
+func TestGroupFormsFromSeedsAndKeepsTheHighestVersion(t *testing.T) {
+	gr := newGroup(t)
+	gr.startAll(true)
+	gr.awaitVoters(1, 2, 3, 4, 5)
+	gr.g.Expect(gr.put(4, 3, "three")).To(Equal(uint64(3)))
+	gr.g.Expect(gr.put(2, 2, "two")).To(Equal(uint64(3)), "an older version is acknowledged and changes nothing")
+	gr.g.Expect(gr.put(5, 3, "other")).To(Equal(uint64(3)), "other content under the same version changes nothing")
+	gr.expectRead("3 three")
+}
+
+func TestDocumentSurvivesARestartOfAllControlHosts(t *testing.T) {
+	gr := newGroup(t)
+	gr.startAll(true)
+	gr.put(1, 7, "seven")
+	for i := 1; i <= 5; i++ {
+		gr.stop(i)
+	}
+	gr.startAll(false)
+	gr.expectRead("7 seven")
+}
+
+// A host that lost its disk comes back at its address under a new id, as a voter.
+func TestHostWithALostDiskJoinsAnew(t *testing.T) {
+	gr := newGroup(t)
+	gr.startAll(true)
+	gr.awaitVoters(1, 2, 3, 4, 5)
+	gr.put(1, 1, "one")
+	for _, i := range []int{2, 4} {
+		gr.stop(i)
+		gr.g.Expect(os.RemoveAll(gr.directory(i))).To(Succeed())
+		gr.put(3, uint64(10+i), "while away")
+		gr.start(i, false)
+		gr.awaitVoters(1, 2, 3, 4, 5)
+	}
+	gr.expectRead("14 while away")
+}
+
+// An empty host at another address takes part, whatever the seeds are now.
+func TestNewHostBecomesAVoter(t *testing.T) {
+	gr := newGroup(t)
+	gr.startAll(true)
+	gr.awaitVoters(1, 2, 3, 4, 5)
+	gr.put(1, 1, "one")
+	gr.stop(3)
+	gr.start(6, false)
+	gr.g.Eventually(gr.voters, eventually, "50ms").Should(ContainElement(gr.address(6)))
+	gr.expectRead("1 one")
+}
+
+func TestMinorityNeitherReadsNorAcknowledges(t *testing.T) {
+	gr := newGroup(t)
+	gr.startAll(true)
+	gr.awaitVoters(1, 2, 3, 4, 5)
+	gr.put(1, 1, "one")
+	for _, i := range []int{3, 4, 5} {
+		gr.stop(i)
+	}
+	_, err := gr.members[1].node.NewestDocument(context.Background())
+	gr.g.Expect(err).To(MatchError(controlnode.ErrUnavailable))
+	_, err = gr.members[2].node.PutDocument(context.Background(), fleetstate.Document{Version: 2})
+	gr.g.Expect(err).To(MatchError(controlnode.ErrUnavailable))
+	gr.start(5, false)
+	gr.g.Eventually(gr.read(1), eventually).Should(Or(Equal("1 one"), HavePrefix("2 ")))
+}
+
+func TestReportsOfUpstreamsReachEveryControlHost(t *testing.T) {
+	gr := newGroup(t)
+	gr.startAll(true)
+	gr.awaitVoters(1, 2, 3, 4, 5)
+	gr.members[5].node.Report(presence.Upstream{
+		ID: "u", Address: "10.0.0.1:80", Service: "s", State: presence.Ready, Started: 42, Sequence: 1,
+	})
+	for i, m := range gr.members {
+		gr.g.Eventually(func() bool {
+			started, known := m.node.KnownStart("u")
+			return known && started == 42
+		}, eventually).Should(BeTrue(), "control host %d", i)
+	}
+}
