--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -29,7 +29,7 @@
 	if !q.budgeted() {
 		return nil
 	}
-	need := q.InputTokens + q.OutputTokens
+	need := q.cost().worst()
 	if need > *q.organisation.Prepaid {
 		return errkind.New(errkind.BudgetExhausted, "the request is larger than what was paid in")
 	}
@@ -80,6 +80,32 @@
 	return errkind.New(errkind.BudgetExhausted, "the balance does not cover %d tokens", need)
 }
 
+// cost returns how the request is charged.
+func (q *request) cost() tokenCost {
+	c := tokenCost{input: q.InputTokens, output: q.OutputTokens, perEvent: 1}
+	if q.service != nil && q.service.Engine != nil {
+		c.perEvent = max(q.service.Engine.EventTokens, 1)
+	}
+	return c
+}
+
+// tokenCost is the size of a request in tokens.
+type tokenCost struct {
+	input, output int64
+	// perEvent is the number of output tokens that an event counts for. The last
+	// event counts for as many, also if fewer tokens were left.
+	perEvent int64
+}
+
+// worst is the most that the request can be charged.
+func (c tokenCost) worst() int64 {
+	events := (c.output + c.perEvent - 1) / c.perEvent
+	return c.input + events*c.perEvent
+}
+
+// used is the charge after events reached the caller.
+func (c tokenCost) used(events int64) int64 { return c.input + events*c.perEvent }
+
 // settle charges what was used: nothing if no upstream ran the request, and
 // otherwise the prompt and the events that reached the caller.
 func (q *request) settle() {
@@ -88,11 +114,7 @@
 	}
 	used := int64(0)
 	if q.ran {
-		perEvent := int64(1)
-		if q.service != nil && q.service.Engine != nil {
-			perEvent = max(q.service.Engine.EventTokens, 1)
-		}
-		used = q.InputTokens + min(q.events*perEvent, q.OutputTokens)
+		used = q.cost().used(q.events)
 	}
 	q.handler.Sync.Allowance().Settle(q.organisation.Name, q.reserved, used)
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -65,8 +65,7 @@
 
 // dispatch sends the request to upstreams until it is answered.
 func (q *request) dispatch(w http.ResponseWriter) *errkind.Error {
-	target := q.pickTarget()
-	q.service = q.view.Index.Service(target)
+	target := q.target
 	q.handler.Retries.Request(target, q.arrived)
 	for {
 		if q.ctx.Err() != nil || q.left() < leastTime {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -85,9 +85,11 @@
 // request is one request on its way.
 type request struct {
 	*Call
-	handler      *Handler
-	view         *hostsync.View
-	route        *catalog.Route
+	handler *Handler
+	view    *hostsync.View
+	route   *catalog.Route
+	// target is the name of the service that serves the request.
+	target       string
 	service      *catalog.Service
 	organisation *catalog.Organisation
 	arrived      time.Time
@@ -150,6 +152,8 @@
 		return errkind.New(errkind.Draining, "the host is stopping").WithRetryAfter(drainingRetry)
 	}
 	q.setDeadline()
+	q.target = q.pickTarget()
+	q.service = q.view.Index.Service(q.target)
 	if refusal := q.readBody(w, r); refusal != nil {
 		return refusal
 	}
