--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -82,6 +82,7 @@
 			sum := reply.Loads[id]
 			sum.Open += load.Open
 			sum.Unread += load.Unread
+			sum.Resident += load.Resident
 			reply.Loads[id] = sum
 		}
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -109,12 +109,12 @@
 }
 
 func (q *request) choose(service string) (*placement.Place, *errkind.Error) {
-	place, reason := q.handler.Pool.Choose(q.placement(service), time.Now())
+	place, reason, after := q.handler.Pool.Choose(q.placement(service), time.Now())
 	switch reason {
 	case placement.Chosen:
 		return place, nil
 	case placement.Full:
-		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q are full", service).WithRetryAfter(fullRetry)
+		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q are full", service).WithRetryAfter(max(after, fullRetry))
 	case placement.None:
 		return nil, errkind.New(errkind.NoUpstream, "no upstream of service %q is known", service).WithRetryAfter(noUpstreamRetry)
 	default:
@@ -125,9 +125,12 @@
 // placement describes the request for the choice of an upstream. The last part
 // of a prompt is the request's own, unless it is the only one.
 func (q *request) placement(service string) *placement.Request {
-	r := &placement.Request{Service: service, Tokens: q.InputTokens, Exclude: q.exclude, Limit: q.placeLimit()}
+	r := &placement.Request{
+		Service: service, Tokens: q.InputTokens, Output: q.OutputTokens, Exclude: q.exclude, Limit: q.placeLimit(),
+		Objective: q.route.Objective, Rank: q.rank(),
+	}
 	if q.service != nil && q.service.Engine != nil {
-		r.Transfers = q.service.Engine.Transfers
+		r.Transfers, r.Memory = q.service.Engine.Transfers, q.service.Engine.CacheTokens
 	}
 	shared := q.Prompt[:max(len(q.Prompt)-1, min(len(q.Prompt), 1))]
 	for _, part := range shared {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -40,8 +41,16 @@
 	Part       uint64
 	PartTokens int64
 	HasPart    bool
+	// Output is the most that is generated, in tokens.
+	Output int64
 	// Transfers tells that engines can fetch a part from each other.
 	Transfers bool
+	// Memory is the size of an engine's memory in tokens; 0 if it is not known.
+	Memory int64
+	// Objective is the time within which the answer should begin; 0 if there is none.
+	Objective time.Duration
+	// Rank orders requests when capacity is short; 0 goes first.
+	Rank int
 	// Exclude holds the ids of upstreams that were tried.
 	Exclude []string
 	// Limit is the number of open requests at which an upstream is full.
@@ -58,7 +67,10 @@
 	part    uint64
 	hasPart bool
 	unread  int64
-	began   bool
+	// resident is what the request keeps in memory, and ahead the backlog with itself.
+	resident, ahead int64
+	chosen          time.Time
+	began           bool
 }
 
 // Reason tells why no upstream was chosen.
@@ -76,27 +88,41 @@
 	Full
 )
 
-// Choose takes a place for a request.
-func (p *Pool) Choose(req *Request, now time.Time) (*Place, Reason) {
+// Choose takes a place for a request. Without one it returns why, and after which
+// time there may be one.
+func (p *Pool) Choose(req *Request, now time.Time) (*Place, Reason, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates, reason := p.candidates(req, now)
 	if reason != Chosen {
-		return nil, reason
+		return nil, reason, minRetry
 	}
 	l := &Place{Upstream: p.leastLoaded(candidates), unread: req.Tokens}
 	if req.HasPart {
-		l = p.bySharedPart(req, candidates, now)
+		var least int64
+		c := p.paceOf(req.Service)
+		l, least = p.bySharedPart(req, candidates, c, now)
+		c.count(l == nil, now)
+		if l == nil {
+			return nil, Full, c.retryAfter(req, least)
+		}
 	}
+	p.take(l, req, now)
+	return l, Chosen, 0
+}
+
+func (p *Pool) take(l *Place, req *Request, now time.Time) {
+	l.resident = l.unread + req.Output
+	l.ahead, l.chosen = l.unread+max(l.Upstream.unread(), 0), now
 	l.own.Open++
 	l.own.Unread += l.unread
+	l.own.Resident += l.resident
 	if l.unread >= toldTokens {
 		p.noteChange()
 	}
 	if !l.avoidUntil.IsZero() {
 		l.probing = true
 	}
-	return l, Chosen
 }
 
 // Begin notes that the upstream has read the prompt and answers.
@@ -108,6 +134,7 @@
 	}
 	p.begin(l)
 	if l.hasPart {
+		p.paceOf(l.Service).sample(l.ahead, now.Sub(l.chosen))
 		l.Upstream.keep(l.part, now)
 		p.noteKept(Kept{Part: l.part, Upstream: shortName(l.ID)})
 	}
@@ -129,6 +156,7 @@
 	defer p.mu.Unlock()
 	p.begin(l)
 	l.own.Open--
+	l.own.Resident -= l.resident
 }
 
 // keep notes that the upstream has read a part.
@@ -201,42 +229,58 @@
 // bySharedPart weighs what an engine has to read, for the request itself and for
 // those before it, against moving the shared part. Where nothing is known the
 // part's home by rendezvous hashing, which all hosts compute alike, is taken to
-// keep it.
-func (p *Pool) bySharedPart(req *Request, candidates []*Upstream, now time.Time) *Place {
+// keep it. Without an engine that may take the request it returns nil and the least
+// backlog.
+func (p *Pool) bySharedPart(req *Request, candidates []*Upstream, c *pace, now time.Time) (best *Place, least int64) {
 	home := slices.MaxFunc(candidates, func(a, b *Upstream) int {
 		return cmp.Or(cmp.Compare(weight(a.ID, req.Part), weight(b.ID, req.Part)), cmp.Compare(a.ID, b.ID))
 	})
-	holder := home
-	if !home.keeps(req.Part, now) {
-		for _, u := range candidates {
-			if u.keeps(req.Part, now) {
-				holder = u
-			}
-		}
-	}
-	best := &Place{}
-	bestCost := int64(-1)
+	holder := holderOf(req.Part, home, candidates, now)
+	least = math.MaxInt64
+	var bestCost int64
 	for _, u := range candidates {
-		unread, extra := req.Tokens, int64(0)
-		switch {
-		case u.keeps(req.Part, now):
-			unread -= req.PartTokens
-		case u == home:
-		case req.Transfers && holder.keeps(req.Part, now):
-			unread -= req.PartTokens
-			extra = transferCost + strayCost
-		default:
-			extra = strayCost
+		unread, extra := req.toRead(u, u == home, holder, now)
+		least = min(least, u.unread())
+		if !c.admits(req, u, unread) || !fits(req, u, unread+req.Output) {
+			continue
 		}
 		cost := u.unread() + unread + extra + int64(u.open())*openCost
-		if bestCost < 0 || cost < bestCost || cost == bestCost && u.ID < best.ID {
-			best, bestCost = &Place{Upstream: u, part: req.Part, hasPart: true, unread: max(unread, 0)}, cost
+		if best == nil || cost < bestCost || cost == bestCost && u.ID < best.ID {
+			best, bestCost = &Place{Upstream: u, part: req.Part, hasPart: true, unread: unread}, cost
 		}
 	}
-	if req.Transfers && holder != best.Upstream && !best.keeps(req.Part, now) {
+	if best != nil && req.Transfers && holder != best.Upstream && !best.keeps(req.Part, now) {
 		best.Source = holder.Address
 	}
-	return best
+	return best, least
+}
+
+// holderOf returns the upstream that most likely keeps a part.
+func holderOf(part uint64, home *Upstream, candidates []*Upstream, now time.Time) *Upstream {
+	if home.keeps(part, now) {
+		return home
+	}
+	for _, u := range candidates {
+		if u.keeps(part, now) {
+			return u
+		}
+	}
+	return home
+}
+
+// toRead returns what u has to read of the prompt, and what else counts against it.
+func (req *Request) toRead(u *Upstream, home bool, holder *Upstream, now time.Time) (unread, extra int64) {
+	own := max(req.Tokens-req.PartTokens, 0)
+	switch {
+	case u.keeps(req.Part, now):
+		return own, 0
+	case home:
+		return req.Tokens, 0
+	case req.Transfers && holder.keeps(req.Part, now):
+		return own, transferCost + strayCost
+	default:
+		return req.Tokens, strayCost
+	}
 }
 
 func weight(id string, part uint64) uint64 {
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -98,6 +98,7 @@
 			if u := names[upstream]; u != nil {
 				u.heard.Open += load.Open
 				u.heard.Unread += load.Unread
+				u.heard.Resident += load.Resident
 			}
 		}
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -47,11 +47,16 @@
 	// still to be read.
 	Open   int   `cbor:"1,keyasint,omitempty"`
 	Unread int64 `cbor:"2,keyasint,omitempty"`
+	// Resident is the number of tokens that the requests keep in an engine's memory.
+	Resident int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // open and unread are the load that the host knows of.
 func (u *Upstream) open() int     { return u.own.Open + max(u.others.Open, u.heard.Open) }
 func (u *Upstream) unread() int64 { return u.own.Unread + u.heard.Unread }
+func (u *Upstream) resident() int64 {
+	return u.own.Resident + max(u.others.Resident, u.heard.Resident)
+}
 
 // Pool holds the upstreams. It is safe for concurrent use.
 type Pool struct {
@@ -67,6 +72,8 @@
 	recent []Kept
 	// changed holds a token when the own load has changed.
 	changed chan struct{}
+	// pace holds how fast the engines of a service read, by service.
+	pace map[string]*pace
 	// synced is when the table was last confirmed by the control group.
 	synced time.Time
 }
@@ -76,7 +83,7 @@
 	return &Pool{
 		zone: zone, table: presence.NewTable(),
 		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
-		peers: map[uint64]*peerLoad{}, changed: make(chan struct{}, 1),
+		peers: map[uint64]*peerLoad{}, pace: map[string]*pace{}, changed: make(chan struct{}, 1),
 	}
 }
 
