--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -234,6 +234,7 @@
 // run makes one attempt.
 func (a *attempt) run(w http.ResponseWriter) step {
 	a.exclude = append(a.exclude, a.target.ID)
+	a.backlog, a.pace = a.target.Ahead, a.target.Pace
 	answer, err := upstreamhttp.Do(a.ctx, a.target.Address, a.encode())
 	var unreachable *upstreamhttp.UnreachableError
 	if errors.As(err, &unreachable) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -113,6 +113,9 @@
 	attempts int
 	exclude  []string
 	upstream string
+	// backlog and pace are those of the latest upstream when it was chosen.
+	backlog int64
+	pace    float64
 	// saw is the reason of the latest failed attempt.
 	saw string
 }
@@ -205,7 +208,7 @@
 		fields = append(fields, "upstream", q.upstream, "attempts", q.attempts)
 	}
 	if q.Call != nil && q.InputTokens > 0 {
-		fields = append(fields, "input_tokens", q.InputTokens)
+		fields = append(fields, "input_tokens", q.InputTokens, "backlog_tokens", q.backlog, "pace", int(q.pace))
 	}
 	if q.first > 0 {
 		fields = append(fields, "first_ms", q.first.Milliseconds(), "longest_pause_ms", q.longest.Milliseconds())
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -63,14 +63,18 @@
 	// Source is the address of an upstream that is likely to keep the shared part,
 	// if this one does not; it may be empty.
 	Source string
+	// Ahead is the backlog in tokens with the request itself, and Pace the reading
+	// speed in tokens a millisecond, as of the choice.
+	Ahead int64
+	Pace  float64
 
 	part    uint64
 	hasPart bool
 	unread  int64
-	// resident is what the request keeps in memory, and ahead the backlog with itself.
-	resident, ahead int64
-	chosen          time.Time
-	began           bool
+	// resident is what the request keeps in memory.
+	resident int64
+	chosen   time.Time
+	began    bool
 }
 
 // Reason tells why no upstream was chosen.
@@ -113,7 +117,7 @@
 
 func (p *Pool) take(l *Place, req *Request, now time.Time) {
 	l.resident = l.unread + req.Output
-	l.ahead, l.chosen = l.unread+max(l.Upstream.unread(), 0), now
+	l.Ahead, l.Pace, l.chosen = l.unread+max(l.Upstream.unread(), 0), p.paceOf(req.Service).tokens, now
 	l.own.Open++
 	l.own.Unread += l.unread
 	l.own.Resident += l.resident
@@ -134,7 +138,7 @@
 	}
 	p.begin(l)
 	if l.hasPart {
-		p.paceOf(l.Service).sample(l.ahead, now.Sub(l.chosen))
+		p.paceOf(l.Service).sample(l.Ahead, now.Sub(l.chosen))
 		l.Upstream.keep(l.part, now)
 		p.noteKept(Kept{Part: l.part, Upstream: shortName(l.ID)})
 	}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -17,8 +17,10 @@
 	initialPace = 40
 	minPace     = 4
 	maxPace     = 1000
-	// paceWeight is the weight of a new sample of the pace.
-	paceWeight = 0.05
+	// paceFall and paceRise are the weights of a new sample that is below or above
+	// the pace: it settles where a quarter of the samples is below.
+	paceFall = 0.12
+	paceRise = 0.04
 	// paceTokens is the least backlog from which a sample is taken.
 	paceTokens = 6000
 	// rankStep is the part of the limit by which each rank has less than the one
@@ -67,7 +69,12 @@
 		return
 	}
 	measured := float64(tokens) / (float64(took) / float64(time.Millisecond))
-	c.tokens += paceWeight * (min(max(measured, minPace), maxPace) - c.tokens)
+	measured = min(max(measured, minPace), maxPace)
+	weight := paceRise
+	if measured < c.tokens {
+		weight = paceFall
+	}
+	c.tokens += weight * (measured - c.tokens)
 }
 
 func (c *pace) count(refused bool, now time.Time) {
