Let hosts spend half a second of demand between two reports, whatever its size

Cause: what a host may spend without asking is written off when it dies, and where more than a hundredth part of a budget is written off, all that is refused later could have been served.

--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -19,16 +19,12 @@
 	// stock is the factor over the recent demand that a host holds for its horizon;
 	// what it lacks in a surge it gets from other hosts.
 	stock = 1.5
-	// touchWindow is the demand that a host prepares for between two reports.
+	// touchWindow is the demand that a host may spend between two reports without
+	// asking; what it may spend is lost if it dies.
 	touchWindow = 500 * time.Millisecond
 	// floorDivisor sets the least rate of an envelope: the balance in N seconds
 	// over all hosts, for organisations that the host has not seen yet.
 	floorDivisor = 60
-	// burstRequests is the number of the largest recent requests that a host may
-	// admit at once between two reports.
-	burstRequests = 0.4
-	// burstDivisor bounds a burst by the host's part of the balance: 1 in N of it.
-	burstDivisor = 6
 	// balanceFreshness is the age up to which a balance is good for a final refusal.
 	balanceFreshness = time.Second
 	// wantDecay is the factor per report by which an unmet need is forgotten.
@@ -94,8 +90,6 @@
 	// demand is the decayed sum of tokens asked for; demandAt its time.
 	demand   float64
 	demandAt int64
-	// largest is the decayed size of the largest request.
-	largest float64
 	// need is what requests lacked since the last report.
 	need    int64
 	changed bool
@@ -201,14 +195,12 @@
 func (t *allotment) ask(tokens, now int64) {
 	t.decay(now)
 	t.demand += float64(tokens)
-	t.largest = max(t.largest, float64(tokens))
 }
 
 func (t *allotment) decay(now int64) {
 	if d := time.Duration(now - t.demandAt); t.demandAt != 0 && d > 0 {
 		factor := math.Exp(-d.Seconds() / demandWindow.Seconds())
 		t.demand *= factor
-		t.largest *= math.Sqrt(factor)
 	}
 	t.demandAt = now
 }
@@ -241,7 +233,7 @@
 	rate := t.demand / demandWindow.Seconds() * surge
 	share := float64(max(t.balance, 0)) / float64(max(t.hosts, 1))
 	rate = max(rate, share/floorDivisor)
-	burst := max(rate*touchWindow.Seconds(), min(t.largest*burstRequests, share/burstDivisor))
+	burst := rate / surge * touchWindow.Seconds()
 	u := Use{
 		Organisation: name, Used: t.used, Reserved: t.reserved,
 		Want: int64(rate*stock/surge*horizon.Seconds()+burst) + t.need,
