--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/presence"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func poolOf(g *WithT, zone string, engines int) *Pool {
+	p := NewPool(zone)
+	var records []Seen
+	for i := range engines {
+		records = append(records, Seen{At: start, Upstream: presence.Upstream{
+			ID: fmt.Sprintf("u%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Service: "engine",
+			Zone: string(rune('a' + i%4)), State: presence.Ready, Started: 1, Sequence: 1, Slots: 6,
+		}})
+	}
+	p.Update(records, start)
+	p.Synced(nil, start)
+	g.Expect(p.services["engine"]).To(HaveLen(engines))
+	return p
+}
+
+func prompt(part uint64) *Request {
+	return &Request{
+		Service: "engine", Tokens: 17_000, PartTokens: 13_000, Part: part, HasPart: true, Output: 100,
+		Transfers: true, Memory: 470_000, Objective: 800 * time.Millisecond,
+	}
+}
+
+func choose(g *WithT, p *Pool, r *Request) *Place {
+	l, reason, _ := p.Choose(r, start)
+	g.Expect(reason).To(Equal(Chosen))
+	return l
+}
+
+func TestHostsAgreeOnTheHomeOfAPart(t *testing.T) {
+	g := NewWithT(t)
+	homes := map[string]bool{}
+	for part := range uint64(40) {
+		first := choose(g, poolOf(g, "a", 9), prompt(part))
+		second := choose(g, poolOf(g, "c", 9), prompt(part))
+		g.Expect(second.ID).To(Equal(first.ID))
+		g.Expect(first.Source).To(BeEmpty())
+		homes[first.ID] = true
+	}
+	g.Expect(len(homes)).To(BeNumerically(">=", 7), "parts spread over the engines")
+}
+
+func TestBusyHomeIsPassedOverAndThePartIsFetched(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "a", 9)
+	home := choose(g, p, prompt(7))
+	p.Begin(home, start)
+	p.Release(home)
+	for range 2 {
+		g.Expect(choose(g, p, prompt(7)).ID).To(Equal(home.ID))
+	}
+	for {
+		l := choose(g, p, prompt(7))
+		if l.ID != home.ID {
+			g.Expect(l.Source).To(Equal(home.Address))
+			g.Expect(home.own.Unread).To(BeNumerically(">", strayCost))
+			return
+		}
+	}
+}
+
+// What other hosts read and keep counts like the own.
+func TestOtherHostsAreHeard(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "a", 9)
+	home := choose(g, p, prompt(7))
+	p.Release(home)
+	busy := map[uint32]Load{shortName(home.ID): {Open: 3, Unread: 30_000}}
+	p.Hear(1, 1, busy, nil, start)
+	stray := choose(g, p, prompt(7))
+	g.Expect(stray.ID).NotTo(Equal(home.ID))
+	p.Release(stray)
+	p.Hear(1, 0, nil, nil, start)
+	g.Expect(home.heard.Unread).To(Equal(int64(30_000)), "a late message changes nothing")
+	p.Hear(1, 2, nil, []Kept{{Part: 7, Upstream: shortName("u3")}}, start)
+	g.Expect(home.heard.Unread).To(BeZero())
+	g.Expect(p.upstreams["u3"].keeps(7, start)).To(BeTrue())
+	p.Hear(1, 3, busy, nil, start)
+	p.Hear(2, 1, nil, nil, start.Add(2*peerRetention))
+	g.Expect(home.heard.Unread).To(BeZero(), "a silent host is forgotten")
+}
+
+func TestUnsoundUpstreamsAreUsedLast(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "a", 2)
+	plain := &Request{Service: "engine"}
+	first := choose(g, p, plain)
+	p.Observe(first, Failed, start)
+	p.Observe(first, Failed, start)
+	p.Release(first)
+	for range 5 {
+		g.Expect(choose(g, p, plain).ID).NotTo(Equal(first.ID))
+	}
+	other, _, _ := p.Choose(&Request{Service: "engine", Exclude: []string{"u0", "u1"}}, start)
+	g.Expect(other).To(BeNil())
+	l, reason, _ := p.Choose(&Request{Service: "engine", Exclude: []string{otherOf(first.ID)}}, start)
+	g.Expect(reason).To(Equal(Chosen), "rather an ejected one than none")
+	g.Expect(l.ID).To(Equal(first.ID))
+	p.Observe(l, Served, start)
+	g.Expect(p.sound(l.Upstream, start)).To(BeTrue())
+}
+
+func otherOf(id string) string {
+	if id == "u0" {
+		return "u1"
+	}
+	return "u0"
+}
+
+func TestSilenceCountsOnlyInTouch(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "a", 1)
+	u := p.upstreams["u0"]
+	later := start.Add(silentAfter + time.Second)
+	g.Expect(p.sound(u, later)).To(BeTrue(), "cut off from the control group")
+	p.Synced(nil, later)
+	g.Expect(p.sound(u, later)).To(BeFalse())
+}
+
+func TestPlainServicesGoToTheLeastLoadedNearby(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "c", 4)
+	plain := &Request{Service: "engine", Limit: func(*Upstream) int { return 2 }}
+	g.Expect(choose(g, p, plain).Zone).To(Equal("c"))
+	for range 7 {
+		choose(g, p, plain)
+	}
+	l, reason, after := p.Choose(plain, start)
+	g.Expect(l).To(BeNil())
+	g.Expect(reason).To(Equal(Full))
+	g.Expect(after).To(BeNumerically(">", 0))
+}
+
+func TestNewProcessStartsWithoutAHistory(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "a", 1)
+	l := choose(g, p, prompt(1))
+	p.Begin(l, start)
+	p.Update([]Seen{{At: start, Upstream: presence.Upstream{
+		ID: "u0", Address: "10.0.0.0:80", Service: "engine", State: presence.Ready, Started: 2, Sequence: 1,
+	}}}, start)
+	p.Release(l)
+	u := p.upstreams["u0"]
+	g.Expect(u.keeps(1, start)).To(BeFalse())
+	g.Expect(u.own).To(Equal(Load{}))
+}
+
+func TestEngineMemoryBoundsTheRequests(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "a", 1)
+	r := &Request{Service: "engine", Tokens: 30_000, Part: 1, HasPart: true, Output: 1_000, Memory: 100_000}
+	var open []*Place
+	for {
+		l, reason, _ := p.Choose(r, start)
+		if reason == Full {
+			break
+		}
+		p.Begin(l, start)
+		open = append(open, l)
+	}
+	g.Expect(open).To(HaveLen(2), "a third one would not fit into 85 in 100 of the memory")
+	p.Release(open[0])
+	choose(g, p, r)
+}
