--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -99,6 +99,9 @@
 // Freeze stops the process by SIGSTOP until Continue.
 func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
 
+// Hangup sends SIGHUP.
+func (p *Process) Hangup() { _ = p.cmd.Process.Signal(syscall.SIGHUP) }
+
 // Continue lets a frozen process run.
 func (p *Process) Continue() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -73,7 +73,7 @@
 	unread  int64
 	// resident is what the request keeps in memory.
 	resident int64
-	chosen   time.Time
+	since    time.Time
 	began    bool
 }
 
@@ -117,7 +117,9 @@
 
 func (p *Pool) take(l *Place, req *Request, now time.Time) {
 	l.resident = l.unread + req.Output
-	l.Ahead, l.Pace, l.chosen = l.unread+max(l.Upstream.unread(), 0), p.paceOf(req.Service).tokens, now
+	l.Ahead, l.Pace, l.since = l.unread+max(l.Upstream.unread(), 0), p.paceOf(req.Service).tokens, now
+	p.choices++
+	l.Upstream.chosen = p.choices
 	l.own.Open++
 	l.own.Unread += l.unread
 	l.own.Resident += l.resident
@@ -138,7 +140,7 @@
 	}
 	p.begin(l)
 	if l.hasPart {
-		p.paceOf(l.Service).sample(l.Ahead, now.Sub(l.chosen))
+		p.paceOf(l.Service).sample(l.Ahead, now.Sub(l.since))
 		l.Upstream.keep(l.part, now)
 		p.noteKept(Kept{Part: l.part, Upstream: shortName(l.ID)})
 	}
@@ -219,7 +221,7 @@
 
 func (p *Pool) leastLoaded(candidates []*Upstream) *Upstream {
 	return slices.MinFunc(candidates, func(a, b *Upstream) int {
-		return cmp.Or(cmp.Compare(p.plainCost(a), p.plainCost(b)), cmp.Compare(a.own.Open, b.own.Open), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(p.plainCost(a), p.plainCost(b)), cmp.Compare(a.own.Open, b.own.Open), cmp.Compare(a.chosen, b.chosen), cmp.Compare(a.ID, b.ID))
 	})
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -144,6 +144,18 @@
 	g.Expect(after).To(BeNumerically(">", 0))
 }
 
+func TestIdleUpstreamsTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "z", 4)
+	seen := map[string]int{}
+	for range 8 {
+		l := choose(g, p, &Request{Service: "engine"})
+		seen[l.ID]++
+		p.Release(l)
+	}
+	g.Expect(seen).To(Equal(map[string]int{"u0": 2, "u1": 2, "u2": 2, "u3": 2}))
+}
+
 func TestNewProcessStartsWithoutAHistory(t *testing.T) {
 	g := NewWithT(t)
 	p := poolOf(g, "a", 1)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -37,6 +37,8 @@
 	failures, ejections int
 	// avoidUntil ends an ejection.
 	avoidUntil time.Time
+	// chosen is the number of the latest choice of this upstream.
+	chosen uint64
 	// probing tells that a request tests an upstream whose ejection has ended.
 	probing bool
 }
@@ -70,6 +72,8 @@
 	peers map[uint64]*peerLoad
 	// recent holds the parts whose reading this host has seen lately.
 	recent []Kept
+	// choices counts the choices, so that equals take turns.
+	choices uint64
 	// changed holds a token when the own load has changed.
 	changed chan struct{}
 	// pace holds how fast the engines of a service read, by service.
