--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -32,8 +32,10 @@
 	// snapshotEntries keeps the log of a host with 128 MB of disk small.
 	snapshotEntries = 2000
 	segmentBytes    = 1 << 20
-	// dialTimeout and silence bound how long a host that can't be reached holds up a call.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout and silence bound how long a host that can't be reached holds up a
+	// call. Hosts of a region answer within some ms; a host that was down when the
+	// connecting began answers only the next one.
+	dialTimeout = 150 * time.Millisecond
 	silence     = 1500 * time.Millisecond
 )
 
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -33,7 +33,7 @@
 	// callTimeout bounds one call.
 	callTimeout = 700 * time.Millisecond
 	// dialTimeout and silence bound the time lost to a host that can't be reached.
-	dialTimeout = 250 * time.Millisecond
+	dialTimeout = 120 * time.Millisecond
 	silence     = time.Second
 	// closeTimeout bounds the closing of the session.
 	closeTimeout = 800 * time.Millisecond
