--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -18,7 +18,7 @@
 	clockAgreement = 500 * time.Millisecond
 	// clockDoubt is added to a time that was measured by times of day, which differ
 	// between machines.
-	clockDoubt = 700 * time.Millisecond
+	clockDoubt = 400 * time.Millisecond
 	// maxHolders is the number of holders that a host is told of.
 	maxHolders = 4
 )
