--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -108,7 +108,7 @@
 	Document *fleetstate.Document `cbor:"3,keyasint,omitempty"`
 	Epoch    uint64               `cbor:"4,keyasint,omitempty"`
 	Revision uint64               `cbor:"5,keyasint,omitempty"`
-	// Upstreams is the whole table if it changed, and at intervals.
+	// Upstreams are those that changed after the host's revision, or all of another epoch.
 	Upstreams []UpstreamRecord `cbor:"6,keyasint,omitempty"`
 	Prepaid   *prepaid.Reply   `cbor:"7,keyasint,omitempty"`
 	// Members are the addresses of the control hosts.
@@ -131,6 +131,8 @@
 	presence.Upstream `cbor:"1,keyasint"`
 	// Age is the time since the latest report of the upstream.
 	Age time.Duration `cbor:"2,keyasint,omitempty"`
+	// Silent tells that this is long.
+	Silent bool `cbor:"3,keyasint,omitempty"`
 }
 
 // UpstreamsMessage passes reports of upstreams between control hosts.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -69,7 +69,9 @@
 	mu      sync.Mutex
 	members map[uint64]string // addresses by replica id; kept when a replica leaves
 	table   *presence.Table
-	hosts   map[string]*gatewayHost
+	// direct holds when an upstream last reported to this host itself.
+	direct map[string]time.Time
+	hosts  map[string]*gatewayHost
 	// peersRevision numbers the changes of the set of gateway hosts.
 	peersRevision uint64
 	crashes       crashCounter
@@ -83,7 +85,7 @@
 	n := &Node{
 		options: o, epoch: rand.Uint64(),
 		members: map[uint64]string{}, table: presence.NewTable(),
-		hosts: map[string]*gatewayHost{}, peers: map[string]chan UpstreamRecord{},
+		direct: map[string]time.Time{}, hosts: map[string]*gatewayHost{}, peers: map[string]chan UpstreamRecord{},
 	}
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		return netconn.Dial(ctx, address, dialTimeout, silence)
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -15,9 +15,6 @@
 	syncTimeout = 800 * time.Millisecond
 	// hostRetention is the time without a call after which a gateway host counts as gone.
 	hostRetention = 3 * time.Second
-	// tableInterval is the time between two sendings of the unchanged table of
-	// upstreams to a host, which shows it how long each has been silent.
-	tableInterval = 3 * time.Second
 )
 
 // gatewayHost is what the leader knows of a gateway host.
@@ -88,10 +85,11 @@
 	}
 	reply.Hosts = len(n.hosts)
 	reply.Revision = n.table.Revision()
-	if req.Epoch != n.epoch || req.Revision != reply.Revision || now.Sub(h.tabled) >= tableInterval {
-		h.tabled = now
-		reply.Upstreams = n.tableRecords(now)
+	known := req.Revision
+	if req.Epoch != n.epoch {
+		known = 0
 	}
+	reply.Upstreams = toMessages(n.table.Since(known), now)
 	reply.PeersRevision = n.peersRevision
 	if req.Epoch != n.epoch || req.Peers != n.peersRevision {
 		for _, other := range n.hosts {
--- a/internal/controlnode/upstreams.go
+++ b/internal/controlnode/upstreams.go
@@ -14,18 +14,24 @@
 )
 
 const (
-	// exchangeInterval is the time between two sendings of the whole table to the
-	// other control hosts, for what was lost on its way.
+	// exchangeInterval is the time between two sendings of the upstreams that report
+	// to this host to the other control hosts, also for what was lost on its way.
 	exchangeInterval = time.Second
+	// directRetention is how long an upstream counts as one that reports to this host.
+	directRetention = 10 * time.Second
 	// forwardTimeout bounds the passing on of one report.
 	forwardTimeout = 600 * time.Millisecond
 	// forwardQueue bounds the reports that wait for one control host.
 	forwardQueue = 1024
 )
 
-// Report takes in what an upstream says of itself, and passes it on.
+// Report takes in what an upstream says of itself. News is passed on to the other
+// control hosts at once; that nothing has changed goes with the next exchange.
 func (n *Node) Report(u presence.Upstream) {
 	now := time.Now()
+	n.mu.Lock()
+	n.direct[u.ID] = now
+	n.mu.Unlock()
 	if !n.takeReport(u, now) {
 		return
 	}
@@ -39,12 +45,14 @@
 	}
 }
 
+// takeReport tells whether the report changed the table.
 func (n *Node) takeReport(u presence.Upstream, seen time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	before := n.table.Revision()
-	news := n.table.Report(u, seen)
-	if n.table.Revision() != before {
+	n.table.Report(u, seen)
+	news := n.table.Revision() != before
+	if news {
 		klog.InfoS("upstream changed", "upstream", u.ID, "address", u.Address, "service", u.Service,
 			"state", u.State.String(), "started", u.Started, "sequence", u.Sequence, "revision", n.table.Revision())
 	}
@@ -115,13 +123,27 @@
 	return &UpstreamsReply{}, nil
 }
 
-// tableRecords returns the whole table; n.mu is held.
-func (n *Node) tableRecords(now time.Time) []UpstreamRecord {
-	var records []UpstreamRecord
-	for _, r := range n.table.All() {
-		records = append(records, UpstreamRecord{Upstream: r.Upstream, Age: now.Sub(r.Seen)})
+// toMessages returns records as they go to other hosts, in order of id.
+func toMessages(records []*presence.Record, now time.Time) []UpstreamRecord {
+	list := make([]UpstreamRecord, 0, len(records))
+	for _, r := range records {
+		list = append(list, UpstreamRecord{Upstream: r.Upstream, Age: now.Sub(r.Seen), Silent: r.Silent})
+	}
+	slices.SortFunc(list, func(a, b UpstreamRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// directRecords returns the upstreams that reported to this host lately; n.mu is held.
+func (n *Node) directRecords(now time.Time) []*presence.Record {
+	var records []*presence.Record
+	for id, at := range n.direct {
+		r := n.table.Record(id)
+		if r == nil || now.Sub(at) > directRetention {
+			delete(n.direct, id)
+			continue
+		}
+		records = append(records, r)
 	}
-	slices.SortFunc(records, func(a, b UpstreamRecord) int { return cmp.Compare(a.ID, b.ID) })
 	return records
 }
 
@@ -130,10 +152,10 @@
 		now := time.Now()
 		n.mu.Lock()
 		silent := n.table.Expire(now)
-		records := n.tableRecords(now)
+		records := toMessages(n.directRecords(now), now)
 		n.mu.Unlock()
 		for _, id := range silent {
-			klog.InfoS("upstream dropped: silent", "upstream", id, "after", presence.Retention.String())
+			klog.InfoS("upstream silent", "upstream", id, "after", presence.SilentAfter.String())
 		}
 		if len(records) == 0 {
 			return
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -20,14 +20,18 @@
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
+	"github.com/godwitbend/godwitbend/internal/presence"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
 	// interval is the time between two calls: a change must be in force within two
-	// seconds, and an upstream that leaves gets work for as long.
-	interval = 250 * time.Millisecond
+	// seconds, and an upstream that leaves gets work for as long. In a fleet of more
+	// than fullRateHosts it is stretched, up to maxInterval, for the leader's sake.
+	interval      = 250 * time.Millisecond
+	maxInterval   = 500 * time.Millisecond
+	fullRateHosts = 25
 	// wakeInterval is the least time between two calls when requests wait for tokens.
 	wakeInterval = 15 * time.Millisecond
 	// callTimeout bounds one call.
@@ -172,8 +176,17 @@
 	}
 }
 
+// interval returns the time between two calls in a fleet of the present size.
+func (c *Client) interval() time.Duration {
+	view := c.view.Load()
+	if view == nil || view.Hosts <= fullRateHosts {
+		return interval
+	}
+	return min(interval*time.Duration(view.Hosts)/fullRateHosts, maxInterval)
+}
+
 func (c *Client) pause(ctx context.Context, started time.Time, err error) {
-	timer := time.NewTimer(time.Until(started.Add(interval)))
+	timer := time.NewTimer(time.Until(started.Add(c.interval())))
 	defer timer.Stop()
 	if err != nil {
 		// A wake-up would only repeat the failure.
@@ -285,7 +298,6 @@
 
 // take takes in a reply of the leader.
 func (c *Client) take(req *controlnode.SyncRequest, reply *controlnode.SyncReply) error {
-	now := time.Now()
 	if reply.Prepaid != nil {
 		if reply.Prepaid.Unknown && c.opened {
 			return eris.New("the control group does not know this host's session")
@@ -298,10 +310,10 @@
 		c.members = reply.Members
 	}
 	c.epoch, c.revision, c.peersAt = reply.Epoch, reply.Revision, reply.PeersRevision
-	if reply.Upstreams != nil {
-		c.options.Pool.Update(seen(reply.Upstreams, now), now)
+	if len(reply.Upstreams) > 0 {
+		c.options.Pool.Update(records(reply.Upstreams))
 	}
-	c.options.Pool.Synced(reply.Loads, now)
+	c.options.Pool.Synced(reply.Loads)
 	c.mu.Lock()
 	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
 	if reply.Peers != nil {
@@ -311,10 +323,10 @@
 	return c.publish(reply)
 }
 
-func seen(records []controlnode.UpstreamRecord, now time.Time) []placement.Seen {
-	list := make([]placement.Seen, 0, len(records))
-	for i := range records {
-		list = append(list, placement.Seen{Upstream: records[i].Upstream, At: now.Add(-records[i].Age)})
+func records(messages []controlnode.UpstreamRecord) []presence.Record {
+	list := make([]presence.Record, 0, len(messages))
+	for i := range messages {
+		list = append(list, presence.Record{Upstream: messages[i].Upstream, Silent: messages[i].Silent})
 	}
 	return list
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -210,13 +210,9 @@
 	return nil, Tried
 }
 
-// sound tells whether nothing speaks against an upstream. Silence counts only
-// while the control group would have told of a report.
+// sound tells whether nothing speaks against an upstream.
 func (p *Pool) sound(u *Upstream, now time.Time) bool {
-	if now.Before(u.avoidUntil) || u.probing {
-		return false
-	}
-	return now.Sub(u.seen) < silentAfter || now.Sub(p.synced) > silentAfter/2
+	return !now.Before(u.avoidUntil) && !u.probing && !u.silent
 }
 
 func (p *Pool) leastLoaded(candidates []*Upstream) *Upstream {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -14,15 +14,14 @@
 
 func poolOf(g *WithT, zone string, engines int) *Pool {
 	p := NewPool(zone)
-	var records []Seen
+	var records []presence.Record
 	for i := range engines {
-		records = append(records, Seen{At: start, Upstream: presence.Upstream{
+		records = append(records, presence.Record{Upstream: presence.Upstream{
 			ID: fmt.Sprintf("u%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Service: "engine",
 			Zone: string(rune('a' + i%4)), State: presence.Ready, Started: 1, Sequence: 1, Slots: 6,
 		}})
 	}
-	p.Update(records, start)
-	p.Synced(nil, start)
+	p.Update(records)
 	g.Expect(p.services["engine"]).To(HaveLen(engines))
 	return p
 }
@@ -120,14 +119,32 @@
 	return "u0"
 }
 
-func TestSilenceCountsOnlyInTouch(t *testing.T) {
+func TestSilentUpstreamsAreUsedLast(t *testing.T) {
 	g := NewWithT(t)
-	p := poolOf(g, "a", 1)
-	u := p.upstreams["u0"]
-	later := start.Add(silentAfter + time.Second)
-	g.Expect(p.sound(u, later)).To(BeTrue(), "cut off from the control group")
-	p.Synced(nil, later)
-	g.Expect(p.sound(u, later)).To(BeFalse())
+	p := poolOf(g, "a", 2)
+	silent := presence.Record{Upstream: p.upstreams["u0"].Upstream, Silent: true}
+	p.Update([]presence.Record{silent})
+	for range 4 {
+		g.Expect(choose(g, p, &Request{Service: "engine"}).ID).To(Equal("u1"))
+	}
+	g.Expect(choose(g, p, &Request{Service: "engine", Exclude: []string{"u1"}}).ID).To(Equal("u0"))
+	silent.Silent = false
+	p.Update([]presence.Record{silent})
+	g.Expect(choose(g, p, &Request{Service: "engine"}).ID).To(Equal("u0"))
+}
+
+// A new leader may not have heard yet what the last one told.
+func TestTableThatIsBehindChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "a", 2)
+	known := p.upstreams["u0"].Upstream
+	draining, earlier := known, known
+	draining.State = presence.Draining
+	earlier.Started = known.Started - 1
+	p.Update([]presence.Record{{Upstream: draining}})
+	p.Update([]presence.Record{{Upstream: known}})
+	p.Update([]presence.Record{{Upstream: earlier}})
+	g.Expect(p.services["engine"]).To(HaveLen(1))
 }
 
 func TestPlainServicesGoToTheLeastLoadedNearby(t *testing.T) {
@@ -161,9 +178,9 @@
 	p := poolOf(g, "a", 1)
 	l := choose(g, p, prompt(1))
 	p.Begin(l, start)
-	p.Update([]Seen{{At: start, Upstream: presence.Upstream{
+	p.Update([]presence.Record{{Upstream: presence.Upstream{
 		ID: "u0", Address: "10.0.0.0:80", Service: "engine", State: presence.Ready, Started: 2, Sequence: 1,
-	}}}, start)
+	}}})
 	p.Release(l)
 	u := p.upstreams["u0"]
 	g.Expect(u.keeps(1, start)).To(BeFalse())
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// silentAfter is the time without a report, while the control group can be
-	// reached, after which an upstream is used last: three heartbeats.
-	silentAfter = 4 * time.Second
 	// ejectAfter is the number of failures in a row after which an upstream is ejected.
 	ejectAfter = 2
 	// ejectFirst and ejectMax bound the time of an ejection, which doubles each time.
@@ -27,7 +24,8 @@
 // guarded by the pool.
 type Upstream struct {
 	presence.Upstream
-	seen time.Time
+	// silent tells that the control group has not heard of it lately.
+	silent bool
 	// own is the load by this host. others is that by all other hosts: as the
 	// control group told it, and as they told it themselves.
 	own, others, heard Load
@@ -78,8 +76,6 @@
 	changed chan struct{}
 	// pace holds how fast the engines of a service read, by service.
 	pace map[string]*pace
-	// synced is when the table was last confirmed by the control group.
-	synced time.Time
 }
 
 // NewPool returns an empty pool of a host in zone.
@@ -91,29 +87,21 @@
 	}
 }
 
-// Seen is an upstream with the time of its latest report.
-type Seen struct {
-	presence.Upstream
-	At time.Time
-}
-
-// Update takes in what the control group knows of upstreams.
-func (p *Pool) Update(records []Seen, now time.Time) {
+// Update takes in what the control group knows of upstreams: those that changed, or all.
+func (p *Pool) Update(records []presence.Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before := p.table.Revision()
 	for _, r := range records {
-		p.table.Report(r.Upstream, r.At)
-	}
-	p.table.Expire(now)
-	for _, u := range p.upstreams {
-		if r := p.table.Record(u.ID); r != nil {
-			u.seen = r.Seen
+		old := p.table.Record(r.ID)
+		if old != nil && old.Started > r.Started {
+			continue // a table that is behind
 		}
+		if old != nil && old.Started == r.Started {
+			r.State = max(r.State, old.State) // draining and leaving are final
+		}
+		p.table.Set(r)
 	}
-	if p.table.Revision() != before {
-		p.rebuild()
-	}
+	p.rebuild()
 }
 
 // rebuild brings the upstreams in line with the table. A new process under an
@@ -126,7 +114,7 @@
 		if u == nil || u.Started != r.Started {
 			u = &Upstream{}
 		}
-		u.Upstream, u.seen = r.Upstream, r.Seen
+		u.Upstream, u.silent = r.Upstream, r.Silent
 		upstreams[r.ID] = u
 		if r.State == presence.Ready {
 			p.services[r.Service] = append(p.services[r.Service], u)
@@ -135,11 +123,10 @@
 	p.upstreams = upstreams
 }
 
-// Synced notes a contact with the control group and the load of the other hosts.
-func (p *Pool) Synced(others map[string]Load, now time.Time) {
+// Synced takes in the load of the other hosts as the control group knows it.
+func (p *Pool) Synced(others map[string]Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.synced = now
 	for id, u := range p.upstreams {
 		u.others = others[id]
 	}
--- a/internal/placement/rush_test.go
+++ b/internal/placement/rush_test.go
@@ -158,7 +158,6 @@
 	p := poolOf(g, "a", rushEngines)
 	return play(g, rush(seed),
 		func(r *rushRequest, now time.Time) (string, int64) {
-			p.Synced(nil, now)
 			l, reason, after := p.Choose(&r.request, now)
 			if reason != Chosen {
 				g.Expect(after).To(BeNumerically(">=", minRetry))
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -265,7 +265,10 @@
 	for _, g := range reply.Grants {
 		t := a.allotment(g.Organisation)
 		t.granted, t.credited = max(t.granted, g.Granted), max(t.credited, g.Credited)
-		t.target, t.holders = g.Target, g.Holders
+		t.target = g.Target
+		if len(g.Holders) > 0 {
+			t.holders = g.Holders
+		}
 		t.balance, t.hosts, t.balanceAt, t.balanceKnown = g.Balance, g.Hosts, at, true
 	}
 }
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -19,6 +19,8 @@
 	// clockDoubt is added to a time that was measured by times of day, which differ
 	// between machines.
 	clockDoubt = 400 * time.Millisecond
+	// fullReplyEvery is the number of reports of which one is answered in full.
+	fullReplyEvery = 4
 	// maxHolders is the number of holders that a host is told of.
 	maxHolders = 4
 )
@@ -208,10 +210,29 @@
 			h.Use = u
 		}
 	}
+	return b.reply(s, r)
+}
+
+// reply grants what the host's organisations lack. Most replies name those of the
+// report only, and who else holds tokens is told with every fourth.
+func (b *Book) reply(s *Session, r *Report) Reply {
 	reply := Reply{Seq: r.Seq}
-	for _, name := range slices.Sorted(maps.Keys(s.Holdings)) {
-		g := b.grant(name, s.Holdings[name])
-		g.Credited, g.Holders = s.Holdings[name].Credited, b.holders(name, s)
+	full := r.Seq%fullReplyEvery == 1
+	names := make([]string, 0, len(s.Holdings))
+	for i := range r.Uses {
+		names = append(names, r.Uses[i].Organisation)
+	}
+	if full {
+		names = slices.AppendSeq(names[:0], maps.Keys(s.Holdings))
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		h := s.holding(name)
+		g := b.grant(name, h)
+		g.Credited = h.Credited
+		if full {
+			g.Holders = b.holders(name, s)
+		}
 		reply.Grants = append(reply.Grants, g)
 	}
 	return reply
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// Retention is the time without a report after which an upstream is dropped:
-	// several times the interval of heartbeats, which may arrive seconds late.
-	Retention = 12 * time.Second
-	// tombstoneRetention is how long an upstream that left is remembered, so that
-	// a late report does not bring it back.
-	tombstoneRetention = 5 * time.Minute
+	// SilentAfter is the time without a report after which an upstream counts as
+	// silent: three heartbeats of the users' upstreams, which may arrive seconds late.
+	SilentAfter = 4 * time.Second
+	// retention is how long an upstream that left or fell silent is remembered, so
+	// that a late report does not bring it back.
+	retention = 5 * time.Minute
 )
 
 // State is an upstream's own word on whether it takes new work.
@@ -61,6 +61,10 @@
 	Upstream
 	// Seen is when the latest report arrived.
 	Seen time.Time
+	// Silent tells that the latest report is older than SilentAfter.
+	Silent bool
+	// Revision is the number of the latest change of anything but Sequence and Seen.
+	Revision uint64
 }
 
 // Table holds the reports. It has no lock and no clock.
@@ -92,7 +96,7 @@
 	}
 	next := merge(old, u)
 	next.Seen = now
-	if same(&old.Upstream, &next.Upstream) {
+	if same(&old.Upstream, &next.Upstream) && !old.Silent {
 		old.Seen, old.Sequence = now, u.Sequence
 		return true
 	}
@@ -149,26 +153,42 @@
 
 func (t *Table) store(r *Record) {
 	t.revision++
+	r.Revision = t.revision
 	t.records[r.ID] = r
 }
 
-// Expire drops upstreams that were silent for longer than Retention, and forgets
-// those that left long ago. It returns the ids of the silent ones.
+// Expire marks silent upstreams, and forgets those that were heard of long ago. It
+// returns the ids of those that fell silent.
 func (t *Table) Expire(now time.Time) []string {
 	var silent []string
 	for id, r := range t.records {
 		age := now.Sub(r.Seen)
 		switch {
-		case r.State != Gone && age > Retention:
+		case age > retention:
 			delete(t.records, id)
-			t.revision++
+		case r.State != Gone && !r.Silent && age > SilentAfter:
+			next := *r
+			next.Silent = true
+			t.store(&next)
 			silent = append(silent, id)
-		case r.State == Gone && age > tombstoneRetention:
-			delete(t.records, id)
 		}
 	}
 	return silent
 }
 
+// Since returns the records that changed after a revision, in no particular order.
+func (t *Table) Since(revision uint64) []*Record {
+	var changed []*Record
+	for _, r := range t.records {
+		if r.Revision > revision {
+			changed = append(changed, r)
+		}
+	}
+	return changed
+}
+
+// Set takes a record over from another table.
+func (t *Table) Set(r Record) { t.store(&r) }
+
 // All returns every record, in no particular order.
 func (t *Table) All() []*Record { return slices.Collect(maps.Values(t.records)) }
--- a/internal/presence/table_test.go
+++ b/internal/presence/table_test.go
@@ -55,14 +55,21 @@
 	g.Expect(table.Record("new").State).To(Equal(presence.Ready))
 }
 
-func TestSilentUpstreamsAreDropped(t *testing.T) {
+func TestSilentUpstreamsAreMarkedUntilTheyReport(t *testing.T) {
 	g := NewWithT(t)
 	table := presence.NewTable()
 	table.Report(report("u", "a:1", 10, 5, presence.Ready), now)
 	revision := table.Revision()
-	g.Expect(table.Expire(now.Add(presence.Retention))).To(BeEmpty())
-	g.Expect(table.Expire(now.Add(presence.Retention + 1))).To(Equal([]string{"u"}))
+	g.Expect(table.Expire(now.Add(presence.SilentAfter))).To(BeEmpty())
+	g.Expect(table.Expire(now.Add(presence.SilentAfter + 1))).To(Equal([]string{"u"}))
+	g.Expect(table.Expire(now.Add(presence.SilentAfter+2))).To(BeEmpty(), "once")
+	g.Expect(table.Record("u").Silent).To(BeTrue())
+	g.Expect(table.Since(revision)).To(HaveLen(1))
+	revision = table.Revision()
+	g.Expect(table.Report(report("u", "a:1", 10, 6, presence.Ready), now.Add(time.Minute))).To(BeTrue())
+	g.Expect(table.Record("u").Silent).To(BeFalse())
+	g.Expect(table.Since(revision)).To(HaveLen(1), "the news that it is back")
+	g.Expect(table.Since(table.Revision())).To(BeEmpty())
+	table.Expire(now.Add(time.Hour))
 	g.Expect(table.Record("u")).To(BeNil())
-	g.Expect(table.Revision()).To(BeNumerically(">", revision))
-	g.Expect(table.Report(report("u", "a:1", 10, 6, presence.Ready), now)).To(BeTrue(), "it is back")
 }
