--- a/internal/controlnode/batch.go
+++ b/internal/controlnode/batch.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// batchDelay is the time for which reports are gathered into one log entry.
-	batchDelay = 4 * time.Millisecond
+	// batchDelayPerHost is the time, for each gateway, for which reports are gathered
+	// into one log entry, and maxBatchDelay the most: each entry costs a message to and
+	// from every control host.
+	batchDelayPerHost = 500 * time.Microsecond
+	maxBatchDelay     = 25 * time.Millisecond
 	// maxBatchedReports bounds the reports of one log entry.
 	maxBatchedReports = 256
 	// commitTimeout bounds the commit of a batch.
@@ -71,12 +74,18 @@
 		case <-ctx.Done():
 			return
 		case first := <-b.queue:
-			timing.Sleep(ctx, batchDelay)
+			timing.Sleep(ctx, b.delay())
 			b.commit(ctx, b.collect(first))
 		}
 	}
 }
 
+func (b *reportBatcher) delay() time.Duration {
+	b.node.mu.Lock()
+	defer b.node.mu.Unlock()
+	return min(time.Duration(len(b.node.hosts))*batchDelayPerHost, maxBatchDelay)
+}
+
 func (b *reportBatcher) collect(first *submission) []*submission {
 	batch := []*submission{first}
 	for len(batch) < maxBatchedReports {
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// tokensWait bounds the wait for the control group, which answers within some
-	// ten milliseconds when it can be reached.
-	tokensWait = 80 * time.Millisecond
+	// tokensWait bounds the wait for the control group. It answers within some ten
+	// milliseconds, and within a hundred where it serves many hosts.
+	tokensWait = 200 * time.Millisecond
 	// tokensRetry is when a host is likely to have got tokens that others gave back.
 	tokensRetry = 500 * time.Millisecond
 	// cutOffRetry is the time to come back to a host without tokens that is cut off.
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -34,6 +34,9 @@
 	fullRateHosts = 25
 	// wakeInterval is the least time between two calls when requests wait for tokens.
 	wakeInterval = 15 * time.Millisecond
+	// failureInterval is the mean time between two calls while none succeeds; it is
+	// spread, so that many hosts don't call a starting group at the same moment.
+	failureInterval = 120 * time.Millisecond
 	// callTimeout bounds one call.
 	callTimeout = 700 * time.Millisecond
 	// dialTimeout and silence bound the time lost to a host that can't be reached.
@@ -190,7 +193,8 @@
 	defer timer.Stop()
 	if err != nil {
 		// A wake-up would only repeat the failure.
-		timer.Reset(wakeInterval)
+		timing.Sleep(ctx, failureInterval/2+rand.N(failureInterval))
+		return
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -16,8 +16,11 @@
 
 func (n *Node) resetElectionTimeout() {
 	n.electionElapsed = 0
-	n.eager = n.eager && n.leader == None
-	if n.eager {
+	if n.leader != None {
+		n.eager = 0
+	}
+	if n.eager > 0 {
+		n.eager--
 		n.electionTimeout = n.heartbeatTicks + n.random.IntN(n.electionTicks)/2
 		return
 	}
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -16,6 +16,10 @@
 	NoPersistFirst     bool
 }
 
+// eagerTimeouts is the number of short election timeouts of an eager start. In a
+// group whose votes keep being split, more would only split them again.
+const eagerTimeouts = 3
+
 // Config holds the settings of a node and the state recovered from its disk.
 type Config struct {
 	ID uint64
@@ -23,8 +27,8 @@
 	// election. It must be more than HeartbeatTicks.
 	ElectionTicks  int
 	HeartbeatTicks int
-	// EagerStart shortens the election timeouts of a node that has not heard of a
-	// leader since its start, for a group that starts as a whole. A live leader is
+	// EagerStart shortens the first election timeouts of a node that has not heard of
+	// a leader since its start, for a group that starts as a whole. A live leader is
 	// not disturbed: the pre-vote fails.
 	EagerStart bool
 	// Random spreads the election timeouts.
@@ -46,8 +50,9 @@
 	heartbeatTicks int
 	random         *rand.Rand
 	disabled       Mechanisms
-	// eager is set until the node has heard of a leader.
-	eager bool
+	// eager is the number of election timeouts that are still short; 0 once the node
+	// has heard of a leader.
+	eager int
 
 	term   uint64
 	vote   uint64
@@ -98,7 +103,9 @@
 	}
 	n.log.committed = max(n.log.base, min(cfg.HardState.Commit, n.log.last()))
 	n.persisted = n.hardState()
-	n.eager = cfg.EagerStart
+	if cfg.EagerStart {
+		n.eager = eagerTimeouts
+	}
 	n.becomeFollower(n.term, None)
 	return n, nil
 }
