--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -29,8 +29,9 @@
 	tick           = 50 * time.Millisecond
 	electionTicks  = 12
 	heartbeatTicks = 2
-	// snapshotEntries keeps the log of a host with 128 MB of disk small.
-	snapshotEntries = 2000
+	// snapshotEntries bounds the entries that a starting host applies before it serves:
+	// in a fleet of 59 gateways 2,000 took 8 s on 0.12 of a core.
+	snapshotEntries = 200
 	segmentBytes    = 1 << 20
 	// dialTimeout and silence bound how long a host that can't be reached holds up a
 	// call. Hosts of a region answer within some ms; a host that was down when the
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -32,6 +32,54 @@
 	Sessions map[string]*Session `cbor:"2,keyasint"`
 	// Doubtful holds the dead sessions whose charge depends on their witnesses.
 	Doubtful map[uint64]*DoubtfulSession `cbor:"3,keyasint,omitempty"`
+
+	// totals holds the sums over the open sessions by organisation. It follows from
+	// Sessions, and is made anew where it is nil.
+	totals map[string]*total
+}
+
+// total is the sum of an organisation's holdings.
+type total struct {
+	held, free, want int64
+}
+
+func (t *total) add(h *Holding, sign int64) {
+	t.held += sign * h.held()
+	t.free += sign * h.free()
+	t.want += sign * h.Want
+}
+
+// total returns the sums of an organisation.
+func (b *Book) total(name string) *total {
+	if b.totals == nil {
+		b.totals = map[string]*total{}
+		for _, s := range b.Sessions {
+			for organisation, h := range s.Holdings {
+				b.total(organisation).add(h, 1)
+			}
+		}
+	}
+	t := b.totals[name]
+	if t == nil {
+		t = &total{}
+		b.totals[name] = t
+	}
+	return t
+}
+
+// change changes a holding of an open session and keeps the sums.
+func (b *Book) change(name string, h *Holding, fn func()) {
+	t := b.total(name)
+	t.add(h, -1)
+	fn()
+	t.add(h, 1)
+}
+
+// drop takes a session's holdings out of the sums.
+func (b *Book) drop(s *Session) {
+	for name, h := range s.Holdings {
+		b.total(name).add(h, -1)
+	}
 }
 
 // Account is the budget of one organisation.
@@ -125,6 +173,9 @@
 	if old != nil && old.ID == o.Session {
 		return nil
 	}
+	if old != nil {
+		b.drop(old)
+	}
 	b.Sessions[o.Host] = &Session{ID: o.Session, Clock: o.Clock, Wall: o.Wall, Stamp: o.Stamp, Holdings: map[string]*Holding{}}
 	if old == nil {
 		return nil
@@ -174,6 +225,7 @@
 	if s == nil || s.ID != session {
 		return
 	}
+	b.drop(s)
 	for name, h := range s.Holdings {
 		b.account(name).Charged += h.Used + h.Reserved
 	}
@@ -207,7 +259,7 @@
 		for _, u := range r.Uses {
 			h := s.holding(u.Organisation)
 			b.transfer(u.Organisation, &h.Use, &u)
-			h.Use = u
+			b.change(u.Organisation, h, func() { h.Use = u })
 		}
 	}
 	return b.reply(s, r)
@@ -251,8 +303,10 @@
 		}
 		if to := b.session(t.To); to != nil {
 			h := to.holding(name)
-			h.Granted += tokens
-			h.Credited += tokens
+			b.change(name, h, func() {
+				h.Granted += tokens
+				h.Credited += tokens
+			})
 		} else {
 			b.account(name).Charged += tokens
 		}
@@ -283,20 +337,12 @@
 	if !a.Limited {
 		return Grant{Organisation: name, Granted: h.Granted, Hosts: len(b.Sessions)}
 	}
-	undistributed, balance, wanted := a.Prepaid-a.Charged, int64(0), int64(0)
-	for _, s := range b.Sessions {
-		other := s.Holdings[name]
-		if other == nil {
-			continue
-		}
-		undistributed -= other.held()
-		balance += other.free()
-		wanted += other.Want
-	}
-	balance += undistributed
+	t := b.total(name)
+	undistributed := a.Prepaid - a.Charged - t.held
+	balance, wanted := t.free+undistributed, t.want
 	target := share(balance, h.Want, wanted, int64(len(b.Sessions)))
 	if more := min(target-h.free(), undistributed); more > 0 {
-		h.Granted += more
+		b.change(name, h, func() { h.Granted += more })
 	}
 	return Grant{
 		Organisation: name, Granted: h.Granted, Target: target + target/returnSlackDivisor,
