Bound what a host spends for organisations that its reports do not name

Cause: found by reading. A report leaves out organisations without requests, and their envelopes aged past the delays while the host was in touch: it could spend all that it held, and the Book charged a small burst if it died. An organisation that no report had named had no envelope at all, so that tokens from another host could be spent and not be charged. And an idle organisation's envelope stayed at zero.

--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -25,6 +25,9 @@
 	// floorDivisor sets the least rate of an envelope: the balance in N seconds
 	// over all hosts, for organisations that the host has not seen yet.
 	floorDivisor = 60
+	// shareChange is the part by which the host's part of the balance must change for
+	// an organisation without requests to be reported again.
+	shareChange = 0.25
 	// balanceFreshness is the age up to which a balance is good for a final refusal.
 	balanceFreshness = time.Second
 	// wantDecay is the factor per report by which an unmet need is forgotten.
@@ -93,6 +96,8 @@
 	// need is what requests lacked since the last report.
 	need    int64
 	changed bool
+	// reported is the host's part of the balance at the latest report that named it.
+	reported float64
 }
 
 // envelope limits what is spent around a report.
@@ -118,15 +123,31 @@
 	}
 }
 
+// at returns the envelope as it counts from another report on.
+func (e *envelope) at(clock int64) *envelope {
+	if e == nil {
+		return &envelope{clock: clock}
+	}
+	return &envelope{base: e.base, rate: e.rate, clock: clock}
+}
+
 // NewAllowance returns the empty allowance of a session.
 func NewAllowance(session uint64) *Allowance {
 	return &Allowance{session: session, accounts: map[string]*allotment{}}
 }
 
+// allotment returns that of an organisation. One that no report has named yet has an
+// envelope without any burst.
 func (a *Allowance) allotment(organisation string) *allotment {
 	t := a.accounts[organisation]
 	if t == nil {
-		t = &allotment{acked: &envelope{}}
+		t = &allotment{}
+		if a.acked != nil {
+			t.acked = &envelope{clock: a.acked.Clock}
+		}
+		if a.sent != nil {
+			t.pending = &envelope{clock: a.sent.Clock}
+		}
 		a.accounts[organisation] = t
 	}
 	return t
@@ -153,7 +174,7 @@
 	t.changed = true
 	spent := t.spent()
 	d := Decision{
-		Held: t.held() - spent, Allowed: t.limit(now, a.opened) - spent,
+		Held: t.held() - spent, Allowed: a.limit(t, now) - spent,
 		Balance: t.balance, BalanceAge: time.Duration(now - t.balanceAt),
 	}
 	if need <= d.Allowed {
@@ -187,9 +208,23 @@
 // spent is what can't be spent again.
 func (t *allotment) spent() int64 { return t.used + t.reserved + t.givenTotal }
 
-// limit is the most that may be spent by now.
-func (t *allotment) limit(now int64, opened bool) int64 {
-	return min(t.held(), t.acked.limit(now, opened), t.pending.limit(now, opened))
+// limit is the most that may be spent by now: nothing before the first report is
+// acknowledged.
+func (a *Allowance) limit(t *allotment, now int64) int64 {
+	if a.acked == nil {
+		return 0
+	}
+	return min(t.held(), t.acked.limit(now, a.opened), t.pending.limit(now, a.opened))
+}
+
+// share is the host's even part of the balance.
+func (t *allotment) share() float64 {
+	return float64(max(t.balance, 0)) / float64(max(t.hosts, 1))
+}
+
+// quiet tells whether there is nothing new to report.
+func (t *allotment) quiet() bool {
+	return !t.changed && t.demand < 1 && math.Abs(t.share()-t.reported) <= t.reported*shareChange
 }
 
 func (t *allotment) ask(tokens, now int64) {
@@ -206,8 +241,9 @@
 }
 
 // Report returns the report to send, with the hosts that the host takes as its
-// witnesses. One that was not acknowledged is returned
-// again as it was: the group may have it.
+// witnesses. One that was not acknowledged is returned again as it was: the group
+// may have it. An organisation that a report does not name keeps its envelope, which
+// counts from the new report on.
 func (a *Allowance) Report(at Instant, witnesses []uint64) *Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -218,7 +254,8 @@
 	now := at.Boot
 	r := &Report{Session: a.session, Seq: a.seq, Clock: now, Wall: at.Wall, Witnesses: witnesses}
 	for name, t := range a.accounts {
-		if !t.changed && t.demand < 1 {
+		if t.quiet() {
+			t.pending = t.acked.at(now)
 			continue
 		}
 		r.Uses = append(r.Uses, t.report(name, now))
@@ -231,8 +268,8 @@
 func (t *allotment) report(name string, now int64) Use {
 	t.decay(now)
 	rate := t.demand / demandWindow.Seconds() * surge
-	share := float64(max(t.balance, 0)) / float64(max(t.hosts, 1))
-	rate = max(rate, share/floorDivisor)
+	t.reported = t.share()
+	rate = max(rate, t.reported/floorDivisor)
 	burst := rate / surge * touchWindow.Seconds()
 	u := Use{
 		Organisation: name, Used: t.used, Reserved: t.reserved,
@@ -256,9 +293,10 @@
 	if a.sent == nil || reply.Seq != a.sent.Seq {
 		return
 	}
-	for _, u := range a.sent.Uses {
-		t := a.allotment(u.Organisation)
-		t.acked, t.pending = t.pending, nil
+	for _, t := range a.accounts {
+		if t.pending != nil {
+			t.acked, t.pending = t.pending, nil
+		}
 	}
 	at := a.sent.Clock
 	a.sent, a.acked, a.opened = nil, a.sent, false
--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -28,3 +29,88 @@
 		}
 	}
 }
+
+// host is an Allowance with the calls that a test makes for it.
+type host struct {
+	g         *WithT
+	name      string
+	allowance *Allowance
+	book      *Book
+	now       int64
+}
+
+func openHost(g *WithT, b *Book, name string, session uint64, now int64) *host {
+	h := &host{g: g, name: name, allowance: NewAllowance(session), book: b, now: now}
+	b.Open(Opening{Host: name, Session: session, Clock: now, Wall: now, Stamp: now})
+	return h
+}
+
+func (h *host) sync() {
+	r := h.allowance.Report(Instant{Boot: h.now, Wall: h.now}, nil)
+	reply := h.book.Apply(h.name, r, h.now)
+	h.allowance.Acknowledge(&reply, h.now)
+}
+
+// syncFor lets the host report four times a second.
+func (h *host) syncFor(d time.Duration) {
+	for end := h.now + int64(d); h.now < end; h.now += int64(250 * time.Millisecond) {
+		h.sync()
+	}
+}
+
+// spend reserves and uses as much as the host allows, in pieces.
+func (h *host) spend(organisation string) int64 {
+	const piece = 100
+	spent := int64(0)
+	for h.allowance.Reserve(organisation, piece, h.now).Verdict == Granted {
+		h.allowance.Settle(organisation, piece, piece)
+		spent += piece
+	}
+	return spent
+}
+
+// die lets a new process of the host open its session at once.
+func (h *host) die() {
+	h.book.Open(Opening{Host: h.name, Session: 99, Clock: h.now, Wall: h.now, Stamp: h.now})
+}
+
+// An organisation without requests is left out of reports. What a host spends for it
+// between two reports is bounded as for the others.
+func TestIdleOrganisationIsBoundedBetweenReports(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"idle": 1_000_000})
+	h := openHost(g, b, "h", 1, int64(time.Hour))
+	h.allowance.Watch([]string{"idle"})
+	h.syncFor(2 * time.Second)
+	spent := h.spend("idle")
+	g.Expect(spent).To(BeNumerically(">", 0))
+	h.syncFor(2 * time.Minute)
+	h.now += int64(100 * time.Millisecond)
+	spent += h.spend("idle")
+	h.die()
+	g.Expect(b.Accounts["idle"].Charged).To(BeNumerically(">=", spent))
+}
+
+// Tokens that another host gave may be spent for an organisation that the receiver has
+// not reported yet.
+func TestTransferredTokensAreChargedIfTheReceiverDies(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"north": 1_000_000})
+	giver := openHost(g, b, "giver", 1, int64(time.Hour))
+	giver.allowance.Watch([]string{"north"})
+	giver.syncFor(2 * time.Second)
+	receiver := openHost(g, b, "receiver", 2, giver.now)
+	receiver.syncFor(time.Second)
+	giver.now = receiver.now
+	giver.sync()
+	tokens, _ := giver.allowance.Give("north", 2, 500, 500, giver.now)
+	g.Expect(tokens).To(Equal(int64(500)))
+	receiver.allowance.Receive("north", tokens)
+	spent := receiver.spend("north")
+	giver.sync()
+	receiver.die()
+	giver.die()
+	g.Expect(b.Accounts["north"].Charged).To(BeNumerically(">=", spent))
+}
--- a/internal/prepaid/schedule_test.go
+++ b/internal/prepaid/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -21,7 +22,14 @@
 	scheduleStep  = 50 * time.Millisecond
 )
 
-var scheduleOrganisations = []string{"north", "south"}
+// The last organisation is not watched, and falls silent for most of the time.
+var scheduleOrganisations = []string{"north", "south", "rare"}
+
+const (
+	rareOrganisation = "rare"
+	rarePeriod       = 50 * time.Second
+	rareBusy         = 4 * time.Second
+)
 
 // mechanisms switches off parts of the protocol, to show that each is needed.
 type mechanisms struct {
@@ -91,7 +99,7 @@
 func (s *simulation) start(h *simHost) {
 	session := s.random.Uint64()
 	h.allowance, h.witness = NewAllowance(session), NewWitness()
-	h.allowance.Watch(scheduleOrganisations)
+	h.allowance.Watch(scheduleOrganisations[:2])
 	h.opening = Opening{Host: h.name, Session: session, Clock: h.boot(s.now), Wall: h.wall(s.now)}
 	h.opened, h.alive, h.runs, h.denied = false, true, nil, nil
 	h.nextSync = s.now
@@ -167,7 +175,10 @@
 	if s.random.IntN(3) > 0 {
 		return
 	}
-	name := scheduleOrganisations[s.random.IntN(len(scheduleOrganisations))]
+	name := scheduleOrganisations[s.random.IntN(2)]
+	if s.now%rarePeriod < rareBusy && s.random.IntN(2) == 0 {
+		name = rareOrganisation
+	}
 	need := 200 + s.random.Int64N(4_000)
 	d := s.reserve(h, name, need)
 	if d.Verdict != Granted {
@@ -187,7 +198,7 @@
 func (s *simulation) reserve(h *simHost, name string, need int64) Decision {
 	if s.disabled.noEnvelope {
 		if t := h.allowance.accounts[name]; t != nil {
-			t.acked, t.pending = nil, nil
+			t.acked, t.pending = &envelope{base: math.MaxInt64 / 4}, nil
 		}
 	}
 	return h.allowance.Reserve(name, need, h.boot(s.now))
@@ -321,7 +332,7 @@
 	g := NewWithT(t)
 	served, cut := 0, 0
 	for seed := range uint64(schedules(t, 300)) {
-		s, fault := playSchedule(seed, mechanisms{}, time.Minute)
+		s, fault := playSchedule(seed, mechanisms{}, 2*time.Minute)
 		g.Expect(fault).To(BeEmpty(), "seed %d", seed)
 		served += s.granted
 		cut += s.cutServe
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -31,7 +31,7 @@
 		return 0, 0
 	}
 	t.decay(now)
-	free = max(t.limit(now, a.opened)-t.spent(), 0)
+	free = max(a.limit(t, now)-t.spent(), 0)
 	keep := int64(t.demand / demandWindow.Seconds() * ownReserve.Seconds())
 	tokens = max(min(need, free), min(want, free-keep))
 	if tokens > 0 {
