--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -16,11 +16,9 @@
 
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/controlnode"
-	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
-	"github.com/godwitbend/godwitbend/internal/presence"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -85,6 +83,8 @@
 	view      atomic.Pointer[View]
 	contacted atomic.Pointer[time.Time] // the latest contact
 	wake      chan struct{}
+	lost      chan struct{}
+	lostOnce  sync.Once
 
 	// What follows belongs to Run.
 	opened   bool
@@ -118,6 +118,7 @@
 		allowance: prepaid.NewAllowance(session),
 		witness:   prepaid.NewWitness(),
 		wake:      make(chan struct{}, 1),
+		lost:      make(chan struct{}),
 		round:     make(chan struct{}),
 	}
 }
@@ -300,93 +301,10 @@
 	return req
 }
 
-// take takes in a reply of the leader.
-func (c *Client) take(req *controlnode.SyncRequest, reply *controlnode.SyncReply) error {
-	if reply.Prepaid != nil {
-		if reply.Prepaid.Unknown && c.opened {
-			return eris.New("the control group does not know this host's session")
-		}
-		c.opened = true
-		c.allowance.Acknowledge(reply.Prepaid, c.options.Clock())
-	}
-	c.denied = c.answer(reply.Questions)
-	if len(reply.Members) > 0 {
-		c.members = reply.Members
-	}
-	c.epoch, c.revision, c.peersAt = reply.Epoch, reply.Revision, reply.PeersRevision
-	if len(reply.Upstreams) > 0 {
-		c.options.Pool.Update(records(reply.Upstreams))
-	}
-	c.options.Pool.Synced(reply.Loads)
-	c.mu.Lock()
-	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
-	if reply.Peers != nil {
-		c.peers = reply.Peers
-	}
-	c.mu.Unlock()
-	return c.publish(reply)
-}
-
-func records(messages []controlnode.UpstreamRecord) []presence.Record {
-	list := make([]presence.Record, 0, len(messages))
-	for i := range messages {
-		list = append(list, presence.Record{Upstream: messages[i].Upstream, Silent: messages[i].Silent})
-	}
-	return list
-}
-
-// publish replaces the view if anything in it has changed. The version never falls.
-func (c *Client) publish(reply *controlnode.SyncReply) error {
-	old := c.view.Load()
-	next := &View{Hosts: reply.Hosts, Quarantined: make(map[uint64]bool, len(reply.Quarantined))}
-	for _, fingerprint := range reply.Quarantined {
-		next.Quarantined[fingerprint] = true
-	}
-	if old != nil {
-		next.Index = old.Index
-	}
-	if d := reply.Document; d != nil && d.Version > c.version {
-		index, err := c.decode(d)
-		if err != nil {
-			return err
-		}
-		next.Index, c.version = index, d.Version
-		c.allowance.Watch(budgeted(index.Document))
-		klog.InfoS("configuration in force", "version", d.Version, "routes", len(index.Document.Routes))
-	}
-	if next.Index == nil {
-		return nil
-	}
-	c.view.Store(next)
-	return nil
-}
-
-func (c *Client) decode(d *fleetstate.Document) (*catalog.Index, error) {
-	content, err := fleetstate.Decompress(d.Content)
-	if err != nil {
-		return nil, err
-	}
-	document, err := c.options.Decode(content)
-	if err != nil {
-		return nil, err
-	}
-	return catalog.NewIndex(document), nil
-}
-
-// budgeted returns the organisations that have a prepaid budget.
-func budgeted(d *catalog.Document) []string {
-	var names []string
-	for i := range d.Organisations {
-		if d.Organisations[i].Prepaid != nil {
-			names = append(names, d.Organisations[i].Name)
-		}
-	}
-	return names
-}
-
 // Close reports the last use and ends the session, so that nothing is written
 // off. It is called after Run has returned and the last request has ended.
 func (c *Client) Close() error {
+	c.allowance.Seal()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	// The first call repeats a report that may be on its way; the second has the rest.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/gateway"
@@ -80,14 +81,19 @@
 		client.Run(background)
 	}()
 	klog.InfoS("host started")
-	<-ctx.Done()
+	var failure error
+	select {
+	case <-ctx.Done():
+	case <-client.Lost():
+		failure = eris.New("another process has opened a session in the name of this host")
+	}
 	stopGateway(s, handler, callers)
 	stop()
 	<-done
 	if err := client.Close(); err != nil {
 		klog.InfoS("session not closed", "error", err.Error())
 	}
-	return nil
+	return failure
 }
 
 // stopGateway first lets the balancer move callers away, then refuses new
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -69,7 +69,9 @@
 	// acked is the report that was acknowledged last, or nil.
 	acked *Report
 	// opened tells that the witnesses have noted the opening of the reserve.
-	opened   bool
+	opened bool
+	// sealed tells that nothing more may be spent.
+	sealed   bool
 	accounts map[string]*allotment
 }
 
@@ -208,10 +210,17 @@
 // spent is what can't be spent again.
 func (t *allotment) spent() int64 { return t.used + t.reserved + t.givenTotal }
 
+// Seal ends all spending, for a host that closes its session.
+func (a *Allowance) Seal() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sealed = true
+}
+
 // limit is the most that may be spent by now: nothing before the first report is
 // acknowledged.
 func (a *Allowance) limit(t *allotment, now int64) int64 {
-	if a.acked == nil {
+	if a.acked == nil || a.sealed {
 		return 0
 	}
 	return min(t.held(), t.acked.limit(now, a.opened), t.pending.limit(now, a.opened))
--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -114,3 +114,22 @@
 	giver.die()
 	g.Expect(b.Accounts["north"].Charged).To(BeNumerically(">=", spent))
 }
+
+func TestSealedAllowanceSpendsNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"north": 1_000_000})
+	h := openHost(g, b, "h", 1, int64(time.Hour))
+	h.allowance.Watch([]string{"north"})
+	h.syncFor(2 * time.Second)
+	g.Expect(h.allowance.Reserve("north", 100, h.now).Verdict).To(Equal(Granted))
+	h.allowance.Seal()
+	g.Expect(h.allowance.Reserve("north", 100, h.now).Verdict).NotTo(Equal(Granted))
+	tokens, _ := h.allowance.Give("north", 2, 100, 100, h.now)
+	g.Expect(tokens).To(BeZero())
+	h.sync()
+	b.Close("h", 1)
+	g.Expect(b.Accounts["north"].Charged).To(Equal(int64(100)))
+	g.Expect(b.Sessions).To(BeEmpty())
+	g.Expect(b.Apply("h", &Report{Session: 1, Seq: 99}, h.now).Unknown).To(BeTrue())
+}
