--- /dev/null
+++ b/internal/hostsync/client_test.go
@@ -0,0 +1,181 @@
+package hostsync_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/catalog"
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/hostsync"
+	"github.com/godwitbend/godwitbend/internal/netconn"
+	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
+	"github.com/godwitbend/godwitbend/internal/presence"
+)
+
+const eventually = 20 * time.Second
+
+var subnets atomic.Int32
+
+// group is one control host and the clients of some gateways.
+type group struct {
+	t      *testing.T
+	g      *WithT
+	subnet string
+	node   *controlnode.Node
+	stop   context.CancelFunc
+}
+
+func newGroup(t *testing.T) *group {
+	t.Parallel()
+	pid := os.Getpid()
+	gr := &group{t: t, g: NewWithT(t), subnet: fmt.Sprintf("127.%d.%d", 200+pid%50, (pid/50+int(subnets.Add(1))*41)%250)}
+	ctx, cancel := context.WithCancel(context.Background())
+	gr.node = controlnode.New(controlnode.Options{
+		Host: "control", Address: gr.address(1), Directory: t.TempDir(), Bootstrap: true,
+		Seeds: func() []string { return []string{gr.address(1)} },
+	})
+	done := make(chan error, 1)
+	go func() { done <- gr.node.Run(ctx) }()
+	gr.stop = func() {
+		cancel()
+		gr.g.Expect(<-done).To(Succeed())
+		done <- nil
+	}
+	t.Cleanup(gr.stop)
+	return gr
+}
+
+func (gr *group) address(i int) string { return fmt.Sprintf("%s.%d:7060", gr.subnet, i) }
+
+// put commits a document; its content is the JSON form of the catalog's.
+func (gr *group) put(version uint64, total int64) {
+	d := catalog.Document{Version: version, Organisations: []catalog.Organisation{{Name: "north", Prepaid: &total}}}
+	content, err := json.Marshal(d)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	compressed, err := fleetstate.Compress(content)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	gr.g.Eventually(func() error {
+		_, err := gr.node.PutDocument(context.Background(), fleetstate.Document{
+			Version: version, Content: compressed, Prepaid: map[string]int64{"north": total},
+		})
+		return err
+	}, eventually).Should(Succeed())
+}
+
+func decode(content []byte) (*catalog.Document, error) {
+	d := &catalog.Document{}
+	return d, json.Unmarshal(content, d)
+}
+
+var epoch = time.Now()
+
+// clock stands in for the boot-time clock.
+func clock() int64 { return int64(time.Hour + time.Since(epoch)) }
+
+func (gr *group) gateway(i int) (*hostsync.Client, *placement.Pool) {
+	pool := placement.NewPool("a")
+	c := hostsync.New(hostsync.Options{
+		Host: fmt.Sprintf("gateway-%d", i), Address: gr.address(i), Decode: decode, Pool: pool, Clock: clock,
+		Seeds: func() []string { return []string{gr.address(1)} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := netconn.Listen(gr.address(i), time.Second)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	done := make(chan struct{}, 3)
+	go func() { _ = c.NewServer().Serve(ctx, listener); done <- struct{}{} }()
+	go func() { _ = c.Gossip(ctx); done <- struct{}{} }()
+	go func() { c.Run(ctx); done <- struct{}{} }()
+	gr.t.Cleanup(func() {
+		cancel()
+		for range 3 {
+			<-done
+		}
+	})
+	return c, pool
+}
+
+func reserve(c *hostsync.Client, need int64) prepaid.Verdict {
+	return c.Allowance().Reserve("north", need, clock()).Verdict
+}
+
+func TestConfigurationUpstreamsAndTokensReachAGateway(t *testing.T) {
+	gr := newGroup(t)
+	c, pool := gr.gateway(2)
+	gr.g.Expect(c.View()).To(BeNil())
+	gr.put(3, 1_000_000)
+	gr.node.Report(presence.Upstream{ID: "u", Address: "10.0.0.1:80", Service: "s", State: presence.Ready, Started: 1, Sequence: 1})
+	gr.g.Eventually(func() uint64 {
+		if v := c.View(); v != nil {
+			return v.Index.Document.Version
+		}
+		return 0
+	}, eventually).Should(Equal(uint64(3)))
+	gr.g.Eventually(func() placement.Reason {
+		_, reason, _ := pool.Choose(&placement.Request{Service: "s"}, time.Now())
+		return reason
+	}, eventually).Should(Equal(placement.Chosen))
+	gr.g.Eventually(func() prepaid.Verdict {
+		if reserve(c, 50_000) == prepaid.Granted {
+			return prepaid.Granted
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		gr.g.Expect(c.AwaitContact(ctx)).To(BeTrue())
+		return reserve(c, 50_000)
+	}, eventually).Should(Equal(prepaid.Granted), "one contact brings what a request lacks")
+	gr.g.Eventually(func() prepaid.Verdict { return reserve(c, 2_000_000) }, eventually).Should(Equal(prepaid.Exhausted))
+	gr.put(4, 5_000_000)
+	gr.g.Eventually(func() uint64 { return c.View().Index.Document.Version }, eventually).Should(Equal(uint64(4)))
+}
+
+func TestTokensMoveBetweenGatewaysWithoutTheGroup(t *testing.T) {
+	gr := newGroup(t)
+	gr.put(1, 1_000_000)
+	rich, _ := gr.gateway(2)
+	poor, _ := gr.gateway(3)
+	for _, c := range []*hostsync.Client{rich, poor} {
+		gr.g.Eventually(func() bool { return c.View() != nil && c.View().Hosts == 2 }, eventually).Should(BeTrue())
+	}
+	// The demand at one gateway makes it hold most.
+	gr.g.Eventually(func() bool {
+		if reserve(rich, 5_000) == prepaid.Granted {
+			rich.Allowance().Settle("north", 5_000, 0)
+		}
+		return rich.Allowance().Reserve("north", 1, clock()).Held > 100_000
+	}, eventually, "20ms").Should(BeTrue())
+	gr.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	defer cancel()
+	gr.g.Eventually(func() bool {
+		d := poor.Allowance().Reserve("north", 60_000, clock())
+		if d.Verdict == prepaid.Granted {
+			return true
+		}
+		return poor.Fetch(ctx, "north", 60_000-max(d.Allowed, 0)) && reserve(poor, 60_000) == prepaid.Granted
+	}, eventually, "50ms").Should(BeTrue(), "once both have opened their reserves")
+}
+
+func TestSessionThatWasTakenOverEnds(t *testing.T) {
+	gr := newGroup(t)
+	gr.put(1, 1_000_000)
+	first, _ := gr.gateway(2)
+	gr.g.Eventually(func() bool { return first.View() != nil }, eventually).Should(BeTrue())
+	second := hostsync.New(hostsync.Options{
+		Host: "gateway-2", Address: gr.address(9), Decode: decode, Pool: placement.NewPool("a"), Clock: clock,
+		Seeds: func() []string { return []string{gr.address(1)} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go second.Run(ctx)
+	gr.g.Eventually(first.Lost(), eventually).Should(BeClosed())
+	gr.g.Expect(reserve(first, 1)).NotTo(Equal(prepaid.Granted))
+}
