--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -20,7 +20,6 @@
 // gatewayHost is what the leader knows of a gateway host.
 type gatewayHost struct {
 	seen   time.Time
-	tabled time.Time
 	loads  map[string]placement.Load
 	peer   Peer
 }
