--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -19,9 +19,9 @@
 
 // gatewayHost is what the leader knows of a gateway host.
 type gatewayHost struct {
-	seen   time.Time
-	loads  map[string]placement.Load
-	peer   Peer
+	seen  time.Time
+	loads map[string]placement.Load
+	peer  Peer
 }
 
 // sync serves MethodSync.
