--- a/internal/settings/docs_test.go
+++ b/internal/settings/docs_test.go
@@ -39,11 +39,21 @@
 }
 
 func TestPageListsEveryFieldWithItsDefault(t *testing.T) {
+	expectPage(t, "../../docs/SETTINGS.md", *settings.Default())
+}
+
+func TestGatewayPageListsEveryFieldWithItsDefault(t *testing.T) {
+	expectPage(t, "../../docs/GATEWAY-SETTINGS.md", *settings.DefaultNode())
+}
+
+// expectPage checks that a page has a row for each field of the defaults, and no other.
+func expectPage(t *testing.T, path string, defaults any) {
+	t.Helper()
 	g := NewWithT(t)
-	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	page, err := os.ReadFile(path)
 	g.Expect(err).NotTo(HaveOccurred())
 	fields := map[string]string{}
-	fieldDefaults(reflect.ValueOf(*settings.Default()), "", fields)
+	fieldDefaults(reflect.ValueOf(defaults), "", fields)
 	rows := map[string]string{}
 	for _, row := range pageRow.FindAllStringSubmatch(string(page), -1) {
 		rows[row[1]] = row[2]
@@ -59,13 +69,19 @@
 	}
 }
 
-func TestExampleOfThePageIsValid(t *testing.T) {
+func TestExamplesOfThePagesAreValid(t *testing.T) {
 	g := NewWithT(t)
-	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	_, err := settings.Parse(example(g, "../../docs/SETTINGS.md"))
 	g.Expect(err).NotTo(HaveOccurred())
-	_, example, found := strings.Cut(string(page), "```json\n")
-	g.Expect(found).To(BeTrue())
-	example, _, _ = strings.Cut(example, "```")
-	_, err = settings.Parse([]byte(example))
+	_, err = settings.ParseNode(example(g, "../../docs/GATEWAY-SETTINGS.md"))
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+func example(g *WithT, path string) []byte {
+	page, err := os.ReadFile(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, text, found := strings.Cut(string(page), "```json\n")
+	g.Expect(found).To(BeTrue())
+	text, _, _ = strings.Cut(text, "```")
+	return []byte(text)
+}
