--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -42,7 +42,7 @@
 			return finished
 		case err != nil:
 			a.lost()
-			a.saw = sawBroken
+			a.lastFailure = failureBroken
 			return a.brokenStep()
 		}
 		a.handler.Pool.Begin(a.target, time.Now())
@@ -76,9 +76,9 @@
 func (a *attempt) pass(w http.ResponseWriter, event *upstreamhttp.Event) bool {
 	now := time.Now()
 	if a.events > 0 {
-		a.longest = max(a.longest, now.Sub(a.previous))
+		a.longest = max(a.longest, now.Sub(a.lastEventAt))
 	}
-	a.previous = now
+	a.lastEventAt = now
 	a.events++
 	a.resumable = event.HasID
 	if event.HasID {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -33,6 +33,20 @@
 	engineQueueFactor = 2
 )
 
+// maxDials bounds the upstreams that are tried without reaching any.
+const maxDials = 4
+
+// The reasons of failed attempts, as counted and logged.
+const (
+	failureUnreachable = "unreachable"
+	failureFull        = "full"
+	failureMisdirected = "misdirected"
+	failureNoAnswer    = "no_answer"
+	failureForeign     = "foreign_answer"
+	failureBroken      = "broken_answer"
+	failureStatus      = "failure"
+)
+
 // step is what follows an attempt.
 type step uint8
 
@@ -71,11 +85,11 @@
 	q.handler.Retries.Request(target, q.arrived)
 	for {
 		if q.ctx.Err() != nil || q.left() < leastTime {
-			return q.giveUp(w, nil)
+			return q.giveUp(nil)
 		}
 		place, refusal := q.choose(target)
 		if refusal != nil {
-			return q.giveUp(w, refusal)
+			return q.giveUp(refusal)
 		}
 		a := &attempt{request: q, target: place}
 		next := a.run(w)
@@ -86,7 +100,7 @@
 		if !q.mayRetry(target, next) {
 			return a.conclude(w, next)
 		}
-		telemetry.Retry(q.handler.Scope, q.saw).Inc(1)
+		telemetry.Retry(q.handler.Scope, q.lastFailure).Inc(1)
 		klog.InfoS("request goes to another upstream", append(q.logFields(), "left_ms", q.left().Milliseconds())...)
 	}
 }
@@ -167,7 +181,7 @@
 	if next == cut && !q.resumable {
 		return false
 	}
-	if q.saw == sawUnreachable {
+	if q.lastFailure == failureUnreachable {
 		return len(q.exclude) < maxDials
 	}
 	if q.attempts >= max(q.route.MaxAttempts, 1) {
@@ -176,23 +190,9 @@
 	return q.handler.Retries.Retry(service, q.view.Hosts, time.Now())
 }
 
-// maxDials bounds the upstreams that are tried without reaching any.
-const maxDials = 4
-
-// The reasons of failed attempts, as counted and logged.
-const (
-	sawUnreachable = "unreachable"
-	sawFull        = "full"
-	sawMisdirected = "misdirected"
-	sawNoAnswer    = "no_answer"
-	sawForeign     = "foreign_answer"
-	sawBroken      = "broken_answer"
-	sawFailure     = "failure"
-)
-
 // giveUp answers when no further attempt is made: with the refusal, unless the
 // caller has a part of an answer already.
-func (q *request) giveUp(_ http.ResponseWriter, refusal *errkind.Error) *errkind.Error {
+func (q *request) giveUp(refusal *errkind.Error) *errkind.Error {
 	if q.events > 0 {
 		q.abort("no upstream for the rest of the stream")
 	}
@@ -216,14 +216,14 @@
 		a.abort("the stream broke off")
 	case elsewhere:
 		if !a.ran {
-			return errkind.New(errkind.Overloaded, "no upstream took the request: %s", a.saw).
+			return errkind.New(errkind.Overloaded, "no upstream took the request: %s", a.lastFailure).
 				WithRetryAfter(max(a.retryAfter, fullRetry))
 		}
 	}
 	if a.left() < leastTime {
 		return errkind.New(errkind.OutcomeUnknown, "the deadline passed before an answer came")
 	}
-	return errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", a.saw)
+	return errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", a.lastFailure)
 }
 
 // abort closes the caller's connection, so that a part of an answer does not
@@ -243,7 +243,7 @@
 		if a.ctx.Err() == nil {
 			a.observe(placement.Unreachable)
 		}
-		a.saw = sawUnreachable
+		a.lastFailure = failureUnreachable
 		return elsewhere
 	}
 	a.attempts++
@@ -251,7 +251,7 @@
 	if err != nil {
 		a.ran = true
 		a.lost()
-		a.saw = sawNoAnswer
+		a.lastFailure = failureNoAnswer
 		return a.brokenStep()
 	}
 	defer answer.Close()
@@ -323,16 +323,16 @@
 	switch {
 	case verdict.OtherProcess:
 		a.observe(placement.Misdirected)
-		a.saw = sawMisdirected
+		a.lastFailure = failureMisdirected
 		return elsewhere
 	case verdict.NotRun:
 		a.observe(placement.Refused)
-		a.saw, a.retryAfter = sawFull, verdict.RetryAfter
+		a.lastFailure, a.retryAfter = failureFull, verdict.RetryAfter
 		return elsewhere
 	case verdict.Foreign:
 		a.ran = true
 		a.observe(placement.Failed)
-		a.saw = sawForeign
+		a.lastFailure = failureForeign
 		return a.brokenStep()
 	}
 	a.ran = true
@@ -349,17 +349,17 @@
 	body, err := answer.ReadBody(answerLimit)
 	if err != nil {
 		a.lost()
-		a.saw = sawBroken
+		a.lastFailure = failureBroken
 		return a.brokenStep()
 	}
 	held := &heldAnswer{status: answer.StatusCode, header: a.handler.Dialect.AnswerHeader(answer.Header), body: body}
 	a.observe(placement.Served)
 	if a.events > 0 {
-		a.saw = sawFailure
+		a.lastFailure = failureStatus
 		return cut
 	}
 	if answer.StatusCode >= http.StatusInternalServerError && a.route.Repeatable() {
-		a.saw, a.held = sawFailure, held
+		a.lastFailure, a.held = failureStatus, held
 		return failed
 	}
 	a.deliver(w, held)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -96,28 +96,32 @@
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
 	ctx      context.Context
+	// reserved is the number of tokens set aside.
 	reserved int64
 	// tokens is the latest decision on the budget, or nil.
 	tokens *prepaid.Decision
 	// ran tells that an upstream may have begun to work on it.
 	ran bool
-	// events and lastEvent are what the caller got of a stream.
+	// events is the number of events of a stream that the caller got, and lastEvent
+	// the number of the last one, if it had one: then the stream is resumable.
 	events    int64
 	lastEvent int64
 	resumable bool
-	// first is when the caller got the first byte, and longest the longest pause
-	// between two events.
-	first    time.Duration
-	longest  time.Duration
-	previous time.Time
+	// first is the time to the first byte, longest the longest pause between two
+	// events, and lastEventAt when the last event came.
+	first       time.Duration
+	longest     time.Duration
+	lastEventAt time.Time
+	// attempts is the number of upstreams that got the request, exclude those that
+	// were tried, and upstream the latest one.
 	attempts int
 	exclude  []string
 	upstream string
 	// backlog and pace are those of the latest upstream when it was chosen.
 	backlog int64
 	pace    float64
-	// saw is the reason of the latest failed attempt.
-	saw string
+	// lastFailure is why the latest attempt failed.
+	lastFailure string
 }
 
 // ServeHTTP implements http.Handler.
@@ -213,8 +217,8 @@
 	if q.first > 0 {
 		fields = append(fields, "first_ms", q.first.Milliseconds(), "longest_pause_ms", q.longest.Milliseconds())
 	}
-	if q.saw != "" {
-		fields = append(fields, "last_failure", q.saw)
+	if q.lastFailure != "" {
+		fields = append(fields, "last_failure", q.lastFailure)
 	}
 	return fields
 }
