Never add to a part of a stream; let every report's witnesses note a reserve

Found by reading the whole change. Cause, 1: when the upstream that should go on with a stream refused it, the last attempt's error was written behind the events and the answer ended as if it were whole; one of two ways out had the check. It now stands where every error leaves the handler. Cause, 2: a reserve that was open, or being noted, when a new report named other witnesses stayed open under the old ones, so that the new ones could deny it.

--- a/internal/controlnode/document.go
+++ b/internal/controlnode/document.go
@@ -72,8 +72,8 @@
 	return &GetReply{Document: *n.machine.Load().Document()}, nil
 }
 
-// atLeader calls fn, which serves the call here, and if this host does not lead
-// calls the leader, until the time of the call is over.
+// atLeader serves the call here or, if this host does not lead, calls the leader,
+// until the time of the call is over.
 func atLeader[Req, Reply any](ctx context.Context, n *Node, method string, req *Req,
 	serve func(context.Context, *Req) (*Reply, error), route func(*Reply) Routed,
 ) (*Reply, error) {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -190,12 +190,8 @@
 	return q.handler.Retries.Retry(service, q.view.Hosts, time.Now())
 }
 
-// giveUp answers when no further attempt is made: with the refusal, unless the
-// caller has a part of an answer already.
+// giveUp returns the error with which the request ends when no further attempt is made.
 func (q *request) giveUp(refusal *errkind.Error) *errkind.Error {
-	if q.events > 0 {
-		q.abort("no upstream for the rest of the stream")
-	}
 	switch {
 	case q.ran:
 		return errkind.New(errkind.OutcomeUnknown, "the deadline passed before an answer came")
@@ -212,8 +208,6 @@
 	case failed:
 		a.deliver(w, a.held)
 		return nil
-	case cut:
-		a.abort("the stream broke off")
 	case elsewhere:
 		if !a.ran {
 			return errkind.New(errkind.Overloaded, "no upstream took the request: %s", a.lastFailure).
@@ -228,8 +222,8 @@
 
 // abort closes the caller's connection, so that a part of an answer does not
 // look like the whole.
-func (q *request) abort(reason string) {
-	klog.InfoS("stream cut off", append(q.logFields(), "reason", reason, "events", q.events)...)
+func (q *request) abort(e *errkind.Error) {
+	klog.InfoS("stream cut off", append(q.logFields(), "kind", string(e.Kind), "reason", e.Message, "events", q.events)...)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +40,6 @@
 	Options
 	// closing refuses new requests at a shutdown.
 	closing atomic.Bool
-	open    sync.WaitGroup
 	served  tally.Counter
 	first   tally.Histogram
 }
@@ -58,19 +56,6 @@
 // Close makes the handler refuse new requests.
 func (h *Handler) Close() { h.closing.Store(true) }
 
-// Wait returns when no request is open, or when ctx ends.
-func (h *Handler) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		h.open.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // Ready returns why the host should get no new connections, or nil.
 func (h *Handler) Ready() error {
 	if h.closing.Load() {
@@ -126,14 +111,17 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.open.Add(1)
-	defer h.open.Done()
 	q := &request{handler: h, arrived: time.Now()}
 	refusal := q.admit(w, r)
 	if refusal == nil {
 		refusal = q.serve(w, r)
 	}
-	if refusal != nil {
+	switch {
+	case refusal == nil:
+	case q.events > 0:
+		// Nothing may follow a part of a stream: it would look whole.
+		q.abort(refusal)
+	default:
 		h.refuse(w, q, refusal)
 	}
 }
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -269,7 +269,8 @@
 		}
 		r.Uses = append(r.Uses, t.report(name, now))
 	}
-	a.sent = r
+	// Its witnesses have not noted an opening yet.
+	a.sent, a.opened = r, false
 	return r
 }
 
--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -133,3 +133,37 @@
 	g.Expect(b.Sessions).To(BeEmpty())
 	g.Expect(b.Apply("h", &Report{Session: 1, Seq: 99}, h.now).Unknown).To(BeTrue())
 }
+
+// A report names the witnesses that its host has from then on. A reserve that others
+// have noted must be noted by them too.
+func TestReserveIsNotedByTheWitnessesOfEveryReport(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"north": 1_000_000})
+	h := openHost(g, b, "h", 1, int64(time.Hour))
+	h.allowance.Watch([]string{"north"})
+	report := func(witness uint64) *Report {
+		return h.allowance.Report(Instant{Boot: h.now, Wall: h.now}, []uint64{witness})
+	}
+	for range 3 {
+		reply := b.Apply("h", report(7), h.now)
+		h.allowance.Acknowledge(&reply, h.now)
+	}
+	h.now += int64(OpenDelay) + 1
+	early := h.allowance.Due(h.now)
+	b.Apply("h", report(8), h.now) // its acknowledgement is lost
+	g.Expect(h.allowance.Open(early, []uint64{7})).To(BeFalse(), "noted while the report was made")
+	g.Expect(h.allowance.Open(h.allowance.Due(h.now), []uint64{7, 8})).To(BeTrue())
+}
+
+func TestNewReportClosesTheReserve(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	h := openHost(g, b, "h", 1, int64(time.Hour))
+	reply := b.Apply("h", h.allowance.Report(Instant{Boot: h.now, Wall: h.now}, []uint64{7}), h.now)
+	h.allowance.Acknowledge(&reply, h.now)
+	h.now += int64(OpenDelay) + 1
+	g.Expect(h.allowance.Open(h.allowance.Due(h.now), []uint64{7})).To(BeTrue())
+	h.allowance.Report(Instant{Boot: h.now, Wall: h.now}, []uint64{8})
+	g.Expect(h.allowance.Due(h.now)).NotTo(BeNil(), "it has to be noted by the new witness")
+}
--- a/internal/prepaid/witness.go
+++ b/internal/prepaid/witness.go
@@ -105,21 +105,28 @@
 	if a.opened || a.acked == nil || now-a.acked.Clock <= int64(OpenDelay) {
 		return nil
 	}
-	opening := &ReserveOpening{Session: a.session, Seq: a.acked.Seq, Lists: [][]uint64{a.acked.Witnesses}}
+	return &ReserveOpening{Session: a.session, Seq: a.acked.Seq, Lists: a.witnessLists()}
+}
+
+// witnessLists returns the witnesses of each report that may be the latest that the
+// group knows.
+func (a *Allowance) witnessLists() [][]uint64 {
+	lists := [][]uint64{a.acked.Witnesses}
 	if a.sent != nil {
-		opening.Lists = append(opening.Lists, a.sent.Witnesses)
+		lists = append(lists, a.sent.Witnesses)
 	}
-	return opening
+	return lists
 }
 
 // Open opens the reserve after the witnesses have noted it. Noted holds those that did.
+// A report that was made meanwhile has a say too.
 func (a *Allowance) Open(o *ReserveOpening, noted []uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.acked == nil || a.acked.Seq != o.Seq {
 		return false
 	}
-	for _, list := range o.Lists {
+	for _, list := range a.witnessLists() {
 		count := 0
 		for _, w := range list {
 			if slices.Contains(noted, w) {
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -55,11 +55,6 @@
 	_ = a.conn.Close()
 }
 
-// Unframed tells that the body has no length and ends with the connection.
-func (a *Answer) Unframed() bool {
-	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
-}
-
 // UnreachableError reports that no connection was made: nothing was sent.
 type UnreachableError struct{ Cause error }
 
