Let tokens from other hosts be spent beyond the envelope

Cause: in the first seconds of each cut hosts refused requests with 'this host lacks N tokens' while they held 20,000 to 300,000: their envelope around the last report bound them.

What a host gives is counted in its envelope and reported by it, so the receiver may spend it beyond its own. A report now says how much was received; if the receiver dies the Book charges what it was credited with since, and what givers report later is charged as before.

Ruled out: too small grants (held was 10 to 100 times what was lacking), slow transfers (2 to 15 ms), the wait for the control group.

--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -104,24 +104,26 @@
 
 // envelope limits what is spent around a report.
 type envelope struct {
-	// base is what was spent at the report, and the burst.
-	base, rate, clock int64
+	// base is what was spent at the report, and the burst; received is what other
+	// hosts had given by then. What they gave later is in their envelopes.
+	base, rate, clock, received int64
 }
 
-// limit is the most that may be spent by now. opened tells that the witnesses have
-// noted the opening of the reserve.
-func (e *envelope) limit(now int64, opened bool) int64 {
+// limit is the most that may be spent by now. received is what other hosts have
+// given; opened tells that the witnesses have noted the opening of the reserve.
+func (e *envelope) limit(now, received int64, opened bool) int64 {
 	if e == nil {
 		return math.MaxInt64
 	}
 	age := time.Duration(now - e.clock)
+	base := e.base + received - e.received
 	switch {
 	case age > SoloDelay || opened && age > ReserveDelay:
 		return math.MaxInt64
 	case opened:
-		return e.base + int64(float64(e.rate)*max(age-OpenDelay, 0).Seconds())
+		return base + int64(float64(e.rate)*max(age-OpenDelay, 0).Seconds())
 	default:
-		return e.base
+		return base
 	}
 }
 
@@ -130,7 +132,7 @@
 	if e == nil {
 		return &envelope{clock: clock}
 	}
-	return &envelope{base: e.base, rate: e.rate, clock: clock}
+	return &envelope{base: e.base, rate: e.rate, clock: clock, received: e.received}
 }
 
 // NewAllowance returns the empty allowance of a session.
@@ -201,12 +203,15 @@
 	t.changed = true
 }
 
-// held is what the host has got and not returned. Tokens on their way from
-// another host may be known to the group first, or to this host.
+// held is what the host has got and not returned.
 func (t *allotment) held() int64 {
-	return t.granted - t.credited + max(t.received, t.credited) - t.returned
+	return t.granted - t.credited + t.transferred() - t.returned
 }
 
+// transferred is what other hosts have given. Tokens on their way may be known to
+// the group first, or to this host.
+func (t *allotment) transferred() int64 { return max(t.received, t.credited) }
+
 // spent is what can't be spent again.
 func (t *allotment) spent() int64 { return t.used + t.reserved + t.givenTotal }
 
@@ -223,7 +228,8 @@
 	if a.acked == nil || a.sealed {
 		return 0
 	}
-	return min(t.held(), t.acked.limit(now, a.opened), t.pending.limit(now, a.opened))
+	received := t.transferred()
+	return min(t.held(), t.acked.limit(now, received, a.opened), t.pending.limit(now, received, a.opened))
 }
 
 // share is the host's even part of the balance.
@@ -289,8 +295,8 @@
 	if excess := t.held() - t.spent() - max(t.target, 0); t.balanceKnown && excess > 0 {
 		t.returned += excess
 	}
-	u.Returned, u.Given = t.returned, slices.Clone(t.given)
-	t.pending = &envelope{base: t.spent() + u.Burst, rate: u.Rate, clock: now}
+	u.Returned, u.Given, u.Received = t.returned, slices.Clone(t.given), t.transferred()
+	t.pending = &envelope{base: t.spent() + u.Burst, rate: u.Rate, clock: now, received: u.Received}
 	t.need = int64(float64(t.need) * wantDecay)
 	t.changed = false
 	return u
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -121,6 +121,10 @@
 // free is what the host holds beyond what it has used and reserved.
 func (h *Holding) free() int64 { return h.held() - h.Used - h.Reserved }
 
+// receivedSince is what other hosts are known to have given since the last report.
+// What they have not reported yet is charged when they do.
+func (h *Holding) receivedSince() int64 { return max(h.Credited-h.Received, 0) }
+
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
@@ -186,7 +190,7 @@
 	ended.Bounded = known && ended.Gap <= ReserveDelay
 	doubtful := &DoubtfulSession{Seq: old.Seq, Witnesses: old.Witnesses, Tokens: map[string]int64{}}
 	for name, h := range old.Holdings {
-		closed := min(h.held(), h.Used+h.Reserved+h.Burst)
+		closed := min(h.held(), h.Used+h.Reserved+h.Burst+h.receivedSince())
 		charged := h.held()
 		if ended.Bounded {
 			charged = min(charged, closed+h.opened(ended.Gap))
--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -115,6 +115,33 @@
 	g.Expect(b.Accounts["north"].Charged).To(BeNumerically(">=", spent))
 }
 
+// What another host gave was set aside there, so the receiver's envelope widens by it.
+// The receiver may die after the giver's report and before its own.
+func TestReceivedTokensMayBeSpentBeyondTheEnvelope(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"north": 1_000_000})
+	receiver := openHost(g, b, "receiver", 2, int64(time.Hour))
+	receiver.allowance.Watch([]string{"north"})
+	giver := openHost(g, b, "giver", 1, receiver.now)
+	giver.allowance.Watch([]string{"north"})
+	for range 8 {
+		receiver.syncFor(250 * time.Millisecond)
+		giver.syncFor(250 * time.Millisecond)
+	}
+	spent := receiver.spend("north")
+	tokens, _ := giver.allowance.Give("north", 2, 500, 500, giver.now)
+	g.Expect(tokens).To(Equal(int64(500)))
+	g.Expect(receiver.allowance.Reserve("north", tokens, receiver.now).Verdict).To(Equal(Short), "the envelope binds")
+	receiver.allowance.Receive("north", tokens)
+	g.Expect(receiver.allowance.Reserve("north", tokens, receiver.now).Verdict).To(Equal(Granted))
+	receiver.allowance.Settle("north", tokens, tokens)
+	spent += tokens
+	giver.sync()
+	receiver.die()
+	g.Expect(b.Accounts["north"].Charged).To(BeNumerically(">=", spent))
+}
+
 func TestSealedAllowanceSpendsNothing(t *testing.T) {
 	g := NewWithT(t)
 	b := NewBook()
--- a/internal/prepaid/messages.go
+++ b/internal/prepaid/messages.go
@@ -59,6 +59,8 @@
 	Rate  int64 `cbor:"7,keyasint,omitempty"`
 	// Given holds what went to other hosts.
 	Given []Transfer `cbor:"8,keyasint,omitempty"`
+	// Received is what came from other hosts. What comes later may be spent beyond Burst.
+	Received int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Transfer is what a host has given to another one since its session began.
