Let requests wait for tokens that are likely to come

Cause: in the first second of a cut requests were refused with 'this host lacks tokens' (after 200 ms of waiting for the group) though the hosts' reserves were about to open; they came back a second later, late. In touch, large requests (20,000 to 60,000 tokens) were refused while other hosts held the tokens: those could give only their bursts.

A giver in touch reports first and then gives (Lend, with a test). The reserve is looked at each 20 ms. A host counts as out of touch after two intervals and a call, not after a second.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -6,16 +6,23 @@
 
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
-	// tokensWait bounds the wait for the control group. It answers within some ten
+	// tokensWait bounds one wait for the control group. It answers within some ten
 	// milliseconds, and within a hundred where it serves many hosts.
 	tokensWait = 200 * time.Millisecond
+	// tokensPause is the time between two tries. Hosts give back what they don't need
+	// with their reports, four times a second.
+	tokensPause = 50 * time.Millisecond
 	// tokensRetry is when a host is likely to have got tokens that others gave back.
 	tokensRetry = 500 * time.Millisecond
-	// cutOffRetry is the time to come back to a host without tokens that is cut off.
+	// cutOffRetry is the time to come back to a host without tokens that is cut off,
+	// where nothing better is known.
 	cutOffRetry = time.Second
+	// leastTokensRetry keeps callers from coming back at once.
+	leastTokensRetry = 100 * time.Millisecond
 )
 
 // budgeted tells whether the request draws on a prepaid budget.
@@ -23,8 +30,8 @@
 	return q.organisation != nil && q.organisation.Prepaid != nil && q.InputTokens+q.OutputTokens > 0
 }
 
-// reserve sets the worst case of the request aside. If this host holds too
-// little, it asks the control group while that can be reached, and then other hosts.
+// reserve sets the worst case of the request aside. If this host holds too little,
+// it tries to get more for as long as that is likely to help.
 func (q *request) reserve() *errkind.Error {
 	if !q.budgeted() {
 		return nil
@@ -33,32 +40,60 @@
 	if need > *q.organisation.Prepaid {
 		return errkind.New(errkind.BudgetExhausted, "the request is larger than what was paid in")
 	}
-	switch q.tryReserve(need) {
-	case prepaid.Granted:
-		return nil
-	case prepaid.Exhausted:
-		return q.exhausted(need)
-	case prepaid.Short:
-	}
-	inTouch := q.handler.Sync.InTouch(time.Now()) && q.awaitGroup()
-	if inTouch {
-		switch q.tryReserve(need) {
+	// A caller that is sent away comes back too late for the objective anyway.
+	until := q.arrived.Add(q.route.Objective)
+	for {
+		verdict, inTouch := q.gather(need)
+		switch verdict {
 		case prepaid.Granted:
 			return nil
 		case prepaid.Exhausted:
-			return q.exhausted(need)
+			return errkind.New(errkind.BudgetExhausted, "the balance does not cover %d tokens", need)
 		case prepaid.Short:
 		}
+		pause, retry := nextTry(q.tokens, inTouch, time.Until(until))
+		if retry > 0 || !timing.Sleep(q.ctx, pause) {
+			return errkind.New(errkind.BudgetReserved, "this host lacks %d tokens", need).WithRetryAfter(max(retry, leastTokensRetry))
+		}
+	}
+}
+
+// gather asks the control group for tokens while that can be reached, and then other hosts.
+func (q *request) gather(need int64) (verdict prepaid.Verdict, inTouch bool) {
+	if verdict = q.tryReserve(need); verdict != prepaid.Short {
+		return verdict, false
+	}
+	if inTouch = q.handler.Sync.InTouch(time.Now()) && q.awaitGroup(); inTouch {
+		if verdict = q.tryReserve(need); verdict != prepaid.Short {
+			return verdict, true
+		}
 	}
 	lacking := need - max(q.tokens.Allowed, 0)
-	if q.handler.Sync.Fetch(q.ctx, q.organisation.Name, lacking) && q.tryReserve(need) == prepaid.Granted {
-		return nil
+	if q.handler.Sync.Fetch(q.ctx, q.organisation.Name, lacking) {
+		return q.tryReserve(need), inTouch
 	}
-	retry := cutOffRetry
-	if inTouch {
-		retry = tokensRetry
+	return prepaid.Short, inTouch
+}
+
+// nextTry returns the pause before a request that is short of tokens tries again, or
+// the time after which its caller should. It answers the two loads under which tokens
+// are short though the balance isn't: a large request whose organisation's tokens are
+// with other hosts, which give them back with their reports; and the first second of
+// a cut, in which the envelopes of all hosts are closed.
+func nextTry(d *prepaid.Decision, inTouch bool, patience time.Duration) (pause, retry time.Duration) {
+	switch {
+	case inTouch && patience > 0:
+		return tokensPause, 0
+	case inTouch:
+		return 0, tokensRetry
+	case d.CoveredIn > 0 && d.CoveredIn <= patience:
+		return d.CoveredIn, 0
+	case !d.ReserveOpen && max(d.OpensIn, tokensPause) <= patience:
+		return max(d.OpensIn, tokensPause), 0
+	case d.CoveredIn > 0:
+		return 0, d.CoveredIn
 	}
-	return errkind.New(errkind.BudgetReserved, "this host lacks %d tokens", need).WithRetryAfter(retry)
+	return 0, cutOffRetry
 }
 
 func (q *request) awaitGroup() bool {
@@ -76,10 +111,6 @@
 	return d.Verdict
 }
 
-func (q *request) exhausted(need int64) *errkind.Error {
-	return errkind.New(errkind.BudgetExhausted, "the balance does not cover %d tokens", need)
-}
-
 // cost returns how the request is charged.
 func (q *request) cost() tokenCost {
 	c := tokenCost{input: q.InputTokens, output: q.OutputTokens, perEvent: 1}
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -42,8 +42,10 @@
 	silence     = time.Second
 	// closeTimeout bounds the closing of the session.
 	closeTimeout = 800 * time.Millisecond
-	// touchWindow is the time since the latest contact for which the group counts as reachable.
-	touchWindow = time.Second
+	// touchIntervals is the number of intervals since the latest contact, and touchSlack
+	// the time of a call, for which the group counts as reachable.
+	touchIntervals = 2
+	touchSlack     = 100 * time.Millisecond
 	// maxCrashes bounds the crashes that wait to be reported.
 	maxCrashes = 256
 )
@@ -132,7 +134,7 @@
 // InTouch tells whether the control group answered lately.
 func (c *Client) InTouch(now time.Time) bool {
 	at := c.contacted.Load()
-	return at != nil && now.Sub(*at) < touchWindow
+	return at != nil && now.Sub(*at) < touchIntervals*c.interval()+touchSlack
 }
 
 // ReportCrash tells the group that an upstream broke down with a request.
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -15,10 +15,14 @@
 const methodTransfer = "/fleet/Transfer"
 
 const (
-	// transferTimeout bounds one request for tokens: hosts are a few milliseconds apart.
+	// transferTimeout bounds one request for tokens: hosts are a few milliseconds apart,
+	// and the giver may have to report first, for which it has reportTimeout.
 	transferTimeout = 120 * time.Millisecond
+	reportTimeout   = 80 * time.Millisecond
 	// transferTries is the number of hosts that are asked for one request.
 	transferTries = 8
+	// lenders is the number of them that are asked to report for it.
+	lenders = 2
 	// transferAhead is the time of demand that is asked for beyond the need.
 	transferAhead = time.Second
 )
@@ -31,6 +35,9 @@
 	// Need is the least that helps, Want what would help further.
 	Need int64 `cbor:"3,keyasint"`
 	Want int64 `cbor:"4,keyasint"`
+	// Lend asks a giver that is in touch with the control group to report first if its
+	// envelope allows too little.
+	Lend bool `cbor:"5,keyasint,omitempty"`
 }
 
 // transferReply tells how many tokens were given, and what is left.
@@ -43,26 +50,43 @@
 func (c *Client) NewServer() *rpc.Server {
 	srv := rpc.NewServer()
 	c.handleWitness(srv)
-	rpc.Handle(srv, methodTransfer, func(_ context.Context, req *transferRequest) (*transferReply, error) {
-		tokens, free := c.allowance.Give(req.Organisation, req.To, req.Need, req.Want, c.options.Clock())
-		if tokens > 0 {
-			klog.InfoS("tokens given to another host", "organisation", req.Organisation, "tokens", tokens,
-				"need", req.Need, "free", free, "session", req.To)
+	rpc.Handle(srv, methodTransfer, func(ctx context.Context, req *transferRequest) (*transferReply, error) {
+		reply := c.give(req)
+		if req.Lend && reply.Tokens < req.Need && c.InTouch(time.Now()) &&
+			c.allowance.Lend(req.Organisation, req.Need-reply.Tokens, c.options.Clock()) {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			if c.AwaitContact(ctx) {
+				rest := *req
+				rest.Need, rest.Want = req.Need-reply.Tokens, req.Need-reply.Tokens
+				more := c.give(&rest)
+				reply.Tokens, reply.Free = reply.Tokens+more.Tokens, more.Free
+			}
 		}
-		return &transferReply{Tokens: tokens, Free: free}, nil
+		return reply, nil
 	})
 	return srv
 }
 
+func (c *Client) give(req *transferRequest) *transferReply {
+	tokens, free := c.allowance.Give(req.Organisation, req.To, req.Need, req.Want, c.options.Clock())
+	if tokens > 0 {
+		klog.InfoS("tokens given to another host", "organisation", req.Organisation, "tokens", tokens,
+			"need", req.Need, "free", free, "session", req.To)
+	}
+	return &transferReply{Tokens: tokens, Free: free}
+}
+
 // Fetch asks other hosts for tokens, one after the other, and tells whether it got
-// need or more. What it got of less stays here.
+// need or more. What it got of less stays here. Only the first few are asked to
+// report for it, those that are known to hold the most.
 func (c *Client) Fetch(ctx context.Context, organisation string, need int64) bool {
 	ahead := c.allowance.Demand(organisation, c.options.Clock()) * int64(transferAhead/time.Second)
-	for _, peer := range c.givers(organisation) {
+	for i, peer := range c.givers(organisation) {
 		if ctx.Err() != nil {
 			return false
 		}
-		req := &transferRequest{Organisation: organisation, To: c.opening.Session, Need: need, Want: need + ahead}
+		req := &transferRequest{Organisation: organisation, To: c.opening.Session, Need: need, Want: need + ahead, Lend: i < lenders}
 		if need -= c.fetchFrom(ctx, peer, req); need <= 0 {
 			return true
 		}
--- a/internal/hostsync/witness.go
+++ b/internal/hostsync/witness.go
@@ -21,7 +21,7 @@
 	// witnessTimeout bounds the call of one witness.
 	witnessTimeout = 200 * time.Millisecond
 	// reserveInterval is the time between two looks whether the reserve is to be opened.
-	reserveInterval = 100 * time.Millisecond
+	reserveInterval = 20 * time.Millisecond
 )
 
 type witnessRequest struct {
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -57,6 +57,13 @@
 	// Balance is what was neither used nor reserved anywhere, as of BalanceAge ago.
 	Balance    int64
 	BalanceAge time.Duration
+	// ReserveOpen tells that the reserve is open, and OpensIn after which time it may
+	// be if the control group stays away.
+	ReserveOpen bool
+	OpensIn     time.Duration
+	// CoveredIn is the time after which the envelope allows the request if the group
+	// stays away; 0 if that is not known, or the host holds too little.
+	CoveredIn time.Duration
 }
 
 // Allowance is what one host may spend. It is safe for concurrent use; the
@@ -128,6 +135,22 @@
 	}
 }
 
+// covers returns the time after the report at which the envelope allows target, if
+// the reserve is opened.
+func (e *envelope) covers(target, received int64) time.Duration {
+	if e == nil {
+		return 0
+	}
+	lacking := target - (e.base + received - e.received)
+	switch {
+	case lacking <= 0:
+		return 0
+	case e.rate <= 0:
+		return ReserveDelay
+	}
+	return min(OpenDelay+time.Duration(float64(lacking)/float64(e.rate)*float64(time.Second)), ReserveDelay)
+}
+
 // at returns the envelope as it counts from another report on.
 func (e *envelope) at(clock int64) *envelope {
 	if e == nil {
@@ -180,7 +203,7 @@
 	spent := t.spent()
 	d := Decision{
 		Held: t.held() - spent, Allowed: a.limit(t, now) - spent,
-		Balance: t.balance, BalanceAge: time.Duration(now - t.balanceAt),
+		Balance: t.balance, BalanceAge: time.Duration(now - t.balanceAt), ReserveOpen: a.opened,
 	}
 	if need <= d.Allowed {
 		t.reserved += need
@@ -189,6 +212,7 @@
 	}
 	t.need += need
 	d.Verdict = Short
+	a.foresee(t, &d, need, now)
 	if t.balanceKnown && need > t.balance && d.BalanceAge < balanceFreshness {
 		d.Verdict = Exhausted
 	}
@@ -234,6 +258,18 @@
 	return min(t.held(), t.acked.limit(now, received, a.opened), t.pending.limit(now, received, a.opened))
 }
 
+// foresee states when a request that is short may be covered.
+func (a *Allowance) foresee(t *allotment, d *Decision, need, now int64) {
+	if a.acked == nil || a.sealed {
+		return
+	}
+	d.OpensIn = max(OpenDelay-time.Duration(now-a.acked.Clock), 0)
+	if need <= d.Held {
+		target, received := t.spent()+need, t.transferred()
+		d.CoveredIn = max(t.acked.covers(target, received), t.pending.covers(target, received)) - time.Duration(now-a.acked.Clock)
+	}
+}
+
 // share is the host's even part of the balance.
 func (t *allotment) share() float64 {
 	return float64(max(t.balance, 0)) / float64(max(t.hosts, 1))
--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -162,6 +162,47 @@
 	g.Expect(b.Accounts["north"].WrittenOff).To(BeNumerically("<=", int64(demand*touchWindow.Seconds())))
 }
 
+// A host in touch can give what it holds after a report that says so.
+func TestHostLendsBeyondItsBurstAfterAReport(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"north": 1_000_000})
+	h := openHost(g, b, "h", 1, int64(time.Hour))
+	h.allowance.Watch([]string{"north"})
+	h.syncFor(2 * time.Second)
+	const need = 60_000
+	tokens, _ := h.allowance.Give("north", 2, need, need, h.now)
+	g.Expect(tokens).To(BeNumerically("<", need))
+	rest := need - tokens
+	g.Expect(h.allowance.Lend("north", 10*need, h.now)).To(BeFalse(), "it does not hold as much")
+	g.Expect(h.allowance.Lend("north", rest, h.now)).To(BeTrue())
+	h.sync()
+	tokens, _ = h.allowance.Give("north", 2, rest, rest, h.now)
+	g.Expect(tokens).To(Equal(rest))
+	h.die()
+	g.Expect(b.Accounts["north"].Charged).To(BeNumerically(">=", need))
+}
+
+// A request that is short learns when the envelope would cover it.
+func TestShortRequestLearnsWhenItIsCovered(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"north": 1_000_000})
+	h := openHost(g, b, "h", 1, int64(time.Hour))
+	h.allowance.Watch([]string{"north"})
+	h.syncFor(2 * time.Second)
+	h.allowance.Reserve("north", 1000, h.now)
+	h.sync()
+	d := h.allowance.Reserve("north", 20_000, h.now)
+	g.Expect(d.Verdict).To(Equal(Short))
+	g.Expect(d.ReserveOpen).To(BeFalse())
+	g.Expect(d.OpensIn).To(Equal(OpenDelay))
+	g.Expect(d.CoveredIn).To(And(BeNumerically(">", OpenDelay), BeNumerically("<=", ReserveDelay)))
+	h.now += int64(d.CoveredIn)
+	h.allowance.opened = true
+	g.Expect(h.allowance.Reserve("north", 20_000, h.now+1).Verdict).To(Equal(Granted))
+}
+
 func TestSealedAllowanceSpendsNothing(t *testing.T) {
 	g := NewWithT(t)
 	b := NewBook()
--- a/internal/prepaid/schedule_test.go
+++ b/internal/prepaid/schedule_test.go
@@ -209,6 +209,9 @@
 		if peer == h || !peer.alive || need <= 0 {
 			continue
 		}
+		if s.random.IntN(4) == 0 {
+			peer.allowance.Lend(name, need, peer.boot(s.now))
+		}
 		tokens, free := peer.allowance.Give(name, h.opening.Session, need, need*2, peer.boot(s.now))
 		if s.disabled.noGiven {
 			if t := peer.allowance.accounts[name]; t != nil {
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -40,8 +40,28 @@
 	return tokens, free - tokens
 }
 
+// Lend tells whether the host could give need tokens if its next report said so, and
+// has that report do it: between reports the envelope allows little.
+func (a *Allowance) Lend(organisation string, need, now int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.accounts[organisation]
+	if t == nil || need <= 0 || a.acked == nil || a.sealed {
+		return false
+	}
+	t.decay(now)
+	keep := int64(t.demand / demandWindow.Seconds() * ownReserve.Seconds())
+	if t.held()-t.spent()-keep < need {
+		return false
+	}
+	t.need += need
+	t.changed = true
+	return true
+}
+
 func (t *allotment) give(to uint64, tokens int64) {
 	t.givenTotal += tokens
+	t.need = max(t.need-tokens, 0)
 	t.changed = true
 	for i := range t.given {
 		if t.given[i].To == to {
