Don't read a part elsewhere while an engine reads it

Cause: hosts learned that an engine keeps a part when its first event came.

A part now counts as being read from the choice on, and hosts tell each other so; the engine's backlog holds what is left to read. An engine does not fetch from one that is still reading. Tests: TestPartIsReadOnceWhileItIsBeingRead, TestPartThatWasNotReadIsNotExpected.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -25,6 +25,9 @@
 	plainZoneCost = 1
 	// partRetention is how long a part counts as kept after its last use.
 	partRetention = 45 * time.Second
+	// readingLimit is how long a part counts as being read: the largest prompts take two
+	// seconds.
+	readingLimit = 3 * time.Second
 	// toldTokens is the size from which other hosts are told at once of a prompt to read.
 	toldTokens = 2000
 	// maxParts bounds the parts that are remembered for an upstream.
@@ -123,6 +126,10 @@
 	l.own.Open++
 	l.own.Unread += l.unread
 	l.own.Resident += l.resident
+	if l.hasPart && !l.keeps(l.part, now) {
+		l.Upstream.read(l.part, now)
+		p.noteKept(Kept{Part: l.part, Upstream: shortName(l.ID), Reading: true})
+	}
 	if l.unread >= toldTokens {
 		p.noteChange()
 	}
@@ -160,6 +167,9 @@
 func (p *Pool) Release(l *Place) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !l.began && l.hasPart && !l.parts[l.part].read {
+		delete(l.parts, l.part)
+	}
 	p.begin(l)
 	l.own.Open--
 	l.own.Resident -= l.resident
@@ -167,16 +177,31 @@
 
 // keep notes that the upstream has read a part.
 func (u *Upstream) keep(part uint64, now time.Time) {
+	u.note(part, partState{at: now, read: true})
+}
+
+// read notes that the upstream is about to read a part.
+func (u *Upstream) read(part uint64, now time.Time) {
+	u.note(part, partState{at: now})
+}
+
+func (u *Upstream) note(part uint64, state partState) {
 	if u.parts == nil || len(u.parts) >= maxParts {
-		u.parts = map[uint64]time.Time{}
+		u.parts = map[uint64]partState{}
 	}
-	u.parts[part] = now
+	u.parts[part] = state
 }
 
 // keeps tells whether the upstream is likely to have a part in memory.
 func (u *Upstream) keeps(part uint64, now time.Time) bool {
-	at, read := u.parts[part]
-	return read && now.Sub(at) < partRetention
+	s := u.parts[part]
+	return s.read && now.Sub(s.at) < partRetention
+}
+
+// reads tells whether the upstream is likely to be reading a part.
+func (u *Upstream) reads(part uint64, now time.Time) bool {
+	s, known := u.parts[part]
+	return known && !s.read && now.Sub(s.at) < readingLimit
 }
 
 // candidates returns the upstreams that may be chosen: the sound ones, or else
@@ -251,7 +276,7 @@
 			best, bestCost = &Place{Upstream: u, part: req.Part, hasPart: true, unread: unread}, cost
 		}
 	}
-	if best != nil && req.Transfers && holder != best.Upstream && !best.keeps(req.Part, now) {
+	if best != nil && req.Transfers && holder != best.Upstream && !best.keeps(req.Part, now) && !best.reads(req.Part, now) {
 		best.Source = holder.Address
 	}
 	return best, least
@@ -274,7 +299,7 @@
 func (req *Request) toRead(u *Upstream, home bool, holder *Upstream, now time.Time) (unread, extra int64) {
 	own := max(req.Tokens-req.PartTokens, 0)
 	switch {
-	case u.keeps(req.Part, now):
+	case u.keeps(req.Part, now), u.reads(req.Part, now):
 		return own, 0
 	case home:
 		return req.Tokens, 0
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -17,11 +17,13 @@
 	loads map[uint32]Load
 }
 
-// Kept tells that an upstream has read a shared part.
+// Kept tells that an upstream has read a shared part, or is reading it.
 type Kept struct {
 	Part uint64 `cbor:"1,keyasint"`
 	// Upstream is the short name of the upstream.
 	Upstream uint32 `cbor:"2,keyasint"`
+	// Reading tells that it has not read the part to its end yet.
+	Reading bool `cbor:"3,keyasint,omitempty"`
 }
 
 // shortName is the name of an upstream in messages between hosts.
@@ -81,8 +83,13 @@
 		names[shortName(id)] = u
 	}
 	for _, k := range recent {
-		if u := names[k.Upstream]; u != nil {
+		u := names[k.Upstream]
+		switch {
+		case u == nil:
+		case !k.Reading:
 			u.keep(k.Part, now)
+		case !u.keeps(k.Part, now) && !u.reads(k.Part, now):
+			u.read(k.Part, now)
 		}
 	}
 	*peer = peerLoad{seq: seq, at: now, loads: loads}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -71,6 +71,33 @@
 	}
 }
 
+// A part that an engine is reading need not be read elsewhere too: the second request
+// waits behind the first, on all hosts, and no engine fetches the part before it is read.
+func TestPartIsReadOnceWhileItIsBeingRead(t *testing.T) {
+	g := NewWithT(t)
+	p, other := poolOf(g, "a", 9), poolOf(g, "c", 9)
+	home := choose(g, poolOf(g, "a", 9), prompt(7))
+	p.upstreams[home.ID].own.Unread += 9000 // other work, so that the part strays
+	stray := choose(g, p, prompt(7))
+	g.Expect(stray.ID).NotTo(Equal(home.ID))
+	other.Hear(1, 1, p.ShortLoads(), p.Recent(), start)
+	for _, pool := range []*Pool{p, other} {
+		second := choose(g, pool, prompt(7))
+		g.Expect(second.ID).To(Equal(stray.ID))
+		g.Expect(second.unread).To(Equal(int64(4_000)))
+		g.Expect(second.Source).To(BeEmpty())
+	}
+}
+
+// A request that ends before the engine has begun leaves no part behind.
+func TestPartThatWasNotReadIsNotExpected(t *testing.T) {
+	g := NewWithT(t)
+	p := poolOf(g, "a", 9)
+	first := choose(g, p, prompt(7))
+	p.Release(first)
+	g.Expect(choose(g, p, prompt(7)).unread).To(Equal(int64(17_000)))
+}
+
 // What other hosts read and keep counts like the own.
 func TestOtherHostsAreHeard(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -29,8 +29,8 @@
 	// own is the load by this host. others is that by all other hosts: as the
 	// control group told it, and as they told it themselves.
 	own, others, heard Load
-	// parts holds when a shared part was last read here, as far as this host knows.
-	parts map[uint64]time.Time
+	// parts holds the shared parts that were read here, as far as this host knows.
+	parts map[uint64]partState
 	// failures are those in a row; ejections those since the last success.
 	failures, ejections int
 	// avoidUntil ends an ejection.
@@ -41,6 +41,13 @@
 	probing bool
 }
 
+// partState is what is known of a shared part at an upstream.
+type partState struct {
+	// at is the time of the latest news, and read whether it was read by then.
+	at   time.Time
+	read bool
+}
+
 // Load is the work at an upstream.
 type Load struct {
 	// Open is the number of requests, and Unread that of prompt tokens which are
