Charge a dead host what its witnesses noted

Cause: witnesses noted only that a host had opened its reserve.

A host now notes ceilings with its witnesses, one for each organisation, and raises them as it spends (1.5 s at its envelope's rate ahead). The witnesses state the ceilings after its death, and the Book gives back what is beyond them, as soon as no majority can have noted others. The bounds by time stay, for deaths that no witness survives. A need counts once when its request tries again.

The variant 'fence' of TestEachPartOfTheBudgetProtocolIsNeeded made witnesses deny whatever they had noted; that is now the variant 'ceilings', in which they state none, and still overspends. That a witness notes nothing after it has spoken has a check of its own.

--- a/internal/controlnode/batch.go
+++ b/internal/controlnode/batch.go
@@ -109,8 +109,9 @@
 			opening.Stamp = s.arrived
 			command.Openings = append(command.Openings, opening)
 		}
-		for _, dead := range s.req.Denied {
-			command.Denials = append(command.Denials, prepaid.Denial{Session: dead, Witness: s.req.Peer.Session})
+		for _, statement := range s.req.Statements {
+			statement.Witness = s.req.Peer.Session
+			command.Statements = append(command.Statements, statement)
 		}
 		if s.req.Report != nil {
 			command.Reports = append(command.Reports, fleetstate.HostReport{
@@ -147,7 +148,7 @@
 
 func logSettled(result *fleetstate.Result) {
 	if result.Recovered > 0 {
-		klog.InfoS("tokens of a dead process recovered: witnesses deny that it opened its reserve", "tokens", result.Recovered)
+		klog.InfoS("tokens of a dead process recovered: its witnesses have noted less", "tokens", result.Recovered)
 	}
 	for _, e := range result.Ended {
 		klog.InfoS("session of a dead process settled", "gateway", e.Host, "gap_ms", e.Gap.Milliseconds(),
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -79,9 +79,8 @@
 	Crashes []Crash `cbor:"8,keyasint,omitempty"`
 	// Peer is how other gateway hosts reach this one.
 	Peer Peer `cbor:"9,keyasint"`
-	// Denied are the dead sessions that had not opened their reserve, as far as this
-	// host was to note it.
-	Denied []uint64 `cbor:"11,keyasint,omitempty"`
+	// Statements tell what this host has noted as a witness of dead sessions.
+	Statements []prepaid.Statement `cbor:"11,keyasint,omitempty"`
 	// Peers is the number of the list of gateway hosts that the host has.
 	Peers uint64 `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -41,8 +41,8 @@
 	Openings []prepaid.Opening `cbor:"2,keyasint,omitempty"`
 	Reports  []HostReport      `cbor:"3,keyasint,omitempty"`
 	Closings []Closing         `cbor:"4,keyasint,omitempty"`
-	// Denials are the words of witnesses of dead sessions.
-	Denials []prepaid.Denial `cbor:"5,keyasint,omitempty"`
+	// Statements are the words of witnesses of dead sessions.
+	Statements []prepaid.Statement `cbor:"5,keyasint,omitempty"`
 }
 
 // Result is what Apply returns.
@@ -55,7 +55,7 @@
 	Ended []prepaid.Ended
 	// Questions are for the witnesses among the reporting hosts, in the order of Replies.
 	Questions [][]prepaid.Question
-	// Recovered is the number of tokens that came back by Denials.
+	// Recovered is the number of tokens that came back by Statements.
 	Recovered int64
 	// Err tells that the command could not be read.
 	Err error
@@ -106,8 +106,8 @@
 			result.Ended = append(result.Ended, *ended)
 		}
 	}
-	for _, d := range c.Denials {
-		result.Recovered += m.state.Book.Deny(d)
+	for _, s := range c.Statements {
+		result.Recovered += m.state.Book.Hear(s)
 	}
 	for i := range c.Reports {
 		r := &c.Reports[i]
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -96,8 +96,9 @@
 	epoch    uint64
 	revision uint64
 	peersAt  uint64
-	denied   []uint64
-	inTouch  bool
+	// statements answer the questions of the last reply.
+	statements []prepaid.Statement
+	inTouch    bool
 
 	mu      sync.Mutex
 	crashes []controlnode.Crash
@@ -288,8 +289,8 @@
 	req := &controlnode.SyncRequest{
 		Host: c.options.Host, Version: c.version, Epoch: c.epoch, Revision: c.revision,
 		Loads: c.options.Pool.Loads(), Peers: c.peersAt,
-		Denied: c.denied,
-		Peer:   controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
+		Statements: c.statements,
+		Peer:       controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
 	if !c.opened {
 		opening := c.opening
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -34,7 +34,7 @@
 		c.opened = true
 		c.allowance.Acknowledge(reply.Prepaid, c.options.Clock())
 	}
-	c.denied = c.answer(reply.Questions)
+	c.statements = c.answer(reply.Questions)
 	if len(reply.Members) > 0 {
 		c.members = reply.Members
 	}
--- a/internal/hostsync/witness.go
+++ b/internal/hostsync/witness.go
@@ -14,7 +14,7 @@
 	"github.com/godwitbend/godwitbend/internal/rpc"
 )
 
-// methodWitness notes that a host opens its reserve.
+// methodWitness notes how far a host opens its reserve.
 const methodWitness = "/fleet/Witness"
 
 const (
@@ -25,8 +25,9 @@
 )
 
 type witnessRequest struct {
-	Session uint64 `cbor:"1,keyasint"`
-	Seq     uint64 `cbor:"2,keyasint"`
+	Session  uint64            `cbor:"1,keyasint"`
+	Seq      uint64            `cbor:"2,keyasint"`
+	Ceilings []prepaid.Ceiling `cbor:"3,keyasint,omitempty"`
 }
 
 type witnessReply struct {
@@ -35,8 +36,8 @@
 
 func (c *Client) handleWitness(srv *rpc.Server) {
 	rpc.Handle(srv, methodWitness, func(_ context.Context, req *witnessRequest) (*witnessReply, error) {
-		noted := c.witness.Note(req.Session, req.Seq)
-		klog.InfoS("opening of a reserve", "session", req.Session, "report", req.Seq, "noted", noted)
+		noted := c.witness.Note(req.Session, req.Seq, req.Ceilings)
+		klog.InfoS("ceilings of another host", "session", req.Session, "report", req.Seq, "noted", noted)
 		return &witnessReply{Noted: noted}, nil
 	})
 }
@@ -57,16 +58,15 @@
 	return list[:min(len(list), prepaid.MaxWitnesses)]
 }
 
-// openReserve opens the reserve when it is due and the witnesses note it.
+// openReserve opens the reserve, or more of it, when that is due and the witnesses note it.
 func (c *Client) openReserve(ctx context.Context) {
 	opening := c.allowance.Due(c.options.Clock())
 	if opening == nil {
 		return
 	}
 	noted := c.askWitnesses(ctx, opening)
-	if c.allowance.Open(opening, noted) {
-		klog.InfoS("reserve opened: the control group is away", "report", opening.Seq, "witnesses", len(noted))
-	}
+	opened := c.allowance.Open(opening, noted)
+	klog.InfoS("ceilings noted: the control group is away", "report", opening.Seq, "witnesses", len(noted), "in_force", opened)
 }
 
 func (c *Client) askWitnesses(ctx context.Context, o *prepaid.ReserveOpening) []uint64 {
@@ -77,7 +77,7 @@
 	var asked sync.WaitGroup
 	for _, peer := range c.peersIn(o.Lists) {
 		asked.Go(func() {
-			req := &witnessRequest{Session: o.Session, Seq: o.Seq}
+			req := &witnessRequest{Session: o.Session, Seq: o.Seq, Ceilings: o.Ceilings}
 			reply, err := rpc.Call[witnessRequest, witnessReply](ctx, c.rpc, peer.Address, methodWitness, req)
 			if err != nil || !reply.Noted {
 				return // the host counts as one that has not noted it
@@ -103,13 +103,11 @@
 	return found
 }
 
-// answer returns the dead sessions that this host denies to have opened their reserve.
-func (c *Client) answer(questions []prepaid.Question) []uint64 {
-	var denied []uint64
+// answer states what this host has noted of dead sessions.
+func (c *Client) answer(questions []prepaid.Question) []prepaid.Statement {
+	var statements []prepaid.Statement
 	for _, q := range questions {
-		if c.witness.Answer(q) {
-			denied = append(denied, q.Session)
-		}
+		statements = append(statements, prepaid.Statement{Session: q.Session, Ceilings: c.witness.Answer(q)})
 	}
-	return denied
+	return statements
 }
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -29,6 +29,8 @@
 	// shareChange is the part by which the host's part of the balance must change for
 	// an organisation without requests to be reported again.
 	shareChange = 0.25
+	// noteTime is the usual time until witnesses have noted a higher ceiling.
+	noteTime = 40 * time.Millisecond
 	// balanceFreshness is the age up to which a balance is good for a final refusal.
 	balanceFreshness = time.Second
 	// wantDecay is the factor per report by which an unmet need is forgotten.
@@ -76,7 +78,8 @@
 	sent *Report
 	// acked is the report that was acknowledged last, or nil.
 	acked *Report
-	// opened tells that the witnesses have noted the opening of the reserve.
+	// opened tells that the witnesses have noted the opening of the reserve since the
+	// last report.
 	opened bool
 	// sealed tells that nothing more may be spent.
 	sealed   bool
@@ -103,7 +106,12 @@
 	// demand is the decayed sum of tokens asked for; demandAt its time.
 	demand   float64
 	demandAt int64
-	// need is what requests lacked since the last report, less what was granted since.
+	// noted tells that ceiling holds: the witnesses have noted it since the last report.
+	// raise asks for a higher one.
+	noted, raise bool
+	ceiling      int64
+	// need is the most that a request lacked since the last report, less what was
+	// granted since.
 	need    int64
 	changed bool
 	// reported is the host's part of the balance at the latest report that named it.
@@ -210,7 +218,7 @@
 		t.need = max(t.need-need, 0)
 		return d
 	}
-	t.need += need
+	t.lack(need, a.opened)
 	d.Verdict = Short
 	a.foresee(t, &d, need, now)
 	if t.balanceKnown && need > t.balance && d.BalanceAge < balanceFreshness {
@@ -254,8 +262,19 @@
 	if a.acked == nil || a.sealed {
 		return 0
 	}
-	received := t.transferred()
-	return min(t.held(), t.acked.limit(now, received, a.opened), t.pending.limit(now, received, a.opened))
+	received, opened := t.transferred(), a.opened && t.noted
+	limit := min(t.held(), t.acked.limit(now, received, opened), t.pending.limit(now, received, opened))
+	if opened && time.Duration(now-a.latestClock()) <= SoloDelay {
+		limit = min(limit, t.ceiling+received)
+	}
+	return limit
+}
+
+// lack notes that a request is short of tokens. It may be one that tries again.
+func (t *allotment) lack(need int64, opened bool) {
+	t.need = max(t.need, need)
+	t.raise = opened
+	t.changed = true
 }
 
 // foresee states when a request that is short may be covered.
@@ -267,7 +286,18 @@
 	if need <= d.Held {
 		target, received := t.spent()+need, t.transferred()
 		d.CoveredIn = max(t.acked.covers(target, received), t.pending.covers(target, received)) - time.Duration(now-a.acked.Clock)
+		if a.opened {
+			d.CoveredIn = max(d.CoveredIn, noteTime)
+		}
+	}
+}
+
+// latestClock is the time of the latest report that the group may know.
+func (a *Allowance) latestClock() int64 {
+	if a.sent != nil {
+		return a.sent.Clock
 	}
+	return a.acked.Clock
 }
 
 // share is the host's even part of the balance.
@@ -314,7 +344,8 @@
 		r.Uses = append(r.Uses, t.report(name, now))
 	}
 	// Its witnesses have not noted an opening yet.
-	a.sent, a.opened = r, false
+	a.sent = r
+	a.closeReserve()
 	return r
 }
 
@@ -353,7 +384,8 @@
 		}
 	}
 	at := a.sent.Clock
-	a.sent, a.acked, a.opened = nil, a.sent, false
+	a.sent, a.acked = nil, a.sent
+	a.closeReserve()
 	for _, g := range reply.Grants {
 		t := a.allotment(g.Organisation)
 		t.granted, t.credited = max(t.granted, g.Granted), max(t.credited, g.Credited)
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -188,7 +188,9 @@
 	var known bool
 	ended.Gap, known = old.gap(o)
 	ended.Bounded = known && ended.Gap <= ReserveDelay
-	doubtful := &DoubtfulSession{Seq: old.Seq, Witnesses: old.Witnesses, Tokens: map[string]int64{}}
+	doubtful := &DoubtfulSession{
+		Seq: old.Seq, Witnesses: old.Witnesses, Tokens: map[string]int64{}, Closed: map[string]int64{},
+	}
 	for name, h := range old.Holdings {
 		closed := min(h.held(), h.Used+h.Reserved+h.Burst+h.receivedSince())
 		charged := h.held()
@@ -197,6 +199,7 @@
 		}
 		b.charge(name, charged, h.Used, ended)
 		doubtful.Tokens[name] = charged - closed
+		doubtful.Closed[name] = closed + h.given() - max(h.Credited, h.Received)
 		ended.Doubtful += charged - closed
 	}
 	if known && ended.Gap <= SoloDelay && ended.Doubtful > 0 && len(old.Witnesses) > 0 {
--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -1,6 +1,7 @@
 package prepaid
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -37,6 +38,7 @@
 	allowance *Allowance
 	book      *Book
 	now       int64
+	witnesses []uint64
 }
 
 func openHost(g *WithT, b *Book, name string, session uint64, now int64) *host {
@@ -46,7 +48,7 @@
 }
 
 func (h *host) sync() {
-	r := h.allowance.Report(Instant{Boot: h.now, Wall: h.now}, nil)
+	r := h.allowance.Report(Instant{Boot: h.now, Wall: h.now}, h.witnesses)
 	reply := h.book.Apply(h.name, r, h.now)
 	h.allowance.Acknowledge(&reply, h.now)
 }
@@ -192,6 +194,7 @@
 	h.allowance.Watch([]string{"north"})
 	h.syncFor(2 * time.Second)
 	h.allowance.Reserve("north", 1000, h.now)
+	h.witnesses = []uint64{7}
 	h.sync()
 	d := h.allowance.Reserve("north", 20_000, h.now)
 	g.Expect(d.Verdict).To(Equal(Short))
@@ -199,7 +202,7 @@
 	g.Expect(d.OpensIn).To(Equal(OpenDelay))
 	g.Expect(d.CoveredIn).To(And(BeNumerically(">", OpenDelay), BeNumerically("<=", ReserveDelay)))
 	h.now += int64(d.CoveredIn)
-	h.allowance.opened = true
+	g.Expect(h.allowance.Open(h.allowance.Due(h.now), []uint64{7})).To(BeTrue())
 	g.Expect(h.allowance.Reserve("north", 20_000, h.now+1).Verdict).To(Equal(Granted))
 }
 
@@ -244,6 +247,47 @@
 	g.Expect(h.allowance.Open(h.allowance.Due(h.now), []uint64{7, 8})).To(BeTrue())
 }
 
+// A host whose witnesses live is charged what it noted with them, however long it held
+// its reserve open and whatever it held; an organisation that it did not note, its burst.
+func TestDeadHostIsChargedItsCeilings(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"north": 1_000_000, "south": 1_000_000})
+	h := openHost(g, b, "h", 1, int64(time.Hour))
+	h.allowance.Watch([]string{"north", "south"})
+	h.witnesses = []uint64{7, 8, 9}
+	witnesses := []*Witness{NewWitness(), NewWitness(), NewWitness()}
+	h.syncFor(2 * time.Second)
+	note := func() {
+		o := h.allowance.Due(h.now)
+		o.Ceilings = slices.DeleteFunc(o.Ceilings, func(c Ceiling) bool { return c.Organisation == "south" })
+		for _, w := range witnesses[:2] {
+			g.Expect(w.Note(o.Session, o.Seq, o.Ceilings)).To(BeTrue())
+		}
+		g.Expect(h.allowance.Open(o, []uint64{7, 8})).To(BeTrue())
+	}
+	spent := int64(0)
+	for range 4 {
+		h.now += int64(time.Second)
+		note()
+		spent += h.spend("north")
+	}
+	h.now += int64(time.Second)
+	held := h.allowance.Reserve("north", 0, h.now).Held + spent
+	h.die()
+	g.Expect(b.Accounts["north"].Charged).To(Equal(held), "without a witness, all that it held")
+	for i, w := range witnesses[1:] {
+		for _, q := range b.Questions(h.witnesses[i+1]) {
+			b.Hear(Statement{Session: q.Session, Witness: h.witnesses[i+1], Ceilings: w.Answer(q)})
+		}
+	}
+	north, south := b.Accounts["north"], b.Accounts["south"]
+	g.Expect(spent).To(BeNumerically(">", 0))
+	g.Expect(north.Charged).To(And(BeNumerically(">=", spent), BeNumerically("<", held)))
+	g.Expect(south.Charged).To(BeNumerically("<", 10_000), "a burst")
+	g.Expect(witnesses[1].Note(1, 99, nil)).To(BeFalse(), "a witness that has spoken notes nothing more")
+}
+
 func TestNewReportClosesTheReserve(t *testing.T) {
 	g := NewWithT(t)
 	b := NewBook()
--- a/internal/prepaid/messages.go
+++ b/internal/prepaid/messages.go
@@ -101,14 +101,25 @@
 	Witnesses []uint64 `cbor:"6,keyasint,omitempty"`
 }
 
-// Denial is a witness's word that a session has not opened its reserve after its
-// last report, and can no more.
-type Denial struct {
-	Session uint64 `cbor:"1,keyasint"`
-	Witness uint64 `cbor:"2,keyasint"`
+// Ceiling bounds what a session spends of one organisation's tokens while its reserve
+// is open.
+type Ceiling struct {
+	Organisation string `cbor:"1,keyasint"`
+	// Tokens is the total since the session began of what it uses, reserves and gives,
+	// less what other hosts gave it.
+	Tokens int64 `cbor:"2,keyasint"`
+}
+
+// Statement is a witness's word on a dead session: the ceilings that it has noted since
+// the session's last report. It notes none after this. Organisations without a ceiling
+// were spent from within their burst.
+type Statement struct {
+	Session  uint64    `cbor:"1,keyasint"`
+	Witness  uint64    `cbor:"2,keyasint"`
+	Ceilings []Ceiling `cbor:"3,keyasint,omitempty"`
 }
 
-// Question asks witnesses whether a dead session had opened its reserve.
+// Question asks witnesses how far a dead session had opened its reserve.
 type Question struct {
 	Session uint64 `cbor:"1,keyasint"`
 	// Seq is the session's last report.
--- a/internal/prepaid/schedule_test.go
+++ b/internal/prepaid/schedule_test.go
@@ -35,7 +35,7 @@
 type mechanisms struct {
 	noEnvelope  bool // hosts spend all that they hold at once
 	noWitnesses bool // hosts open their reserves without asking
-	noFence     bool // witnesses deny without remembering it
+	noCeilings  bool // witnesses don't state what they have noted
 	noGiven     bool // the giver forgets what it gave
 }
 
@@ -57,7 +57,7 @@
 	// bootOffset and wallOffset make the clocks of the machine.
 	bootOffset, wallOffset time.Duration
 	runs                   []simRun
-	denied                 []uint64
+	statements             []Statement
 	nextSync               time.Duration
 }
 
@@ -101,7 +101,7 @@
 	h.allowance, h.witness = NewAllowance(session), NewWitness()
 	h.allowance.Watch(scheduleOrganisations[:2])
 	h.opening = Opening{Host: h.name, Session: session, Clock: h.boot(s.now), Wall: h.wall(s.now)}
-	h.opened, h.alive, h.runs, h.denied = false, true, nil, nil
+	h.opened, h.alive, h.runs, h.statements = false, true, nil, nil
 	h.nextSync = s.now
 }
 
@@ -253,7 +253,7 @@
 		if peer == h || !peer.alive || s.random.IntN(4) == 0 {
 			continue
 		}
-		if s.disabled.noWitnesses || peer.witness.Note(o.Session, o.Seq) {
+		if s.disabled.noWitnesses || peer.witness.Note(o.Session, o.Seq, o.Ceilings) {
 			noted = append(noted, peer.opening.Session)
 		}
 	}
@@ -281,8 +281,8 @@
 		opening.Age, opening.Stamp = h.boot(s.now)-h.opening.Clock, s.stamp()
 		s.book.Open(opening)
 	}
-	for _, dead := range h.denied {
-		s.book.Deny(Denial{Session: dead, Witness: h.opening.Session})
+	for _, statement := range h.statements {
+		s.book.Hear(statement)
 	}
 	questions := s.book.Questions(h.opening.Session)
 	reply := s.book.Apply(h.name, report, s.stamp())
@@ -290,13 +290,13 @@
 		return
 	}
 	h.opened = true
-	h.denied = nil
+	h.statements = nil
 	for _, q := range questions {
-		if s.disabled.noFence {
-			h.denied = append(h.denied, q.Session)
-		} else if h.witness.Answer(q) {
-			h.denied = append(h.denied, q.Session)
+		statement := Statement{Session: q.Session, Witness: h.opening.Session}
+		if ceilings := h.witness.Answer(q); !s.disabled.noCeilings {
+			statement.Ceilings = ceilings
 		}
+		h.statements = append(h.statements, statement)
 	}
 	h.allowance.Acknowledge(&reply, h.boot(s.now))
 }
@@ -348,7 +348,7 @@
 func TestEachPartOfTheBudgetProtocolIsNeeded(t *testing.T) {
 	for name, disabled := range map[string]mechanisms{
 		"envelope": {noEnvelope: true}, "witnesses": {noWitnesses: true},
-		"fence": {noFence: true}, "record of transfers": {noGiven: true},
+		"ceilings": {noCeilings: true}, "record of transfers": {noGiven: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3000) {
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -54,8 +54,7 @@
 	if t.held()-t.spent()-keep < need {
 		return false
 	}
-	t.need += need
-	t.changed = true
+	t.lack(need, a.opened)
 	return true
 }
 
--- a/internal/prepaid/witness.go
+++ b/internal/prepaid/witness.go
@@ -4,17 +4,32 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
+)
+
+const (
+	// ceilingAhead is the time at the rate of its envelope that a host notes ahead: what
+	// it notes is charged if it dies.
+	ceilingAhead = 1500 * time.Millisecond
+	// ceilingRenewal is the part of that, 1 in N, that is left when the host notes again.
+	ceilingRenewal = 2
 )
 
 // DoubtfulSession is a dead session that was charged with what it can have spent if
-// it opened its reserve. The part beyond its burst comes back when so many witnesses
-// deny the opening that no majority can have noted it.
+// it opened its reserve. What is beyond its burst and beyond the ceilings that its
+// witnesses state comes back when so many have spoken that no majority can have noted
+// other ones.
 type DoubtfulSession struct {
 	Seq       uint64   `cbor:"1,keyasint"`
 	Witnesses []uint64 `cbor:"2,keyasint"`
-	Denied    []uint64 `cbor:"3,keyasint,omitempty"`
+	// Heard are the witnesses that have spoken.
+	Heard []uint64 `cbor:"3,keyasint,omitempty"`
 	// Tokens holds the part beyond the burst by organisation.
 	Tokens map[string]int64 `cbor:"4,keyasint"`
+	// Closed holds, in the measure of a ceiling, what was charged without that part.
+	Closed map[string]int64 `cbor:"5,keyasint"`
+	// Ceilings holds the highest that were stated.
+	Ceilings map[string]int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Questions returns what the witness with a session is to be asked.
@@ -22,90 +37,160 @@
 	var list []Question
 	for _, id := range slices.Sorted(maps.Keys(b.Doubtful)) {
 		d := b.Doubtful[id]
-		if slices.Contains(d.Witnesses, witness) && !slices.Contains(d.Denied, witness) {
+		if slices.Contains(d.Witnesses, witness) && !slices.Contains(d.Heard, witness) {
 			list = append(list, Question{Session: id, Seq: d.Seq})
 		}
 	}
 	return list
 }
 
-// Deny takes in the word of a witness. It returns the tokens that came back with it.
-func (b *Book) Deny(denial Denial) (recovered int64) {
-	d := b.Doubtful[denial.Session]
-	if d == nil || !slices.Contains(d.Witnesses, denial.Witness) || slices.Contains(d.Denied, denial.Witness) {
+// Hear takes in the word of a witness. It returns the tokens that came back with it.
+func (b *Book) Hear(s Statement) (recovered int64) {
+	d := b.Doubtful[s.Session]
+	if d == nil || !slices.Contains(d.Witnesses, s.Witness) || slices.Contains(d.Heard, s.Witness) {
 		return 0
 	}
-	d.Denied = append(d.Denied, denial.Witness)
-	if len(d.Witnesses)-len(d.Denied) >= majority(len(d.Witnesses)) {
+	d.Heard = append(d.Heard, s.Witness)
+	for _, c := range s.Ceilings {
+		if d.Ceilings == nil {
+			d.Ceilings = map[string]int64{}
+		}
+		if highest, stated := d.Ceilings[c.Organisation]; !stated || c.Tokens > highest {
+			d.Ceilings[c.Organisation] = c.Tokens
+		}
+	}
+	if len(d.Witnesses)-len(d.Heard) >= majority(len(d.Witnesses)) {
 		return 0
 	}
-	for name, tokens := range d.Tokens {
+	for name := range d.Tokens {
+		tokens := d.unspent(name)
 		a := b.account(name)
 		a.Charged -= tokens
 		a.WrittenOff -= tokens
 		recovered += tokens
 	}
-	delete(b.Doubtful, denial.Session)
+	delete(b.Doubtful, s.Session)
 	return recovered
 }
 
-// Witness notes the openings of other hosts' reserves. It is safe for concurrent use.
+// unspent is the part of an organisation's doubtful tokens that no ceiling allowed.
+func (d *DoubtfulSession) unspent(name string) int64 {
+	ceiling, stated := d.Ceilings[name]
+	if !stated {
+		return d.Tokens[name]
+	}
+	return d.Tokens[name] - min(max(ceiling-d.Closed[name], 0), d.Tokens[name])
+}
+
+// Witness notes the ceilings of other hosts whose reserves are open. It is safe for
+// concurrent use.
 type Witness struct {
 	mu sync.Mutex
-	// opened holds the last acknowledged report of each session at its latest opening.
-	opened map[uint64]uint64
-	// fenced are the sessions that were denied; they can't open their reserve any more.
+	// notes holds what each session has noted since its last acknowledged report.
+	notes map[uint64]*notes
+	// fenced are the sessions that were spoken of; they can't note anything any more.
 	fenced map[uint64]bool
 }
 
+type notes struct {
+	seq      uint64
+	ceilings map[string]int64
+}
+
 // NewWitness returns a witness that has noted nothing.
 func NewWitness() *Witness {
-	return &Witness{opened: map[uint64]uint64{}, fenced: map[uint64]bool{}}
+	return &Witness{notes: map[uint64]*notes{}, fenced: map[uint64]bool{}}
 }
 
-// Note notes that a session, whose last acknowledged report is seq, opens its
-// reserve. False means that it must not.
-func (w *Witness) Note(session, seq uint64) bool {
+// Note notes the ceilings of a session whose last acknowledged report is seq. False
+// means that they must not count.
+func (w *Witness) Note(session, seq uint64, ceilings []Ceiling) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.fenced[session] {
+	n := w.notes[session]
+	if w.fenced[session] || n != nil && n.seq > seq {
 		return false
 	}
-	w.opened[session] = max(w.opened[session], seq)
+	if n == nil || n.seq < seq {
+		n = &notes{seq: seq, ceilings: map[string]int64{}}
+		w.notes[session] = n
+	}
+	for _, c := range ceilings {
+		if highest, noted := n.ceilings[c.Organisation]; !noted || c.Tokens > highest {
+			n.ceilings[c.Organisation] = c.Tokens
+		}
+	}
 	return true
 }
 
-// Answer tells whether the witness can deny that the session opened its reserve
-// after its report seq, or after the one before, whose acknowledgement it may have
-// got last.
-func (w *Witness) Answer(q Question) (denied bool) {
+// Answer returns the ceilings that were noted after the session's report seq, or after
+// the one before, whose acknowledgement it may have got last.
+func (w *Witness) Answer(q Question) []Ceiling {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if seq, opened := w.opened[q.Session]; opened && seq+1 >= q.Seq {
-		return false
-	}
 	w.fenced[q.Session] = true
-	return true
+	n := w.notes[q.Session]
+	if n == nil || n.seq+1 < q.Seq {
+		return nil
+	}
+	list := make([]Ceiling, 0, len(n.ceilings))
+	for _, name := range slices.Sorted(maps.Keys(n.ceilings)) {
+		list = append(list, Ceiling{Organisation: name, Tokens: n.ceilings[name]})
+	}
+	return list
 }
 
-// ReserveOpening tells what a host must do before it may open its reserve.
+// ReserveOpening tells what a host must do before it may open its reserve, or spend
+// more of it.
 type ReserveOpening struct {
 	Session uint64
 	// Seq is the last acknowledged report.
 	Seq uint64
+	// Ceilings are what the host is going to keep to.
+	Ceilings []Ceiling
 	// Lists are the lists of witnesses; a majority of each must note it.
 	Lists [][]uint64
 }
 
 // Due returns the opening of the reserve that is due, or nil: the host has been
-// without an acknowledged report for OpenDelay.
+// without an acknowledged report for OpenDelay, and it has not noted enough.
 func (a *Allowance) Due(now int64) *ReserveOpening {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.opened || a.acked == nil || now-a.acked.Clock <= int64(OpenDelay) {
+	if a.acked == nil || now-a.acked.Clock <= int64(OpenDelay) {
 		return nil
 	}
-	return &ReserveOpening{Session: a.session, Seq: a.acked.Seq, Lists: a.witnessLists()}
+	due := !a.opened
+	o := &ReserveOpening{Session: a.session, Seq: a.acked.Seq, Lists: a.witnessLists()}
+	for _, name := range slices.Sorted(maps.Keys(a.accounts)) {
+		t := a.accounts[name]
+		t.decay(now)
+		ahead := t.ahead()
+		if ahead == 0 {
+			continue
+		}
+		low := !t.noted || t.ceiling-t.net() < ahead/ceilingRenewal || t.raise
+		due = due || low
+		o.Ceilings = append(o.Ceilings, Ceiling{Organisation: name, Tokens: t.net() + ahead})
+	}
+	if !due {
+		return nil
+	}
+	return o
+}
+
+// net is what was spent of the host's own tokens.
+func (t *allotment) net() int64 { return t.spent() - t.transferred() }
+
+// ahead is what the host is likely to spend before it notes again.
+func (t *allotment) ahead() int64 {
+	rate := int64(0)
+	for _, e := range []*envelope{t.acked, t.pending} {
+		if e != nil {
+			rate = max(rate, e.rate)
+		}
+	}
+	return int64(float64(rate)*ceilingAhead.Seconds()) + t.need
 }
 
 // witnessLists returns the witnesses of each report that may be the latest that the
@@ -118,8 +203,8 @@
 	return lists
 }
 
-// Open opens the reserve after the witnesses have noted it. Noted holds those that did.
-// A report that was made meanwhile has a say too.
+// Open opens the reserve up to the ceilings that the witnesses have noted. Noted holds
+// those that did. A report that was made meanwhile has a say too.
 func (a *Allowance) Open(o *ReserveOpening, noted []uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -138,5 +223,21 @@
 		}
 	}
 	a.opened = true
+	for _, c := range o.Ceilings {
+		if t := a.accounts[c.Organisation]; t != nil {
+			if !t.noted || c.Tokens > t.ceiling {
+				t.noted, t.ceiling = true, c.Tokens
+			}
+			t.raise = false
+		}
+	}
 	return true
 }
+
+// closeReserve ends the spending beyond the burst: a new report has begun.
+func (a *Allowance) closeReserve() {
+	a.opened = false
+	for _, t := range a.accounts {
+		t.noted, t.raise = false, false
+	}
+}
