--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -41,9 +41,7 @@
 			klog.InfoS("request answered", append(a.logFields(), "status", answer.StatusCode, "events", a.events)...)
 			return finished
 		case err != nil:
-			a.lost()
-			a.lastFailure = failureBroken
-			return a.brokenStep()
+			return a.lost(failureBroken)
 		}
 		a.handler.Pool.Begin(a.target, time.Now())
 		if event.HasID && a.events > 0 && event.ID <= a.lastEvent {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -44,6 +44,7 @@
 	failureNoAnswer    = "no_answer"
 	failureForeign     = "foreign_answer"
 	failureBroken      = "broken_answer"
+	failureCallerLeft  = "caller_left"
 	failureStatus      = "failure"
 )
 
@@ -214,7 +215,10 @@
 				WithRetryAfter(max(a.retryAfter, fullRetry))
 		}
 	}
-	if a.left() < leastTime {
+	switch {
+	case a.lastFailure == failureCallerLeft:
+		return errkind.New(errkind.OutcomeUnknown, "the caller left before the answer had ended")
+	case a.left() < leastTime:
 		return errkind.New(errkind.OutcomeUnknown, "the deadline passed before an answer came")
 	}
 	return errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", a.lastFailure)
@@ -244,9 +248,7 @@
 	a.upstream = a.target.ID
 	if err != nil {
 		a.ran = true
-		a.lost()
-		a.lastFailure = failureNoAnswer
-		return a.brokenStep()
+		return a.lost(failureNoAnswer)
 	}
 	defer answer.Close()
 	return a.read(w, answer)
@@ -289,15 +291,21 @@
 	a.handler.Pool.Observe(a.target, o, time.Now())
 }
 
-// lost notes that the upstream broke off. That it left with its caller says nothing.
-func (a *attempt) lost() {
+// lost notes that the exchange broke, and what follows. If the caller has left or the
+// time is over, it was broken from here, which says nothing of the upstream.
+func (a *attempt) lost(failure string) step {
+	a.lastFailure = failure
+	if errors.Is(a.ctx.Err(), context.Canceled) {
+		a.lastFailure = failureCallerLeft
+	}
 	if a.ctx.Err() != nil {
 		a.observe(placement.Abandoned)
-		return
+		return a.brokenStep()
 	}
 	a.observe(placement.Failed)
 	crash := controlnode.Crash{Fingerprint: a.fingerprint(), Upstream: a.target.ID}
 	go reportCrash(a.handler.Sync, crash, a.target.Address, a.ID)
+	return a.brokenStep()
 }
 
 // reportCrash tells the control group of a request whose upstream has gone down. One
@@ -342,9 +350,7 @@
 	a.handler.Pool.Begin(a.target, time.Now())
 	body, err := answer.ReadBody(answerLimit)
 	if err != nil {
-		a.lost()
-		a.lastFailure = failureBroken
-		return a.brokenStep()
+		return a.lost(failureBroken)
 	}
 	held := &heldAnswer{status: answer.StatusCode, header: a.handler.Dialect.AnswerHeader(answer.Header), body: body}
 	a.observe(placement.Served)
