Let requests wait for the configuration after a start

For one second after its start a host lets requests wait for it, half of the caller's patience at most; later, and where the group stays away, they are refused at once as before. Test: TestConfigurationIsAwaited.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -8,9 +9,14 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/hostsync"
 )
 
 const (
+	// startPatience is how long after its start a host lets requests wait for the
+	// configuration. It finds a group that runs within some ten milliseconds, and one
+	// that starts at the same time within 0.2 to 0.5 s.
+	startPatience = time.Second
 	// unknownConfigurationRetry is the usual time in which a host that has just
 	// started finds the control group.
 	unknownConfigurationRetry = 500 * time.Millisecond
@@ -22,6 +28,18 @@
 	defaultPatience = time.Minute
 )
 
+// awaitView returns the configuration, or nil. After the start of the host it may take
+// a moment, and a caller that is sent away comes back later than that.
+func (q *request) awaitView(ctx context.Context) *hostsync.View {
+	until := q.handler.knownBy
+	if half := q.arrived.Add(q.Patience / 2); q.Patience > 0 && half.Before(until) {
+		until = half
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return q.handler.Sync.AwaitView(ctx)
+}
+
 func (q *request) findRoute() *errkind.Error {
 	if q.route = q.view.Index.Route(q.Host, q.Path); q.route == nil {
 		return errkind.New(errkind.NotFound, "no route matches the host and path")
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -38,6 +38,8 @@
 // Handler serves callers.
 type Handler struct {
 	Options
+	// knownBy is when a host that has just started is likely to know the configuration.
+	knownBy time.Time
 	// closing refuses new requests at a shutdown.
 	closing atomic.Bool
 	served  tally.Counter
@@ -48,6 +50,7 @@
 func NewHandler(o Options) *Handler {
 	return &Handler{
 		Options: o,
+		knownBy: time.Now().Add(startPatience),
 		served:  o.Scope.Counter("answers"),
 		first:   o.Scope.Histogram("first_byte", latencyBuckets),
 	}
@@ -133,7 +136,7 @@
 		return refusal
 	}
 	q.Call = call
-	if q.view = q.handler.Sync.View(); q.view == nil {
+	if q.view = q.awaitView(r.Context()); q.view == nil {
 		return errkind.New(errkind.ControlUnavailable, "no configuration is known yet").WithRetryAfter(unknownConfigurationRetry)
 	}
 	if refusal := q.findRoute(); refusal != nil {
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -172,6 +172,18 @@
 	}
 }
 
+// AwaitView waits until a configuration is known, and returns it, or nil when ctx ends.
+func (c *Client) AwaitView(ctx context.Context) *View {
+	for {
+		if view := c.View(); view != nil {
+			return view
+		}
+		if !c.AwaitContact(ctx) {
+			return c.View()
+		}
+	}
+}
+
 // Run calls the leader at intervals until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	go timing.Every(ctx, reserveInterval, func() { c.openReserve(ctx) })
--- a/internal/hostsync/client_test.go
+++ b/internal/hostsync/client_test.go
@@ -137,6 +137,23 @@
 	gr.g.Eventually(func() uint64 { return c.View().Index.Document.Version }, eventually).Should(Equal(uint64(4)))
 }
 
+// A request that comes before the configuration can wait for it, and not for ever.
+func TestConfigurationIsAwaited(t *testing.T) {
+	gr := newGroup(t)
+	c, _ := gr.gateway(2)
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	gr.g.Expect(c.AwaitView(over)).To(BeNil())
+	known := make(chan *hostsync.View, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	defer cancel()
+	go func() { known <- c.AwaitView(ctx) }()
+	gr.put(3, 1_000_000)
+	view := <-known
+	gr.g.Expect(view).NotTo(BeNil())
+	gr.g.Expect(view.Index.Document.Version).To(Equal(uint64(3)))
+}
+
 func TestTokensMoveBetweenGatewaysWithoutTheGroup(t *testing.T) {
 	gr := newGroup(t)
 	gr.put(1, 1_000_000)
