Keep the sums of loads, and leave them out of calls for tokens

A reply to a gateway summed the loads by all other gateways, for each call, also for those made early for tokens. The leader keeps the sums now, in a type of its own (hostTable, with a test), and early calls are brief. addTraffic was long.

--- a/internal/controlnode/batch.go
+++ b/internal/controlnode/batch.go
@@ -83,7 +83,7 @@
 func (b *reportBatcher) delay() time.Duration {
 	b.node.mu.Lock()
 	defer b.node.mu.Unlock()
-	return min(time.Duration(len(b.node.hosts))*batchDelayPerHost, maxBatchDelay)
+	return min(time.Duration(len(b.node.hosts.hosts))*batchDelayPerHost, maxBatchDelay)
 }
 
 func (b *reportBatcher) collect(first *submission) []*submission {
--- /dev/null
+++ b/internal/controlnode/hosts_test.go
@@ -0,0 +1,28 @@
+package controlnode
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/placement"
+)
+
+func TestLoadsOfOtherHosts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := newHostTable()
+	a, b := table.heard("a", Peer{Session: 1}, now), table.heard("b", Peer{Session: 2}, now)
+	table.setLoads(a, map[string]placement.Load{"x": {Open: 1, Unread: 10, Resident: 100}})
+	table.setLoads(b, map[string]placement.Load{"x": {Open: 2, Unread: 20}, "y": {Open: 1}})
+	table.setLoads(b, map[string]placement.Load{"x": {Open: 3, Unread: 30}})
+	g.Expect(table.loadsBesides(a)).To(Equal(map[string]placement.Load{"x": {Open: 3, Unread: 30}}))
+	g.Expect(table.loadsBesides(b)).To(Equal(map[string]placement.Load{"x": {Open: 1, Unread: 10, Resident: 100}}))
+	revision := table.revision
+	b = table.heard("b", Peer{Session: 2}, now.Add(hostRetention))
+	table.expire(now.Add(hostRetention + 1))
+	g.Expect(table.peers()).To(ConsistOf(Peer{Session: 2}))
+	g.Expect(table.revision).To(BeNumerically(">", revision))
+	g.Expect(table.loadsBesides(b)).To(BeEmpty(), "a host that is gone has no load")
+}
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -73,6 +73,9 @@
 	// Epoch and Revision name the table of upstreams that the host has.
 	Epoch    uint64 `cbor:"5,keyasint,omitempty"`
 	Revision uint64 `cbor:"6,keyasint,omitempty"`
+	// Brief marks a call that was made early, for tokens: it tells nothing of the loads,
+	// and asks for none.
+	Brief bool `cbor:"12,keyasint,omitempty"`
 	// Loads is the load by the host, by upstream.
 	Loads map[string]placement.Load `cbor:"7,keyasint,omitempty"`
 	// Crashes names requests whose upstream broke down while it ran them.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -71,14 +71,12 @@
 	members map[uint64]string // addresses by replica id; kept when a replica leaves
 	table   *presence.Table
 	// direct holds when an upstream last reported to this host itself.
-	direct map[string]time.Time
-	hosts  map[string]*gatewayHost
-	// peersRevision numbers the changes of the set of gateway hosts.
-	peersRevision uint64
-	crashes       crashCounter
-	peers         map[string]chan UpstreamRecord
-	wg            sync.WaitGroup
-	ctx           context.Context
+	direct  map[string]time.Time
+	hosts   *hostTable
+	crashes crashCounter
+	peers   map[string]chan UpstreamRecord
+	wg      sync.WaitGroup
+	ctx     context.Context
 }
 
 // New returns a control host that is not started.
@@ -86,7 +84,7 @@
 	n := &Node{
 		options: o, epoch: rand.Uint64(),
 		members: map[uint64]string{}, table: presence.NewTable(),
-		direct: map[string]time.Time{}, hosts: map[string]*gatewayHost{}, peers: map[string]chan UpstreamRecord{},
+		direct: map[string]time.Time{}, hosts: newHostTable(), peers: map[string]chan UpstreamRecord{},
 	}
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		return netconn.Dial(ctx, address, dialTimeout, silence)
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -7,22 +7,10 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
-	"github.com/godwitbend/godwitbend/internal/placement"
 )
 
-const (
-	// syncTimeout bounds the commit of a host's report.
-	syncTimeout = 800 * time.Millisecond
-	// hostRetention is the time without a call after which a gateway host counts as gone.
-	hostRetention = 3 * time.Second
-)
-
-// gatewayHost is what the leader knows of a gateway host.
-type gatewayHost struct {
-	seen  time.Time
-	loads map[string]placement.Load
-	peer  Peer
-}
+// syncTimeout bounds the commit of a host's report.
+const syncTimeout = 800 * time.Millisecond
 
 // sync serves MethodSync.
 func (n *Node) sync(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
@@ -51,49 +39,27 @@
 	}
 }
 
-// addTraffic notes the host's load and tells it of the upstreams and the load of the others.
+// addTraffic notes the host's load and tells it of the upstreams and the load of the
+// others. A brief call leaves the loads as they are.
 func (n *Node) addTraffic(req *SyncRequest, reply *SyncReply, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h := n.hosts[req.Host]
-	if h == nil {
-		h = &gatewayHost{}
-		n.hosts[req.Host] = h
-	}
-	if h.peer != req.Peer {
-		n.peersRevision++
+	h := n.hosts.heard(req.Host, req.Peer, now)
+	if !req.Brief {
+		n.hosts.expire(now)
+		n.hosts.setLoads(h, req.Loads)
+		reply.Loads = n.hosts.loadsBesides(h)
 	}
-	h.seen, h.loads, h.peer = now, req.Loads, req.Peer
-	reply.Loads = map[string]placement.Load{}
-	for name, other := range n.hosts {
-		if now.Sub(other.seen) > hostRetention {
-			delete(n.hosts, name)
-			n.peersRevision++
-			continue
-		}
-		if name == req.Host {
-			continue
-		}
-		for id, load := range other.loads {
-			sum := reply.Loads[id]
-			sum.Open += load.Open
-			sum.Unread += load.Unread
-			sum.Resident += load.Resident
-			reply.Loads[id] = sum
-		}
-	}
-	reply.Hosts = len(n.hosts)
-	reply.Revision = n.table.Revision()
+	reply.Hosts = len(n.hosts.hosts)
 	known := req.Revision
 	if req.Epoch != n.epoch {
 		known = 0
 	}
+	reply.Revision = n.table.Revision()
 	reply.Upstreams = toMessages(n.table.Since(known), now)
-	reply.PeersRevision = n.peersRevision
-	if req.Epoch != n.epoch || req.Peers != n.peersRevision {
-		for _, other := range n.hosts {
-			reply.Peers = append(reply.Peers, other.peer)
-		}
+	reply.PeersRevision = n.hosts.revision
+	if req.Epoch != n.epoch || req.Peers != n.hosts.revision {
+		reply.Peers = n.hosts.peers()
 	}
 	n.crashes.add(req.Crashes, now)
 	reply.Quarantined = n.crashes.quarantined(now)
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -99,6 +99,8 @@
 	// statements answer the questions of the last reply.
 	statements []prepaid.Statement
 	inTouch    bool
+	// fullAt is when the leader last told the loads by other hosts.
+	fullAt time.Time
 
 	mu      sync.Mutex
 	crashes []controlnode.Crash
@@ -300,10 +302,13 @@
 func (c *Client) request() *controlnode.SyncRequest {
 	req := &controlnode.SyncRequest{
 		Host: c.options.Host, Version: c.version, Epoch: c.epoch, Revision: c.revision,
-		Loads: c.options.Pool.Loads(), Peers: c.peersAt,
+		Peers: c.peersAt, Brief: time.Since(c.fullAt) < c.interval()/2,
 		Statements: c.statements,
 		Peer:       controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
+	if !req.Brief {
+		req.Loads = c.options.Pool.Loads()
+	}
 	if !c.opened {
 		opening := c.opening
 		opening.Age = c.options.Clock() - opening.Clock
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -1,6 +1,8 @@
 package hostsync
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
@@ -42,7 +44,10 @@
 	if len(reply.Upstreams) > 0 {
 		c.options.Pool.Update(records(reply.Upstreams))
 	}
-	c.options.Pool.Synced(reply.Loads)
+	if !req.Brief {
+		c.fullAt = time.Now()
+		c.options.Pool.Synced(reply.Loads)
+	}
 	c.mu.Lock()
 	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
 	if reply.Peers != nil {
