--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -126,12 +126,15 @@
 }
 
 func (q *request) choose(service string) (*placement.Place, *errkind.Error) {
-	place, reason, after := q.handler.Pool.Choose(q.placement(service), time.Now())
-	switch reason {
-	case placement.Chosen:
+	place, refused := q.handler.Pool.Choose(q.placement(service), time.Now())
+	if refused == nil {
 		return place, nil
+	}
+	q.backlog, q.pace = refused.Least, refused.Pace
+	switch refused.Reason {
 	case placement.Full:
-		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q are full", service).WithRetryAfter(max(after, fullRetry))
+		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q are full", service).
+			WithRetryAfter(max(refused.After, fullRetry))
 	case placement.None:
 		return nil, errkind.New(errkind.NoUpstream, "no upstream of service %q is known", service).WithRetryAfter(noUpstreamRetry)
 	default:
--- a/internal/hostsync/client_test.go
+++ b/internal/hostsync/client_test.go
@@ -119,10 +119,10 @@
 		}
 		return 0
 	}, eventually).Should(Equal(uint64(3)))
-	gr.g.Eventually(func() placement.Reason {
-		_, reason, _ := pool.Choose(&placement.Request{Service: "s"}, time.Now())
-		return reason
-	}, eventually).Should(Equal(placement.Chosen))
+	gr.g.Eventually(func() *placement.Refusal {
+		_, refused := pool.Choose(&placement.Request{Service: "s"}, time.Now())
+		return refused
+	}, eventually).Should(BeNil())
 	gr.g.Eventually(func() prepaid.Verdict {
 		if reserve(c, 50_000) == prepaid.Granted {
 			return prepaid.Granted
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -95,14 +95,24 @@
 	Full
 )
 
-// Choose takes a place for a request. Without one it returns why, and after which
-// time there may be one.
-func (p *Pool) Choose(req *Request, now time.Time) (*Place, Reason, time.Duration) {
+// Refusal tells why no upstream was chosen, with what decided it.
+type Refusal struct {
+	Reason Reason
+	// After is the time after which there may be a place.
+	After time.Duration
+	// Least is the least backlog in tokens among the engines, and Pace their reading
+	// speed in tokens a millisecond; both are 0 for plain services.
+	Least int64
+	Pace  float64
+}
+
+// Choose takes a place for a request, or tells why there is none.
+func (p *Pool) Choose(req *Request, now time.Time) (*Place, *Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates, reason := p.candidates(req, now)
 	if reason != Chosen {
-		return nil, reason, minRetry
+		return nil, &Refusal{Reason: reason, After: minRetry}
 	}
 	l := &Place{Upstream: p.leastLoaded(candidates), unread: req.Tokens}
 	if req.HasPart {
@@ -111,11 +121,11 @@
 		l, least = p.bySharedPart(req, candidates, c, now)
 		c.count(l == nil, now)
 		if l == nil {
-			return nil, Full, c.retryAfter(req, least)
+			return nil, &Refusal{Reason: Full, After: c.retryAfter(req, least), Least: least, Pace: c.tokens}
 		}
 	}
 	p.take(l, req, now)
-	return l, Chosen, 0
+	return l, nil
 }
 
 func (p *Pool) take(l *Place, req *Request, now time.Time) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -34,8 +34,8 @@
 }
 
 func choose(g *WithT, p *Pool, r *Request) *Place {
-	l, reason, _ := p.Choose(r, start)
-	g.Expect(reason).To(Equal(Chosen))
+	l, refused := p.Choose(r, start)
+	g.Expect(refused).To(BeNil())
 	return l
 }
 
@@ -130,10 +130,10 @@
 	for range 5 {
 		g.Expect(choose(g, p, plain).ID).NotTo(Equal(first.ID))
 	}
-	other, _, _ := p.Choose(&Request{Service: "engine", Exclude: []string{"u0", "u1"}}, start)
+	other, _ := p.Choose(&Request{Service: "engine", Exclude: []string{"u0", "u1"}}, start)
 	g.Expect(other).To(BeNil())
-	l, reason, _ := p.Choose(&Request{Service: "engine", Exclude: []string{otherOf(first.ID)}}, start)
-	g.Expect(reason).To(Equal(Chosen), "rather an ejected one than none")
+	l, refused := p.Choose(&Request{Service: "engine", Exclude: []string{otherOf(first.ID)}}, start)
+	g.Expect(refused).To(BeNil(), "rather an ejected one than none")
 	g.Expect(l.ID).To(Equal(first.ID))
 	p.Observe(l, Served, start)
 	g.Expect(p.sound(l.Upstream, start)).To(BeTrue())
@@ -182,10 +182,10 @@
 	for range 7 {
 		choose(g, p, plain)
 	}
-	l, reason, after := p.Choose(plain, start)
+	l, refused := p.Choose(plain, start)
 	g.Expect(l).To(BeNil())
-	g.Expect(reason).To(Equal(Full))
-	g.Expect(after).To(BeNumerically(">", 0))
+	g.Expect(refused.Reason).To(Equal(Full))
+	g.Expect(refused.After).To(BeNumerically(">", 0))
 }
 
 func TestIdleUpstreamsTakeTurns(t *testing.T) {
@@ -220,8 +220,9 @@
 	r := &Request{Service: "engine", Tokens: 30_000, Part: 1, HasPart: true, Output: 1_000, Memory: 100_000}
 	var open []*Place
 	for {
-		l, reason, _ := p.Choose(r, start)
-		if reason == Full {
+		l, refused := p.Choose(r, start)
+		if refused != nil {
+			g.Expect(refused.Reason).To(Equal(Full))
 			break
 		}
 		p.Begin(l, start)
--- a/internal/placement/rush_test.go
+++ b/internal/placement/rush_test.go
@@ -158,10 +158,11 @@
 	p := poolOf(g, "a", rushEngines)
 	return play(g, rush(seed),
 		func(r *rushRequest, now time.Time) (string, int64) {
-			l, reason, after := p.Choose(&r.request, now)
-			if reason != Chosen {
-				g.Expect(after).To(BeNumerically(">=", minRetry))
-				g.Expect(after).To(BeNumerically("<=", maxRetry))
+			l, refused := p.Choose(&r.request, now)
+			if refused != nil {
+				g.Expect(refused.After).To(BeNumerically(">=", minRetry))
+				g.Expect(refused.After).To(BeNumerically("<=", maxRetry))
+				g.Expect(refused.Pace).To(BeNumerically(">", 0))
 				return "", 0
 			}
 			r.place = l
