--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -50,24 +50,28 @@
 func (c *Client) NewServer() *rpc.Server {
 	srv := rpc.NewServer()
 	c.handleWitness(srv)
-	rpc.Handle(srv, methodTransfer, func(ctx context.Context, req *transferRequest) (*transferReply, error) {
-		reply := c.give(req)
-		if req.Lend && reply.Tokens < req.Need && c.InTouch(time.Now()) &&
-			c.allowance.Lend(req.Organisation, req.Need-reply.Tokens, c.options.Clock()) {
-			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-			defer cancel()
-			if c.AwaitContact(ctx) {
-				rest := *req
-				rest.Need, rest.Want = req.Need-reply.Tokens, req.Need-reply.Tokens
-				more := c.give(&rest)
-				reply.Tokens, reply.Free = reply.Tokens+more.Tokens, more.Free
-			}
-		}
-		return reply, nil
-	})
+	rpc.Handle(srv, methodTransfer, c.transfer)
 	return srv
 }
 
+// transfer serves methodTransfer. A host in touch with the control group whose envelope
+// allows too little reports first, if it is asked to and holds enough.
+func (c *Client) transfer(ctx context.Context, req *transferRequest) (*transferReply, error) {
+	reply := c.give(req)
+	missing := req.Need - reply.Tokens
+	if !req.Lend || missing <= 0 || !c.InTouch(time.Now()) || !c.allowance.Lend(req.Organisation, missing, c.options.Clock()) {
+		return reply, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if c.AwaitContact(ctx) {
+		more := c.give(&transferRequest{Organisation: req.Organisation, To: req.To, Need: missing, Want: missing})
+		reply.Tokens, reply.Free = reply.Tokens+more.Tokens, more.Free
+	}
+	return reply, nil
+}
+
+// give sets tokens aside for another host, within this host's envelope.
 func (c *Client) give(req *transferRequest) *transferReply {
 	tokens, free := c.allowance.Give(req.Organisation, req.To, req.Need, req.Want, c.options.Clock())
 	if tokens > 0 {
