--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -134,6 +134,25 @@
 	g.Expect(audit.Check(e).DoubleBills).To(Equal(1))
 }
 
+// The rest of a run that was cut off may be charged by the merge of a journal. It has no
+// record of its own then, and the record of the cut-off run states it. What a completing
+// record has charged is stated there too and counts once.
+func TestRestThatAJournalChargedCounts(t *testing.T) {
+	g := NewWithT(t)
+	e := evidence(audit.Answer{Cut: true, ReceivedMS: 5}, served(6, 10))
+	e.Requests[0].Repeatable = true
+	e.Requests[0].Completions = []string{"r-1"}
+	e.Bills[0].Charged, e.Bills[0].Completed = 4, 5
+	g.Expect(audit.Check(e).UnbilledRuns).To(Equal(1))
+	e.Bills[0].Completed = 6
+	g.Expect(audit.Check(e).Broken()).To(BeFalse())
+	e.Bills[0].Completed = 7
+	g.Expect(audit.Check(e).DoubleBills).To(Equal(1))
+	e.Bills[0].Completed = 6
+	e.Bills = append(e.Bills, controlapi.RequestStatus{RequestID: "r-1", State: "settled", Charged: 6})
+	g.Expect(audit.Check(e).Broken()).To(BeFalse())
+}
+
 func TestWasteAndCutOffStreams(t *testing.T) {
 	g := NewWithT(t)
 	e := evidence(audit.Answer{SentMS: 0, ReceivedMS: 5, Cut: true}, served(6, 10))
--- a/internal/audit/auditor.go
+++ b/internal/audit/auditor.go
@@ -151,16 +151,22 @@
 // bill compares the charge of a request with what the caller received and the upstreams ran.
 func (a *auditor) bill(r *Request, whole int) {
 	f := &a.findings
-	var charged int64
+	var charged, completions, completed int64
 	settled := 0
-	for _, id := range r.ids() {
+	for i, id := range r.ids() {
 		for _, b := range a.bills[id] {
 			charged += b.Charged
+			if i > 0 {
+				completions += b.Charged
+			}
+			completed = max(completed, b.Completed)
 			if b.State == stateSettled {
 				settled++
 			}
 		}
 	}
+	// A merged journal may have charged the rest of a cut-off run without a record of its own.
+	charged += max(completed-completions, 0)
 	if charged > r.Cost {
 		f.DoubleBills++
 		a.example(true, r, "%d bills of %d tokens for a cost of %d", settled, charged, r.Cost)
