Share the set-up of the budget tests

Six tests opened the same book and host by the same four lines. Test files only; no assertion changed. internal/prepaid passes, lint is clean.

--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -47,6 +47,16 @@
 	return h
 }
 
+// openNorth returns a book with the budget of one organisation, and a host that holds
+// a part of it.
+func openNorth(g *WithT) (*Book, *host) {
+	b := NewBook()
+	b.SetPrepaid(map[string]int64{"north": 1_000_000})
+	h := openHost(g, b, "h", 1, int64(time.Hour))
+	h.allowance.Watch([]string{"north"})
+	return b, h
+}
+
 func (h *host) sync() {
 	r := h.allowance.Report(Instant{Boot: h.now, Wall: h.now}, h.witnesses, false)
 	reply := h.book.Apply(h.name, r, h.now)
@@ -148,10 +158,7 @@
 // that dies later loses no more than the burst of its demand.
 func TestMetNeedLeavesTheBurst(t *testing.T) {
 	g := NewWithT(t)
-	b := NewBook()
-	b.SetPrepaid(map[string]int64{"north": 1_000_000})
-	h := openHost(g, b, "h", 1, int64(time.Hour))
-	h.allowance.Watch([]string{"north"})
+	b, h := openNorth(g)
 	h.syncFor(time.Second)
 	const need = 50_000
 	g.Expect(h.allowance.Reserve("north", need, h.now).Verdict).To(Equal(Short))
@@ -167,10 +174,7 @@
 // A host in touch can give what it holds after a report that says so.
 func TestHostLendsBeyondItsBurstAfterAReport(t *testing.T) {
 	g := NewWithT(t)
-	b := NewBook()
-	b.SetPrepaid(map[string]int64{"north": 1_000_000})
-	h := openHost(g, b, "h", 1, int64(time.Hour))
-	h.allowance.Watch([]string{"north"})
+	b, h := openNorth(g)
 	h.syncFor(2 * time.Second)
 	const need = 60_000
 	tokens, _ := h.allowance.Give("north", 2, need, need, h.now)
@@ -188,10 +192,7 @@
 // A request that is short learns when the envelope would cover it.
 func TestShortRequestLearnsWhenItIsCovered(t *testing.T) {
 	g := NewWithT(t)
-	b := NewBook()
-	b.SetPrepaid(map[string]int64{"north": 1_000_000})
-	h := openHost(g, b, "h", 1, int64(time.Hour))
-	h.allowance.Watch([]string{"north"})
+	_, h := openNorth(g)
 	h.syncFor(2 * time.Second)
 	h.allowance.Reserve("north", 1000, h.now)
 	h.witnesses = []uint64{7}
@@ -208,10 +209,7 @@
 
 func TestSealedAllowanceSpendsNothing(t *testing.T) {
 	g := NewWithT(t)
-	b := NewBook()
-	b.SetPrepaid(map[string]int64{"north": 1_000_000})
-	h := openHost(g, b, "h", 1, int64(time.Hour))
-	h.allowance.Watch([]string{"north"})
+	b, h := openNorth(g)
 	h.syncFor(2 * time.Second)
 	g.Expect(h.allowance.Reserve("north", 100, h.now).Verdict).To(Equal(Granted))
 	h.allowance.Seal()
@@ -229,10 +227,7 @@
 // have noted must be noted by them too.
 func TestReserveIsNotedByTheWitnessesOfEveryReport(t *testing.T) {
 	g := NewWithT(t)
-	b := NewBook()
-	b.SetPrepaid(map[string]int64{"north": 1_000_000})
-	h := openHost(g, b, "h", 1, int64(time.Hour))
-	h.allowance.Watch([]string{"north"})
+	b, h := openNorth(g)
 	report := func(witness uint64) *Report {
 		return h.allowance.Report(Instant{Boot: h.now, Wall: h.now}, []uint64{witness}, false)
 	}
@@ -292,10 +287,7 @@
 // the book's bound counts from the report on. Found by the random schedules (seed 1975).
 func TestBriefReportAfterAnOpenReserveNamesAll(t *testing.T) {
 	g := NewWithT(t)
-	b := NewBook()
-	b.SetPrepaid(map[string]int64{"north": 1_000_000})
-	h := openHost(g, b, "h", 1, int64(time.Hour))
-	h.allowance.Watch([]string{"north"})
+	b, h := openNorth(g)
 	h.witnesses = []uint64{7}
 	h.syncFor(2 * time.Second)
 	spent := int64(100)
