Accept fractions for the memory limit and the slack of retries

Ruled out: rounding in the template, which the platform's placeholders can't do. Each number of the template was looked at: memory_mb and retries.slack were whole numbers and are fractions now; retries.ratio was one, stop_timeout and retries.window are durations, which accept fractions.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 // timeout has passed.
 func Run(ctx context.Context, path string, s *settings.Node, adapter Adapter) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitFraction * (1 << 20)))
+	debug.SetMemoryLimit(int64(s.MemoryMB * memoryLimitFraction * (1 << 20)))
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return err
--- a/internal/retrylimit/limit.go
+++ b/internal/retrylimit/limit.go
@@ -21,7 +21,7 @@
 // plus Slack may be retried.
 type Settings struct {
 	Ratio  float64
-	Slack  int
+	Slack  float64
 	Window time.Duration
 }
 
@@ -62,7 +62,7 @@
 	c := l.advance(service, now)
 	requests, retries := sum(c.requests[:]), sum(c.retries[:])
 	allowed := l.settings.Ratio*ratioShare*float64(requests) +
-		float64(l.settings.Slack)*slackShare/float64(max(hosts, 1))
+		l.settings.Slack*slackShare/float64(max(hosts, 1))
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -241,3 +241,9 @@
 		c.addFault(path, "must be from %d to %d, not %d", low, high, n)
 	}
 }
+
+func (c *checker) checkFraction(path string, n, low, high float64) {
+	if n < low || n > high {
+		c.addFault(path, "must be from %v to %v, not %v", low, high, n)
+	}
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -162,6 +162,8 @@
 		return "true or false"
 	case reflect.Uint64:
 		return "a whole number from 0"
+	case reflect.Float64:
+		return "a number"
 	default:
 		return "a whole number"
 	}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -40,7 +40,7 @@
 	// Listen holds the addresses at which the host listens.
 	Listen NodeListen `json:"listen"`
 	// MemoryMB is the memory limit of the process, in MB. Default: 128.
-	MemoryMB int `json:"memory_mb"`
+	MemoryMB float64 `json:"memory_mb"`
 	// StopTimeout is the time after SIGTERM at which the process is killed. Default: 8s.
 	StopTimeout Duration `json:"stop_timeout"`
 	// Retries limits the requests that are sent to a second upstream.
@@ -71,8 +71,9 @@
 type Retries struct {
 	// Ratio is the ratio of retries to requests, from 0 to 1. Default: 0.1.
 	Ratio float64 `json:"ratio"`
-	// Slack is the number of retries allowed in addition to Ratio. Default: 20.
-	Slack int `json:"slack"`
+	// Slack is the number of retries allowed in addition to Ratio. It may be a fraction,
+	// as it is shared among the hosts. Default: 20.
+	Slack float64 `json:"slack"`
 	// Window is the length of the sliding window over which retries are counted.
 	// Default: 10s.
 	Window Duration `json:"window"`
@@ -146,12 +147,10 @@
 	for _, seed := range n.Seeds {
 		c.checkAddress("seeds", seed)
 	}
-	c.checkNumber("memory_mb", int64(n.MemoryMB), minNodeMemoryMB, maxNodeMemoryMB)
+	c.checkFraction("memory_mb", n.MemoryMB, minNodeMemoryMB, maxNodeMemoryMB)
 	c.checkDuration("stop_timeout", n.StopTimeout, minStopTimeout, maxDuration)
-	if n.Retries.Ratio < 0 || n.Retries.Ratio > 1 {
-		c.addFault("retries.ratio", "must be from 0 to 1")
-	}
-	c.checkNumber("retries.slack", int64(n.Retries.Slack), 0, maxRetrySlack)
+	c.checkFraction("retries.ratio", n.Retries.Ratio, 0, 1)
+	c.checkFraction("retries.slack", n.Retries.Slack, 0, maxRetrySlack)
 	c.checkDuration("retries.window", n.Retries.Window, minTick, maxDuration)
 	if !slices.Contains(logLevels, n.Log.Level) {
 		c.addFault("log.level", "%q is not one of %q", n.Log.Level, logLevels)
