Let few hosts hold an organisation's tokens in large fleets

Ruled out: returns by idle hosts alone (the ledger's even surplus gives them back); a change of the ledger itself, since replicas of two builds would diverge. Change: in fleets of more than nine gateways three hosts per organisation, by rendezvous hashing over the addresses, hold its tokens; the others ask them before the control group and return what is left with the next report. What a report asks for depends on that part; the ledger and its messages are as they were. Hosts that borrow open no reserve for nothing, the reserve is no longer polled 50 times a second, a leader that was cut off does not forget all gateways, and gateways keep those that a new leader has not heard of yet for 3 s.

--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -68,15 +68,23 @@
 	t.totals[id] = sum
 }
 
-// expire removes the hosts whose last call is older than hostTimeout.
+// expire removes the hosts whose last call is older than hostTimeout. If these are more
+// than half of all, it removes none: then it is this host that was cut off.
 func (t *hostTable) expire(now time.Time) {
+	var overdue []string
 	for name, h := range t.hosts {
 		if now.Sub(h.lastCall) > hostTimeout {
-			t.setLoads(h, nil)
-			delete(t.hosts, name)
-			t.revision++
+			overdue = append(overdue, name)
 		}
 	}
+	if 2*len(overdue) > len(t.hosts) {
+		return
+	}
+	for _, name := range overdue {
+		t.setLoads(t.hosts[name], nil)
+		delete(t.hosts, name)
+		t.revision++
+	}
 }
 
 // loadsOfOthers returns the load that all other hosts put on each upstream.
--- a/internal/controlnode/hosts_test.go
+++ b/internal/controlnode/hosts_test.go
@@ -26,3 +26,22 @@
 	g.Expect(table.revision).To(BeNumerically(">", revision))
 	g.Expect(table.loadsOfOthers(b)).To(BeEmpty(), "an expired host has no load")
 }
+
+// A control host that was cut off from the gateways must not forget all of them.
+func TestHostTableKeepsHostsThatAreSilentTogether(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := newHostTable()
+	for _, name := range []string{"a", "b", "c"} {
+		table.recordCall(name, Peer{Address: name}, now)
+	}
+	later := now.Add(hostTimeout + 1)
+	table.expire(later)
+	g.Expect(table.peers()).To(HaveLen(3))
+	table.recordCall("a", Peer{Address: "a"}, later)
+	table.expire(later)
+	g.Expect(table.peers()).To(HaveLen(3), "two of three are silent")
+	table.recordCall("b", Peer{Address: "b"}, later)
+	table.expire(later)
+	g.Expect(table.peers()).To(ConsistOf(Peer{Address: "a"}, Peer{Address: "b"}))
+}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -14,8 +14,10 @@
 	// about 10 ms, or 100 ms in a fleet of many hosts.
 	controlGroupTimeout = 200 * time.Millisecond
 	// tokenRetryInterval is the time between two attempts to reserve tokens. Hosts return
-	// unneeded tokens with their reports, four times a second.
-	tokenRetryInterval = 50 * time.Millisecond
+	// unneeded tokens with their reports, four times a second. In large fleets, where many
+	// hosts ask the same few, it doubles up to maxTokenRetryDoublings times.
+	tokenRetryInterval     = 50 * time.Millisecond
+	maxTokenRetryDoublings = 3
 	// tokenRetryAfter is the time in which a host usually receives tokens that others returned.
 	tokenRetryAfter = 500 * time.Millisecond
 	// controlUnreachableRetryAfter applies if the control group is unreachable and a host
@@ -42,50 +44,86 @@
 	}
 	// Waiting is better than a refusal, as a retry would miss the latency objective anyway.
 	waitUntil := q.arrived.Add(q.route.LatencyObjective)
-	for {
-		verdict, controlReachable := q.acquireTokens(need)
-		switch verdict {
+	for tries := 0; ; tries++ {
+		search := q.acquireTokens(need)
+		switch search.verdict {
 		case prepaid.Granted:
 			return nil
 		case prepaid.Exhausted:
 			return errkind.New(errkind.BudgetExhausted, "the balance does not cover the %d tokens of the request", need)
 		case prepaid.Insufficient:
 		}
-		pause, retry := nextTokenAttempt(q.budgetDecision, controlReachable, time.Until(waitUntil))
+		pause, retry := search.nextAttempt(q.budgetDecision, tries, time.Until(waitUntil))
 		if retry > 0 || !timing.Sleep(q.ctx, pause) {
 			return errkind.New(errkind.BudgetReserved, "this host's allowance does not cover the %d tokens of the request", need).WithRetryAfter(max(retry, minTokenRetryAfter))
 		}
 	}
 }
 
+// tokenSearch is the result of an attempt to reserve tokens wherever they may be.
+type tokenSearch struct {
+	verdict prepaid.Verdict
+	// controlReachable reports whether the control group replied.
+	controlReachable bool
+	// borrows reports whether few hosts hold the organisation's tokens, and this host does not.
+	borrows bool
+	// holderWait is the time after which another host may send the lacking tokens; 0 if none
+	// of those asked holds so many.
+	holderWait time.Duration
+}
+
 // acquireTokens tries to reserve need tokens. If the allowance is insufficient, it asks the
-// control group for more if that is reachable, and then other hosts.
-func (q *request) acquireTokens(need int64) (verdict prepaid.Verdict, controlReachable bool) {
-	if verdict = q.tryReserve(need); verdict != prepaid.Insufficient {
-		return verdict, false
+// control group for more if that is reachable, and then other hosts. A host that borrows
+// asks the holders first, which costs the control group nothing.
+func (q *request) acquireTokens(need int64) *tokenSearch {
+	s := &tokenSearch{borrows: q.handler.Sync.Borrows(q.organisation.Name)}
+	if s.verdict = q.tryReserve(need); s.verdict != prepaid.Insufficient {
+		return s
+	}
+	if s.borrows && q.fetchTokens(s, need) {
+		return s
 	}
-	if controlReachable = q.handler.Sync.ControlReachable(time.Now()) && q.awaitControlGroup(); controlReachable {
-		if verdict = q.tryReserve(need); verdict != prepaid.Insufficient {
-			return verdict, true
+	if s.controlReachable = q.handler.Sync.ControlReachable(time.Now()) && q.awaitControlGroup(); s.controlReachable {
+		if s.verdict = q.tryReserve(need); s.verdict != prepaid.Insufficient {
+			return s
 		}
 	}
+	if !s.borrows {
+		q.fetchTokens(s, need)
+	}
+	return s
+}
+
+// fetchTokens asks other hosts for the lacking tokens, and reports whether the request's
+// tokens are reserved then.
+func (q *request) fetchTokens(s *tokenSearch, need int64) bool {
 	missing := need - max(q.budgetDecision.Allowed, 0)
-	if q.handler.Sync.FetchTokens(q.ctx, q.organisation.Name, missing) {
-		return q.tryReserve(need), controlReachable
+	received, wait := q.handler.Sync.FetchTokens(q.ctx, q.organisation.Name, missing)
+	s.holderWait = wait
+	if received {
+		s.verdict = q.tryReserve(need)
 	}
-	return prepaid.Insufficient, controlReachable
+	return s.verdict == prepaid.Granted
 }
 
-// nextTokenAttempt returns either the pause before the next attempt to reserve tokens or
-// the time after which the caller should retry. A host can lack tokens despite a sufficient
+// nextAttempt returns either the pause before the next attempt to reserve tokens or the
+// time after which the caller should retry. A host can lack tokens despite a sufficient
 // balance if other hosts hold them until their next reports, which affects large requests,
 // or in the first second without the control group, when all reserves are still closed.
-func nextTokenAttempt(d *prepaid.Decision, controlReachable bool, timeLeft time.Duration) (pause, retry time.Duration) {
+func (s *tokenSearch) nextAttempt(d *prepaid.Decision, tries int, timeLeft time.Duration) (pause, retry time.Duration) {
 	switch {
-	case controlReachable && timeLeft > 0:
+	case s.controlReachable && timeLeft > 0 && s.borrows:
+		return min(tokenRetryInterval<<min(tries, maxTokenRetryDoublings), timeLeft), 0
+	case s.controlReachable && timeLeft > 0:
 		return tokenRetryInterval, 0
-	case controlReachable:
+	case s.controlReachable:
 		return 0, tokenRetryAfter
+	case s.holderWait > 0 && s.holderWait <= timeLeft:
+		return max(s.holderWait, tokenRetryInterval), 0
+	case s.holderWait > 0:
+		return 0, s.holderWait
+	case s.borrows:
+		return 0, controlUnreachableRetryAfter
 	case d.AllowedIn > 0 && d.AllowedIn <= timeLeft:
 		return d.AllowedIn, 0
 	case !d.ReserveOpen && max(d.ReserveOpensIn, tokenRetryInterval) <= timeLeft:
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -28,6 +28,9 @@
 	for name, test := range map[string]struct {
 		decision         prepaid.Decision
 		controlReachable bool
+		borrows          bool
+		holderWait       time.Duration
+		tries            int
 		timeLeft         time.Duration
 		pause, retry     time.Duration
 	}{
@@ -47,11 +50,17 @@
 		"the envelope covers it later": {
 			decision: prepaid.Decision{ReserveOpen: true, AllowedIn: 2 * time.Second}, timeLeft: timeLeft, retry: 2 * time.Second,
 		},
-		"the tokens are gone": {decision: prepaid.Decision{ReserveOpen: true}, timeLeft: timeLeft, retry: controlUnreachableRetryAfter},
+		"the tokens are gone":              {decision: prepaid.Decision{ReserveOpen: true}, timeLeft: timeLeft, retry: controlUnreachableRetryAfter},
+		"borrower, connected":              {controlReachable: true, borrows: true, tries: 2, timeLeft: timeLeft, pause: 4 * tokenRetryInterval},
+		"borrower, many attempts":          {controlReachable: true, borrows: true, tries: 60, timeLeft: timeLeft, pause: 8 * tokenRetryInterval},
+		"borrower, a holder may send soon": {borrows: true, holderWait: 300 * time.Millisecond, timeLeft: timeLeft, pause: 300 * time.Millisecond},
+		"borrower, a holder may send late": {borrows: true, holderWait: 2 * time.Second, timeLeft: timeLeft, retry: 2 * time.Second},
+		"borrower, no holder has enough":   {borrows: true, timeLeft: timeLeft, retry: controlUnreachableRetryAfter},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			pause, retry := nextTokenAttempt(&test.decision, test.controlReachable, test.timeLeft)
+			search := &tokenSearch{controlReachable: test.controlReachable, borrows: test.borrows, holderWait: test.holderWait}
+			pause, retry := search.nextAttempt(&test.decision, test.tries, test.timeLeft)
 			g.Expect(pause).To(Equal(test.pause))
 			g.Expect(retry).To(Equal(test.retry))
 		})
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -21,7 +21,6 @@
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/rpc"
-	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -86,6 +85,12 @@
 	epoch           uint64
 	revision        uint64
 	peersRevision   uint64
+	// currentPeers are the gateway hosts that the leader knows.
+	currentPeers []controlnode.Peer
+	// earlierPeers are the gateway hosts that the previous leader knew, until epochSince is
+	// peerRetention ago: a new leader learns of the hosts only when they call it.
+	earlierPeers []controlnode.Peer
+	epochSince   time.Time
 	// ceilingAnswers answers the ceiling queries of the latest reply.
 	ceilingAnswers   []prepaid.CeilingAnswer
 	controlReachable bool
@@ -97,6 +102,8 @@
 	mu      sync.Mutex
 	crashes []controlnode.Crash
 	peers   []controlnode.Peer
+	// unreachable holds the time of the latest failed request for tokens by address.
+	unreachable map[string]time.Time
 	// syncsStarted counts the calls started; lastSuccessfulSync is the number of the
 	// latest successful one.
 	syncsStarted, lastSuccessfulSync uint64
@@ -118,6 +125,7 @@
 		wake:        make(chan struct{}, 1),
 		sessionLost: make(chan struct{}),
 		syncDone:    make(chan struct{}),
+		unreachable: map[string]time.Time{},
 	}
 }
 
@@ -177,7 +185,7 @@
 
 // Run calls the leader at intervals until ctx ends. It also opens the reserve when due.
 func (c *Client) Run(ctx context.Context) {
-	go timing.Every(ctx, reserveCheckInterval, func() { c.openReserve(ctx) })
+	go c.maintainReserve(ctx)
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := c.syncWithLeader(ctx)
--- a/internal/hostsync/client_test.go
+++ b/internal/hostsync/client_test.go
@@ -178,7 +178,8 @@
 		if d.Verdict == prepaid.Granted {
 			return true
 		}
-		return requester.FetchTokens(ctx, "north", 60_000-max(d.Allowed, 0)) && reserve(requester, 60_000) == prepaid.Granted
+		received, _ := requester.FetchTokens(ctx, "north", 60_000-max(d.Allowed, 0))
+		return received && reserve(requester, 60_000) == prepaid.Granted
 	}, eventuallyTimeout, "50ms").Should(BeTrue(), "once both have opened their reserves")
 }
 
--- /dev/null
+++ b/internal/hostsync/peers.go
@@ -0,0 +1,57 @@
+package hostsync
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
+)
+
+// peerRetention is how long the gateway hosts that only the previous leader knew are
+// retained after a change of the leader. Hosts that are up call the new one within that
+// time.
+const peerRetention = 3 * time.Second
+
+// applyPeers updates the list of gateway hosts, and with it the holders of tokens.
+func (c *Client) applyPeers(reply *controlnode.SyncReply) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reply.Epoch != c.epoch {
+		c.earlierPeers, c.epochSince = c.peers, now
+	}
+	expired := c.earlierPeers != nil && now.Sub(c.epochSince) > peerRetention
+	if reply.Peers != nil {
+		c.currentPeers = reply.Peers
+	}
+	if expired {
+		c.earlierPeers = nil
+	}
+	if reply.Peers == nil && !expired {
+		return
+	}
+	c.peers = mergePeers(c.currentPeers, c.earlierPeers)
+	addresses := []string{c.options.Address}
+	for _, p := range c.peers {
+		addresses = append(addresses, p.Address)
+	}
+	c.allowance.SetFleet(prepaid.NewFleet(c.options.Address, addresses))
+}
+
+// mergePeers returns current and those of earlier whose addresses current lacks, ordered by
+// address.
+func mergePeers(current, earlier []controlnode.Peer) []controlnode.Peer {
+	merged := slices.Clone(current)
+	slices.SortFunc(merged, comparePeers)
+	for _, p := range earlier {
+		if _, found := slices.BinarySearchFunc(merged[:len(current)], p, comparePeers); !found {
+			merged = append(merged, p)
+		}
+	}
+	slices.SortFunc(merged, comparePeers)
+	return merged
+}
+
+func comparePeers(a, b controlnode.Peer) int { return cmp.Compare(a.Address, b.Address) }
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -41,6 +41,7 @@
 	if len(reply.Members) > 0 {
 		c.members = reply.Members
 	}
+	c.applyPeers(reply)
 	c.epoch, c.revision, c.peersRevision = reply.Epoch, reply.Revision, reply.PeersRevision
 	if len(reply.Upstreams) > 0 {
 		c.options.Pool.Update(presenceRecords(reply.Upstreams))
@@ -51,9 +52,6 @@
 	}
 	c.mu.Lock()
 	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
-	if reply.Peers != nil {
-		c.peers = reply.Peers
-	}
 	c.mu.Unlock()
 	return c.updateView(reply)
 }
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -23,6 +24,8 @@
 	maxTransferHosts = 8
 	// maxReportingHosts is the number of those that are asked to report first if necessary.
 	maxReportingHosts = 2
+	// unreachableRetention is the time after a failed request for which a host is asked last.
+	unreachableRetention = time.Second
 	// demandHorizon is the time whose expected demand is asked for in addition to the need.
 	demandHorizon = time.Second
 )
@@ -45,6 +48,8 @@
 type transferReply struct {
 	Tokens int64 `cbor:"1,keyasint,omitempty"`
 	Free   int64 `cbor:"2,keyasint,omitempty"`
+	// Wait is the time after which the sender may send the rest; 0 if it holds too few.
+	Wait time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // NewServer returns the RPC server for calls from other gateway hosts.
@@ -61,6 +66,9 @@
 func (c *Client) handleTransfer(ctx context.Context, req *transferRequest) (*transferReply, error) {
 	reply := c.sendTokens(req)
 	missing := req.Need - reply.Tokens
+	if missing > 0 {
+		reply.Wait = c.allowance.TransferWait(req.Organisation, missing, c.options.Clock())
+	}
 	if !req.ReportIfInsufficient || missing <= 0 || !c.ControlReachable(time.Now()) || !c.allowance.PrepareTransfer(req.Organisation, missing, c.options.Clock()) {
 		return reply, nil
 	}
@@ -83,30 +91,44 @@
 	return &transferReply{Tokens: tokens, Free: free}
 }
 
+// Borrows reports whether the host borrows the organisation's tokens from other hosts,
+// which it should ask before the control group.
+func (c *Client) Borrows(organisation string) bool {
+	_, borrows := c.allowance.Lenders(organisation)
+	return borrows
+}
+
 // FetchTokens asks other hosts for tokens, one after the other, and reports whether it
-// received at least need. If it received less, those tokens stay on this host. Only the
+// received at least need. If it received less, those tokens stay on this host, and wait is
+// the time after which one of the others may send the rest; 0 if that is unknown. Only the
 // first hosts, which are known to hold the most, are asked to report if necessary.
-func (c *Client) FetchTokens(ctx context.Context, organisation string, need int64) bool {
+func (c *Client) FetchTokens(ctx context.Context, organisation string, need int64) (received bool, wait time.Duration) {
 	ahead := c.allowance.Demand(organisation, c.options.Clock()) * int64(demandHorizon/time.Second)
 	for i, peer := range c.transferCandidates(organisation) {
 		if ctx.Err() != nil {
-			return false
+			return false, wait
 		}
 		req := &transferRequest{Organisation: organisation, To: c.opening.Session, Need: need, Want: need + ahead, ReportIfInsufficient: i < maxReportingHosts}
-		if need -= c.fetchFrom(ctx, peer, req); need <= 0 {
-			return true
+		reply := c.fetchFrom(ctx, peer, req)
+		if need -= reply.Tokens; need <= 0 {
+			return true, 0
+		}
+		if reply.Wait > 0 && (wait == 0 || reply.Wait < wait) {
+			wait = reply.Wait
 		}
 	}
-	return false
+	return false, wait
 }
 
-func (c *Client) fetchFrom(ctx context.Context, peer controlnode.Peer, req *transferRequest) int64 {
+// fetchFrom asks one host for tokens. A failed call is logged and returns an empty reply.
+func (c *Client) fetchFrom(ctx context.Context, peer controlnode.Peer, req *transferRequest) *transferReply {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	reply, err := rpc.Call[transferRequest, transferReply](ctx, c.rpc, peer.Address, methodTransfer, req)
 	if err != nil {
 		klog.InfoS("request for tokens failed", "organisation", req.Organisation, "peer", peer.Address, "error", err.Error())
-		return 0
+		c.markUnreachable(peer.Address)
+		return &transferReply{}
 	}
 	c.allowance.UpdateHolder(req.Organisation, peer.Session, reply.Free)
 	if reply.Tokens > 0 {
@@ -114,12 +136,16 @@
 		klog.InfoS("received tokens from another host", "organisation", req.Organisation, "tokens", reply.Tokens,
 			"need", req.Need, "peer", peer.Address)
 	}
-	return reply.Tokens
+	return reply
 }
 
-// transferCandidates returns the hosts to ask for tokens: first those that are known to
-// hold tokens, in descending order, and then others in random order.
+// transferCandidates returns the hosts to ask for tokens. These are the holders of a large
+// fleet, or else first those that are known to hold tokens, in descending order, and then
+// others in random order.
 func (c *Client) transferCandidates(organisation string) []controlnode.Peer {
+	if lenders, _ := c.allowance.Lenders(organisation); len(lenders) > 0 {
+		return c.lendersToAsk(lenders)
+	}
 	c.mu.Lock()
 	peers := make(map[uint64]controlnode.Peer, len(c.peers))
 	for _, p := range c.peers {
@@ -143,3 +169,35 @@
 	list = append(list, others...)
 	return list[:min(len(list), maxTransferHosts)]
 }
+
+// lendersToAsk returns the peers at the given addresses. Those that were unreachable
+// recently come last.
+func (c *Client) lendersToAsk(addresses []string) []controlnode.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var reachable, unreachable []controlnode.Peer
+	for _, address := range addresses {
+		at, found := slices.BinarySearchFunc(c.peers, controlnode.Peer{Address: address}, comparePeers)
+		switch {
+		case !found:
+		case time.Since(c.unreachable[address]) < unreachableRetention:
+			unreachable = append(unreachable, c.peers[at])
+		default:
+			reachable = append(reachable, c.peers[at])
+		}
+	}
+	return append(reachable, unreachable...)
+}
+
+// markUnreachable records that a request for tokens to a host failed.
+func (c *Client) markUnreachable(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for other, at := range c.unreachable {
+		if now.Sub(at) >= unreachableRetention {
+			delete(c.unreachable, other)
+		}
+	}
+	c.unreachable[address] = now
+}
--- a/internal/hostsync/witness.go
+++ b/internal/hostsync/witness.go
@@ -12,6 +12,7 @@
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // methodWitness is the RPC method that records the ceilings of a host that opens its reserve.
@@ -20,7 +21,8 @@
 const (
 	// witnessTimeout bounds the calls to the witnesses.
 	witnessTimeout = 200 * time.Millisecond
-	// reserveCheckInterval is the time between two checks whether opening the reserve is due.
+	// reserveCheckInterval is the minimum time between two checks whether opening the reserve
+	// is due.
 	reserveCheckInterval = 20 * time.Millisecond
 )
 
@@ -58,6 +60,13 @@
 	return list[:min(len(list), prepaid.MaxWitnesses)]
 }
 
+// maintainReserve opens the reserve whenever that is due, until ctx ends.
+func (c *Client) maintainReserve(ctx context.Context) {
+	for timing.Sleep(ctx, max(c.allowance.ReserveCheckIn(c.options.Clock()), reserveCheckInterval)) {
+		c.openReserve(ctx)
+	}
+}
+
 // openReserve opens the reserve, or more of it, if that is due and the witnesses have
 // recorded the ceilings.
 func (c *Client) openReserve(ctx context.Context) {
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -10,23 +10,6 @@
 const (
 	// demandTimeConstant is the time constant of the exponential decay of the demand.
 	demandTimeConstant = 4 * time.Second
-	// outageHorizon is the time for which a host should hold enough tokens to serve without
-	// the control group, whose outages last 9 s in the target deployments.
-	outageHorizon = 10 * time.Second
-	// reserveRateFactor is the ratio of the spending rate of an open reserve to the recent
-	// demand. The busiest organisations peak at two to three times their usual demand, and
-	// a host that lacks tokens gets them from other hosts.
-	reserveRateFactor = 2
-	// holdingFactor is the ratio of the tokens that a host asks for to its recent demand
-	// over outageHorizon. During a peak it gets the remainder from other hosts.
-	holdingFactor = 1.5
-	// burstWindow is the time at the recent demand for which a host may spend between two
-	// reports without asking. The whole burst is written off if the host crashes.
-	burstWindow = 300 * time.Millisecond
-	// minRateDivisor sets the minimum rate of an envelope: the balance divided by this
-	// number of seconds and by the number of hosts. It serves organisations that the host
-	// has had no requests of.
-	minRateDivisor = 60
 	// shareChangeThreshold is the relative change of the host's even share of the balance
 	// from which an organisation without requests is reported again.
 	shareChangeThreshold = 0.25
@@ -86,10 +69,15 @@
 	// sealed forbids all further spending.
 	sealed     bool
 	allotments map[string]*allotment
+	// fleet determines the holders of each organisation's tokens; nil until it is known.
+	fleet *Fleet
 }
 
 // allotment holds the tokens of one organisation in an Allowance.
 type allotment struct {
+	role role
+	// lenders lists the other holders of the organisation's tokens, the preferred one first.
+	lenders                           []string
 	granted, returned, used, reserved int64
 	// credited is the part of granted that the control group knows to come from other
 	// hosts. received is the sum of the tokens that arrived from other hosts. transfers
@@ -106,9 +94,10 @@
 	hosts          int
 	balanceAt      int64
 	balanceKnown   bool
-	// demand is the exponentially decayed sum of requested tokens, as of demandAt.
-	demand   float64
-	demandAt int64
+	// demand is the exponentially decayed sum of requested tokens, and largest the decayed
+	// maximum, both as of demandAt.
+	demand, largest float64
+	demandAt        int64
 	// ceilingRecorded reports whether the witnesses have recorded ceiling since the last
 	// report; raiseCeiling requests a higher one.
 	ceilingRecorded, raiseCeiling bool
@@ -140,6 +129,7 @@
 			t.pending = &envelope{reportTime: a.unacked.BootTime}
 		}
 		a.allotments[organisation] = t
+		a.assignRole(organisation, t)
 	}
 	return t
 }
@@ -257,25 +247,25 @@
 	return a.acked.BootTime
 }
 
-// evenShare returns the balance divided by the number of hosts.
-func (t *allotment) evenShare() float64 {
-	return float64(max(t.balance, 0)) / float64(max(t.hosts, 1))
-}
-
 // unchanged reports whether there is nothing new to report.
 func (t *allotment) unchanged() bool {
+	if t.role == roleBorrower {
+		return !t.changed
+	}
 	return !t.changed && t.demand < 1 && math.Abs(t.evenShare()-t.reportedShare) <= t.reportedShare*shareChangeThreshold
 }
 
 func (t *allotment) addDemand(tokens, now int64) {
 	t.decayDemand(now)
 	t.demand += float64(tokens)
+	t.largest = max(t.largest, float64(tokens))
 }
 
 func (t *allotment) decayDemand(now int64) {
 	if d := time.Duration(now - t.demandAt); t.demandAt != 0 && d > 0 {
 		factor := math.Exp(-d.Seconds() / demandTimeConstant.Seconds())
 		t.demand *= factor
+		t.largest *= factor
 	}
 	t.demandAt = now
 }
@@ -311,22 +301,18 @@
 // follows from it.
 func (t *allotment) reportUse(name string, now int64) Use {
 	t.decayDemand(now)
-	rate := t.demand / demandTimeConstant.Seconds() * reserveRateFactor
 	t.reportedShare = t.evenShare()
-	rate = max(rate, t.reportedShare/minRateDivisor)
-	burst := rate / reserveRateFactor * burstWindow.Seconds()
+	size := t.sizing()
 	u := Use{
-		Organisation: name, Used: t.used, Reserved: t.reserved,
-		Want: int64(rate*holdingFactor/reserveRateFactor*outageHorizon.Seconds()+burst) + t.shortfall,
-		Rate: int64(rate), Burst: int64(burst) + t.shortfall,
-	}
-	if excess := t.held() - t.committed() - max(t.target, 0); t.balanceKnown && excess > 0 {
-		t.returned += excess
+		Organisation: name, Used: t.used, Reserved: t.reserved, Want: size.want + t.shortfall,
+		Rate: size.rate, Burst: size.burst + t.shortfall,
 	}
+	t.returned += max(t.excess(), 0)
 	u.Returned, u.Transfers, u.Received = t.returned, slices.Clone(t.transfers), t.receivedTotal()
 	t.pending = &envelope{base: t.committed() + u.Burst, rate: u.Rate, reportTime: now, received: u.Received}
+	// A borrower whose request was meanwhile served otherwise returns what it was granted.
+	t.changed = t.role == roleBorrower && t.shortfall > 0
 	t.shortfall = int64(float64(t.shortfall) * shortfallDecay)
-	t.changed = false
 	return u
 }
 
--- /dev/null
+++ b/internal/prepaid/large_fleet_test.go
@@ -0,0 +1,241 @@
+package prepaid
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// fleetLoad plays requests of large prompts on a large fleet whose budgets are 1.3 times
+// the demand, and cuts all hosts off from the control group for some seconds. Calls to the
+// control group beyond its capacity fail.
+type fleetLoad struct {
+	random   *rand.Rand
+	now      time.Duration
+	book     *Book
+	hosts    []*fleetHost
+	cutFrom  time.Duration
+	cutUntil time.Duration
+	// callsLeft is the number of calls that the control group can serve now.
+	callsLeft float64
+	// asked and served count the requests, servedInCut those that arrived during the cut.
+	asked, served, askedInCut, servedInCut int
+}
+
+type fleetHost struct {
+	address   string
+	session   uint64
+	allowance *Allowance
+	nextSync  time.Duration
+	ends      []simRequest
+	waiting   []fleetRequest
+}
+
+type fleetRequest struct {
+	organisation  string
+	need          int64
+	inCut         bool
+	retryAt, last time.Duration
+}
+
+const (
+	loadHosts         = 150
+	loadOrganisations = 40
+	// loadPerOrganisation is the number of requests per second of one organisation.
+	loadPerOrganisation = 4
+	loadLength          = 34 * time.Second
+	loadStep            = 20 * time.Millisecond
+	loadSyncInterval    = 500 * time.Millisecond
+	// loadCallsPerSecond is the capacity of the control group: an eighth of a core at 0.28 ms
+	// a call. The regular calls take two thirds of it.
+	loadCallsPerSecond = 430
+	// loadPatience is how long a request waits for tokens.
+	loadPatience = time.Second
+	largeNeed    = 17_000
+	smallNeed    = 1_500
+	// meanNeed is the mean of three large requests and one small one.
+	meanNeed = (3*largeNeed + smallNeed) / 4
+)
+
+func playFleetLoad(seed uint64, holders bool) *fleetLoad {
+	l := &fleetLoad{random: rand.New(rand.NewPCG(seed, 3)), book: NewBook(), cutFrom: 8 * time.Second, cutUntil: 16 * time.Second}
+	prepaid := map[string]int64{}
+	for i := range loadOrganisations {
+		prepaid[fmt.Sprintf("o%d", i)] = int64(1.3 * loadPerOrganisation * meanNeed * loadLength.Seconds())
+	}
+	l.book.SetPrepaid(prepaid)
+	var addresses []string
+	for i := range loadHosts {
+		addresses = append(addresses, fmt.Sprintf("h%d", i))
+	}
+	for _, address := range addresses {
+		h := &fleetHost{address: address, session: l.random.Uint64(), nextSync: time.Duration(l.random.Int64N(int64(loadSyncInterval)))}
+		h.allowance = NewAllowance(h.session)
+		l.book.OpenSession(SessionOpening{Host: address, Session: h.session})
+		if holders {
+			h.allowance.SetFleet(NewFleet(address, addresses))
+		}
+		for name := range prepaid {
+			h.allowance.RegisterOrganisations([]string{name})
+		}
+		l.hosts = append(l.hosts, h)
+	}
+	const warmUp = 2 * time.Second
+	for l.now < loadLength {
+		l.now += loadStep
+		l.callsLeft = min(l.callsLeft+loadCallsPerSecond*loadStep.Seconds(), loadCallsPerSecond/10)
+		for _, h := range l.hosts {
+			l.step(h)
+		}
+		if l.now > warmUp && l.random.Float64() < loadOrganisations*loadPerOrganisation*loadStep.Seconds() {
+			l.arrive()
+		}
+	}
+	return l
+}
+
+func (l *fleetLoad) inCut() bool { return l.now >= l.cutFrom && l.now < l.cutUntil }
+
+func (l *fleetLoad) arrive() {
+	r := fleetRequest{
+		organisation: fmt.Sprintf("o%d", l.random.IntN(loadOrganisations)), need: largeNeed, inCut: l.inCut(),
+		retryAt: l.now, last: l.now + loadPatience,
+	}
+	if l.random.IntN(4) == 0 {
+		r.need = smallNeed
+	}
+	l.asked++
+	if r.inCut {
+		l.askedInCut++
+	}
+	h := l.hosts[l.random.IntN(len(l.hosts))]
+	h.waiting = append(h.waiting, r)
+}
+
+func (l *fleetLoad) step(h *fleetHost) {
+	running := h.ends[:0]
+	for _, r := range h.ends {
+		if l.now < r.ends {
+			running = append(running, r)
+			continue
+		}
+		h.allowance.Settle(r.organisation, r.reserved, r.reserved*9/10)
+	}
+	h.ends = running
+	if l.now >= h.nextSync {
+		h.nextSync = l.now + loadSyncInterval
+		l.sync(h)
+	}
+	if o := h.allowance.DueReserveOpening(int64(l.now)); o != nil {
+		h.allowance.OpenReserve(o, o.WitnessLists[0])
+	}
+	waiting := h.waiting[:0]
+	for _, r := range h.waiting {
+		if l.now >= r.retryAt {
+			if l.serve(h, r) {
+				continue
+			}
+			r.retryAt = l.now + 50*time.Millisecond
+		}
+		if l.now < r.last {
+			waiting = append(waiting, r)
+		}
+	}
+	h.waiting = waiting
+}
+
+func (l *fleetLoad) sync(h *fleetHost) {
+	if l.inCut() || l.callsLeft < 1 {
+		return
+	}
+	l.callsLeft--
+	var witnesses []uint64
+	for _, other := range l.hosts[:MaxWitnesses] {
+		witnesses = append(witnesses, other.session)
+	}
+	report := h.allowance.Report(Instant{BootTime: int64(l.now), WallTime: int64(l.now)}, witnesses, false)
+	reply := l.book.ApplyReport(h.address, report, int64(l.now))
+	h.allowance.Acknowledge(&reply, int64(l.now))
+}
+
+// serve reserves the tokens of a request as a gateway does: from its own allowance, from
+// the control group, and from up to eight other hosts.
+func (l *fleetLoad) serve(h *fleetHost, r fleetRequest) bool {
+	lenders, first := h.allowance.Lenders(r.organisation)
+	for _, source := range []func(){
+		func() {},
+		func() {
+			if !first {
+				l.sync(h)
+			}
+		},
+		func() { l.borrow(h, r, lenders) },
+		func() {
+			if first {
+				l.sync(h)
+			}
+		},
+	} {
+		source()
+		if h.allowance.Reserve(r.organisation, r.need, int64(l.now)).Verdict != Granted {
+			continue
+		}
+		h.ends = append(h.ends, simRequest{r.organisation, r.need, l.now + time.Second})
+		l.served++
+		if r.inCut {
+			l.servedInCut++
+		}
+		return true
+	}
+	return false
+}
+
+func (l *fleetLoad) borrow(h *fleetHost, r fleetRequest, lenders []string) {
+	candidates := make([]*fleetHost, 0, MaxDirectPeers)
+	for _, other := range l.hosts {
+		for _, address := range lenders {
+			if other.address == address {
+				candidates = append(candidates, other)
+			}
+		}
+	}
+	for len(lenders) == 0 && len(candidates) < MaxDirectPeers {
+		candidates = append(candidates, l.hosts[l.random.IntN(len(l.hosts))])
+	}
+	need := r.need
+	for _, other := range candidates {
+		if other == h || need <= 0 {
+			continue
+		}
+		tokens, _ := other.allowance.Transfer(r.organisation, h.session, need, need, int64(l.now))
+		if tokens < need && !l.inCut() && other.allowance.PrepareTransfer(r.organisation, need-tokens, int64(l.now)) {
+			l.sync(other)
+			more, _ := other.allowance.Transfer(r.organisation, h.session, need-tokens, need-tokens, int64(l.now))
+			tokens += more
+		}
+		if tokens > 0 {
+			h.allowance.Receive(r.organisation, tokens)
+			need -= tokens
+		}
+	}
+}
+
+func (l *fleetLoad) refusedShare() float64      { return 1 - float64(l.served)/float64(l.asked) }
+func (l *fleetLoad) refusedShareInCut() float64 { return 1 - float64(l.servedInCut)/float64(l.askedInCut) }
+
+// All requests fit into the budgets, so none should be refused. Where each of many hosts
+// holds its own tokens, a host's share is smaller than one request.
+func TestHoldersServeLargeRequestsOfLargeFleets(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(2) {
+		independent, concentrated := playFleetLoad(seed, false), playFleetLoad(seed, true)
+		t.Logf("seed %d: refused %.3f, in the cut %.3f; with holders %.3f, in the cut %.3f", seed,
+			independent.refusedShare(), independent.refusedShareInCut(), concentrated.refusedShare(), concentrated.refusedShareInCut())
+		g.Expect(concentrated.refusedShare()).To(BeNumerically("<", 0.01), "seed %d", seed)
+		g.Expect(concentrated.refusedShareInCut()).To(BeNumerically("<", 0.02), "seed %d", seed)
+		g.Expect(concentrated.refusedShare()).To(BeNumerically("<", independent.refusedShare()/2), "seed %d", seed)
+	}
+}
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -35,7 +35,8 @@
 	if a.acked == nil || now-a.acked.BootTime <= int64(ReserveOpenDelay) {
 		return nil
 	}
-	due := !a.reserveOpen
+	// In a large fleet most hosts hold nothing that they could spend beyond their bursts.
+	due := !a.reserveOpen && !a.fleet.concentrated()
 	o := &ReserveOpening{Session: a.session, Seq: a.acked.Seq, WitnessLists: a.witnessLists()}
 	for _, name := range slices.Sorted(maps.Keys(a.allotments)) {
 		t := a.allotments[name]
@@ -45,7 +46,7 @@
 			continue
 		}
 		low := !t.ceilingRecorded || t.ceiling-t.netCommitted() < ahead/ceilingRenewalDivisor || t.raiseCeiling
-		due = due || low
+		due = due || low || !a.reserveOpen
 		o.Ceilings = append(o.Ceilings, Ceiling{Organisation: name, Tokens: t.netCommitted() + ahead})
 	}
 	if !due {
@@ -54,12 +55,25 @@
 	return o
 }
 
+// ReserveCheckIn returns the time after which DueReserveOpening may return an opening.
+func (a *Allowance) ReserveCheckIn(now int64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.acked == nil {
+		return ReserveOpenDelay
+	}
+	return max(ReserveOpenDelay-time.Duration(now-a.acked.BootTime), 0)
+}
+
 // netCommitted returns the committed tokens less those received from other hosts.
 func (t *allotment) netCommitted() int64 { return t.committed() - t.receivedTotal() }
 
 // lookahead returns the tokens that the host is likely to commit before the next ceiling
-// is recorded.
+// is recorded. A borrower commits what it holds; what it gets later needs no ceiling.
 func (t *allotment) lookahead() int64 {
+	if t.role == roleBorrower {
+		return max(t.held()-t.committed(), 0)
+	}
 	rate := int64(0)
 	for _, e := range []*envelope{t.acked, t.pending} {
 		if e != nil {
--- a/internal/prepaid/simulation_test.go
+++ b/internal/prepaid/simulation_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -18,8 +19,11 @@
 // compared with what it paid in.
 
 const (
-	simHostCount = 5
-	simStep      = 50 * time.Millisecond
+	simStep = 50 * time.Millisecond
+	// In a fleet of simSmallFleet hosts each holds its own tokens; in one of simLargeFleet
+	// few hold them for all.
+	simSmallFleet = 5
+	simLargeFleet = MaxDirectPeers + 4
 )
 
 // The last organisation is not registered in advance and is idle most of the time.
@@ -46,7 +50,7 @@
 }
 
 type simHost struct {
-	name             string
+	name             string // also its address
 	allowance        *Allowance
 	witness          *Witness
 	opening          SessionOpening
@@ -67,6 +71,7 @@
 	now                     time.Duration
 	book                    *Book
 	hosts                   []*simHost
+	fleetSize               int
 	prepaid                 map[string]int64
 	spent                   map[string]int64
 	granted                 int // requests whose tokens were reserved
@@ -75,7 +80,7 @@
 	controlClockSkew time.Duration
 }
 
-func newSimulation(seed uint64, disabled disabledParts) *simulation {
+func newSimulation(seed uint64, hosts int, disabled disabledParts) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), disabled: disabled, book: NewBook(),
 		prepaid: map[string]int64{}, spent: map[string]int64{},
@@ -84,7 +89,8 @@
 		s.prepaid[name] = 200_000 + s.random.Int64N(400_000)
 	}
 	s.book.SetPrepaid(s.prepaid)
-	for i := range simHostCount {
+	s.fleetSize = hosts
+	for i := range hosts {
 		h := &simHost{name: fmt.Sprintf("h%d", i), bootOffset: time.Hour}
 		s.hosts = append(s.hosts, h)
 		s.start(h)
@@ -101,12 +107,25 @@
 func (s *simulation) start(h *simHost) {
 	session := s.random.Uint64()
 	h.allowance, h.witness = NewAllowance(session), NewWitness()
+	s.changeFleet(h)
 	h.allowance.RegisterOrganisations(simOrganisations[:2])
 	h.opening = SessionOpening{Host: h.name, Session: session, BootTime: h.bootTime(s.now), WallTime: h.wallTime(s.now)}
 	h.sessionOpen, h.alive, h.requests, h.answers = false, true, nil, nil
 	h.nextSync = s.now
 }
 
+// changeFleet makes a host know all hosts or, as it happens after a change of the leader,
+// only some of them.
+func (s *simulation) changeFleet(h *simHost) {
+	addresses := []string{h.name}
+	for i := range s.fleetSize {
+		if s.random.IntN(8) > 0 {
+			addresses = append(addresses, fmt.Sprintf("h%d", i))
+		}
+	}
+	h.allowance.SetFleet(NewFleet(h.name, addresses))
+}
+
 func (s *simulation) kill(h *simHost, downtime time.Duration, powerLoss bool) {
 	h.alive = false
 	// Requests in flight may have delivered all their reserved tokens.
@@ -170,6 +189,10 @@
 		h.wallOffset = time.Duration(s.random.Int64N(int64(4*time.Second))) - 2*time.Second
 	case 8:
 		s.controlClockSkew = time.Duration(s.random.Int64N(int64(100 * time.Millisecond)))
+	case 9, 10:
+		if h.alive {
+			s.changeFleet(h)
+		}
 	}
 }
 
@@ -207,7 +230,7 @@
 }
 
 func (s *simulation) fetchTokens(h *simHost, name string, need int64) {
-	for _, peer := range s.hosts {
+	for _, peer := range s.lenders(h, name) {
 		if peer == h || !peer.alive || need <= 0 {
 			continue
 		}
@@ -231,6 +254,22 @@
 	}
 }
 
+// lenders returns the hosts to ask for tokens: the holders in a large fleet, all hosts in a
+// small one, and also in a quarter of the cases.
+func (s *simulation) lenders(h *simHost, name string) []*simHost {
+	addresses, _ := h.allowance.Lenders(name)
+	if len(addresses) == 0 || s.random.IntN(4) == 0 {
+		return s.hosts
+	}
+	var list []*simHost
+	for _, peer := range s.hosts {
+		if slices.Contains(addresses, peer.name) {
+			list = append(list, peer)
+		}
+	}
+	return list
+}
+
 func (s *simulation) finishRequests(h *simHost) {
 	unfinished := h.requests[:0]
 	for _, r := range h.requests {
@@ -313,8 +352,8 @@
 	return ""
 }
 
-func runSchedule(seed uint64, disabled disabledParts, length time.Duration) (s *simulation, overspend string) {
-	s = newSimulation(seed, disabled)
+func runSchedule(seed uint64, hosts int, disabled disabledParts, length time.Duration) (s *simulation, overspend string) {
+	s = newSimulation(seed, hosts, disabled)
 	for s.now < length {
 		s.step()
 		if overspend := s.overspent(); overspend != "" {
@@ -334,16 +373,21 @@
 }
 
 func TestNoOverspendUnderRandomFailures(t *testing.T) {
-	g := NewWithT(t)
-	granted, grantedWhilePartitioned := 0, 0
-	for seed := range uint64(scheduleCount(t, 300)) {
-		s, overspend := runSchedule(seed, disabledParts{}, 2*time.Minute)
-		g.Expect(overspend).To(BeEmpty(), "seed %d", seed)
-		granted += s.granted
-		grantedWhilePartitioned += s.grantedWhilePartitioned
+	for name, hosts := range map[string]int{"small fleet": simSmallFleet, "large fleet": simLargeFleet} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			granted, grantedWhilePartitioned := 0, 0
+			for seed := range uint64(scheduleCount(t, 300)) {
+				s, overspend := runSchedule(seed, hosts, disabledParts{}, 2*time.Minute)
+				g.Expect(overspend).To(BeEmpty(), "seed %d", seed)
+				granted += s.granted
+				grantedWhilePartitioned += s.grantedWhilePartitioned
+			}
+			g.Expect(granted).To(BeNumerically(">", 0))
+			g.Expect(grantedWhilePartitioned).To(BeNumerically(">", 0), "partitioned hosts must serve from held tokens")
+		})
 	}
-	g.Expect(granted).To(BeNumerically(">", 0))
-	g.Expect(grantedWhilePartitioned).To(BeNumerically(">", 0), "partitioned hosts must serve from held tokens")
 }
 
 // Without any one of these parts some schedule must overspend.
@@ -352,13 +396,16 @@
 		"envelope": {noEnvelope: true}, "witnesses": {noWitnesses: true},
 		"ceilings": {noCeilingAnswers: true}, "record of transfers": {noTransferRecord: true},
 	} {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(3000) {
-				if _, overspend := runSchedule(seed, disabled, time.Minute); overspend != "" {
-					return
+		for fleet, hosts := range map[string]int{"small fleet": simSmallFleet, "large fleet": simLargeFleet} {
+			t.Run(name+", "+fleet, func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(3000) {
+					if _, overspend := runSchedule(seed, hosts, disabled, time.Minute); overspend != "" {
+						return
+					}
 				}
-			}
-			t.Fatal("no schedule overspends")
-		})
+				t.Fatal("no schedule overspends")
+			})
+		}
 	}
 }
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -31,12 +31,17 @@
 		return 0, 0
 	}
 	t.decayDemand(now)
+	if t.role == roleHolder {
+		t.addDemand(need, now)
+	}
 	free = max(a.spendLimit(t, now)-t.committed(), 0)
-	retained := int64(t.demand / demandTimeConstant.Seconds() * ownDemandWindow.Seconds())
-	tokens = max(min(need, free), min(want, free-retained))
+	tokens = max(min(need, free), min(want, free-t.retained()))
 	if tokens > 0 {
 		t.recordTransfer(to, tokens)
 	}
+	if t.role == roleHolder && tokens < need {
+		t.recordShortfall(need-tokens, a.reserveOpen)
+	}
 	return tokens, free - tokens
 }
 
@@ -51,14 +56,36 @@
 		return false
 	}
 	t.decayDemand(now)
-	retained := int64(t.demand / demandTimeConstant.Seconds() * ownDemandWindow.Seconds())
-	if t.held()-t.committed()-retained < need {
+	if t.held()-t.committed()-t.retained() < need {
 		return false
 	}
 	t.recordShortfall(need, a.reserveOpen)
 	return true
 }
 
+// retained returns the free tokens that the host retains for its own demand. A holder
+// serves the requests of all hosts alike.
+func (t *allotment) retained() int64 {
+	if t.role == roleHolder {
+		return 0
+	}
+	return int64(t.demand / demandTimeConstant.Seconds() * ownDemandWindow.Seconds())
+}
+
+// TransferWait returns the time after which the host may send need more tokens if the
+// control group stays unreachable, or 0 if it holds too few.
+func (a *Allowance) TransferWait(organisation string, need, now int64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.allotments[organisation]
+	if t == nil {
+		return 0
+	}
+	d := Decision{Free: t.held() - t.committed()}
+	a.estimateWait(t, &d, need, now)
+	return max(d.AllowedIn, 0)
+}
+
 func (t *allotment) recordTransfer(to uint64, tokens int64) {
 	t.sentTotal += tokens
 	t.shortfall = max(t.shortfall-tokens, 0)
