--- a/internal/prepaid/large_fleet_test.go
+++ b/internal/prepaid/large_fleet_test.go
@@ -223,8 +223,10 @@
 	}
 }
 
-func (l *fleetLoad) refusedShare() float64      { return 1 - float64(l.served)/float64(l.asked) }
-func (l *fleetLoad) refusedShareInCut() float64 { return 1 - float64(l.servedInCut)/float64(l.askedInCut) }
+func (l *fleetLoad) refusedShare() float64 { return 1 - float64(l.served)/float64(l.asked) }
+func (l *fleetLoad) refusedShareInCut() float64 {
+	return 1 - float64(l.servedInCut)/float64(l.askedInCut)
+}
 
 // All requests fit into the budgets, so none should be refused. Where each of many hosts
 // holds its own tokens, a host's share is smaller than one request.
