Give up answers whose head or filler comes without end

Cause: a head was read without a bound (net/http's ReadResponse has none), interim answers, empty lines and comments could come without end, and each empty line was passed on and counted as an event of a stream. Change: 64 KiB for a head with its interim answers, 16 KiB for comments and empty lines before an event, which are part of that event now; answers that are not streamed are held up to 4 MiB (16 before), as callers' bodies are. Test first: TestEndlessAnswersAreGivenUp, 16 kinds of endless answer with bounds on time and heap; 8 of them failed before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -27,7 +27,7 @@
 	// can answer in it.
 	minAttemptTime = 5 * time.Millisecond
 	// maxBufferedAnswerBytes bounds the body of an answer that is not streamed.
-	maxBufferedAnswerBytes = 16 << 20
+	maxBufferedAnswerBytes = 4 << 20
 	// plainInFlightPerSlot and engineInFlightPerSlot are the numbers of in-flight
 	// requests per slot at which an upstream is full.
 	plainInFlightPerSlot  = 3
--- a/internal/upstreamhttp/events.go
+++ b/internal/upstreamhttp/events.go
@@ -10,12 +10,17 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxFillerBytes bounds the comments and empty lines before an event.
+	maxFillerBytes = 16 << 10
+)
 
 // Event is one server-sent event, unmodified.
 type Event struct {
-	// Raw holds the bytes of the event, including the terminating empty line.
+	// Raw holds the bytes of the event, including the comments and empty lines before it and
+	// the terminating empty line.
 	Raw []byte
 	// ID is the numeric id of the event; HasID is false if it has none.
 	ID    int64
@@ -35,33 +40,35 @@
 // ErrTruncatedEvent reports that the stream ended in the middle of an event.
 var ErrTruncatedEvent = errors.New("the stream ended in the middle of an event")
 
+// errEventTooLarge reports that an event exceeds maxEventBytes or maxFillerBytes.
+var errEventTooLarge = eris.New("stream event exceeds the size limit")
+
 // Next returns the next complete event, or io.EOF after the last one.
 func (r *EventReader) Next() (*Event, error) {
 	event := &Event{}
+	hasField, lineBegins := false, true
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		event.Raw = append(event.Raw, line...)
+		content := bytes.TrimRight(line, "\r\n")
+		filler := len(content) == 0 || content[0] == ':'
+		hasField = hasField || lineBegins && !filler
+		lineBegins = err == nil
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			if len(event.Raw) > maxEventBytes {
-				return nil, eris.New("stream event exceeds the size limit")
-			}
-			continue
-		case errors.Is(err, io.EOF) && len(event.Raw) == 0:
+		case errors.Is(err, io.EOF) && !hasField && len(line) == 0:
 			return nil, io.EOF
 		case errors.Is(err, io.EOF):
 			return nil, ErrTruncatedEvent
-		case err != nil:
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
 			return nil, eris.Wrap(err, "read stream event")
-		}
-		content := bytes.TrimRight(line, "\r\n")
-		if len(content) == 0 {
+		case len(event.Raw) > maxEventBytes, !hasField && len(event.Raw) > maxFillerBytes:
+			return nil, errEventTooLarge
+		case err != nil:
+			continue
+		case len(content) == 0 && hasField:
 			return event, nil
 		}
 		event.parseField(content)
-		if len(event.Raw) > maxEventBytes {
-			return nil, eris.New("stream event exceeds the size limit")
-		}
 	}
 }
 
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,6 +26,8 @@
 	dialTimeout = 250 * time.Millisecond
 	// unackedTimeout is how long sent bytes may remain unacknowledged.
 	unackedTimeout = 2 * time.Second
+	// maxHeadBytes bounds the header of an answer, including those of interim answers.
+	maxHeadBytes = 64 << 10
 	// readBufferSize fits the header of an answer and typical events of a stream.
 	readBufferSize = 4 << 10
 )
@@ -101,13 +104,15 @@
 	if _, err := conn.Write(r.encode()); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReaderSize(conn, readBufferSize)
+	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
+	reader := bufio.NewReaderSize(limited, readBufferSize)
 	for {
 		resp, err := http.ReadResponse(reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			limited.N = math.MaxInt64 // the body has limits of its own
 			return &Answer{Response: resp, conn: conn}, nil
 		}
 	}
