--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -6,6 +6,10 @@
 	"github.com/godwitbend/godwitbend/internal/placement"
 )
 
+// peersInterval is the minimum time between two lists of gateway hosts. While a fleet starts
+// or is restarted, a list for each change would cost hosts x hosts messages.
+const peersInterval = 250 * time.Millisecond
+
 // hostTimeout is the time without a call after which a gateway host is removed from the
 // table.
 const hostTimeout = 3 * time.Second
@@ -18,6 +22,10 @@
 	totals map[string]placement.Load
 	// revision increases with each change to the set of hosts or to a host's Peer.
 	revision uint64
+	// published is the list of gateway hosts that replies contain, as of publishedRevision.
+	published         []Peer
+	publishedRevision uint64
+	publishedAt       time.Time
 }
 
 // gatewayHost is the leader's state of one gateway host.
@@ -100,6 +108,14 @@
 	return loads
 }
 
+// publish renews the published list if it is outdated and peersInterval old.
+func (t *hostTable) publish(now time.Time) {
+	if t.publishedRevision == t.revision || now.Sub(t.publishedAt) < peersInterval {
+		return
+	}
+	t.published, t.publishedRevision, t.publishedAt = t.peers(), t.revision, now
+}
+
 func (t *hostTable) peers() []Peer {
 	list := make([]Peer, 0, len(t.hosts))
 	for _, h := range t.hosts {
--- a/internal/controlnode/hosts_test.go
+++ b/internal/controlnode/hosts_test.go
@@ -27,6 +27,22 @@
 	g.Expect(table.loadsOfOthers(b)).To(BeEmpty(), "an expired host has no load")
 }
 
+// While many hosts start, the list is renewed at intervals, not with each of them.
+func TestHostTablePublishesPeersAtIntervals(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := newHostTable()
+	table.recordCall("a", Peer{Address: "a"}, now)
+	table.publish(now)
+	g.Expect(table.published).To(HaveLen(1))
+	table.recordCall("b", Peer{Address: "b"}, now)
+	table.publish(now.Add(peersInterval - 1))
+	g.Expect(table.published).To(HaveLen(1))
+	table.publish(now.Add(peersInterval))
+	g.Expect(table.published).To(HaveLen(2))
+	g.Expect(table.publishedRevision).To(Equal(table.revision))
+}
+
 // A control host that was cut off from the gateways must not forget all of them.
 func TestHostTableKeepsHostsThatAreSilentTogether(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -60,9 +60,10 @@
 	}
 	reply.Revision = n.table.Revision()
 	reply.Upstreams = toUpstreamRecords(n.table.ChangedSince(knownRevision), now)
-	reply.PeersRevision = n.hosts.revision
-	if req.Epoch != n.epoch || req.PeersRevision != n.hosts.revision {
-		reply.Peers = n.hosts.peers()
+	n.hosts.publish(now)
+	reply.PeersRevision = n.hosts.publishedRevision
+	if req.Epoch != n.epoch || req.PeersRevision != n.hosts.publishedRevision {
+		reply.Peers = n.hosts.published
 	}
 	n.crashes.add(req.Crashes, now)
 	reply.Quarantined = n.crashes.quarantined(now)
--- a/internal/hostsync/witness.go
+++ b/internal/hostsync/witness.go
@@ -22,8 +22,9 @@
 	// witnessTimeout bounds the calls to the witnesses.
 	witnessTimeout = 200 * time.Millisecond
 	// reserveCheckInterval is the minimum time between two checks whether opening the reserve
-	// is due.
-	reserveCheckInterval = 20 * time.Millisecond
+	// is due, and maxReserveCheckInterval the maximum.
+	reserveCheckInterval    = 20 * time.Millisecond
+	maxReserveCheckInterval = 160 * time.Millisecond
 )
 
 type witnessRequest struct {
@@ -60,23 +61,30 @@
 	return list[:min(len(list), prepaid.MaxWitnesses)]
 }
 
-// maintainReserve opens the reserve whenever that is due, until ctx ends.
+// maintainReserve opens the reserve whenever that is due, until ctx ends. Hosts of a large
+// fleet seldom hold tokens to spend, so they check less often while nothing is due.
 func (c *Client) maintainReserve(ctx context.Context) {
-	for timing.Sleep(ctx, max(c.allowance.ReserveCheckIn(c.options.Clock()), reserveCheckInterval)) {
-		c.openReserve(ctx)
+	interval := reserveCheckInterval
+	for timing.Sleep(ctx, max(c.allowance.ReserveCheckIn(c.options.Clock()), interval)) {
+		if c.openReserve(ctx) || !c.allowance.Concentrated() {
+			interval = reserveCheckInterval
+		} else {
+			interval = min(2*interval, maxReserveCheckInterval)
+		}
 	}
 }
 
 // openReserve opens the reserve, or more of it, if that is due and the witnesses have
-// recorded the ceilings.
-func (c *Client) openReserve(ctx context.Context) {
+// recorded the ceilings. It returns false if nothing was due.
+func (c *Client) openReserve(ctx context.Context) bool {
 	opening := c.allowance.DueReserveOpening(c.options.Clock())
 	if opening == nil {
-		return
+		return false
 	}
 	recorded := c.askWitnesses(ctx, opening)
 	opened := c.allowance.OpenReserve(opening, recorded)
 	klog.InfoS("witnesses recorded ceilings: control group unreachable", "report", opening.Seq, "witnesses", len(recorded), "in_force", opened)
+	return true
 }
 
 // askWitnesses sends the ceilings to the witnesses, and returns the sessions of those that
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -362,8 +362,12 @@
 	}
 }
 
-// holders returns the other sessions with the most free tokens.
+// holders returns the other sessions with the most free tokens. In a large fleet it returns
+// none, as hosts know whom to ask from the addresses alone.
 func (b *Book) holders(name string, self *Session) []Holder {
+	if len(b.Sessions) > MaxDirectPeers+1 {
+		return nil
+	}
 	list := make([]Holder, 0, maxHolders+1)
 	for _, s := range b.Sessions {
 		h := s.Holdings[name]
--- a/internal/prepaid/holders.go
+++ b/internal/prepaid/holders.go
@@ -119,6 +119,13 @@
 	t.role, t.lenders = next, lenders
 }
 
+// Concentrated reports whether few hosts of the fleet hold each organisation's tokens.
+func (a *Allowance) Concentrated() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fleet.concentrated()
+}
+
 // Lenders returns the addresses of the hosts to ask for an organisation's tokens, in order
 // of preference, and whether they should be asked before the control group. The list is
 // empty if each host holds its own tokens.
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -42,7 +42,7 @@
 	for _, name := range slices.Sorted(maps.Keys(a.allotments)) {
 		t := a.allotments[name]
 		t.decayDemand(now)
-		ahead := t.lookahead()
+		ahead := a.lookahead(t, now)
 		if ahead == 0 {
 			continue
 		}
@@ -71,10 +71,14 @@
 func (t *allotment) netCommitted() int64 { return t.committed() - t.receivedTotal() }
 
 // lookahead returns the tokens that the host is likely to commit before the next ceiling
-// is recorded. A borrower commits what it holds; what it gets later needs no ceiling.
-func (t *allotment) lookahead() int64 {
+// is recorded. A borrower needs a ceiling only for tokens beyond its envelope, and only if
+// they are enough for a request: what it gets from others needs none.
+func (a *Allowance) lookahead(t *allotment, now int64) int64 {
 	if t.role == roleBorrower {
-		return max(t.held()-t.committed(), 0)
+		if free := t.held() - t.committed(); float64(free) >= max(t.largest, 1) && t.held() > a.spendLimit(t, now) {
+			return free
+		}
+		return 0
 	}
 	rate := int64(0)
 	for _, e := range []*envelope{t.acked, t.pending} {
