Keep a control host running whose disk is full

Change: a replica whose disk is full, read-only or fails with EIO is stopped and started again each 0.5 s; the host goes on with upstreams' reports and forwards changes and reads through any other control host. Damaged files still end it.

--- a/internal/controlnode/document.go
+++ b/internal/controlnode/document.go
@@ -73,7 +73,8 @@
 }
 
 // callOnLeader serves the call locally if this host is the leader, and otherwise forwards
-// it to the leader. It retries until documentTimeout expires.
+// it to the leader. It retries until documentTimeout expires. A host without a replica asks
+// any other control host for the leader.
 func callOnLeader[Req, Reply any](ctx context.Context, n *Node, method string, req *Req,
 	serve func(context.Context, *Req) (*Reply, error), redirect func(*Reply) LeaderRedirect,
 ) (*Reply, error) {
@@ -81,14 +82,16 @@
 	defer cancel()
 	for {
 		reply, err := serve(ctx, req)
-		if err == nil && !redirect(reply).NotLeader {
-			return reply, nil
+		if err == nil && n.replica.Load() == nil {
+			if other := n.anyOtherControlHost(); other != "" {
+				reply, err = rpc.Call[Req, Reply](ctx, n.rpc, other, method, req)
+			}
 		}
-		if err == nil && redirect(reply).Leader != "" {
+		if err == nil && redirect(reply).NotLeader && redirect(reply).Leader != "" {
 			reply, err = rpc.Call[Req, Reply](ctx, n.rpc, redirect(reply).Leader, method, req)
-			if err == nil && !redirect(reply).NotLeader {
-				return reply, nil
-			}
+		}
+		if err == nil && !redirect(reply).NotLeader {
+			return reply, nil
 		}
 		if err != nil {
 			klog.InfoS("call to the leader failed", "method", method, "error", err.Error())
--- a/internal/controlnode/group_test.go
+++ b/internal/controlnode/group_test.go
@@ -17,6 +17,7 @@
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/presence"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/wal"
 )
 
 const eventuallyTimeout = 20 * time.Second
@@ -58,12 +59,17 @@
 
 func (gr *group) directory(i int) string { return filepath.Join(gr.dir, fmt.Sprint(i)) }
 
-func (gr *group) start(i int, bootstrap bool) {
+func (gr *group) start(i int, bootstrap bool) { gr.startOn(i, bootstrap, nil) }
+
+// startWithDisk starts a founder whose log and snapshots are on a simulated disk.
+func (gr *group) startWithDisk(i int, fs wal.FS) { gr.startOn(i, true, fs) }
+
+func (gr *group) startOn(i int, bootstrap bool, fs wal.FS) {
 	gr.g.Expect(os.MkdirAll(gr.directory(i), 0o750)).To(Succeed())
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{cancel: cancel, done: make(chan error, 1)}
 	m.node = controlnode.New(controlnode.Options{
-		Host: fmt.Sprintf("control-%d", i), Address: gr.address(i), Directory: gr.directory(i), Bootstrap: bootstrap,
+		Host: fmt.Sprintf("control-%d", i), Address: gr.address(i), Directory: gr.directory(i), FS: fs, Bootstrap: bootstrap,
 		Seeds: func() []string { return []string{gr.address(1), gr.address(2), gr.address(3)} },
 	})
 	go func() { m.done <- m.node.Run(ctx) }()
@@ -74,7 +80,7 @@
 	m := gr.members[i]
 	delete(gr.members, i)
 	m.cancel()
-	gr.g.Expect(<-m.done).To(Succeed())
+	gr.g.Eventually(m.done, eventuallyTimeout).Should(Receive(BeNil()))
 }
 
 func (gr *group) startAll(bootstrap bool) {
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,6 +34,8 @@
 	leaderlessTimeout = 4 * time.Second
 	// budgetLogInterval is the interval at which the leader logs the state of the budgets.
 	budgetLogInterval = 10 * time.Second
+	// diskRetryInterval is the delay before a replica is started again whose disk failed.
+	diskRetryInterval = 500 * time.Millisecond
 	// minVoters is the number of voters below which none is removed automatically.
 	minVoters = 3
 )
@@ -40,37 +43,59 @@
 // errNotMember means that the group has removed this replica.
 var errNotMember = eris.New("the group has removed this replica")
 
-// runReplicas runs this host's replica until ctx ends. If the group removed the replica,
-// for instance while the host was unreachable, a new one joins under a new id.
+// runReplicas runs this host's replica until ctx ends. A replica whose disk fails is started
+// again until the disk works; meanwhile the host serves what needs no replica.
 func (n *Node) runReplicas(ctx, background context.Context) error {
 	for ctx.Err() == nil {
-		id, err := n.loadOrCreateIdentity(ctx)
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return err
-		}
-		r, err := n.startReplica(id)
-		if err != nil {
-			return err
-		}
-		err = n.supervise(ctx, background, r)
-		if !eris.Is(err, errNotMember) && !eris.Is(err, replication.ErrIdentityLost) {
-			return err
-		}
-		klog.InfoS("replica was removed from the group; joining under a new id", "replica", id.ReplicaID)
-		n.replica.Store(nil)
-		if err := r.Stop(); err != nil {
-			klog.ErrorS(err, "removed replica stopped with an error")
-		}
-		if err := removeReplicaFiles(n.options.Directory); err != nil {
+		err := n.runReplica(ctx, background)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil && !temporaryDiskError(err):
 			return err
+		case err != nil:
+			klog.ErrorS(err, "replica stopped: the disk failed", "retry_after", diskRetryInterval.String())
+			timing.Sleep(ctx, diskRetryInterval)
 		}
 	}
 	return nil
 }
 
+// temporaryDiskError reports whether err comes from a disk that is full, read-only or fails
+// to read or write, as opposed to damaged files.
+func temporaryDiskError(err error) bool {
+	return slices.ContainsFunc([]error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EROFS}, func(cause error) bool {
+		return eris.Is(err, cause)
+	})
+}
+
+// runReplica runs one replica until ctx ends or it fails. If the group removed the replica,
+// for instance while the host was unreachable, its files are deleted, so that the next one
+// joins under a new id.
+func (n *Node) runReplica(ctx, background context.Context) error {
+	id, err := n.loadOrCreateIdentity(ctx)
+	if err != nil {
+		return err
+	}
+	r, err := n.startReplica(id)
+	if err != nil {
+		return err
+	}
+	err = n.supervise(ctx, background, r)
+	if err == nil {
+		return nil // ctx has ended; the replica is stopped later
+	}
+	n.replica.Store(nil)
+	if err := r.Stop(); err != nil {
+		klog.ErrorS(err, "replica stopped with an error")
+	}
+	if !eris.Is(err, errNotMember) && !eris.Is(err, replication.ErrIdentityLost) {
+		return err
+	}
+	klog.InfoS("replica was removed from the group; joining under a new id", "replica", id.ReplicaID)
+	return removeReplicaFiles(n.options.Directory)
+}
+
 // loadOrCreateIdentity returns the identity on disk. Without one it founds the group, if
 // this host is a founder, or joins it, and saves the new identity.
 func (n *Node) loadOrCreateIdentity(ctx context.Context) (*identity, error) {
@@ -150,7 +175,7 @@
 	n.recordAddresses(id.Founders)
 	r, err := replica.Start(replica.Options{
 		ID: id.ReplicaID, Peers: id.Founders, Bootstrap: len(id.Founders) > 0,
-		Directory: n.options.Directory, Machine: machine, Transport: n.transport,
+		Directory: n.options.Directory, FS: n.options.FS, Machine: machine, Transport: n.transport,
 		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, FastInitialElection: true,
 		SnapshotEntries: snapshotEntries, SegmentBytes: segmentBytes, Seed: n.epoch,
 		OnLeadership: func(leads bool, term uint64) {
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -21,6 +21,7 @@
 	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/wal"
 )
 
 const (
@@ -48,6 +49,9 @@
 	Address string
 	// Directory holds the replica's files.
 	Directory string
+	// FS is the file system of the replica's log and snapshots; nil means that of the
+	// operating system.
+	FS wal.FS
 	// Bootstrap allows a host with an empty disk to found a new group.
 	Bootstrap bool
 	// Seeds returns the configured addresses of control hosts.
@@ -176,6 +180,15 @@
 	}
 }
 
+// anyOtherControlHost returns the address of a randomly chosen other control host, or "".
+func (n *Node) anyOtherControlHost() string {
+	others := n.otherControlHosts()
+	if len(others) == 0 {
+		return ""
+	}
+	return others[rand.IntN(len(others))]
+}
+
 // address returns the address of a replica, or "" if it is unknown.
 func (n *Node) address(id uint64) string {
 	n.mu.Lock()
