--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -26,8 +26,6 @@
 	maxReportingHosts = 2
 	// unreachableRetention is the time after a failed request for which a host is asked last.
 	unreachableRetention = time.Second
-	// demandHorizon is the time whose expected demand is asked for in addition to the need.
-	demandHorizon = time.Second
 )
 
 // transferRequest asks another host for tokens.
@@ -103,7 +101,7 @@
 // the time after which one of the others may send the rest; 0 if that is unknown. Only the
 // first hosts, which are known to hold the most, are asked to report if necessary.
 func (c *Client) FetchTokens(ctx context.Context, organisation string, need int64) (received bool, wait time.Duration) {
-	ahead := c.allowance.Demand(organisation, c.options.Clock()) * int64(demandHorizon/time.Second)
+	ahead := c.allowance.TokensAhead(organisation, c.options.Clock())
 	for i, peer := range c.transferCandidates(organisation) {
 		if ctx.Err() != nil {
 			return false, wait
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -151,7 +151,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := a.allotment(organisation)
-	t.addDemand(need, now)
+	if t.role != roleBorrower {
+		t.addDemand(need, now)
+	}
 	t.changed = true
 	committed := t.committed()
 	d := Decision{
@@ -159,6 +161,9 @@
 		Balance: t.balance, BalanceAge: time.Duration(now - t.balanceAt), ReserveOpen: a.reserveOpen,
 	}
 	if need <= d.Allowed {
+		if t.role == roleBorrower {
+			t.addDemand(need, now) // only once, however often the request was tried
+		}
 		t.reserved += need
 		t.shortfall = max(t.shortfall-need, 0)
 		return d
--- a/internal/prepaid/sizing.go
+++ b/internal/prepaid/sizing.go
@@ -37,14 +37,13 @@
 	want, rate, burst int64
 }
 
-// sizing returns what the host asks for, given its role and its recent demand. The demand of a holder
-// includes what others have asked it for.
+// sizing returns what the host asks for, given its role and its recent demand. That of a
+// holder includes what it sent to other hosts.
 func (t *allotment) sizing() sizing {
 	demandRate := t.demand / demandTimeConstant.Seconds()
 	if t.role == roleBorrower {
-		return sizing{
-			want: t.borrowedAhead(), rate: int64(demandRate * reserveRateFactor), burst: int64(demandRate * burstWindow.Seconds()),
-		}
+		ahead := t.borrowedAhead()
+		return sizing{want: ahead, rate: int64(demandRate * reserveRateFactor), burst: ahead}
 	}
 	rate := max(demandRate*reserveRateFactor, t.evenShare()/minRateDivisor)
 	usual := rate / reserveRateFactor
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -31,13 +31,13 @@
 		return 0, 0
 	}
 	t.decayDemand(now)
-	if t.role == roleHolder {
-		t.addDemand(need, now)
-	}
 	free = max(a.spendLimit(t, now)-t.committed(), 0)
 	tokens = max(min(need, free), min(want, free-t.retained()))
 	if tokens > 0 {
 		t.recordTransfer(to, tokens)
+		if t.role == roleHolder {
+			t.addDemand(tokens, now)
+		}
 	}
 	if t.role == roleHolder && tokens < need {
 		t.recordShortfall(need-tokens, a.reserveOpen)
@@ -125,8 +125,9 @@
 	t.holders = holders
 }
 
-// Demand returns the recent demand for an organisation's tokens, in tokens per second.
-func (a *Allowance) Demand(organisation string, now int64) int64 {
+// TokensAhead returns the tokens that the host should have for the next second beyond those
+// of the current request.
+func (a *Allowance) TokensAhead(organisation string, now int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := a.allotments[organisation]
@@ -134,5 +135,8 @@
 		return 0
 	}
 	t.decayDemand(now)
+	if t.role == roleBorrower {
+		return t.borrowedAhead()
+	}
 	return int64(t.demand / demandTimeConstant.Seconds())
 }
