--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -42,10 +42,14 @@
 	if need > *q.organisation.Prepaid {
 		return errkind.New(errkind.BudgetExhausted, "the request needs more tokens than the prepaid budget holds in total")
 	}
+	if refusal := q.checkUpstreams(); refusal != nil {
+		return refusal
+	}
 	// Waiting is better than a refusal, as a retry would miss the latency objective anyway.
 	waitUntil := q.arrived.Add(q.route.LatencyObjective)
 	for tries := 0; ; tries++ {
 		search := q.acquireTokens(need)
+		q.tokenSearch = search
 		switch search.verdict {
 		case prepaid.Granted:
 			return nil
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -129,6 +129,19 @@
 	return targets[len(targets)-1].Service
 }
 
+// checkUpstreams refuses a request whose service has no ready upstream before it waits for
+// tokens.
+func (q *request) checkUpstreams() *errkind.Error {
+	if q.handler.Pool.HasReady(q.serviceName) {
+		return nil
+	}
+	return noReadyUpstream(q.serviceName)
+}
+
+func noReadyUpstream(service string) *errkind.Error {
+	return errkind.New(errkind.NoUpstream, "service %q has no ready upstream", service).WithRetryAfter(noUpstreamRetryAfter)
+}
+
 func (q *request) chooseUpstream(service string) (*placement.Assignment, *errkind.Error) {
 	assignment, refused := q.handler.Pool.Choose(q.placementRequest(service), time.Now())
 	if refused == nil {
@@ -140,7 +153,7 @@
 		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q are full", service).
 			WithRetryAfter(max(refused.RetryAfter, fullRetryAfter))
 	case placement.NoneReady:
-		return nil, errkind.New(errkind.NoUpstream, "service %q has no ready upstream", service).WithRetryAfter(noUpstreamRetryAfter)
+		return nil, noReadyUpstream(service)
 	default:
 		return nil, errkind.New(errkind.NoUpstream, "all upstreams of service %q were tried", service).WithRetryAfter(noUpstreamRetryAfter)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -86,8 +86,10 @@
 	ctx      context.Context
 	// reservedTokens is the number of tokens reserved from the allowance.
 	reservedTokens int64
-	// budgetDecision is the result of the latest reservation, or nil.
+	// budgetDecision is the result of the latest reservation, or nil, and tokenSearch that of
+	// the latest search for tokens.
 	budgetDecision *prepaid.Decision
+	tokenSearch    *tokenSearch
 	// mayHaveRun reports whether an upstream may have run the request, if only in part.
 	mayHaveRun bool
 	// eventsSent is the number of stream events sent to the caller. The stream is
@@ -201,6 +203,9 @@
 	if d := q.budgetDecision; d != nil && d.Verdict != prepaid.Granted {
 		fields = append(fields, "tokens_held", d.Free, "tokens_allowed", d.Allowed, "balance", d.Balance,
 			"balance_age_ms", d.BalanceAge.Milliseconds())
+		if s := q.tokenSearch; s != nil && s.borrows {
+			fields = append(fields, "borrows", true, "holder_wait_ms", s.holderWait.Milliseconds())
+		}
 	}
 	if q.attempts > 0 {
 		fields = append(fields, "upstream", q.upstreamID, "attempts", q.attempts)
--- a/internal/hostsync/peers.go
+++ b/internal/hostsync/peers.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 )
@@ -32,12 +34,16 @@
 	if reply.Peers == nil && !expired {
 		return
 	}
+	known := len(c.peers)
 	c.peers = mergePeers(c.currentPeers, c.earlierPeers)
 	addresses := []string{c.options.Address}
 	for _, p := range c.peers {
 		addresses = append(addresses, p.Address)
 	}
 	c.allowance.SetFleet(prepaid.NewFleet(c.options.Address, addresses))
+	if len(c.peers) != known {
+		klog.InfoS("number of gateway hosts changed", "hosts", len(c.peers), "epoch", reply.Epoch, "revision", reply.PeersRevision)
+	}
 }
 
 // mergePeers returns current and those of earlier whose addresses current lacks, ordered by
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// HasReady reports whether a service has a ready upstream.
+func (p *Pool) HasReady(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.services[service]) > 0
+}
+
 // Loads returns the load caused by this host, by upstream id.
 func (p *Pool) Loads() map[string]Load {
 	p.mu.Lock()
--- a/internal/prepaid/holders.go
+++ b/internal/prepaid/holders.go
@@ -97,6 +97,9 @@
 func (a *Allowance) SetFleet(f *Fleet) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.fleet != nil && a.fleet.own == f.own && slices.Equal(a.fleet.addresses, f.addresses) {
+		return
+	}
 	a.fleet = f
 	for name, t := range a.allotments {
 		a.assignRole(name, t)
