--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 )
 
@@ -21,7 +22,7 @@
 	transferTimeout = 120 * time.Millisecond
 	reportTimeout   = 80 * time.Millisecond
 	// maxTransferHosts is the number of hosts that are asked for tokens for one request.
-	maxTransferHosts = 8
+	maxTransferHosts = prepaid.MaxDirectPeers
 	// maxReportingHosts is the number of those that are asked to report first if necessary.
 	maxReportingHosts = 2
 	// unreachableRetention is the time after a failed request for which a host is asked last.
