--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -13,7 +13,7 @@
 func TestTotalsMatchSessions(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range uint64(20) {
-		s := newSimulation(seed, simSmallFleet, disabledParts{})
+		s := newSimulation(seed, smallFleet, disabledParts{})
 		for step := range 600 {
 			s.step()
 			if step%50 != 0 {
--- a/internal/prepaid/simulation_test.go
+++ b/internal/prepaid/simulation_test.go
@@ -18,12 +18,14 @@
 // transfers and top-ups. After each step the tokens really spent by each organisation are
 // compared with what it paid in.
 
-const (
-	simStep = 50 * time.Millisecond
-	// In a fleet of simSmallFleet hosts each holds its own tokens; in one of simLargeFleet
-	// few hold them for all.
-	simSmallFleet = 5
-	simLargeFleet = MaxDirectPeers + 4
+const simStep = 50 * time.Millisecond
+
+// In a small fleet each host holds its own tokens; in a large one few hold them for all.
+// Half of the processes of the upgraded fleet are of an older build and hold their own.
+var (
+	smallFleet    = fleetKind{hosts: 5}
+	largeFleet    = fleetKind{hosts: MaxDirectPeers + 4}
+	upgradedFleet = fleetKind{hosts: MaxDirectPeers + 4, mixedBuilds: true}
 )
 
 // The last organisation is not registered in advance and is idle most of the time.
@@ -66,12 +68,15 @@
 }
 
 type simulation struct {
-	random                  *rand.Rand
-	disabled                disabledParts
-	now                     time.Duration
-	book                    *Book
-	hosts                   []*simHost
-	fleetSize               int
+	random    *rand.Rand
+	disabled  disabledParts
+	now       time.Duration
+	book      *Book
+	hosts     []*simHost
+	fleetSize int
+	// mixedBuilds makes half of the processes ones of an older build, which holds its own tokens
+	// in a fleet of any size.
+	mixedBuilds             bool
 	prepaid                 map[string]int64
 	spent                   map[string]int64
 	granted                 int // requests whose tokens were reserved
@@ -80,7 +85,13 @@
 	controlClockSkew time.Duration
 }
 
-func newSimulation(seed uint64, hosts int, disabled disabledParts) *simulation {
+// fleetKind is the kind of fleet that a simulation plays.
+type fleetKind struct {
+	hosts       int
+	mixedBuilds bool
+}
+
+func newSimulation(seed uint64, kind fleetKind, disabled disabledParts) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), disabled: disabled, book: NewBook(),
 		prepaid: map[string]int64{}, spent: map[string]int64{},
@@ -89,8 +100,8 @@
 		s.prepaid[name] = 200_000 + s.random.Int64N(400_000)
 	}
 	s.book.SetPrepaid(s.prepaid)
-	s.fleetSize = hosts
-	for i := range hosts {
+	s.fleetSize, s.mixedBuilds = kind.hosts, kind.mixedBuilds
+	for i := range kind.hosts {
 		h := &simHost{name: fmt.Sprintf("h%d", i), bootOffset: time.Hour}
 		s.hosts = append(s.hosts, h)
 		s.start(h)
@@ -107,7 +118,9 @@
 func (s *simulation) start(h *simHost) {
 	session := s.random.Uint64()
 	h.allowance, h.witness = NewAllowance(session), NewWitness()
-	s.changeFleet(h)
+	if !s.mixedBuilds || s.random.IntN(2) == 0 {
+		s.changeFleet(h)
+	}
 	h.allowance.RegisterOrganisations(simOrganisations[:2])
 	h.opening = SessionOpening{Host: h.name, Session: session, BootTime: h.bootTime(s.now), WallTime: h.wallTime(s.now)}
 	h.sessionOpen, h.alive, h.requests, h.answers = false, true, nil, nil
@@ -190,7 +203,7 @@
 	case 8:
 		s.controlClockSkew = time.Duration(s.random.Int64N(int64(100 * time.Millisecond)))
 	case 9, 10:
-		if h.alive {
+		if h.alive && (!s.mixedBuilds || h.allowance.Concentrated()) {
 			s.changeFleet(h)
 		}
 	}
@@ -352,8 +365,8 @@
 	return ""
 }
 
-func runSchedule(seed uint64, hosts int, disabled disabledParts, length time.Duration) (s *simulation, overspend string) {
-	s = newSimulation(seed, hosts, disabled)
+func runSchedule(seed uint64, kind fleetKind, disabled disabledParts, length time.Duration) (s *simulation, overspend string) {
+	s = newSimulation(seed, kind, disabled)
 	for s.now < length {
 		s.step()
 		if overspend := s.overspent(); overspend != "" {
@@ -373,13 +386,13 @@
 }
 
 func TestNoOverspendUnderRandomFailures(t *testing.T) {
-	for name, hosts := range map[string]int{"small fleet": simSmallFleet, "large fleet": simLargeFleet} {
+	for name, kind := range map[string]fleetKind{"small fleet": smallFleet, "large fleet": largeFleet, "upgraded fleet": upgradedFleet} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
 			granted, grantedWhilePartitioned := 0, 0
 			for seed := range uint64(scheduleCount(t, 300)) {
-				s, overspend := runSchedule(seed, hosts, disabledParts{}, 2*time.Minute)
+				s, overspend := runSchedule(seed, kind, disabledParts{}, 2*time.Minute)
 				g.Expect(overspend).To(BeEmpty(), "seed %d", seed)
 				granted += s.granted
 				grantedWhilePartitioned += s.grantedWhilePartitioned
@@ -396,11 +409,11 @@
 		"envelope": {noEnvelope: true}, "witnesses": {noWitnesses: true},
 		"ceilings": {noCeilingAnswers: true}, "record of transfers": {noTransferRecord: true},
 	} {
-		for fleet, hosts := range map[string]int{"small fleet": simSmallFleet, "large fleet": simLargeFleet} {
+		for fleet, kind := range map[string]fleetKind{"small fleet": smallFleet, "large fleet": largeFleet} {
 			t.Run(name+", "+fleet, func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(3000) {
-					if _, overspend := runSchedule(seed, hosts, disabled, time.Minute); overspend != "" {
+					if _, overspend := runSchedule(seed, kind, disabled, time.Minute); overspend != "" {
 						return
 					}
 				}
