--- a/internal/prepaid/sizing.go
+++ b/internal/prepaid/sizing.go
@@ -4,11 +4,10 @@
 
 const (
 	// outageHorizon is the time for which a host should hold enough tokens to serve without
-	// the control group, whose outages last 9 s in the target deployments.
+	// the control group.
 	outageHorizon = 10 * time.Second
 	// reserveRateFactor is the ratio of the spending rate of an open reserve to the recent
-	// demand. The busiest organisations peak at two to three times their usual demand, and
-	// a host that lacks tokens gets them from other hosts.
+	// demand. Beyond it a host gets tokens from other hosts.
 	reserveRateFactor = 2
 	// holdingFactor is the ratio of the tokens that a host asks for to its recent demand
 	// over outageHorizon. During a peak it gets the remainder from other hosts.
--- a/internal/upstreamhttp/events.go
+++ b/internal/upstreamhttp/events.go
@@ -46,14 +46,16 @@
 // Next returns the next complete event, or io.EOF after the last one.
 func (r *EventReader) Next() (*Event, error) {
 	event := &Event{}
-	hasField, lineBegins := false, true
+	// line may be the rest of a line that is longer than the buffer.
+	hasField, atLineStart := false, true
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		event.Raw = append(event.Raw, line...)
 		content := bytes.TrimRight(line, "\r\n")
 		filler := len(content) == 0 || content[0] == ':'
-		hasField = hasField || lineBegins && !filler
-		lineBegins = err == nil
+		startsLine := atLineStart
+		hasField = hasField || startsLine && !filler
+		atLineStart = err == nil
 		switch {
 		case errors.Is(err, io.EOF) && !hasField && len(line) == 0:
 			return nil, io.EOF
@@ -65,6 +67,8 @@
 			return nil, errEventTooLarge
 		case err != nil:
 			continue
+		case !startsLine:
+			continue
 		case len(content) == 0 && hasField:
 			return event, nil
 		}
--- a/internal/upstreamhttp/exchange_test.go
+++ b/internal/upstreamhttp/exchange_test.go
@@ -209,6 +209,18 @@
 	g.Expect(err).To(MatchError(io.EOF))
 }
 
+// A line may end just beyond the read buffer, so that its end is read like an empty line.
+func TestEventWithLineOfBufferSizeIsWhole(t *testing.T) {
+	g := NewWithT(t)
+	const bufferSize = 4 << 10
+	first := "data: " + strings.Repeat("x", bufferSize-len("data: ")) + "\n"
+	r := upstreamhttp.NewEventReader(strings.NewReader(first + "id: 7\n\n"))
+	event, err := r.Next()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(event.Raw)).To(Equal(first + "id: 7\n\n"))
+	g.Expect(event.ID).To(Equal(int64(7)))
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
 	f.Add("\n\n\r\nid:x\n")
