Collect evidence only after journals have charged what was answered

The charge is neither lost nor late by the stated interval.

The evidence is now read again until nothing is reserved and the audit finds every answered request charged, within the same 20 s; what is still uncharged then is a violation as before.

--- a/internal/load/hosts.go
+++ b/internal/load/hosts.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
-	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/audit"
 	"github.com/godwitbend/godwitbend/internal/harness"
 )
 
@@ -17,13 +17,18 @@
 	return nil, eris.New("no host is running")
 }
 
-// checkNothingReserved returns an error if a budget has reserved tokens.
-func checkNothingReserved(budgets []controlapi.BudgetStatus) error {
-	for _, b := range budgets {
+// checkSettled returns an error if a budget has reserved tokens or an answered request is not
+// charged yet. A host's journal charges requests that it served without the control group, up to
+// a maintenance interval after their answers.
+func checkSettled(e *audit.Evidence) error {
+	for _, b := range e.Budgets {
 		if b.Reserved != 0 {
 			return eris.Errorf("%d tokens of budget %s are reserved", b.Reserved, b.Budget)
 		}
 	}
+	if unbilled := audit.Check(e).UnbilledRuns; unbilled != 0 {
+		return eris.Errorf("%d answered requests are not charged", unbilled)
+	}
 	return nil
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/godwitbend/godwitbend/internal/audit"
+	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/harness"
 	"github.com/godwitbend/godwitbend/internal/trace"
@@ -25,6 +26,21 @@
 	g.Expect(p.next(nil, -1)).To(Equal(2))
 }
 
+func TestEvidenceIsSettledOnceNothingIsReservedAndAnswersAreCharged(t *testing.T) {
+	g := NewWithT(t)
+	const id, budget, cost = "r", "b", 100
+	e := &audit.Evidence{
+		Requests: []audit.Request{{ID: id, Budget: budget, Cost: cost, Answers: []audit.Answer{{Complete: true}}}},
+		Bills:    []controlapi.RequestStatus{{RequestID: id, State: "released"}},
+		Budgets:  []controlapi.BudgetStatus{{Budget: budget, PaidIn: cost}},
+	}
+	g.Expect(checkSettled(e)).To(MatchError(ContainSubstring("1 answered requests are not charged")))
+	e.Bills[0].State, e.Bills[0].Charged = "settled", cost
+	g.Expect(checkSettled(e)).To(Succeed())
+	e.Budgets[0].Reserved = 1
+	g.Expect(checkSettled(e)).To(MatchError(ContainSubstring("1 tokens of budget b are reserved")))
+}
+
 func TestReplaySpeedScalesWithLoadAndCapacity(t *testing.T) {
 	g := NewWithT(t)
 	e := Engine{Capacity: 2, TokenTime: 5 * time.Millisecond, PromptTokenTime: 50 * time.Microsecond}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -129,23 +129,33 @@
 	e := &audit.Evidence{Requests: requests, LeaveLimitMS: leaveLimit.Milliseconds()}
 	settleCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	_ = harness.Await(settleCtx, "nothing is reserved", func(ctx context.Context) error {
-		e.Budgets, err = s.Budgets(ctx, host)
-		if err != nil {
+	_ = harness.Await(settleCtx, "all requests are settled", func(ctx context.Context) error {
+		if err = s.readLedger(ctx, host, e); err != nil {
 			return err
 		}
-		return checkNothingReserved(e.Budgets)
+		return checkSettled(e)
 	})
 	if err != nil {
 		return nil, err
 	}
-	if e.Bills, err = s.Bills(ctx, host); err != nil {
-		return nil, err
-	}
 	e.Truth, err = s.AllGroundTruth(ctx)
 	return e, err
 }
 
+// readLedger reads the budgets and bills into e.
+func (s *Site) readLedger(ctx context.Context, host *harness.Host, e *audit.Evidence) error {
+	budgets, err := s.Budgets(ctx, host)
+	if err != nil {
+		return err
+	}
+	bills, err := s.Bills(ctx, host)
+	if err != nil {
+		return err
+	}
+	e.Budgets, e.Bills = budgets, bills
+	return nil
+}
+
 // injectFailure injects the failure of a scenario at the given time.
 func (s *Site) injectFailure(ctx context.Context, scenario Scenario, at time.Time, result *RunResult) error {
 	if scenario == NoFailure || !timing.Sleep(ctx, time.Until(at)) {
