Encode the table of upstreams and the loads once for all gateways

A gateway that did not know the leader's table got all of it, encoded for it alone; each reply looked at every record for changes; each new upstream was compared with every other at its address. With 300 gateways and 3,000 upstreams that is 300 encodings of half a megabyte at each change of the leader, and 1.8 million records looked at per second.

Now: changes are kept in order and addresses are indexed; hosts with the same copy of the table get the same compressed bytes, renewed at most each 50 ms (changes) and 250 ms (whole table); loads are sent as totals, encoded once in 100 ms, with what the host itself contributed. Hosts of the build before get what they got.

--- /dev/null
+++ b/internal/controlnode/feed.go
@@ -0,0 +1,145 @@
+package controlnode
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/codec"
+	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/presence"
+)
+
+const (
+	// changesInterval and wholeTableInterval are the minimum times between two encodings of
+	// the changes of the table of upstreams and of the whole table.
+	changesInterval    = 50 * time.Millisecond
+	wholeTableInterval = 250 * time.Millisecond
+	// loadsInterval is the minimum time between two encodings of the loads.
+	loadsInterval = 100 * time.Millisecond
+	// maxEncodedBytes bounds the encoded table and loads before compression.
+	maxEncodedBytes = 64 << 20
+)
+
+// upstreamFeed encodes the table of upstreams for the gateway hosts. Hosts that know the same
+// revision get the same bytes, so that the cost does not grow with the number of hosts.
+type upstreamFeed struct {
+	table *presence.Table
+	whole encodedTable
+	// changes holds the changes since earlier revisions, by these. All lead to revision.
+	changes   map[uint64][]byte
+	revision  uint64
+	changesAt time.Time
+}
+
+// encodedTable is the encoding of the table as of a revision.
+type encodedTable struct {
+	data     []byte
+	revision uint64
+	at       time.Time
+}
+
+func newUpstreamFeed(t *presence.Table) *upstreamFeed {
+	return &upstreamFeed{table: t, changes: map[uint64][]byte{}}
+}
+
+// since returns the encoded records that a host lacks which knows the table as of revision
+// known, nil if there are none, and the revision that it knows with them. A known revision of 0
+// stands for an empty table.
+func (f *upstreamFeed) since(known uint64, now time.Time) (data []byte, revision uint64) {
+	if known == 0 {
+		return f.wholeTable(now)
+	}
+	current := f.table.Revision()
+	if f.revision != current && now.Sub(f.changesAt) >= changesInterval {
+		f.revision, f.changesAt = current, now
+		clear(f.changes)
+	}
+	if known >= f.revision {
+		return nil, known
+	}
+	data, encoded := f.changes[known]
+	if !encoded {
+		data = encodeUpstreams(f.table.ChangedSince(known))
+		f.changes[known] = data
+	}
+	return data, f.revision
+}
+
+func (f *upstreamFeed) wholeTable(now time.Time) ([]byte, uint64) {
+	current := f.table.Revision()
+	if f.whole.revision != current && now.Sub(f.whole.at) >= wholeTableInterval {
+		f.whole = encodedTable{data: encodeUpstreams(f.table.ChangedSince(0)), revision: current, at: now}
+	}
+	return f.whole.data, f.whole.revision
+}
+
+// encodeUpstreams returns the encoding of the records without what gateways do not need, and nil
+// if there are no records.
+func encodeUpstreams(records []*presence.Record) []byte {
+	if len(records) == 0 {
+		return nil
+	}
+	list := toUpstreamRecords(records, time.Time{})
+	for i := range list {
+		list[i].Age, list[i].Sequence = 0, 0
+	}
+	return encodeShared(list)
+}
+
+// encodeShared returns the compressed encoding of v, which is part of many replies.
+func encodeShared(v any) []byte {
+	data, err := codec.MarshalCompressed(v)
+	if err != nil {
+		klog.ErrorS(err, "encoding a part of the replies to gateway hosts failed")
+	}
+	return data
+}
+
+// loadFeed encodes the totals of the loads for the gateway hosts.
+type loadFeed struct {
+	data []byte
+	at   time.Time
+}
+
+// totals returns the encoded totals of the loads, nil if there are none, and what h contributed
+// to them.
+func (f *loadFeed) totals(t *hostTable, h *gatewayHost, now time.Time) ([]byte, map[string]placement.Load) {
+	if now.Sub(f.at) >= loadsInterval {
+		f.at, f.data = now, nil
+		if len(t.totals) > 0 {
+			f.data = encodeShared(t.totals)
+		}
+		for _, host := range t.hosts {
+			host.loadsInTotals = host.loads
+		}
+	}
+	return f.data, h.loadsInTotals
+}
+
+// DecodeUpstreams returns the upstreams that the reply contains.
+func (r *SyncReply) DecodeUpstreams() ([]UpstreamRecord, error) {
+	if len(r.EncodedUpstreams) == 0 {
+		return r.Upstreams, nil
+	}
+	var records []UpstreamRecord
+	err := codec.UnmarshalCompressed(r.EncodedUpstreams, maxEncodedBytes, &records)
+	return records, err
+}
+
+// DecodeLoads returns the loads that all other hosts put on the upstreams, by upstream id.
+func (r *SyncReply) DecodeLoads() (map[string]placement.Load, error) {
+	if len(r.EncodedTotals) == 0 {
+		return r.Loads, nil
+	}
+	var loads map[string]placement.Load
+	if err := codec.UnmarshalCompressed(r.EncodedTotals, maxEncodedBytes, &loads); err != nil {
+		return nil, err
+	}
+	for id, own := range r.LoadsInTotals {
+		if loads[id] = loads[id].Minus(own); loads[id] == (placement.Load{}) {
+			delete(loads, id)
+		}
+	}
+	return loads, nil
+}
--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -32,7 +32,9 @@
 type gatewayHost struct {
 	lastCall time.Time
 	loads    map[string]placement.Load
-	peer     Peer
+	// loadsInTotals is the part of the encoded totals that this host caused.
+	loadsInTotals map[string]placement.Load
+	peer          Peer
 }
 
 func newHostTable() *hostTable {
@@ -66,9 +68,11 @@
 
 func (t *hostTable) addToTotal(id string, load placement.Load, sign int) {
 	sum := t.totals[id]
-	sum.InFlight += sign * load.InFlight
-	sum.Backlog += int64(sign) * load.Backlog
-	sum.KVTokens += int64(sign) * load.KVTokens
+	if sign > 0 {
+		sum = sum.Plus(load)
+	} else {
+		sum = sum.Minus(load)
+	}
 	if sum == (placement.Load{}) {
 		delete(t.totals, id)
 		return
@@ -99,8 +103,7 @@
 func (t *hostTable) loadsOfOthers(h *gatewayHost) map[string]placement.Load {
 	loads := make(map[string]placement.Load, len(t.totals))
 	for id, sum := range t.totals {
-		own := h.loads[id]
-		others := placement.Load{InFlight: sum.InFlight - own.InFlight, Backlog: sum.Backlog - own.Backlog, KVTokens: sum.KVTokens - own.KVTokens}
+		others := sum.Minus(h.loads[id])
 		if others != (placement.Load{}) {
 			loads[id] = others
 		}
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -88,6 +88,8 @@
 	CeilingAnswers []prepaid.CeilingAnswer `cbor:"11,keyasint,omitempty"`
 	// PeersRevision is the revision of the host's list of gateway hosts.
 	PeersRevision uint64 `cbor:"10,keyasint,omitempty"`
+	// AcceptsEncoded reports that the host can read EncodedUpstreams and EncodedTotals.
+	AcceptsEncoded bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Peer identifies a gateway host to the other gateway hosts.
@@ -129,6 +131,12 @@
 	// Peers lists the gateway hosts if the list has changed; PeersRevision is its revision.
 	Peers         []Peer `cbor:"12,keyasint,omitempty"`
 	PeersRevision uint64 `cbor:"13,keyasint,omitempty"`
+	// EncodedUpstreams replaces Upstreams for hosts that accept it; see DecodeUpstreams.
+	EncodedUpstreams []byte `cbor:"15,keyasint,omitempty"`
+	// EncodedTotals replaces Loads for hosts that accept it; see DecodeLoads. It holds the
+	// loads that all hosts put on the upstreams, and LoadsInTotals those of the calling host.
+	EncodedTotals []byte                    `cbor:"16,keyasint,omitempty"`
+	LoadsInTotals map[string]placement.Load `cbor:"17,keyasint,omitempty"`
 }
 
 // UpstreamRecord is the wire form of an upstream in calls between hosts.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -78,6 +78,8 @@
 	// directReports holds the time of each upstream's latest report to this host itself.
 	directReports map[string]time.Time
 	hosts         *hostTable
+	upstreamFeed  *upstreamFeed
+	loadFeed      loadFeed
 	crashes       crashTracker
 	forwardQueues map[string]chan UpstreamRecord
 	wg            sync.WaitGroup
@@ -91,6 +93,7 @@
 		addresses: map[uint64]string{}, table: presence.NewTable(),
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
 	}
+	n.upstreamFeed = newUpstreamFeed(n.table)
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		return netconn.Dial(ctx, address, dialTimeout, unacknowledgedTimeout)
 	})
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -51,15 +51,14 @@
 	if !req.Brief {
 		n.hosts.expire(now)
 		n.hosts.setLoads(h, req.Loads)
-		reply.Loads = n.hosts.loadsOfOthers(h)
+		if req.AcceptsEncoded {
+			reply.EncodedTotals, reply.LoadsInTotals = n.loadFeed.totals(n.hosts, h, now)
+		} else {
+			reply.Loads = n.hosts.loadsOfOthers(h)
+		}
 	}
 	reply.Hosts = len(n.hosts.hosts)
-	knownRevision := req.Revision
-	if req.Epoch != n.epoch {
-		knownRevision = 0
-	}
-	reply.Revision = n.table.Revision()
-	reply.Upstreams = toUpstreamRecords(n.table.ChangedSince(knownRevision), now)
+	n.addUpstreams(req, reply, now)
 	n.hosts.publish(now)
 	reply.PeersRevision = n.hosts.publishedRevision
 	if req.Epoch != n.epoch || req.PeersRevision != n.hosts.publishedRevision {
@@ -69,6 +68,20 @@
 	reply.Quarantined = n.crashes.quarantined(now)
 }
 
+// addUpstreams adds the upstreams to the reply that the host's copy of the table lacks. The
+// caller holds n.mu.
+func (n *Node) addUpstreams(req *SyncRequest, reply *SyncReply, now time.Time) {
+	known := req.Revision
+	if req.Epoch != n.epoch {
+		known = 0
+	}
+	if req.AcceptsEncoded {
+		reply.EncodedUpstreams, reply.Revision = n.upstreamFeed.since(known, now)
+		return
+	}
+	reply.Upstreams, reply.Revision = toUpstreamRecords(n.table.ChangedSince(known), now), n.table.Revision()
+}
+
 // closeSession serves MethodClose.
 func (n *Node) closeSession(ctx context.Context, req *CloseRequest) (*CloseReply, error) {
 	r, redirect := n.leaderOrRedirect()
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -274,8 +274,8 @@
 	req := &controlnode.SyncRequest{
 		Host: c.options.Host, Version: c.documentVersion, Epoch: c.epoch, Revision: c.revision,
 		PeersRevision: c.peersRevision, Brief: time.Since(c.lastFullSync) < c.syncInterval()/2,
-		CeilingAnswers: c.ceilingAnswers,
-		Peer:           controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
+		CeilingAnswers: c.ceilingAnswers, AcceptsEncoded: true,
+		Peer: controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
 	if !req.Brief {
 		req.Loads = c.options.Pool.Loads()
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -42,20 +42,37 @@
 		c.members = reply.Members
 	}
 	c.applyPeers(reply)
-	c.epoch, c.revision, c.peersRevision = reply.Epoch, reply.Revision, reply.PeersRevision
-	if len(reply.Upstreams) > 0 {
-		c.options.Pool.Update(presenceRecords(reply.Upstreams))
-	}
-	if !req.Brief {
-		c.lastFullSync = time.Now()
-		c.options.Pool.ApplyControlLoads(reply.Loads)
+	if err := c.applyTraffic(req, reply); err != nil {
+		return err
 	}
+	c.epoch, c.revision, c.peersRevision = reply.Epoch, reply.Revision, reply.PeersRevision
 	c.mu.Lock()
 	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
 	c.mu.Unlock()
 	return c.updateView(reply)
 }
 
+// applyTraffic applies the upstreams and the loads in the leader's reply to req.
+func (c *Client) applyTraffic(req *controlnode.SyncRequest, reply *controlnode.SyncReply) error {
+	upstreams, err := reply.DecodeUpstreams()
+	if err != nil {
+		return err
+	}
+	if len(upstreams) > 0 {
+		c.options.Pool.Update(presenceRecords(upstreams))
+	}
+	if req.Brief {
+		return nil
+	}
+	loads, err := reply.DecodeLoads()
+	if err != nil {
+		return err
+	}
+	c.lastFullSync = time.Now()
+	c.options.Pool.ApplyControlLoads(loads)
+	return nil
+}
+
 func presenceRecords(messages []controlnode.UpstreamRecord) []presence.Record {
 	list := make([]presence.Record, 0, len(messages))
 	for i := range messages {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -65,6 +65,16 @@
 	KVTokens int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// Plus returns the sum of l and other.
+func (l Load) Plus(other Load) Load {
+	return Load{InFlight: l.InFlight + other.InFlight, Backlog: l.Backlog + other.Backlog, KVTokens: l.KVTokens + other.KVTokens}
+}
+
+// Minus returns the difference of l and other.
+func (l Load) Minus(other Load) Load {
+	return Load{InFlight: l.InFlight - other.InFlight, Backlog: l.Backlog - other.Backlog, KVTokens: l.KVTokens - other.KVTokens}
+}
+
 // inFlight, backlog and kvTokens return the load of this host plus the reported load
 // of the others.
 func (u *Upstream) inFlight() int {
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -16,6 +16,9 @@
 	// retention is the time for which the record of a terminated or unresponsive
 	// upstream is kept, so that a late report does not reactivate the upstream.
 	retention = 5 * time.Minute
+	// minOutdatedChanges is the number of outdated entries up to which the list of changes is
+	// not compacted.
+	minOutdatedChanges = 64
 )
 
 // State is the reported state of an upstream, which tells whether it accepts new
@@ -74,10 +77,20 @@
 type Table struct {
 	records  map[string]*Record
 	revision uint64
+	// byAddress holds the ids of the records with each address.
+	byAddress map[string][]string
+	// changes lists the changed records in the order of their revisions. A record that changed
+	// again has more than one entry, of which only the last one is its current revision.
+	changes []*Record
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{records: map[string]*Record{}} }
+func NewTable() *Table {
+	return &Table{records: map[string]*Record{}, byAddress: map[string][]string{}}
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.records) }
 
 // Revision returns the revision of the latest change.
 func (t *Table) Revision() uint64 { return t.revision }
@@ -145,8 +158,9 @@
 	if u.State == Terminated {
 		return
 	}
-	for id, r := range t.records {
-		if id != u.ID && r.Address == u.Address && r.State != Terminated && r.StartedMS < u.StartedMS {
+	for _, id := range slices.Clone(t.byAddress[u.Address]) {
+		r := t.records[id]
+		if id != u.ID && r.State != Terminated && r.StartedMS < u.StartedMS {
 			next := *r
 			next.State = Terminated
 			t.store(&next)
@@ -155,9 +169,37 @@
 }
 
 func (t *Table) store(r *Record) {
+	old := t.records[r.ID]
+	if old == nil || old.Address != r.Address {
+		if old != nil {
+			t.removeAddress(old)
+		}
+		t.byAddress[r.Address] = append(t.byAddress[r.Address], r.ID)
+	}
 	t.revision++
 	r.Revision = t.revision
 	t.records[r.ID] = r
+	t.changes = append(t.changes, r)
+	if len(t.changes) > 2*len(t.records)+minOutdatedChanges {
+		t.changes = slices.DeleteFunc(t.changes, func(r *Record) bool { return !t.isCurrent(r) })
+	}
+}
+
+// isCurrent reports whether r is the latest state of its upstream.
+func (t *Table) isCurrent(r *Record) bool { return t.records[r.ID] == r }
+
+func (t *Table) remove(r *Record) {
+	t.removeAddress(r)
+	delete(t.records, r.ID)
+}
+
+func (t *Table) removeAddress(r *Record) {
+	ids := slices.DeleteFunc(t.byAddress[r.Address], func(id string) bool { return id == r.ID })
+	if len(ids) == 0 {
+		delete(t.byAddress, r.Address)
+		return
+	}
+	t.byAddress[r.Address] = ids
 }
 
 // Expire marks upstreams whose heartbeat is overdue as unresponsive and removes the
@@ -168,7 +210,7 @@
 		age := now.Sub(r.ReceivedAt)
 		switch {
 		case age > retention:
-			delete(t.records, id)
+			t.remove(r)
 		case r.State != Terminated && !r.Unresponsive && age > HeartbeatTimeout:
 			next := *r
 			next.Unresponsive = true
@@ -180,12 +222,12 @@
 }
 
 // ChangedSince returns the records that changed after a revision, in no particular
-// order.
+// order. Its cost grows with the number of these changes, not with the size of the table.
 func (t *Table) ChangedSince(revision uint64) []*Record {
 	var changed []*Record
-	for _, r := range t.records {
-		if r.Revision > revision {
-			changed = append(changed, r)
+	for i := len(t.changes) - 1; i >= 0 && t.changes[i].Revision > revision; i-- {
+		if t.isCurrent(t.changes[i]) {
+			changed = append(changed, t.changes[i])
 		}
 	}
 	return changed
--- a/internal/presence/table_test.go
+++ b/internal/presence/table_test.go
@@ -1,6 +1,9 @@
 package presence_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,3 +76,57 @@
 	table.Expire(now.Add(time.Hour))
 	g.Expect(table.Record("u")).To(BeNil())
 }
+
+// naiveChanges returns the ids of the records that changed after a revision by looking at all.
+func naiveChanges(t *presence.Table, revision uint64) []string {
+	var ids []string
+	for _, r := range t.All() {
+		if r.Revision > revision {
+			ids = append(ids, r.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// naiveReplaced returns the ids of the processes at an address that a process started at
+// startedMS replaces, by looking at all records.
+func naiveReplaced(t *presence.Table, address string, startedMS int64) []string {
+	var ids []string
+	for _, r := range t.All() {
+		if r.Address == address && r.State != presence.Terminated && r.StartedMS < startedMS {
+			ids = append(ids, r.ID)
+		}
+	}
+	return ids
+}
+
+func TestChangesAndReplacementsEqualThoseFoundByScanning(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	table := presence.NewTable()
+	at := now
+	for step := range int64(20_000) {
+		at = at.Add(time.Duration(random.IntN(400)) * time.Millisecond)
+		u := report(fmt.Sprint("u", random.IntN(60)), fmt.Sprint("a:", random.IntN(50)), 10+step/500+random.Int64N(3), step,
+			presence.State(1+random.IntN(3)))
+		replaced := naiveReplaced(table, u.Address, u.StartedMS)
+		if table.Apply(u, at) && u.State != presence.Terminated && table.Record(u.ID).State != presence.Terminated {
+			for _, id := range replaced {
+				if id != u.ID {
+					g.Expect(table.Record(id).State).To(Equal(presence.Terminated))
+				}
+			}
+		}
+		if random.IntN(20) == 0 {
+			table.Expire(at)
+		}
+		since := uint64(random.Int64N(int64(table.Revision()) + 1))
+		var changed []string
+		for _, r := range table.ChangedSince(since) {
+			changed = append(changed, r.ID)
+		}
+		slices.Sort(changed)
+		g.Expect(changed).To(Equal(naiveChanges(table, since)))
+	}
+}
