Send only ages of upstreams whose records another control host has

Each control host sent all upstreams that report to it to all others every second, encoded for each: with 3,000 upstreams and nine hosts 2,700 records sent and received per host and second. Now the records go with a generation, a hash of the set and its states; a host that acknowledged it gets one byte of age per upstream. A host that restarts, or one of the build before, acknowledges no generation and gets records.

--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -148,13 +148,24 @@
 	Unresponsive bool `cbor:"3,keyasint,omitempty"`
 }
 
-// UpstreamsMessage forwards reports of upstreams to another control host.
+// UpstreamsMessage forwards reports of upstreams to another control host: changed ones, or in an
+// exchange all upstreams that report to the sender.
 type UpstreamsMessage struct {
 	Records []UpstreamRecord `cbor:"1,keyasint"`
+	// Sender is the address of the sending host, and Generation identifies the upstreams that
+	// report to it and their states. Both are set in an exchange only.
+	Sender     string `cbor:"2,keyasint,omitempty"`
+	Generation uint64 `cbor:"3,keyasint,omitempty"`
+	// Ages is set in place of Records if the receiver has the records of the generation: the
+	// times since the latest reports, in units of ageUnit, in the order of the records.
+	Ages []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // UpstreamsReply acknowledges an UpstreamsMessage.
-type UpstreamsReply struct{}
+type UpstreamsReply struct {
+	// Generation is that of the sender's latest exchange with Records; 0 if there was none.
+	Generation uint64 `cbor:"1,keyasint,omitempty"`
+}
 
 // CloseRequest ends the session of a host that shuts down.
 type CloseRequest struct {
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -77,13 +77,17 @@
 	table     *presence.Table
 	// directReports holds the time of each upstream's latest report to this host itself.
 	directReports map[string]time.Time
-	hosts         *hostTable
-	upstreamFeed  *upstreamFeed
-	loadFeed      loadFeed
-	crashes       crashTracker
-	forwardQueues map[string]chan UpstreamRecord
-	wg            sync.WaitGroup
-	ctx           context.Context
+	// remoteUpstreams holds the latest exchange with records of each control host, and
+	// acknowledgedGenerations the generation of this host's that each has, by address.
+	remoteUpstreams         map[string]remoteUpstreams
+	acknowledgedGenerations map[string]uint64
+	hosts                   *hostTable
+	upstreamFeed            *upstreamFeed
+	loadFeed                loadFeed
+	crashes                 crashTracker
+	forwardQueues           map[string]chan UpstreamRecord
+	wg                      sync.WaitGroup
+	ctx                     context.Context
 }
 
 // New returns a control host that is not started.
@@ -92,6 +96,7 @@
 		options: o, epoch: rand.Uint64(),
 		addresses: map[uint64]string{}, table: presence.NewTable(),
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
+		remoteUpstreams: map[string]remoteUpstreams{}, acknowledgedGenerations: map[string]uint64{},
 	}
 	n.upstreamFeed = newUpstreamFeed(n.table)
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/controlnode/upstreams.go
+++ b/internal/controlnode/upstreams.go
@@ -10,16 +10,9 @@
 
 	"github.com/godwitbend/godwitbend/internal/presence"
 	"github.com/godwitbend/godwitbend/internal/rpc"
-	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
-	// exchangeInterval is the interval at which the upstreams that report to this host are
-	// sent to the other control hosts. It repairs the loss of forwarded reports.
-	exchangeInterval = time.Second
-	// directReportRetention is the time after its latest report for which an upstream counts
-	// as one that reports to this host.
-	directReportRetention = 10 * time.Second
 	// forwardTimeout limits one call that forwards reports to another control host.
 	forwardTimeout = 600 * time.Millisecond
 	// maxForwardQueue is the maximum number of reports queued for one control host.
@@ -92,7 +85,7 @@
 		case <-ctx.Done():
 			return
 		case first := <-q:
-			n.sendUpstreams(ctx, address, collectRecords(first, q))
+			n.sendUpstreams(ctx, address, &UpstreamsMessage{Records: collectRecords(first, q)})
 		}
 	}
 }
@@ -109,22 +102,16 @@
 	}
 }
 
-func (n *Node) sendUpstreams(ctx context.Context, address string, records []UpstreamRecord) {
+// sendUpstreams sends a message to one control host. It returns nil if that fails.
+func (n *Node) sendUpstreams(ctx context.Context, address string, msg *UpstreamsMessage) *UpstreamsReply {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	msg := &UpstreamsMessage{Records: records}
-	if _, err := rpc.Call[UpstreamsMessage, UpstreamsReply](ctx, n.rpc, address, MethodUpstreams, msg); err != nil {
+	reply, err := rpc.Call[UpstreamsMessage, UpstreamsReply](ctx, n.rpc, address, MethodUpstreams, msg)
+	if err != nil {
 		klog.V(2).InfoS("upstream reports not forwarded", "control_host", address, "error", err.Error())
+		return nil
 	}
-}
-
-// receiveUpstreams serves MethodUpstreams.
-func (n *Node) receiveUpstreams(_ context.Context, msg *UpstreamsMessage) (*UpstreamsReply, error) {
-	now := time.Now()
-	for i := range msg.Records {
-		n.applyReport(msg.Records[i].Upstream, now.Add(-msg.Records[i].Age))
-	}
-	return &UpstreamsReply{}, nil
+	return reply
 }
 
 // toUpstreamRecords converts records to their wire form, ordered by id.
@@ -136,39 +123,3 @@
 	slices.SortFunc(list, func(a, b UpstreamRecord) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
-
-// directRecords returns the upstreams that reported to this host within
-// directReportRetention. The caller holds n.mu.
-func (n *Node) directRecords(now time.Time) []*presence.Record {
-	var records []*presence.Record
-	for id, at := range n.directReports {
-		r := n.table.Record(id)
-		if r == nil || now.Sub(at) > directReportRetention {
-			delete(n.directReports, id)
-			continue
-		}
-		records = append(records, r)
-	}
-	return records
-}
-
-// maintainUpstreams marks unresponsive upstreams and sends the upstreams that report to this
-// host to the other control hosts, every exchangeInterval.
-func (n *Node) maintainUpstreams(ctx context.Context) {
-	timing.Every(ctx, exchangeInterval, func() {
-		now := time.Now()
-		n.mu.Lock()
-		unresponsive := n.table.Expire(now)
-		records := toUpstreamRecords(n.directRecords(now), now)
-		n.mu.Unlock()
-		for _, id := range unresponsive {
-			klog.InfoS("upstream unresponsive", "upstream", id, "after", presence.HeartbeatTimeout.String())
-		}
-		if len(records) == 0 {
-			return
-		}
-		for _, address := range n.otherControlHosts() {
-			n.goRun(func() { n.sendUpstreams(ctx, address, records) })
-		}
-	})
-}
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -121,6 +121,22 @@
 	return true
 }
 
+// Refresh records that the process of an upstream that started at startedMS reported at time at
+// without a change. It is ignored for any other process and if a later report is known.
+func (t *Table) Refresh(id string, startedMS int64, at, now time.Time) {
+	r := t.records[id]
+	if r == nil || r.StartedMS != startedMS || !at.After(r.ReceivedAt) {
+		return
+	}
+	if !r.Unresponsive || now.Sub(at) > HeartbeatTimeout {
+		r.ReceivedAt = at
+		return
+	}
+	next := *r
+	next.ReceivedAt, next.Unresponsive = at, false
+	t.store(&next)
+}
+
 // supersedes reports whether u is newer than old. A departure has no sequence and
 // supersedes every report of its process.
 func supersedes(old, u *Upstream) bool {
--- a/internal/presence/table_test.go
+++ b/internal/presence/table_test.go
@@ -130,3 +130,25 @@
 		g.Expect(changed).To(Equal(naiveChanges(table, since)))
 	}
 }
+
+func TestRefreshKeepsTheStateAndOnlyRecentReportsMakeResponsive(t *testing.T) {
+	g := NewWithT(t)
+	table := presence.NewTable()
+	table.Apply(report("u", "a:1", 10, 5, presence.Draining), now)
+	later := now.Add(time.Second)
+	table.Refresh("u", 9, later, later)
+	table.Refresh("unknown", 10, later, later)
+	g.Expect(table.Record("u").ReceivedAt).To(Equal(now), "an earlier process")
+	table.Refresh("u", 10, later, later)
+	table.Refresh("u", 10, now, later)
+	g.Expect(table.Record("u").ReceivedAt).To(Equal(later), "the latest report counts")
+	g.Expect(table.Record("u").State).To(Equal(presence.Draining))
+	g.Expect(table.Revision()).To(Equal(uint64(1)))
+	late := later.Add(2 * presence.HeartbeatTimeout)
+	g.Expect(table.Expire(late)).To(HaveLen(1))
+	table.Refresh("u", 10, later.Add(time.Second), late)
+	g.Expect(table.Record("u").Unresponsive).To(BeTrue())
+	table.Refresh("u", 10, late.Add(-time.Second), late)
+	g.Expect(table.Record("u").Unresponsive).To(BeFalse())
+	g.Expect(table.ChangedSince(2)).To(HaveLen(1), "its recovery is a change")
+}
