Refuse as unavailable what an outdated configuration does not contain

What it knows it serves as before.

Test: a control group frozen for over 2 s; before, 404 and 401.

The line of a reserve that is not opened was written 50 times a second while nothing changed; it is written when its result changes.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -41,6 +41,20 @@
 	return q.handler.Sync.AwaitView(ctx)
 }
 
+// identify finds the route and the organisation of the request. A host whose configuration may be
+// outdated does not know whether a route or key that it lacks exists.
+func (q *request) identify() *errkind.Error {
+	refusal := q.findRoute()
+	if refusal == nil {
+		refusal = q.authenticate()
+	}
+	if refusal != nil && !q.handler.Sync.ConfigurationCurrent(time.Now()) {
+		return errkind.New(errkind.ControlUnavailable, "the configuration may be outdated: %s", refusal.Message).
+			WithRetryAfter(noConfigurationRetryAfter)
+	}
+	return refusal
+}
+
 func (q *request) findRoute() *errkind.Error {
 	if q.route = q.view.Index.Route(q.Host, q.Path); q.route == nil {
 		return errkind.New(errkind.NotFound, "no route matches the host and path")
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -144,10 +144,7 @@
 	if q.view = q.awaitView(r.Context()); q.view == nil {
 		return errkind.New(errkind.ControlUnavailable, "no configuration has been received").WithRetryAfter(noConfigurationRetryAfter)
 	}
-	if refusal := q.findRoute(); refusal != nil {
-		return refusal
-	}
-	if refusal := q.authenticate(); refusal != nil {
+	if refusal := q.identify(); refusal != nil {
 		return refusal
 	}
 	if q.handler.draining.Load() {
--- a/internal/hostsync/intervals.go
+++ b/internal/hostsync/intervals.go
@@ -31,8 +31,18 @@
 	// the latest successful call, plus reachableSlack for the duration of a call.
 	reachableIntervals = 2
 	reachableSlack     = 100 * time.Millisecond
+	// maxConfigurationAge is the time within which a change of the configuration must be in
+	// force on all hosts.
+	maxConfigurationAge = 2 * time.Second
 )
 
+// ConfigurationCurrent reports whether the control group confirmed the configuration within
+// maxConfigurationAge. Otherwise a newer version may be in force on other hosts.
+func (c *Client) ConfigurationCurrent(now time.Time) bool {
+	at := c.lastSync.Load()
+	return at != nil && now.Sub(*at) < maxConfigurationAge
+}
+
 // ControlReachable reports whether a call to the control group succeeded recently.
 func (c *Client) ControlReachable(now time.Time) bool {
 	at := c.lastSync.Load()
--- a/internal/hostsync/witness.go
+++ b/internal/hostsync/witness.go
@@ -65,8 +65,14 @@
 // fleet seldom hold tokens to spend, so they check less often while nothing is due.
 func (c *Client) maintainReserve(ctx context.Context) {
 	interval := reserveCheckInterval
+	var last openingResult
 	for timing.Sleep(ctx, max(c.allowance.ReserveCheckIn(c.options.Clock()), interval)) {
-		if c.openReserve(ctx) || !c.allowance.Concentrated() {
+		result := c.openReserve(ctx)
+		if result != last && result.due {
+			klog.InfoS("witnesses recorded ceilings: control group unreachable", "report", result.report, "witnesses", result.witnesses, "in_force", result.opened)
+		}
+		last = result
+		if result.due || !c.allowance.Concentrated() {
 			interval = reserveCheckInterval
 		} else {
 			interval = min(2*interval, maxReserveCheckInterval)
@@ -74,17 +80,28 @@
 	}
 }
 
+// openingResult is the result of one attempt to open the reserve.
+type openingResult struct {
+	// due is false if nothing was due.
+	due bool
+	// report is the number of the latest acknowledged report, and witnesses how many hosts
+	// have recorded the ceilings.
+	report    uint64
+	witnesses int
+	opened    bool
+}
+
 // openReserve opens the reserve, or more of it, if that is due and the witnesses have
-// recorded the ceilings. It returns false if nothing was due.
-func (c *Client) openReserve(ctx context.Context) bool {
+// recorded the ceilings.
+func (c *Client) openReserve(ctx context.Context) openingResult {
 	opening := c.allowance.DueReserveOpening(c.options.Clock())
 	if opening == nil {
-		return false
+		return openingResult{}
 	}
 	recorded := c.askWitnesses(ctx, opening)
-	opened := c.allowance.OpenReserve(opening, recorded)
-	klog.InfoS("witnesses recorded ceilings: control group unreachable", "report", opening.Seq, "witnesses", len(recorded), "in_force", opened)
-	return true
+	return openingResult{
+		due: true, report: opening.Seq, witnesses: len(recorded), opened: c.allowance.OpenReserve(opening, recorded),
+	}
 }
 
 // askWitnesses sends the ceilings to the witnesses, and returns the sessions of those that
