Charge less for the time between a host's last report and its next process

A reserve now spends at 1.25 times the recent demand (beyond it hosts get tokens from each other, as before), and a holder's burst covers the larger of 0.8 s, and 0.3 s and the largest request.

--- a/internal/prepaid/large_fleet_test.go
+++ b/internal/prepaid/large_fleet_test.go
@@ -61,6 +61,11 @@
 )
 
 func playFleetLoad(seed uint64, holders bool) *fleetLoad {
+	return playFleetLoadFor(seed, holders, loadLength)
+}
+
+// playFleetLoadFor plays the load for a part of its length.
+func playFleetLoadFor(seed uint64, holders bool, length time.Duration) *fleetLoad {
 	l := &fleetLoad{random: rand.New(rand.NewPCG(seed, 3)), book: NewBook(), cutFrom: 8 * time.Second, cutUntil: 16 * time.Second}
 	prepaid := map[string]int64{}
 	for i := range loadOrganisations {
@@ -84,7 +89,7 @@
 		l.hosts = append(l.hosts, h)
 	}
 	const warmUp = 2 * time.Second
-	for l.now < loadLength {
+	for l.now < length {
 		l.now += loadStep
 		l.callsLeft = min(l.callsLeft+loadCallsPerSecond*loadStep.Seconds(), loadCallsPerSecond/10)
 		for _, h := range l.hosts {
@@ -241,3 +246,32 @@
 		g.Expect(concentrated.refusedShare()).To(BeNumerically("<", independent.refusedShare()/2), "seed %d", seed)
 	}
 }
+
+// loseAllPower ends all processes at once and opens the sessions of the next ones. It returns the
+// tokens written off, less those of requests in flight, and what the demand uses between the last
+// reports, on average half an interval before, and the next processes.
+func (l *fleetLoad) loseAllPower(downtime time.Duration) (writtenOff, demand int64) {
+	l.now += downtime
+	for i, h := range l.hosts {
+		at := int64(l.now)
+		settlement := l.book.OpenSession(SessionOpening{Host: h.address, Session: uint64(i + 1), BootTime: at, WallTime: at, ArrivalTime: at})
+		writtenOff += settlement.WrittenOff
+		for _, r := range h.ends {
+			writtenOff -= r.reserved
+		}
+	}
+	perSecond := float64(loadOrganisations * loadPerOrganisation * meanNeed)
+	return writtenOff, int64(perSecond * (downtime + loadSyncInterval/2).Seconds())
+}
+
+// Between its last report and the start of its next process a host may have served on. No more
+// may be written off for that time than the usual demand would have used.
+func TestLossOfAllPowerWritesOffTheUsualDemand(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(3) {
+		l := playFleetLoadFor(seed, true, 7*time.Second)
+		writtenOff, demand := l.loseAllPower(1600 * time.Millisecond)
+		t.Logf("seed %d: %d tokens written off, usual demand %d", seed, writtenOff, demand)
+		g.Expect(writtenOff).To(BeNumerically("<=", demand), "seed %d", seed)
+	}
+}
--- a/internal/prepaid/sizing.go
+++ b/internal/prepaid/sizing.go
@@ -7,8 +7,9 @@
 	// the control group.
 	outageHorizon = 10 * time.Second
 	// reserveRateFactor is the ratio of the spending rate of an open reserve to the recent
-	// demand. Beyond it a host gets tokens from other hosts.
-	reserveRateFactor = 2
+	// demand. Beyond it a host gets tokens from other hosts. After a loss of all power that
+	// rate is charged for all the time until the next process starts.
+	reserveRateFactor = 1.25
 	// holdingFactor is the ratio of the tokens that a host asks for to its recent demand
 	// over outageHorizon. During a peak it gets the remainder from other hosts.
 	holdingFactor = 1.5
@@ -19,8 +20,9 @@
 	// number of seconds and by the number of hosts. It serves organisations that the host
 	// has had no requests of.
 	minRateDivisor = 60
-	// holderBurstWindow replaces burstWindow at a holder. It covers the interval between two
-	// reports in a large fleet, as a holder that has to report first delays many requests.
+	// holderBurstWindow replaces burstWindow at a holder, unless the largest request needs
+	// more. It covers the interval between two reports in a large fleet, as a holder that has
+	// to report first delays many requests.
 	holderBurstWindow = 800 * time.Millisecond
 	// holderShareDivisor sets the part of the balance, 1 in N, that the holders together ask
 	// for at least. The rest stays with the control group, in case a holder is lost.
@@ -47,7 +49,7 @@
 	rate := max(demandRate*reserveRateFactor, t.evenShare()/minRateDivisor)
 	usual := rate / reserveRateFactor
 	if t.role == roleHolder {
-		burst := usual*holderBurstWindow.Seconds() + t.largest
+		burst := max(usual*holderBurstWindow.Seconds(), usual*burstWindow.Seconds()+t.largest)
 		want := max(usual*holdingFactor*outageHorizon.Seconds()+burst, t.evenShare()/holderShareDivisor)
 		return sizing{want: int64(want), rate: int64(rate), burst: int64(burst)}
 	}
