--- a/internal/controlnode/feed.go
+++ b/internal/controlnode/feed.go
@@ -15,9 +15,9 @@
 	// the changes of the table of upstreams and of the whole table.
 	changesInterval    = 50 * time.Millisecond
 	wholeTableInterval = 250 * time.Millisecond
-	// loadsInterval is the minimum time between two encodings of the loads.
+	// loadsInterval is the minimum time between two sums of the loads.
 	loadsInterval = 100 * time.Millisecond
-	// maxEncodedBytes bounds the encoded table and loads before compression.
+	// maxEncodedBytes bounds the encoded table before compression.
 	maxEncodedBytes = 64 << 20
 )
 
@@ -96,25 +96,21 @@
 	return data
 }
 
-// loadFeed encodes the totals of the loads for the gateway hosts.
+// loadFeed packs the totals of the loads for the gateway hosts.
 type loadFeed struct {
-	data []byte
-	at   time.Time
+	packed []byte
+	at     time.Time
 }
 
-// totals returns the encoded totals of the loads, nil if there are none, and what h contributed
-// to them.
-func (f *loadFeed) totals(t *hostTable, h *gatewayHost, now time.Time) ([]byte, map[string]placement.Load) {
+// totals returns the packed totals of the loads and what h contributed to them.
+func (f *loadFeed) totals(t *hostTable, h *gatewayHost, now time.Time) (totals, own []byte) {
 	if now.Sub(f.at) >= loadsInterval {
-		f.at, f.data = now, nil
-		if len(t.totals) > 0 {
-			f.data = encodeShared(t.totals)
-		}
+		f.at, f.packed = now, placement.PackLoads(placement.ByShortID(t.totals))
 		for _, host := range t.hosts {
 			host.loadsInTotals = host.loads
 		}
 	}
-	return f.data, h.loadsInTotals
+	return f.packed, placement.PackLoads(placement.ByShortID(h.loadsInTotals))
 }
 
 // DecodeUpstreams returns the upstreams that the reply contains.
@@ -127,19 +123,24 @@
 	return records, err
 }
 
-// DecodeLoads returns the loads that all other hosts put on the upstreams, by upstream id.
-func (r *SyncReply) DecodeLoads() (map[string]placement.Load, error) {
-	if len(r.EncodedTotals) == 0 {
-		return r.Loads, nil
+// DecodeLoads returns the loads that all other hosts put on the upstreams, by short id.
+func (r *SyncReply) DecodeLoads() (map[uint32]placement.Load, error) {
+	if len(r.PackedTotals) == 0 {
+		return placement.ByShortID(r.Loads), nil
 	}
-	var loads map[string]placement.Load
-	if err := codec.UnmarshalCompressed(r.EncodedTotals, maxEncodedBytes, &loads); err != nil {
+	return othersLoads(r.PackedTotals, r.PackedOwn)
+}
+
+// othersLoads returns totals less own, both packed.
+func othersLoads(totals, own []byte) (map[uint32]placement.Load, error) {
+	loads, err := placement.UnpackLoads(totals)
+	if err != nil {
 		return nil, err
 	}
-	for id, own := range r.LoadsInTotals {
-		if loads[id] = loads[id].Minus(own); loads[id] == (placement.Load{}) {
-			delete(loads, id)
-		}
+	ownLoads, err := placement.UnpackLoads(own)
+	if err != nil {
+		return nil, err
 	}
+	placement.SubtractLoads(loads, ownLoads)
 	return loads, nil
 }
--- a/internal/controlnode/feed_test.go
+++ b/internal/controlnode/feed_test.go
@@ -98,7 +98,7 @@
 	g.Expect(records[0].State).To(Equal(presence.Draining))
 }
 
-func TestEncodedLoadsAreThoseOfAllOtherHosts(t *testing.T) {
+func TestPackedLoadsAreThoseOfAllOtherHosts(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(5, 6))
 	table := newHostTable()
@@ -109,18 +109,14 @@
 		h := table.recordCall(fmt.Sprint("g", random.IntN(8)), Peer{}, now)
 		loads := map[string]placement.Load{}
 		for range random.IntN(4) {
-			loads[fmt.Sprint("u", random.IntN(6))] = placement.Load{InFlight: 1 + random.IntN(3), Backlog: random.Int64N(100)}
+			loads[fmt.Sprint("u", random.IntN(6))] = placement.Load{InFlight: 1 + random.IntN(3), KVTokens: 1024 * random.Int64N(100)}
 		}
 		table.setLoads(h, loads)
 		totals, own := feed.totals(table, h, now)
-		got, err := (&SyncReply{EncodedTotals: totals, LoadsInTotals: own}).DecodeLoads()
+		got, err := (&SyncReply{PackedTotals: totals, PackedOwn: own}).DecodeLoads()
 		g.Expect(err).NotTo(HaveOccurred())
-		if want := table.loadsOfOthers(h); len(want) > 0 {
-			g.Expect(got).To(Equal(want))
-		} else {
-			g.Expect(got).To(BeEmpty())
-		}
-		// A call before the next encoding gets the same totals, and the loads of its host in them.
+		g.Expect(got).To(Equal(placement.ByShortID(table.loadsOfOthers(h))))
+		// A call before the next sum gets the same totals, and the loads of its host in them.
 		h2 := table.recordCall("late", Peer{}, now)
 		sameTotals, none := feed.totals(table, h2, now)
 		g.Expect(sameTotals).To(Equal(totals))
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -88,7 +88,7 @@
 	CeilingAnswers []prepaid.CeilingAnswer `cbor:"11,keyasint,omitempty"`
 	// PeersRevision is the revision of the host's list of gateway hosts.
 	PeersRevision uint64 `cbor:"10,keyasint,omitempty"`
-	// AcceptsEncoded reports that the host can read EncodedUpstreams and EncodedTotals.
+	// AcceptsEncoded reports that the host can read EncodedUpstreams and PackedTotals.
 	AcceptsEncoded bool `cbor:"13,keyasint,omitempty"`
 }
 
@@ -133,10 +133,10 @@
 	PeersRevision uint64 `cbor:"13,keyasint,omitempty"`
 	// EncodedUpstreams replaces Upstreams for hosts that accept it; see DecodeUpstreams.
 	EncodedUpstreams []byte `cbor:"15,keyasint,omitempty"`
-	// EncodedTotals replaces Loads for hosts that accept it; see DecodeLoads. It holds the
-	// loads that all hosts put on the upstreams, and LoadsInTotals those of the calling host.
-	EncodedTotals []byte                    `cbor:"16,keyasint,omitempty"`
-	LoadsInTotals map[string]placement.Load `cbor:"17,keyasint,omitempty"`
+	// PackedTotals replaces Loads for hosts that accept it; see DecodeLoads. It holds the loads
+	// that all hosts put on the upstreams, and PackedOwn those of the calling host.
+	PackedTotals []byte `cbor:"16,keyasint,omitempty"`
+	PackedOwn    []byte `cbor:"17,keyasint,omitempty"`
 }
 
 // UpstreamRecord is the wire form of an upstream in calls between hosts.
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -52,7 +52,7 @@
 		n.hosts.expire(now)
 		n.hosts.setLoads(h, req.Loads)
 		if req.AcceptsEncoded {
-			reply.EncodedTotals, reply.LoadsInTotals = n.loadFeed.totals(n.hosts, h, now)
+			reply.PackedTotals, reply.PackedOwn = n.loadFeed.totals(n.hosts, h, now)
 		} else {
 			reply.Loads = n.hosts.loadsOfOthers(h)
 		}
--- /dev/null
+++ b/internal/placement/packed.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// packedKVUnit is the unit in which packed loads state KVTokens.
+const packedKVUnit = 1 << 10
+
+// errPackedLoads means that packed loads are truncated or damaged.
+var errPackedLoads = eris.New("packed loads are invalid")
+
+// PackLoads returns a compact form of loads by short id. It leaves out the backlogs, which are
+// outdated when a message arrives, and rounds KVTokens to the nearest packedKVUnit.
+func PackLoads(loads map[uint32]Load) []byte {
+	var packed []byte
+	previous := uint32(0)
+	for _, id := range slices.Sorted(maps.Keys(loads)) {
+		load := loads[id]
+		packed = binary.AppendUvarint(packed, uint64(id-previous))
+		packed = binary.AppendUvarint(packed, uint64(max(load.InFlight, 0)))
+		packed = binary.AppendUvarint(packed, uint64(max(load.KVTokens+packedKVUnit/2, 0)/packedKVUnit))
+		previous = id
+	}
+	return packed
+}
+
+// UnpackLoads reverses PackLoads. An error means that packed is damaged.
+func UnpackLoads(packed []byte) (map[uint32]Load, error) {
+	loads := map[uint32]Load{}
+	id := uint32(0)
+	for len(packed) > 0 {
+		var fields [3]uint64
+		for i := range fields {
+			value, n := binary.Uvarint(packed)
+			if n <= 0 {
+				return nil, errPackedLoads
+			}
+			fields[i], packed = value, packed[n:]
+		}
+		id += uint32(fields[0])
+		loads[id] = Load{InFlight: int(fields[1]), KVTokens: int64(fields[2]) * packedKVUnit}
+	}
+	return loads, nil
+}
+
+// ByShortID returns loads by the short ids of the upstreams.
+func ByShortID(loads map[string]Load) map[uint32]Load {
+	short := make(map[uint32]Load, len(loads))
+	for id, load := range loads {
+		short[shortID(id)] = load
+	}
+	return short
+}
+
+// AddLoads adds loads to sums.
+func AddLoads(sums, loads map[uint32]Load) {
+	for id, load := range loads {
+		sums[id] = sums[id].Plus(load)
+	}
+}
+
+// SubtractLoads subtracts loads from sums and removes what is left without a load.
+func SubtractLoads(sums, loads map[uint32]Load) {
+	for id, load := range loads {
+		rest := sums[id].Minus(load)
+		rest.InFlight, rest.KVTokens = max(rest.InFlight, 0), max(rest.KVTokens, 0)
+		if sums[id] = rest; rest.InFlight == 0 && rest.KVTokens == 0 {
+			delete(sums, id)
+		}
+	}
+}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -49,13 +49,7 @@
 }
 
 // LoadsByShortID returns the load caused by this host, by short upstream id.
-func (p *Pool) LoadsByShortID() map[uint32]Load {
-	loads := map[uint32]Load{}
-	for id, load := range p.Loads() {
-		loads[shortID(id)] = load
-	}
-	return loads
-}
+func (p *Pool) LoadsByShortID() map[uint32]Load { return ByShortID(p.Loads()) }
 
 // LoadChanged returns a channel that signals a substantial change of this host's load.
 func (p *Pool) LoadChanged() <-chan struct{} { return p.loadChanged }
@@ -105,9 +99,7 @@
 		}
 		for upstream, load := range other.loads {
 			if u := byShortID[upstream]; u != nil {
-				u.peerReported.InFlight += load.InFlight
-				u.peerReported.Backlog += load.Backlog
-				u.peerReported.KVTokens += load.KVTokens
+				u.peerReported = u.peerReported.Plus(load)
 			}
 		}
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -150,12 +150,13 @@
 	p.upstreams = upstreams
 }
 
-// ApplyControlLoads applies the load of all other hosts as reported by the control group.
-func (p *Pool) ApplyControlLoads(loads map[string]Load) {
+// ApplyControlLoads applies the load of all other hosts as reported by the control group, by
+// short upstream id.
+func (p *Pool) ApplyControlLoads(loads map[uint32]Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, u := range p.upstreams {
-		u.controlReported = loads[id]
+		u.controlReported = loads[shortID(id)]
 	}
 }
 
