--- a/internal/controlnode/batch.go
+++ b/internal/controlnode/batch.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -50,24 +51,38 @@
 	return &reportBatcher{node: n, queue: make(chan *submission, maxBatchedReports)}
 }
 
-// submit commits the session opening and the report of req as part of a batch, and waits
-// for the result.
-func (b *reportBatcher) submit(ctx context.Context, req *SyncRequest) (submitResult, error) {
-	if req.Opening == nil && req.Report == nil {
-		return submitResult{}, nil
-	}
-	s := &submission{req: req, arrivalTime: time.Now().UnixNano(), done: make(chan submitResult, 1)}
-	select {
-	case b.queue <- s:
-	case <-ctx.Done():
-		return submitResult{}, ctx.Err()
+// submit commits the session openings, reports and answers of calls as parts of batches, and
+// waits for all results. An error means that some may not be committed.
+func (b *reportBatcher) submit(ctx context.Context, calls ...*SyncRequest) ([]submitResult, error) {
+	now := time.Now().UnixNano()
+	submissions := make([]*submission, len(calls))
+	for i, req := range calls {
+		if req.Opening == nil && req.Report == nil {
+			continue
+		}
+		s := &submission{req: req, arrivalTime: cmp.Or(req.ArrivalTime, now), done: make(chan submitResult, 1)}
+		select {
+		case b.queue <- s:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		submissions[i] = s
 	}
-	select {
-	case out := <-s.done:
-		return out, out.err
-	case <-ctx.Done():
-		return submitResult{}, ctx.Err()
+	results := make([]submitResult, len(calls))
+	for i, s := range submissions {
+		if s == nil {
+			continue
+		}
+		select {
+		case results[i] = <-s.done:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if results[i].err != nil {
+			return nil, results[i].err
+		}
 	}
+	return results, nil
 }
 
 // run collects and commits batches until ctx ends.
@@ -86,7 +101,7 @@
 func (b *reportBatcher) batchDelay() time.Duration {
 	b.node.mu.Lock()
 	defer b.node.mu.Unlock()
-	return min(time.Duration(len(b.node.hosts.hosts))*batchDelayPerHost, maxBatchDelay)
+	return min(time.Duration(b.node.hosts.size())*batchDelayPerHost, maxBatchDelay)
 }
 
 func (b *reportBatcher) collect(first *submission) []*submission {
--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -55,9 +55,6 @@
 		for _, id := range unresponsive {
 			klog.InfoS("upstream unresponsive", "upstream", id, "after", presence.HeartbeatTimeout.String())
 		}
-		if len(direct.records) == 0 {
-			return
-		}
 		for _, address := range n.otherControlHosts() {
 			n.goRun(func() { n.exchangeWith(ctx, address, direct) })
 		}
@@ -115,20 +112,24 @@
 	known := n.acknowledgedGenerations[address]
 	n.mu.Unlock()
 	if known == direct.generation {
-		msg := &UpstreamsMessage{Sender: n.options.Address, Generation: direct.generation, Ages: direct.ages()}
-		reply := n.sendUpstreams(ctx, address, msg)
+		reply := n.sendUpstreams(ctx, address, n.exchangeMessage(direct.generation, nil, direct.ages()))
 		if reply == nil || reply.Generation == direct.generation {
 			return
 		}
 	}
-	msg := &UpstreamsMessage{Sender: n.options.Address, Generation: direct.generation, Records: direct.records}
-	if reply := n.sendUpstreams(ctx, address, msg); reply != nil {
+	if reply := n.sendUpstreams(ctx, address, n.exchangeMessage(direct.generation, direct.records, nil)); reply != nil {
 		n.mu.Lock()
 		n.acknowledgedGenerations[address] = reply.Generation
 		n.mu.Unlock()
 	}
 }
 
+func (n *Node) exchangeMessage(generation uint64, records []UpstreamRecord, ages []byte) *UpstreamsMessage {
+	return &UpstreamsMessage{
+		Sender: n.options.Address, Zone: n.options.Zone, Generation: generation, Records: records, Ages: ages,
+	}
+}
+
 // receiveUpstreams serves MethodUpstreams.
 func (n *Node) receiveUpstreams(_ context.Context, msg *UpstreamsMessage) (*UpstreamsReply, error) {
 	now := time.Now()
@@ -140,7 +141,8 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(msg.Records) > 0 {
+	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, heardAt: now}
+	if len(msg.Ages) == 0 {
 		n.remoteUpstreams[msg.Sender] = newRemoteUpstreams(msg)
 	}
 	remote := n.remoteUpstreams[msg.Sender]
--- a/internal/controlnode/feed.go
+++ b/internal/controlnode/feed.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -102,15 +103,21 @@
 	at     time.Time
 }
 
-// totals returns the packed totals of the loads and what h contributed to them.
-func (f *loadFeed) totals(t *hostTable, h *gatewayHost, now time.Time) (totals, own []byte) {
+// totals returns the packed totals of the loads and what h contributed to them. elsewhere holds
+// the loads of the hosts that are not in t.
+func (f *loadFeed) totals(t *hostTable, elsewhere map[uint32]placement.Load, h *gatewayHost, now time.Time) (totals, own []byte) {
 	if now.Sub(f.at) >= loadsInterval {
-		f.at, f.packed = now, placement.PackLoads(placement.ByShortID(t.totals))
+		sums := maps.Clone(t.totals)
+		placement.AddLoads(sums, elsewhere)
+		f.at, f.packed = now, placement.PackLoads(sums)
 		for _, host := range t.hosts {
 			host.loadsInTotals = host.loads
 		}
+		for _, relay := range t.relays {
+			relay.loadsInTotals = relay.loads
+		}
 	}
-	return f.packed, placement.PackLoads(placement.ByShortID(h.loadsInTotals))
+	return f.packed, placement.PackLoads(h.loadsInTotals)
 }
 
 // DecodeUpstreams returns the upstreams that the reply contains.
--- a/internal/controlnode/feed_test.go
+++ b/internal/controlnode/feed_test.go
@@ -111,14 +111,14 @@
 		for range random.IntN(4) {
 			loads[fmt.Sprint("u", random.IntN(6))] = placement.Load{InFlight: 1 + random.IntN(3), KVTokens: 1024 * random.Int64N(100)}
 		}
-		table.setLoads(h, loads)
-		totals, own := feed.totals(table, h, now)
+		table.setLoads(h, placement.ByShortID(loads))
+		totals, own := feed.totals(table, nil, h, now)
 		got, err := (&SyncReply{PackedTotals: totals, PackedOwn: own}).DecodeLoads()
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(got).To(Equal(placement.ByShortID(table.loadsOfOthers(h))))
+		g.Expect(got).To(Equal(table.loadsOfOthers(h)))
 		// A call before the next sum gets the same totals, and the loads of its host in them.
 		h2 := table.recordCall("late", Peer{}, now)
-		sameTotals, none := feed.totals(table, h2, now)
+		sameTotals, none := feed.totals(table, nil, h2, now)
 		g.Expect(sameTotals).To(Equal(totals))
 		g.Expect(none).To(BeEmpty())
 	}
--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -1,6 +1,9 @@
 package controlnode
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/placement"
@@ -14,12 +17,15 @@
 // table.
 const hostTimeout = 3 * time.Second
 
-// hostTable is the leader's table of gateway hosts. It maintains the totals of their
-// loads, so that the cost of a reply does not grow with the number of hosts.
+// hostTable is a control host's table of the gateway hosts that call it and, on the leader, of
+// those that call relays. It maintains the totals of their loads, so that the cost of a reply does
+// not grow with the number of hosts.
 type hostTable struct {
 	hosts map[string]*gatewayHost
-	// totals is the sum of the loads that all hosts put on each upstream, by upstream id.
-	totals map[string]placement.Load
+	// relays holds the gateway hosts of other control hosts, by the address of these.
+	relays map[string]*relayedHosts
+	// totals is the sum of the loads that all hosts put on each upstream, by short id.
+	totals map[uint32]placement.Load
 	// revision increases with each change to the set of hosts or to a host's Peer.
 	revision uint64
 	// published is the list of gateway hosts that replies contain, as of publishedRevision.
@@ -28,17 +34,29 @@
 	publishedAt       time.Time
 }
 
-// gatewayHost is the leader's state of one gateway host.
+// gatewayHost is the state of one gateway host, or the sums of those of a relay.
 type gatewayHost struct {
 	lastCall time.Time
-	loads    map[string]placement.Load
-	// loadsInTotals is the part of the encoded totals that this host caused.
-	loadsInTotals map[string]placement.Load
+	// loads is the load that the host puts on each upstream, by short id.
+	loads map[uint32]placement.Load
+	// loadsInTotals is the part of the packed totals that this host caused.
+	loadsInTotals map[uint32]placement.Load
 	peer          Peer
+	// peerSince is when the host's Peer last changed.
+	peerSince time.Time
+}
+
+// relayedHosts are the gateway hosts that call one relay.
+type relayedHosts struct {
+	gatewayHost
+	// revision is the relay's revision of the list.
+	revision uint64
+	// since holds when each Peer was first listed.
+	since map[Peer]time.Time
 }
 
 func newHostTable() *hostTable {
-	return &hostTable{hosts: map[string]*gatewayHost{}, totals: map[string]placement.Load{}}
+	return &hostTable{hosts: map[string]*gatewayHost{}, relays: map[string]*relayedHosts{}, totals: map[uint32]placement.Load{}}
 }
 
 // recordCall records a call from a host, and adds the host if it is new.
@@ -49,14 +67,39 @@
 		t.hosts[host] = h
 	}
 	if h.peer != peer {
+		h.peerSince = now
 		t.revision++
 	}
 	h.lastCall, h.peer = now, peer
 	return h
 }
 
+// recordRelay records a call from a relay, and adds the relay if it is new.
+func (t *hostTable) recordRelay(address string, now time.Time) *relayedHosts {
+	r := t.relays[address]
+	if r == nil {
+		r = &relayedHosts{}
+		t.relays[address] = r
+	}
+	r.lastCall = now
+	return r
+}
+
+// setRelayPeers replaces the list of a relay's gateway hosts.
+func (t *hostTable) setRelayPeers(r *relayedHosts, peers []Peer, revision uint64, now time.Time) {
+	since := make(map[Peer]time.Time, len(peers))
+	for _, p := range peers {
+		since[p] = now
+		if earlier, known := r.since[p]; known {
+			since[p] = earlier
+		}
+	}
+	r.since, r.revision = since, revision
+	t.revision++
+}
+
 // setLoads replaces the loads of a host and updates the totals.
-func (t *hostTable) setLoads(h *gatewayHost, loads map[string]placement.Load) {
+func (t *hostTable) setLoads(h *gatewayHost, loads map[uint32]placement.Load) {
 	for id, load := range h.loads {
 		t.addToTotal(id, load, -1)
 	}
@@ -66,7 +109,7 @@
 	h.loads = loads
 }
 
-func (t *hostTable) addToTotal(id string, load placement.Load, sign int) {
+func (t *hostTable) addToTotal(id uint32, load placement.Load, sign int) {
 	sum := t.totals[id]
 	if sign > 0 {
 		sum = sum.Plus(load)
@@ -80,34 +123,56 @@
 	t.totals[id] = sum
 }
 
-// expire removes the hosts whose last call is older than hostTimeout. If these are more
-// than half of all, it removes none: then it is this host that was cut off.
+// expire removes the hosts and relays whose last call is older than hostTimeout. If these are
+// more than half of all hosts, it removes none: then it is this host that was cut off.
 func (t *hostTable) expire(now time.Time) {
-	var overdue []string
-	for name, h := range t.hosts {
-		if now.Sub(h.lastCall) > hostTimeout {
-			overdue = append(overdue, name)
+	overdue, all := 0, len(t.hosts)
+	for _, h := range t.hosts {
+		if h.overdue(now) {
+			overdue++
+		}
+	}
+	for _, r := range t.relays {
+		all += len(r.since)
+		if r.overdue(now) {
+			overdue += len(r.since)
 		}
 	}
-	if 2*len(overdue) > len(t.hosts) {
+	if 2*overdue > all {
 		return
 	}
-	for _, name := range overdue {
-		t.setLoads(t.hosts[name], nil)
-		delete(t.hosts, name)
-		t.revision++
+	for name, h := range t.hosts {
+		if h.overdue(now) {
+			t.setLoads(h, nil)
+			delete(t.hosts, name)
+			t.revision++
+		}
+	}
+	for address, r := range t.relays {
+		if r.overdue(now) {
+			t.setLoads(&r.gatewayHost, nil)
+			delete(t.relays, address)
+			t.revision++
+		}
 	}
 }
 
-// loadsOfOthers returns the load that all other hosts put on each upstream.
-func (t *hostTable) loadsOfOthers(h *gatewayHost) map[string]placement.Load {
-	loads := make(map[string]placement.Load, len(t.totals))
-	for id, sum := range t.totals {
-		others := sum.Minus(h.loads[id])
-		if others != (placement.Load{}) {
-			loads[id] = others
-		}
+func (h *gatewayHost) overdue(now time.Time) bool { return now.Sub(h.lastCall) > hostTimeout }
+
+// size returns the number of gateway hosts. One that has just changed to another relay may count
+// twice.
+func (t *hostTable) size() int {
+	size := len(t.hosts)
+	for _, r := range t.relays {
+		size += len(r.since)
 	}
+	return size
+}
+
+// loadsOfOthers returns the load that all other hosts put on each upstream, by short id.
+func (t *hostTable) loadsOfOthers(h *gatewayHost) map[uint32]placement.Load {
+	loads := maps.Clone(t.totals)
+	placement.SubtractLoads(loads, h.loads)
 	return loads
 }
 
@@ -119,7 +184,34 @@
 	t.published, t.publishedRevision, t.publishedAt = t.peers(), t.revision, now
 }
 
+// peers returns the gateway hosts, ordered by address. Of a host that is listed more than once,
+// as it restarted or changed to another relay, the latest Peer counts.
 func (t *hostTable) peers() []Peer {
+	latest := map[string]Peer{}
+	changed := map[string]time.Time{}
+	add := func(p Peer, since time.Time) {
+		if at, known := changed[p.Address]; !known || since.After(at) {
+			latest[p.Address], changed[p.Address] = p, since
+		}
+	}
+	for _, h := range t.hosts {
+		add(h.peer, h.peerSince)
+	}
+	for _, r := range t.relays {
+		for p, since := range r.since {
+			add(p, since)
+		}
+	}
+	list := make([]Peer, 0, len(latest))
+	for _, p := range latest {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.Address, b.Address) })
+	return list
+}
+
+// directPeers returns the gateway hosts that call this control host.
+func (t *hostTable) directPeers() []Peer {
 	list := make([]Peer, 0, len(t.hosts))
 	for _, h := range t.hosts {
 		list = append(list, h.peer)
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
@@ -18,6 +19,7 @@
 	MethodSync      = "/fleet/Sync"
 	MethodClose     = "/fleet/CloseSession"
 	MethodUpstreams = "/fleet/Upstreams"
+	MethodSubmit    = "/fleet/Submit"
 )
 
 // LeaderRedirect is the part of a reply that redirects the caller to the leader.
@@ -90,8 +92,20 @@
 	PeersRevision uint64 `cbor:"10,keyasint,omitempty"`
 	// AcceptsEncoded reports that the host can read EncodedUpstreams and PackedTotals.
 	AcceptsEncoded bool `cbor:"13,keyasint,omitempty"`
+	// Relay asks a control host that is not the leader to pass the call on.
+	Relay bool `cbor:"14,keyasint,omitempty"`
+	// PeersEpoch is the epoch that PeersRevision belongs to; 0 means Epoch.
+	PeersEpoch uint64 `cbor:"15,keyasint,omitempty"`
+	// ControlHosts identifies the host's list of control hosts.
+	ControlHosts uint64 `cbor:"16,keyasint,omitempty"`
+	// ArrivalTime is the wall clock of the relay when the call arrived there, in Unix ns; 0 in
+	// a call to the leader.
+	ArrivalTime int64 `cbor:"17,keyasint,omitempty"`
 }
 
+// peersEpoch returns the epoch of the host's list of gateway hosts.
+func (r *SyncRequest) peersEpoch() uint64 { return cmp.Or(r.PeersEpoch, r.Epoch) }
+
 // Peer identifies a gateway host to the other gateway hosts.
 type Peer struct {
 	Session uint64 `cbor:"1,keyasint"`
@@ -118,7 +132,7 @@
 	// host's epoch differs.
 	Upstreams []UpstreamRecord `cbor:"6,keyasint,omitempty"`
 	Prepaid   *prepaid.Reply   `cbor:"7,keyasint,omitempty"`
-	// Members are the addresses of the control hosts.
+	// Members are the addresses of the members of the control group, with ControlHosts.
 	Members []string `cbor:"8,keyasint,omitempty"`
 	// Hosts is the number of gateway hosts in the leader's table.
 	Hosts int `cbor:"9,keyasint,omitempty"`
@@ -137,6 +151,71 @@
 	// that all hosts put on the upstreams, and PackedOwn those of the calling host.
 	PackedTotals []byte `cbor:"16,keyasint,omitempty"`
 	PackedOwn    []byte `cbor:"17,keyasint,omitempty"`
+	// PeersEpoch is the epoch of the list of gateway hosts: that of the leader's process.
+	PeersEpoch uint64 `cbor:"18,keyasint,omitempty"`
+	// ControlHosts lists the control hosts that are up, for hosts with another list, and
+	// ControlHostsDigest identifies it.
+	ControlHosts       []ControlHost `cbor:"19,keyasint,omitempty"`
+	ControlHostsDigest uint64        `cbor:"20,keyasint,omitempty"`
+}
+
+// ControlHost is a control host that gateway hosts may call.
+type ControlHost struct {
+	Address string `cbor:"1,keyasint"`
+	// Zone is its availability zone; empty if unknown.
+	Zone string `cbor:"2,keyasint,omitempty"`
+}
+
+// SubmitRequest passes the calls of gateway hosts on to the leader.
+type SubmitRequest struct {
+	// Relay is the address of the sender.
+	Relay string `cbor:"1,keyasint"`
+	// Calls holds the sessions to open, the reports and the answers of the calls.
+	Calls   []SyncRequest `cbor:"2,keyasint,omitempty"`
+	Crashes []Crash       `cbor:"3,keyasint,omitempty"`
+	// Epoch is the leader's epoch that the revisions below belong to.
+	Epoch uint64 `cbor:"4,keyasint,omitempty"`
+	// Gateways are the hosts that call the relay, as of GatewaysRevision, if the leader lacks
+	// that list.
+	Gateways         []Peer `cbor:"5,keyasint,omitempty"`
+	GatewaysRevision uint64 `cbor:"6,keyasint,omitempty"`
+	HasGateways      bool   `cbor:"7,keyasint,omitempty"`
+	// PeersRevision and TableRevision are those of the leader that the relay knows.
+	PeersRevision uint64 `cbor:"8,keyasint,omitempty"`
+	TableRevision uint64 `cbor:"9,keyasint,omitempty"`
+	// HasLoads reports that PackedLoads holds the loads that the hosts in Gateways put on the
+	// upstreams, and asks for those of the other hosts.
+	HasLoads    bool   `cbor:"10,keyasint,omitempty"`
+	PackedLoads []byte `cbor:"11,keyasint,omitempty"`
+}
+
+// SubmitResult is the result of one call in a SubmitRequest.
+type SubmitResult struct {
+	Prepaid        *prepaid.Reply         `cbor:"1,keyasint,omitempty"`
+	CeilingQueries []prepaid.CeilingQuery `cbor:"2,keyasint,omitempty"`
+}
+
+// SubmitReply is the leader's reply to a SubmitRequest. All calls are committed.
+type SubmitReply struct {
+	LeaderRedirect `cbor:"1,keyasint"`
+	// Results are the results of the calls, in their order.
+	Results []SubmitResult `cbor:"2,keyasint,omitempty"`
+	// Version is the version of the document in force.
+	Version uint64 `cbor:"3,keyasint,omitempty"`
+	Epoch   uint64 `cbor:"4,keyasint,omitempty"`
+	// GatewaysRevision is the revision of the relay's list that the leader has.
+	GatewaysRevision uint64 `cbor:"5,keyasint,omitempty"`
+	// Hosts is the number of gateway hosts. Peers lists them if the relay's list is outdated.
+	Hosts         int    `cbor:"6,keyasint,omitempty"`
+	Peers         []Peer `cbor:"7,keyasint,omitempty"`
+	PeersRevision uint64 `cbor:"8,keyasint,omitempty"`
+	// PackedTotals and PackedOwn are as in SyncReply, for the relay's gateway hosts together.
+	PackedTotals []byte `cbor:"9,keyasint,omitempty"`
+	PackedOwn    []byte `cbor:"10,keyasint,omitempty"`
+	// EncodedUpstreams are the changes of the leader's table that the relay lacks.
+	EncodedUpstreams []byte   `cbor:"11,keyasint,omitempty"`
+	TableRevision    uint64   `cbor:"12,keyasint,omitempty"`
+	Quarantined      []uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // UpstreamRecord is the wire form of an upstream in calls between hosts.
@@ -159,6 +238,8 @@
 	// Ages is set in place of Records if the receiver has the records of the generation: the
 	// times since the latest reports, in units of ageUnit, in the order of the records.
 	Ages []byte `cbor:"4,keyasint,omitempty"`
+	// Zone is the availability zone of the sender.
+	Zone string `cbor:"5,keyasint,omitempty"`
 }
 
 // UpstreamsReply acknowledges an UpstreamsMessage.
@@ -171,6 +252,8 @@
 type CloseRequest struct {
 	Host    string `cbor:"1,keyasint"`
 	Session uint64 `cbor:"2,keyasint"`
+	// Relayed reports that another control host passed the call on.
+	Relayed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // CloseReply acknowledges a CloseRequest.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -47,6 +47,8 @@
 	Host string
 	// Address is the IP:port at which other hosts reach this one.
 	Address string
+	// Zone is the host's availability zone.
+	Zone string
 	// Directory holds the replica's files.
 	Directory string
 	// FS is the file system of the replica's log and snapshots; nil means that of the
@@ -65,6 +67,7 @@
 	server    *rpc.Server
 	transport *controlgroup.Transport
 	reports   *reportBatcher
+	relay     *relay
 	// epoch is a random number that identifies this process's table of upstreams.
 	epoch uint64
 
@@ -79,7 +82,9 @@
 	directReports map[string]time.Time
 	// remoteUpstreams holds the latest exchange with records of each control host, and
 	// acknowledgedGenerations the generation of this host's that each has, by address.
-	remoteUpstreams         map[string]remoteUpstreams
+	remoteUpstreams map[string]remoteUpstreams
+	// controlHosts holds the control hosts that this one has heard from, by address.
+	controlHosts            map[string]knownControlHost
 	acknowledgedGenerations map[string]uint64
 	hosts                   *hostTable
 	upstreamFeed            *upstreamFeed
@@ -96,13 +101,14 @@
 		options: o, epoch: rand.Uint64(),
 		addresses: map[uint64]string{}, table: presence.NewTable(),
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
-		remoteUpstreams: map[string]remoteUpstreams{}, acknowledgedGenerations: map[string]uint64{},
+		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
 	}
 	n.upstreamFeed = newUpstreamFeed(n.table)
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		return netconn.Dial(ctx, address, dialTimeout, unacknowledgedTimeout)
 	})
 	n.reports = newReportBatcher(n)
+	n.relay = newRelay(n)
 	n.server = n.newServer()
 	return n
 }
@@ -116,6 +122,7 @@
 	rpc.Handle(srv, MethodSync, n.sync)
 	rpc.Handle(srv, MethodClose, n.closeSession)
 	rpc.Handle(srv, MethodUpstreams, n.receiveUpstreams)
+	rpc.Handle(srv, MethodSubmit, n.serveSubmit)
 	return srv
 }
 
@@ -135,6 +142,7 @@
 		}
 	})
 	n.goRun(func() { n.reports.run(background) })
+	n.goRun(func() { n.relay.run(background) })
 	n.goRun(func() { n.maintainUpstreams(background) })
 	err = n.runReplicas(ctx, background)
 	n.stopReplica()
--- /dev/null
+++ b/internal/controlnode/relay.go
@@ -0,0 +1,294 @@
+package controlnode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
+)
+
+const (
+	// maxOpenSubmits is the number of calls to the leader that a relay may have open.
+	maxOpenSubmits = 4
+	// submitTimeout limits one call to the leader. The callers of the relay give up after
+	// 700 ms and then ask another control host.
+	submitTimeout = 600 * time.Millisecond
+	// documentPollInterval is the interval at which a relay checks whether it has the document
+	// that the leader has in force.
+	documentPollInterval = 5 * time.Millisecond
+	// maxForwardedCrashes bounds the crashes that the leader has yet to receive.
+	maxForwardedCrashes = 256
+)
+
+// relay passes the calls of gateway hosts on to the leader, many in one. The leader commits what
+// they report, and this host answers everything else.
+type relay struct {
+	node  *Node
+	queue chan *relayedCall
+	open  chan struct{}
+
+	// The fields below are guarded by node.mu.
+	fleet fleetView
+	// gatewaysAt is the revision of this host's list of gateway hosts that the leader has, and
+	// tableRevision that of the leader's table that this host has, both in fleet.epoch.
+	gatewaysAt, tableRevision uint64
+	loadsAt                   time.Time
+	crashes                   []Crash
+}
+
+// relayedCall is one call of a gateway host that awaits its result.
+type relayedCall struct {
+	req  *SyncRequest
+	done chan relayedResult
+}
+
+// relayedResult is the result of one relayed call.
+type relayedResult struct {
+	result  SubmitResult
+	version uint64
+	err     error
+}
+
+func newRelay(n *Node) *relay {
+	return &relay{node: n, queue: make(chan *relayedCall, maxBatchedReports), open: make(chan struct{}, maxOpenSubmits)}
+}
+
+// run passes calls on until ctx ends.
+func (r *relay) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r.open <- struct{}{}:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-r.queue:
+			calls := r.collect(first)
+			r.node.goRun(func() {
+				defer func() { <-r.open }()
+				r.submit(ctx, calls)
+			})
+		}
+	}
+}
+
+func (r *relay) collect(first *relayedCall) []*relayedCall {
+	calls := []*relayedCall{first}
+	for len(calls) < maxBatchedReports {
+		select {
+		case c := <-r.queue:
+			calls = append(calls, c)
+		default:
+			return calls
+		}
+	}
+	return calls
+}
+
+// sync answers a call of a gateway host. redirect names the leader, to which the host is sent if
+// this one cannot pass the call on or lacks the document in force.
+func (r *relay) sync(ctx context.Context, req *SyncRequest, redirect LeaderRedirect) (*SyncReply, error) {
+	n := r.node
+	req.ArrivalTime = time.Now().UnixNano()
+	n.mu.Lock()
+	n.hosts.recordCall(req.Host, req.Peer, time.Now())
+	r.crashes = append(r.crashes, req.Crashes[:min(len(req.Crashes), maxForwardedCrashes-len(r.crashes))]...)
+	n.mu.Unlock()
+	call := &relayedCall{req: req, done: make(chan relayedResult, 1)}
+	select {
+	case r.queue <- call:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	var out relayedResult
+	select {
+	case out = <-call.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if out.err != nil || !n.awaitDocument(ctx, out.version) {
+		return &SyncReply{LeaderRedirect: redirect}, nil
+	}
+	reply := &SyncReply{Prepaid: out.result.Prepaid, CeilingQueries: out.result.CeilingQueries}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.addState(req, reply, r.fleet, time.Now())
+	return reply, nil
+}
+
+// awaitDocument waits until this host has a document version, and returns false if ctx ends first.
+func (n *Node) awaitDocument(ctx context.Context, version uint64) bool {
+	for {
+		if m := n.machine.Load(); m != nil && m.Document().Version >= version {
+			return true
+		}
+		if !timing.Sleep(ctx, documentPollInterval) {
+			return false
+		}
+	}
+}
+
+// submit passes calls on to the leader and delivers their results.
+func (r *relay) submit(ctx context.Context, calls []*relayedCall) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	reply, err := r.callLeader(ctx, calls)
+	if err != nil {
+		klog.InfoS("calls of gateway hosts not passed on to the leader", "calls", len(calls), "error", err.Error())
+	}
+	for i, c := range calls {
+		out := relayedResult{err: err}
+		if err == nil {
+			out.result, out.version = reply.Results[i], reply.Version
+		}
+		c.done <- out
+	}
+}
+
+func (r *relay) callLeader(ctx context.Context, calls []*relayedCall) (*SubmitReply, error) {
+	_, redirect := r.node.leaderOrRedirect()
+	if redirect.Leader == "" {
+		return nil, ErrUnavailable
+	}
+	req := r.newRequest(calls, time.Now())
+	reply, err := rpc.Call[SubmitRequest, SubmitReply](ctx, r.node.rpc, redirect.Leader, MethodSubmit, req)
+	switch {
+	case err != nil:
+	case reply.NotLeader:
+		err = ErrUnavailable
+	case len(reply.Results) != len(calls):
+		err = eris.Errorf("the leader answered %d of %d calls", len(reply.Results), len(calls))
+	default:
+		err = r.apply(req, reply, time.Now())
+	}
+	if err != nil {
+		r.returnCrashes(req.Crashes)
+	}
+	return reply, err
+}
+
+func (r *relay) newRequest(calls []*relayedCall, now time.Time) *SubmitRequest {
+	n := r.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	req := &SubmitRequest{
+		Relay: n.options.Address, Crashes: r.crashes, Epoch: r.fleet.epoch, GatewaysRevision: n.hosts.revision,
+		PeersRevision: r.fleet.peersRevision, TableRevision: r.tableRevision,
+	}
+	r.crashes = nil
+	for _, c := range calls {
+		req.Calls = append(req.Calls, SyncRequest{
+			Host: c.req.Host, Opening: c.req.Opening, Report: c.req.Report, Peer: c.req.Peer,
+			CeilingAnswers: c.req.CeilingAnswers, ArrivalTime: c.req.ArrivalTime,
+		})
+	}
+	if r.gatewaysAt != n.hosts.revision {
+		req.Gateways, req.HasGateways = n.hosts.directPeers(), true
+	}
+	if now.Sub(r.loadsAt) >= loadsInterval {
+		r.loadsAt = now
+		req.PackedLoads, req.HasLoads = placement.PackLoads(n.hosts.totals), true
+	}
+	return req
+}
+
+// returnCrashes keeps crashes for the next call to the leader.
+func (r *relay) returnCrashes(crashes []Crash) {
+	r.node.mu.Lock()
+	defer r.node.mu.Unlock()
+	r.crashes = append(crashes, r.crashes...)
+	r.crashes = r.crashes[:min(len(r.crashes), maxForwardedCrashes)]
+}
+
+// apply applies the leader's view of the fleet in its reply to req.
+func (r *relay) apply(req *SubmitRequest, reply *SubmitReply, now time.Time) error {
+	upstreams, err := (&SyncReply{EncodedUpstreams: reply.EncodedUpstreams}).DecodeUpstreams()
+	if err != nil {
+		return err
+	}
+	n := r.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range upstreams {
+		if !upstreams[i].Unresponsive {
+			n.table.ApplyState(upstreams[i].Upstream, now)
+		}
+	}
+	if reply.Epoch != r.fleet.epoch {
+		r.fleet.epoch, r.fleet.peers, r.fleet.peersRevision = reply.Epoch, nil, 0
+	}
+	r.gatewaysAt, r.tableRevision = reply.GatewaysRevision, reply.TableRevision
+	r.fleet.hosts, r.fleet.quarantined = reply.Hosts, reply.Quarantined
+	if reply.Peers != nil {
+		r.fleet.peers, r.fleet.peersRevision = reply.Peers, reply.PeersRevision
+	}
+	if req.HasLoads {
+		r.fleet.elsewhere, err = othersLoads(reply.PackedTotals, reply.PackedOwn)
+	}
+	return err
+}
+
+// serveSubmit serves MethodSubmit.
+func (n *Node) serveSubmit(ctx context.Context, req *SubmitRequest) (*SubmitReply, error) {
+	r, redirect := n.leaderOrRedirect()
+	if r == nil {
+		return &SubmitReply{LeaderRedirect: redirect}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	calls := make([]*SyncRequest, len(req.Calls))
+	for i := range req.Calls {
+		calls[i] = &req.Calls[i]
+	}
+	results, err := n.reports.submit(ctx, calls...)
+	if err != nil {
+		redirect, err := n.redirectFor(err)
+		return &SubmitReply{LeaderRedirect: redirect}, err
+	}
+	reply := &SubmitReply{Version: n.machine.Load().Document().Version, Epoch: n.epoch}
+	for _, result := range results {
+		reply.Results = append(reply.Results, SubmitResult{Prepaid: result.reply, CeilingQueries: result.ceilingQueries})
+	}
+	return reply, n.addFleetState(req, reply, time.Now())
+}
+
+// addFleetState records what a relay reports of its gateway hosts, and adds to the reply what it
+// lacks of the state of the fleet.
+func (n *Node) addFleetState(req *SubmitRequest, reply *SubmitReply, now time.Time) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	relay := n.hosts.recordRelay(req.Relay, now)
+	if req.HasGateways {
+		n.hosts.setRelayPeers(relay, req.Gateways, req.GatewaysRevision, now)
+	}
+	reply.GatewaysRevision = relay.revision
+	if req.HasLoads {
+		loads, err := placement.UnpackLoads(req.PackedLoads)
+		if err != nil {
+			return err
+		}
+		n.hosts.setLoads(&relay.gatewayHost, loads)
+		n.hosts.expire(now)
+		reply.PackedTotals, reply.PackedOwn = n.loadFeed.totals(n.hosts, nil, &relay.gatewayHost, now)
+	}
+	n.crashes.add(req.Crashes, now)
+	fleet := n.fleetViewOfLeader(now)
+	reply.Hosts, reply.PeersRevision, reply.Quarantined = fleet.hosts, fleet.peersRevision, fleet.quarantined
+	known := req.TableRevision
+	if req.Epoch != n.epoch {
+		known = 0
+	}
+	if req.Epoch != n.epoch || req.PeersRevision != fleet.peersRevision {
+		reply.Peers = slices.Clone(fleet.peers)
+	}
+	reply.EncodedUpstreams, reply.TableRevision = n.upstreamFeed.since(known, now)
+	return nil
+}
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -7,30 +7,89 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/rpc"
 )
 
 // syncTimeout limits the commit of a host's report or of the end of its session.
 const syncTimeout = 800 * time.Millisecond
 
-// sync serves MethodSync.
+// sync serves MethodSync: on the leader itself, elsewhere through the leader if the call asks for
+// that.
 func (n *Node) sync(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
 	r, redirect := n.leaderOrRedirect()
 	if r == nil {
+		if req.Relay && redirect.Leader != "" {
+			return n.relay.sync(ctx, req, redirect)
+		}
 		return &SyncReply{LeaderRedirect: redirect}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	result, err := n.reports.submit(ctx, req)
+	results, err := n.reports.submit(ctx, req)
 	if err != nil {
 		redirect, err := n.redirectFor(err)
 		return &SyncReply{LeaderRedirect: redirect}, err
 	}
-	reply := &SyncReply{Prepaid: result.reply, CeilingQueries: result.ceilingQueries, Epoch: n.epoch, Members: n.Members()}
-	n.addDocument(req, reply)
-	n.addTrafficState(req, reply, time.Now())
+	reply := &SyncReply{Prepaid: results[0].reply, CeilingQueries: results[0].ceilingQueries}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crashes.add(req.Crashes, now)
+	n.addState(req, reply, n.fleetViewOfLeader(now), now)
 	return reply, nil
 }
 
+// fleetView is what a control host knows of the whole fleet.
+type fleetView struct {
+	// epoch is that of the leader's process.
+	epoch uint64
+	// hosts is the number of gateway hosts. peers lists them, as of peersRevision.
+	hosts         int
+	peers         []Peer
+	peersRevision uint64
+	// elsewhere holds the loads of the gateway hosts that call other control hosts, by short id.
+	elsewhere   map[uint32]placement.Load
+	quarantined []uint64
+}
+
+// fleetViewOfLeader returns the view of this host, which is the leader. The caller holds n.mu.
+func (n *Node) fleetViewOfLeader(now time.Time) fleetView {
+	n.hosts.publish(now)
+	return fleetView{
+		epoch: n.epoch, hosts: len(n.hosts.published), peers: n.hosts.published, peersRevision: n.hosts.publishedRevision,
+		quarantined: n.crashes.quarantined(now),
+	}
+}
+
+// addState records the call, and adds to the reply the document, the upstreams, the loads of the
+// other hosts, the hosts and the quarantined requests. A brief call neither changes nor returns
+// loads. The caller holds n.mu.
+func (n *Node) addState(req *SyncRequest, reply *SyncReply, fleet fleetView, now time.Time) {
+	n.addDocument(req, reply)
+	n.addControlHosts(req, reply, now)
+	h := n.hosts.recordCall(req.Host, req.Peer, now)
+	if !req.Brief {
+		n.hosts.expire(now)
+		n.hosts.setLoads(h, placement.ByShortID(req.Loads))
+		n.addLoads(req, reply, h, fleet, now)
+	}
+	n.addUpstreams(req, reply, now)
+	reply.Hosts, reply.PeersEpoch, reply.PeersRevision = fleet.hosts, fleet.epoch, fleet.peersRevision
+	if req.peersEpoch() != fleet.epoch || req.PeersRevision != fleet.peersRevision {
+		reply.Peers = fleet.peers
+	}
+	reply.Quarantined = fleet.quarantined
+}
+
+// DirectGateways returns the number of gateway hosts that called this control host recently.
+func (n *Node) DirectGateways() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts.expire(time.Now())
+	return len(n.hosts.hosts)
+}
+
 // addDocument adds the version in force to the reply, and the document if the host's
 // version is older.
 func (n *Node) addDocument(req *SyncRequest, reply *SyncReply) {
@@ -41,31 +100,19 @@
 	}
 }
 
-// addTrafficState records the host's loads and crashes, and adds to the reply the upstreams,
-// the loads of the other hosts, the gateway hosts and the quarantined requests. A brief
-// call neither changes nor returns loads.
-func (n *Node) addTrafficState(req *SyncRequest, reply *SyncReply, now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	h := n.hosts.recordCall(req.Host, req.Peer, now)
-	if !req.Brief {
-		n.hosts.expire(now)
-		n.hosts.setLoads(h, req.Loads)
-		if req.AcceptsEncoded {
-			reply.PackedTotals, reply.PackedOwn = n.loadFeed.totals(n.hosts, h, now)
-		} else {
-			reply.Loads = n.hosts.loadsOfOthers(h)
-		}
+// addLoads adds the loads of all hosts but h to the reply. The caller holds n.mu.
+func (n *Node) addLoads(req *SyncRequest, reply *SyncReply, h *gatewayHost, fleet fleetView, now time.Time) {
+	if req.AcceptsEncoded {
+		reply.PackedTotals, reply.PackedOwn = n.loadFeed.totals(n.hosts, fleet.elsewhere, h, now)
+		return
 	}
-	reply.Hosts = len(n.hosts.hosts)
-	n.addUpstreams(req, reply, now)
-	n.hosts.publish(now)
-	reply.PeersRevision = n.hosts.publishedRevision
-	if req.Epoch != n.epoch || req.PeersRevision != n.hosts.publishedRevision {
-		reply.Peers = n.hosts.published
+	reply.Loads = map[string]placement.Load{}
+	others := n.hosts.loadsOfOthers(h)
+	for _, r := range n.table.All() {
+		if load, loaded := others[placement.ShortID(r.ID)]; loaded {
+			reply.Loads[r.ID] = load
+		}
 	}
-	n.crashes.add(req.Crashes, now)
-	reply.Quarantined = n.crashes.quarantined(now)
 }
 
 // addUpstreams adds the upstreams to the reply that the host's copy of the table lacks. The
@@ -75,6 +122,7 @@
 	if req.Epoch != n.epoch {
 		known = 0
 	}
+	reply.Epoch = n.epoch
 	if req.AcceptsEncoded {
 		reply.EncodedUpstreams, reply.Revision = n.upstreamFeed.since(known, now)
 		return
@@ -82,14 +130,19 @@
 	reply.Upstreams, reply.Revision = toUpstreamRecords(n.table.ChangedSince(known), now), n.table.Revision()
 }
 
-// closeSession serves MethodClose.
+// closeSession serves MethodClose. A host that is not the leader passes it on.
 func (n *Node) closeSession(ctx context.Context, req *CloseRequest) (*CloseReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
 	r, redirect := n.leaderOrRedirect()
-	if r == nil {
+	switch {
+	case r == nil && redirect.Leader != "" && !req.Relayed:
+		relayed := *req
+		relayed.Relayed = true
+		return rpc.Call[CloseRequest, CloseReply](ctx, n.rpc, redirect.Leader, MethodClose, &relayed)
+	case r == nil:
 		return &CloseReply{LeaderRedirect: redirect}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
 	command := &fleetstate.Command{Closings: []fleetstate.SessionClosing{{Host: req.Host, Session: req.Session}}}
 	if _, err := propose(ctx, r, command); err != nil {
 		redirect, err := n.redirectFor(err)
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -44,6 +44,8 @@
 	Host string
 	// Address is where other gateway hosts reach this one.
 	Address string
+	// Zone is the availability zone of this host.
+	Zone string
 	// Seeds returns the configured addresses of control hosts.
 	Seeds func() []string
 	// Decode decodes the content of a document.
@@ -78,13 +80,18 @@
 
 	// The fields up to lastFullSync are used only by the goroutine of Run, and by Close
 	// after Run has returned.
-	sessionOpened   bool
-	leaderAddress   string
+	sessionOpened bool
+	// servedBy is the control host that answered the latest successful call; empty if that
+	// failed.
+	servedBy        string
 	members         []string
+	controlHosts    controlHosts
 	documentVersion uint64
 	epoch           uint64
 	revision        uint64
 	peersRevision   uint64
+	// peersEpoch is the epoch of the leader that peersRevision belongs to.
+	peersEpoch uint64
 	// currentPeers are the gateway hosts that the leader knows.
 	currentPeers []controlnode.Peer
 	// earlierPeers are the gateway hosts that the previous leader knew, until epochSince is
@@ -204,7 +211,7 @@
 	if reachable := err == nil; reachable != c.controlReachable {
 		c.controlReachable = reachable
 		if reachable {
-			klog.InfoS("control group reachable", "leader", c.leaderAddress)
+			klog.InfoS("control group reachable", "control_host", c.servedBy)
 		} else {
 			klog.InfoS("control group unreachable", "error", err.Error())
 		}
@@ -227,6 +234,7 @@
 	req := c.buildRequest()
 	var lastErr error
 	for _, address := range c.candidateAddresses() {
+		preferred := address
 		for range 2 {
 			reply, err := c.call(ctx, address, req)
 			if err != nil {
@@ -234,7 +242,7 @@
 				break
 			}
 			if !reply.NotLeader {
-				c.leaderAddress = address
+				c.servedBy = address
 				return c.applyReply(req, reply)
 			}
 			lastErr = eris.New("the leader of the control group is unknown")
@@ -242,28 +250,38 @@
 				break
 			}
 		}
+		c.controlHosts.recordFailure(preferred, time.Now())
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
-	c.leaderAddress = ""
+	c.servedBy = ""
 	return lastErr
 }
 
-// candidateAddresses returns the addresses to try: the last known leader first, then
-// randomly chosen members and seeds.
+// candidateAddresses returns the addresses to try: in a large fleet the control hosts that may
+// pass calls on to the leader, by preference, or else the leader, then randomly chosen others.
 func (c *Client) candidateAddresses() []string {
 	known := append(slices.Clone(c.members), c.options.Seeds()...)
 	slices.Sort(known)
 	known = slices.Compact(known)
 	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-	if c.leaderAddress != "" {
-		known = slices.DeleteFunc(known, func(a string) bool { return a == c.leaderAddress })
-		known = append([]string{c.leaderAddress}, known...)
+	switch {
+	case c.usesRelays():
+		known = c.controlHosts.byPreference(known, c.options.Zone, c.options.Address, time.Now())
+	case c.servedBy != "":
+		known = slices.DeleteFunc(known, func(a string) bool { return a == c.servedBy })
+		known = append([]string{c.servedBy}, known...)
 	}
 	return known[:min(len(known), maxHostsPerCall)]
 }
 
+// usesRelays reports whether the host should call a control host near it in place of the leader:
+// in a large fleet, and until it knows how large the fleet is.
+func (c *Client) usesRelays() bool {
+	return c.peersEpoch == 0 || c.allowance.Concentrated()
+}
+
 func (c *Client) call(ctx context.Context, address string, req *controlnode.SyncRequest) (*controlnode.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -273,7 +291,8 @@
 func (c *Client) buildRequest() *controlnode.SyncRequest {
 	req := &controlnode.SyncRequest{
 		Host: c.options.Host, Version: c.documentVersion, Epoch: c.epoch, Revision: c.revision,
-		PeersRevision: c.peersRevision, Brief: time.Since(c.lastFullSync) < c.syncInterval()/2,
+		PeersRevision: c.peersRevision, PeersEpoch: c.peersEpoch, Relay: c.usesRelays(), ControlHosts: c.controlHosts.digest,
+		Brief:          time.Since(c.lastFullSync) < c.syncInterval()/2,
 		CeilingAnswers: c.ceilingAnswers, AcceptsEncoded: true,
 		Peer: controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
@@ -306,7 +325,7 @@
 		}
 	}
 	req := &controlnode.CloseRequest{Host: c.options.Host, Session: c.opening.Session}
-	reply, err := rpc.Call[controlnode.CloseRequest, controlnode.CloseReply](ctx, c.rpc, c.leaderAddress, controlnode.MethodClose, req)
+	reply, err := rpc.Call[controlnode.CloseRequest, controlnode.CloseReply](ctx, c.rpc, c.servedBy, controlnode.MethodClose, req)
 	if err != nil {
 		return err
 	}
--- a/internal/hostsync/client_test.go
+++ b/internal/hostsync/client_test.go
@@ -25,35 +25,63 @@
 
 var subnets atomic.Int32
 
-// controlGroup runs one control host, and creates gateway clients that connect to it.
+// controlGroup runs control hosts, each in a zone of its own, and creates gateway clients that
+// connect to them.
 type controlGroup struct {
 	t      *testing.T
 	g      *WithT
 	subnet string
-	node   *controlnode.Node
-	stop   context.CancelFunc
+	// node is the first of nodes, and stop stops it.
+	node  *controlnode.Node
+	stop  context.CancelFunc
+	nodes []*controlnode.Node
+	stops []context.CancelFunc
 }
 
-func newControlGroup(t *testing.T) *controlGroup {
+func newControlGroup(t *testing.T) *controlGroup { return newControlGroupOf(t, 1) }
+
+func newControlGroupOf(t *testing.T, size int) *controlGroup {
 	t.Parallel()
 	pid := os.Getpid()
 	gr := &controlGroup{t: t, g: NewWithT(t), subnet: fmt.Sprintf("127.%d.%d", 200+pid%50, (pid/50+int(subnets.Add(1))*41)%250)}
+	var seeds []string
+	for i := range size {
+		seeds = append(seeds, gr.controlAddress(i))
+	}
+	for i := range size {
+		gr.startControlHost(i, seeds)
+	}
+	gr.node, gr.stop = gr.nodes[0], gr.stops[0]
+	return gr
+}
+
+func (gr *controlGroup) startControlHost(i int, seeds []string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	gr.node = controlnode.New(controlnode.Options{
-		Host: "control", Address: gr.address(1), Directory: t.TempDir(), Bootstrap: true,
-		Seeds: func() []string { return []string{gr.address(1)} },
+	node := controlnode.New(controlnode.Options{
+		Host: fmt.Sprintf("control-%d", i), Address: gr.controlAddress(i), Zone: gr.zone(i), Directory: gr.t.TempDir(), Bootstrap: true,
+		Seeds: func() []string { return seeds },
 	})
 	done := make(chan error, 1)
-	go func() { done <- gr.node.Run(ctx) }()
-	gr.stop = func() {
+	go func() { done <- node.Run(ctx) }()
+	stop := func() {
 		cancel()
 		gr.g.Expect(<-done).To(Succeed())
 		done <- nil
 	}
-	t.Cleanup(gr.stop)
-	return gr
+	gr.nodes, gr.stops = append(gr.nodes, node), append(gr.stops, stop)
+	gr.t.Cleanup(stop)
+}
+
+// controlAddress returns the address of a control host; that of the first is address(1).
+func (gr *controlGroup) controlAddress(i int) string {
+	if i == 0 {
+		return gr.address(1)
+	}
+	return gr.address(100 + i)
 }
 
+func (gr *controlGroup) zone(i int) string { return fmt.Sprint("zone-", i) }
+
 func (gr *controlGroup) address(i int) string { return fmt.Sprintf("%s.%d:7060", gr.subnet, i) }
 
 // putDocument commits a document whose content is a JSON-encoded catalog.Document.
@@ -82,9 +110,13 @@
 func clock() int64 { return int64(time.Hour + time.Since(clockStart)) }
 
 func (gr *controlGroup) gateway(i int) (*hostsync.Client, *placement.Pool) {
-	pool := placement.NewPool("a")
+	return gr.gatewayInZone(i, gr.zone(0))
+}
+
+func (gr *controlGroup) gatewayInZone(i int, zone string) (*hostsync.Client, *placement.Pool) {
+	pool := placement.NewPool(zone)
 	c := hostsync.New(hostsync.Options{
-		Host: fmt.Sprintf("gateway-%d", i), Address: gr.address(i), Decode: decode, Pool: pool, Clock: clock,
+		Host: fmt.Sprintf("gateway-%d", i), Address: gr.address(i), Zone: zone, Decode: decode, Pool: pool, Clock: clock,
 		Seeds: func() []string { return []string{gr.address(1)} },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/hostsync/peers.go
+++ b/internal/hostsync/peers.go
@@ -21,7 +21,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if reply.Epoch != c.epoch {
+	if peersEpoch(reply) != c.peersEpoch {
 		c.earlierPeers, c.epochSince = c.peers, now
 	}
 	expired := c.earlierPeers != nil && now.Sub(c.epochSince) > peerRetention
@@ -42,10 +42,14 @@
 	}
 	c.allowance.SetFleet(prepaid.NewFleet(c.options.Address, addresses))
 	if len(c.peers) != known {
-		klog.InfoS("number of gateway hosts changed", "hosts", len(c.peers), "epoch", reply.Epoch, "revision", reply.PeersRevision)
+		klog.InfoS("number of gateway hosts changed", "hosts", len(c.peers), "epoch", peersEpoch(reply), "revision", reply.PeersRevision)
 	}
 }
 
+// peersEpoch returns the epoch of the list of gateway hosts, which an earlier build of a control
+// host does not state apart.
+func peersEpoch(reply *controlnode.SyncReply) uint64 { return cmp.Or(reply.PeersEpoch, reply.Epoch) }
+
 // mergePeers returns current and those of earlier whose addresses current lacks, ordered by
 // address.
 func mergePeers(current, earlier []controlnode.Peer) []controlnode.Peer {
--- a/internal/hostsync/peers_test.go
+++ b/internal/hostsync/peers_test.go
@@ -19,7 +19,7 @@
 	apply := func(epoch uint64, peers ...controlnode.Peer) {
 		reply := &controlnode.SyncReply{Epoch: epoch, Peers: peers}
 		c.applyPeers(reply)
-		c.epoch = epoch
+		c.peersEpoch = epoch
 	}
 	apply(1, b, a)
 	g.Expect(c.peers).To(Equal([]controlnode.Peer{a, b}))
--- /dev/null
+++ b/internal/hostsync/relay_test.go
@@ -0,0 +1,189 @@
+package hostsync_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/hostsync"
+	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
+	"github.com/godwitbend/godwitbend/internal/presence"
+	"github.com/godwitbend/godwitbend/internal/replication"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+)
+
+const (
+	relayTestControlHosts = 3
+	// relayTestGateways is more than prepaid.MaxDirectPeers+1, so that control hosts other than
+	// the leader serve gateways.
+	relayTestGateways = 12
+	// inForceTimeout is the time within which changes must be in force on all hosts.
+	inForceTimeout = 2 * time.Second
+)
+
+// relayedFleet is a large fleet whose gateways are all in the zone of one control host.
+type relayedFleet struct {
+	*controlGroup
+	clients []*hostsync.Client
+	pools   []*placement.Pool
+	relay   int
+}
+
+// leader returns the number of the control host that leads the group.
+func (gr *controlGroup) leader() int {
+	leader := -1
+	gr.g.Eventually(func() int {
+		for i, n := range gr.nodes {
+			if s, running := n.Status(); running && s.Role == replication.Leader {
+				leader = i
+			}
+		}
+		return leader
+	}, eventuallyTimeout).Should(BeNumerically(">=", 0))
+	return leader
+}
+
+func newRelayedFleet(t *testing.T) *relayedFleet {
+	f := &relayedFleet{controlGroup: newControlGroupOf(t, relayTestControlHosts)}
+	f.putDocument(1, 1_000_000)
+	f.relay = (f.leader() + 1) % relayTestControlHosts
+	for i := range relayTestGateways {
+		c, pool := f.gatewayInZone(2+i, f.zone(f.relay))
+		f.clients, f.pools = append(f.clients, c), append(f.pools, pool)
+	}
+	f.expectAllHostsKnown()
+	return f
+}
+
+func (f *relayedFleet) expectAllHostsKnown() {
+	for _, c := range f.clients {
+		f.g.Eventually(func() int {
+			if c.View() == nil {
+				return 0
+			}
+			return c.View().Hosts
+		}, eventuallyTimeout).Should(Equal(relayTestGateways))
+	}
+}
+
+// expectInForce checks that a new document and the state of a new upstream reach all gateways in
+// time, through the control hosts that are given.
+func (f *relayedFleet) expectInForce(version uint64, reportTo int) {
+	f.putDocumentThrough(reportTo, version)
+	u := presence.Upstream{ID: "u", Address: "10.0.0.1:80", Service: "s", State: presence.Ready, StartedMS: int64(version), Sequence: 1}
+	f.nodes[reportTo].Report(u)
+	deadline := time.Now().Add(inForceTimeout)
+	for i, c := range f.clients {
+		f.g.Eventually(func() bool {
+			return c.View().Index.Document.Version == version && f.pools[i].HasReady("s")
+		}, time.Until(deadline), "10ms").Should(BeTrue(), "gateway %d", i)
+	}
+	u.State, u.Sequence = presence.Draining, 2
+	f.nodes[reportTo].Report(u)
+	deadline = time.Now().Add(inForceTimeout)
+	for i := range f.clients {
+		f.g.Eventually(func() bool { return f.pools[i].HasReady("s") }, time.Until(deadline), "10ms").Should(BeFalse(), "gateway %d", i)
+	}
+}
+
+func (f *relayedFleet) putDocumentThrough(i int, version uint64) {
+	first := f.node
+	f.node = f.nodes[i]
+	f.putDocument(version, 1_000_000)
+	f.node = first
+}
+
+func (f *relayedFleet) expectTokens() {
+	for i, c := range f.clients {
+		f.g.Eventually(func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			if reserve(c, 5_000) != prepaid.Granted {
+				_, _ = c.FetchTokens(ctx, "north", 5_000)
+				c.AwaitSync(ctx)
+				return reserve(c, 5_000) == prepaid.Granted
+			}
+			return true
+		}, eventuallyTimeout).Should(BeTrue(), "gateway %d", i)
+		c.Allowance().Settle("north", 5_000, 0)
+	}
+}
+
+func TestControlHostsServeTheGatewaysOfTheirZone(t *testing.T) {
+	f := newRelayedFleet(t)
+	f.expectInForce(2, (f.relay+1)%relayTestControlHosts)
+	f.expectInForce(3, f.relay)
+	f.expectTokens()
+	f.g.Eventually(func() int { return f.nodes[f.relay].DirectGateways() }, eventuallyTimeout).Should(Equal(relayTestGateways))
+	f.g.Eventually(func() int { return f.nodes[f.leader()].DirectGateways() }, eventuallyTimeout).Should(BeZero())
+}
+
+func TestLoadsOfGatewaysReachThoseOfOtherControlHosts(t *testing.T) {
+	f := newRelayedFleet(t)
+	other, otherPool := f.gatewayInZone(2+relayTestGateways, f.zone(f.leader()))
+	f.nodes[0].Report(presence.Upstream{ID: "u", Address: "10.0.0.1:80", Service: "s", State: presence.Ready, StartedMS: 1, Sequence: 1})
+	request := &placement.Request{Service: "s", MaxInFlight: func(*placement.Upstream) int { return 1 }}
+	f.g.Eventually(func() bool { return other.View() != nil && f.pools[0].HasReady("s") && otherPool.HasReady("s") }, eventuallyTimeout).Should(BeTrue())
+	for _, pools := range [][2]*placement.Pool{{f.pools[0], otherPool}, {otherPool, f.pools[0]}, {f.pools[0], f.pools[1]}} {
+		var assignment *placement.Assignment
+		f.g.Eventually(func() bool {
+			assignment, _ = pools[0].Choose(request, time.Now())
+			return assignment != nil
+		}, eventuallyTimeout).Should(BeTrue())
+		f.g.Eventually(func() *placement.Refusal {
+			a, refusal := pools[1].Choose(request, time.Now())
+			if a != nil {
+				pools[1].Release(a)
+			}
+			return refusal
+		}, eventuallyTimeout, "50ms").ShouldNot(BeNil(), "the other host sees that the upstream is full")
+		pools[0].Release(assignment)
+	}
+}
+
+func TestGatewaysOutlastTheLossOfTheirControlHost(t *testing.T) {
+	f := newRelayedFleet(t)
+	f.stops[f.relay]()
+	f.expectInForce(2, f.leader())
+	f.expectTokens()
+	f.expectAllHostsKnown()
+}
+
+func TestGatewaysOutlastAChangeOfTheLeaderBehindTheirControlHost(t *testing.T) {
+	f := newRelayedFleet(t)
+	leader := f.leader()
+	f.stops[leader]()
+	f.nodes[leader] = f.nodes[f.relay]
+	for _, c := range f.clients {
+		f.g.Consistently(func() int { return c.View().Hosts }, 100*time.Millisecond).Should(BeNumerically(">", 0))
+	}
+	f.expectAllHostsKnown()
+	f.expectInForce(2, f.relay)
+	f.expectTokens()
+}
+
+// Hosts that do not ask for it, like those of the build before, are sent to the leader.
+func TestControlHostPassesOnOnlyCallsThatAskForIt(t *testing.T) {
+	gr := newControlGroupOf(t, relayTestControlHosts)
+	gr.putDocument(1, 1_000_000)
+	follower := (gr.leader() + 1) % relayTestControlHosts
+	client := rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	})
+	call := func(relay bool) *controlnode.SyncReply {
+		req := &controlnode.SyncRequest{Host: "g", Peer: controlnode.Peer{Session: 1, Address: "g:1"}, Relay: relay}
+		reply, err := rpc.Call[controlnode.SyncRequest, controlnode.SyncReply](t.Context(), client, gr.controlAddress(follower), controlnode.MethodSync, req)
+		gr.g.Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+	gr.g.Expect(call(false).NotLeader).To(BeTrue())
+	relayed := call(true)
+	gr.g.Expect(relayed.NotLeader).To(BeFalse())
+	gr.g.Expect(relayed.Version).To(Equal(uint64(1)))
+	gr.g.Expect(relayed.Document).NotTo(BeNil())
+}
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -41,11 +41,13 @@
 	if len(reply.Members) > 0 {
 		c.members = reply.Members
 	}
+	c.controlHosts.apply(reply, time.Now())
 	c.applyPeers(reply)
 	if err := c.applyTraffic(req, reply); err != nil {
 		return err
 	}
-	c.epoch, c.revision, c.peersRevision = reply.Epoch, reply.Revision, reply.PeersRevision
+	c.epoch, c.revision = reply.Epoch, reply.Revision
+	c.peersEpoch, c.peersRevision = peersEpoch(reply), reply.PeersRevision
 	c.mu.Lock()
 	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
 	c.mu.Unlock()
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -33,7 +33,7 @@
 func runGateway(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics) error {
 	pool := placement.NewPool(s.Zone)
 	client := hostsync.New(hostsync.Options{
-		Host: s.Host, Address: s.Listen.Hosts, Seeds: s.hostSeeds, Decode: adapter.DecodeDocument, Pool: pool, Clock: bootTime,
+		Host: s.Host, Address: s.Listen.Hosts, Zone: s.Zone, Seeds: s.hostSeeds, Decode: adapter.DecodeDocument, Pool: pool, Clock: bootTime,
 	})
 	limit := retrylimit.Settings{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration}
 	handler := gateway.NewHandler(gateway.Options{
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -144,7 +144,7 @@
 	a.own.KVTokens += a.kvTokens
 	if a.hasPrefix && !a.likelyCached(a.prefix, now) {
 		a.Upstream.markPrefilling(a.prefix, now)
-		p.addRecentPrefix(CachedPrefix{Prefix: a.prefix, Upstream: shortID(a.ID), Prefilling: true})
+		p.addRecentPrefix(CachedPrefix{Prefix: a.prefix, Upstream: ShortID(a.ID), Prefilling: true})
 	}
 	if a.unprefilled >= immediatePublishTokens {
 		p.notifyLoadChanged()
@@ -165,7 +165,7 @@
 	if a.hasPrefix {
 		p.statsOf(a.Service).addSample(a.Backlog, now.Sub(a.assignedAt))
 		a.Upstream.markCached(a.prefix, now)
-		p.addRecentPrefix(CachedPrefix{Prefix: a.prefix, Upstream: shortID(a.ID)})
+		p.addRecentPrefix(CachedPrefix{Prefix: a.prefix, Upstream: ShortID(a.ID)})
 	}
 }
 
--- a/internal/placement/packed.go
+++ b/internal/placement/packed.go
@@ -52,7 +52,7 @@
 func ByShortID(loads map[string]Load) map[uint32]Load {
 	short := make(map[uint32]Load, len(loads))
 	for id, load := range loads {
-		short[shortID(id)] = load
+		short[ShortID(id)] = load
 	}
 	return short
 }
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -26,8 +26,8 @@
 	Prefilling bool `cbor:"3,keyasint,omitempty"`
 }
 
-// shortID returns the id of an upstream in messages between hosts.
-func shortID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// ShortID returns the id of an upstream in messages between hosts.
+func ShortID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // maxRecentPrefixes is the number of recent prefixes in each message between hosts.
 // Each prefix is thus sent several times, since messages may be lost.
@@ -76,7 +76,7 @@
 	}
 	byShortID := make(map[uint32]*Upstream, len(p.upstreams))
 	for id, u := range p.upstreams {
-		byShortID[shortID(id)] = u
+		byShortID[ShortID(id)] = u
 	}
 	for _, prefix := range recent {
 		u := byShortID[prefix.Upstream]
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -105,14 +105,14 @@
 	p := newTestPool(g, "a", 9)
 	home := mustChoose(g, p, prefixRequest(7))
 	p.Release(home)
-	busy := map[uint32]Load{shortID(home.ID): {InFlight: 3, Backlog: 30_000}}
+	busy := map[uint32]Load{ShortID(home.ID): {InFlight: 3, Backlog: 30_000}}
 	p.ApplyPeerLoad(1, 1, busy, nil, startTime)
 	nonHome := mustChoose(g, p, prefixRequest(7))
 	g.Expect(nonHome.ID).NotTo(Equal(home.ID))
 	p.Release(nonHome)
 	p.ApplyPeerLoad(1, 0, nil, nil, startTime)
 	g.Expect(home.peerReported.Backlog).To(Equal(int64(30_000)), "a stale message is ignored")
-	p.ApplyPeerLoad(1, 2, nil, []CachedPrefix{{Prefix: 7, Upstream: shortID("u3")}}, startTime)
+	p.ApplyPeerLoad(1, 2, nil, []CachedPrefix{{Prefix: 7, Upstream: ShortID("u3")}}, startTime)
 	g.Expect(home.peerReported.Backlog).To(BeZero())
 	g.Expect(p.upstreams["u3"].likelyCached(7, startTime)).To(BeTrue())
 	p.ApplyPeerLoad(1, 3, busy, nil, startTime)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -156,7 +156,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, u := range p.upstreams {
-		u.controlReported = loads[shortID(id)]
+		u.controlReported = loads[ShortID(id)]
 	}
 }
 
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -137,6 +137,21 @@
 	t.store(&next)
 }
 
+// ApplyState applies the state of an upstream as another control host knows it, which does not
+// state when the upstream reported. Only a later process, or a later state of a process, is news.
+func (t *Table) ApplyState(u Upstream, now time.Time) {
+	old := t.records[u.ID]
+	switch {
+	case old == nil || u.StartedMS > old.StartedMS:
+		u.Sequence = 0
+		t.Apply(u, now)
+	case u.StartedMS == old.StartedMS && u.State > old.State:
+		next := *old
+		next.State = u.State
+		t.store(&next)
+	}
+}
+
 // supersedes reports whether u is newer than old. A departure has no sequence and
 // supersedes every report of its process.
 func supersedes(old, u *Upstream) bool {
--- a/internal/presence/table_test.go
+++ b/internal/presence/table_test.go
@@ -152,3 +152,18 @@
 	g.Expect(table.Record("u").Unresponsive).To(BeFalse())
 	g.Expect(table.ChangedSince(2)).To(HaveLen(1), "its recovery is a change")
 }
+
+func TestStatesKnownElsewhereOnlyAdvance(t *testing.T) {
+	g := NewWithT(t)
+	table := presence.NewTable()
+	table.Apply(report("u", "a:1", 10, 5, presence.Draining), now)
+	table.ApplyState(report("u", "a:1", 10, 0, presence.Ready), now)
+	table.ApplyState(report("u", "a:1", 9, 0, presence.Terminated), now)
+	g.Expect(table.Record("u").State).To(Equal(presence.Draining))
+	g.Expect(table.Revision()).To(Equal(uint64(1)))
+	table.ApplyState(report("u", "a:1", 10, 0, presence.Terminated), now)
+	g.Expect(table.Record("u").State).To(Equal(presence.Terminated))
+	table.ApplyState(report("u", "a:1", 11, 0, presence.Ready), now)
+	g.Expect(table.Record("u").State).To(Equal(presence.Ready), "a later process")
+	g.Expect(table.Apply(report("u", "a:1", 11, 1, presence.Draining), now)).To(BeTrue(), "its first report is newer")
+}
