Send gateways changes of the list of gateways; wait longer on a slow link

Now the last 16 lists are kept and hosts get the difference to theirs.

The time allowed is now three times that of recent calls and doubles with each call without an answer, 700 ms to 2 s.

--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -1,7 +1,6 @@
 package controlnode
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -49,8 +48,8 @@
 // relayedHosts are the gateway hosts that call one relay.
 type relayedHosts struct {
 	gatewayHost
-	// revision is the relay's revision of the list.
-	revision uint64
+	// epoch identifies the relay's process, and revision its list.
+	epoch, revision uint64
 	// since holds when each Peer was first listed.
 	since map[Peer]time.Time
 }
@@ -74,19 +73,33 @@
 	return h
 }
 
-// recordRelay records a call from a relay, and adds the relay if it is new.
-func (t *hostTable) recordRelay(address string, now time.Time) *relayedHosts {
+// recordRelay records a call from a relay's process, and adds the relay if it is new.
+func (t *hostTable) recordRelay(address string, epoch uint64, now time.Time) *relayedHosts {
 	r := t.relays[address]
+	if r != nil && r.epoch != epoch {
+		t.removeRelay(address, r)
+		r = nil
+	}
 	if r == nil {
-		r = &relayedHosts{}
+		r = &relayedHosts{epoch: epoch}
 		t.relays[address] = r
 	}
 	r.lastCall = now
 	return r
 }
 
-// setRelayPeers replaces the list of a relay's gateway hosts.
+func (t *hostTable) removeRelay(address string, r *relayedHosts) {
+	t.setLoads(&r.gatewayHost, nil)
+	delete(t.relays, address)
+	t.revision++
+}
+
+// setRelayPeers replaces the list of a relay's gateway hosts, unless it has a later one: calls of
+// a relay may overtake each other.
 func (t *hostTable) setRelayPeers(r *relayedHosts, peers []Peer, revision uint64, now time.Time) {
+	if revision <= r.revision {
+		return
+	}
 	since := make(map[Peer]time.Time, len(peers))
 	for _, p := range peers {
 		since[p] = now
@@ -150,9 +163,7 @@
 	}
 	for address, r := range t.relays {
 		if r.overdue(now) {
-			t.setLoads(&r.gatewayHost, nil)
-			delete(t.relays, address)
-			t.revision++
+			t.removeRelay(address, r)
 		}
 	}
 }
@@ -206,7 +217,7 @@
 	for _, p := range latest {
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.Address, b.Address) })
+	slices.SortFunc(list, comparePeers)
 	return list
 }
 
--- a/internal/controlnode/hosts_test.go
+++ b/internal/controlnode/hosts_test.go
@@ -61,3 +61,27 @@
 	table.expire(later)
 	g.Expect(table.peers()).To(ConsistOf(Peer{Address: "a"}, Peer{Address: "b"}))
 }
+
+func TestHostTableKeepsTheLatestPeerOfAHostAndListOfARelay(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := newHostTable()
+	old, restarted, other := Peer{Session: 1, Address: "a"}, Peer{Session: 2, Address: "a"}, Peer{Session: 3, Address: "b"}
+	relay := table.recordRelay("r", 1, now)
+	table.setRelayPeers(relay, []Peer{old, other}, 4, now)
+	table.setLoads(&relay.gatewayHost, map[uint32]placement.Load{1: {InFlight: 2}})
+	g.Expect(table.peers()).To(Equal([]Peer{old, other}))
+	table.recordCall("gateway-a", restarted, now.Add(time.Second))
+	g.Expect(table.peers()).To(Equal([]Peer{restarted, other}), "the process that called last")
+	table.setRelayPeers(relay, []Peer{old}, 3, now)
+	g.Expect(table.peers()).To(Equal([]Peer{restarted, other}), "an earlier list of the relay")
+	again := table.recordRelay("r", 2, now)
+	g.Expect(again.revision).To(BeZero(), "the relay restarted")
+	g.Expect(table.totals).To(BeEmpty())
+	table.setRelayPeers(again, []Peer{other}, 1, now)
+	g.Expect(table.peers()).To(Equal([]Peer{restarted, other}))
+	g.Expect(table.size()).To(Equal(2))
+	table.recordCall("gateway-a", restarted, now.Add(hostTimeout+time.Second))
+	table.expire(now.Add(hostTimeout + time.Second))
+	g.Expect(table.peers()).To(Equal([]Peer{restarted}), "the relay is silent")
+}
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -90,7 +90,8 @@
 	CeilingAnswers []prepaid.CeilingAnswer `cbor:"11,keyasint,omitempty"`
 	// PeersRevision is the revision of the host's list of gateway hosts.
 	PeersRevision uint64 `cbor:"10,keyasint,omitempty"`
-	// AcceptsEncoded reports that the host can read EncodedUpstreams and PackedTotals.
+	// AcceptsEncoded reports that the host can read EncodedUpstreams, PackedTotals and
+	// PeerChanges.
 	AcceptsEncoded bool `cbor:"13,keyasint,omitempty"`
 	// Relay asks a control host that is not the leader to pass the call on.
 	Relay bool `cbor:"14,keyasint,omitempty"`
@@ -157,6 +158,8 @@
 	// ControlHostsDigest identifies it.
 	ControlHosts       []ControlHost `cbor:"19,keyasint,omitempty"`
 	ControlHostsDigest uint64        `cbor:"20,keyasint,omitempty"`
+	// PeerChanges is set in place of Peers for hosts that accept it and whose list is known.
+	PeerChanges *PeerChanges `cbor:"21,keyasint,omitempty"`
 }
 
 // ControlHost is a control host that gateway hosts may call.
@@ -168,8 +171,9 @@
 
 // SubmitRequest passes the calls of gateway hosts on to the leader.
 type SubmitRequest struct {
-	// Relay is the address of the sender.
-	Relay string `cbor:"1,keyasint"`
+	// Relay is the address of the sender, and RelayEpoch identifies its process.
+	Relay      string `cbor:"1,keyasint"`
+	RelayEpoch uint64 `cbor:"12,keyasint"`
 	// Calls holds the sessions to open, the reports and the answers of the calls.
 	Calls   []SyncRequest `cbor:"2,keyasint,omitempty"`
 	Crashes []Crash       `cbor:"3,keyasint,omitempty"`
@@ -216,6 +220,8 @@
 	EncodedUpstreams []byte   `cbor:"11,keyasint,omitempty"`
 	TableRevision    uint64   `cbor:"12,keyasint,omitempty"`
 	Quarantined      []uint64 `cbor:"13,keyasint,omitempty"`
+	// PeerChanges is set in place of Peers if the relay's list is known.
+	PeerChanges *PeerChanges `cbor:"14,keyasint,omitempty"`
 }
 
 // UpstreamRecord is the wire form of an upstream in calls between hosts.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -87,6 +87,7 @@
 	controlHosts            map[string]knownControlHost
 	acknowledgedGenerations map[string]uint64
 	hosts                   *hostTable
+	peerLists               peerLists
 	upstreamFeed            *upstreamFeed
 	loadFeed                loadFeed
 	crashes                 crashTracker
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,11 +34,12 @@
 
 	// The fields below are guarded by node.mu.
 	fleet fleetView
-	// gatewaysAt is the revision of this host's list of gateway hosts that the leader has, and
-	// tableRevision that of the leader's table that this host has, both in fleet.epoch.
-	gatewaysAt, tableRevision uint64
-	loadsAt                   time.Time
-	crashes                   []Crash
+	// epoch identifies the leader's process. gatewaysAt is the revision of this host's list of
+	// gateway hosts that the leader has, and tableRevision that of the leader's table that this
+	// host has.
+	epoch, gatewaysAt, tableRevision uint64
+	loadsAt                          time.Time
+	crashes                          []Crash
 }
 
 // relayedCall is one call of a gateway host that awaits its result.
@@ -180,8 +180,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	req := &SubmitRequest{
-		Relay: n.options.Address, Crashes: r.crashes, Epoch: r.fleet.epoch, GatewaysRevision: n.hosts.revision,
-		PeersRevision: r.fleet.peersRevision, TableRevision: r.tableRevision,
+		Relay: n.options.Address, RelayEpoch: n.epoch, Crashes: r.crashes, Epoch: r.epoch, GatewaysRevision: n.hosts.revision,
+		TableRevision: r.tableRevision,
+	}
+	if newest := n.peerLists.newest(); newest.epoch == r.epoch {
+		req.PeersRevision = newest.revision
 	}
 	r.crashes = nil
 	for _, c := range calls {
@@ -222,20 +225,32 @@
 			n.table.ApplyState(upstreams[i].Upstream, now)
 		}
 	}
-	if reply.Epoch != r.fleet.epoch {
-		r.fleet.epoch, r.fleet.peers, r.fleet.peersRevision = reply.Epoch, nil, 0
-	}
-	r.gatewaysAt, r.tableRevision = reply.GatewaysRevision, reply.TableRevision
+	r.epoch, r.gatewaysAt, r.tableRevision = reply.Epoch, reply.GatewaysRevision, reply.TableRevision
 	r.fleet.hosts, r.fleet.quarantined = reply.Hosts, reply.Quarantined
-	if reply.Peers != nil {
-		r.fleet.peers, r.fleet.peersRevision = reply.Peers, reply.PeersRevision
-	}
+	r.applyPeers(req, reply)
 	if req.HasLoads {
 		r.fleet.elsewhere, err = othersLoads(reply.PackedTotals, reply.PackedOwn)
 	}
 	return err
 }
 
+// applyPeers applies the changes of the leader's list of gateway hosts. Replies may arrive in
+// another order than they were sent, and changes apply only to the list that they were made for.
+// The caller holds node.mu.
+func (r *relay) applyPeers(req *SubmitRequest, reply *SubmitReply) {
+	newest := r.node.peerLists.newest()
+	list := peerList{epoch: reply.Epoch, revision: reply.PeersRevision, peers: reply.Peers}
+	switch {
+	case newest.epoch == reply.Epoch && newest.revision >= reply.PeersRevision:
+		return
+	case reply.PeerChanges != nil && (newest.epoch != req.Epoch || newest.revision != req.PeersRevision):
+		return
+	case reply.PeerChanges != nil:
+		list.peers = reply.PeerChanges.Apply(newest.peers)
+	}
+	r.node.peerLists.add(list)
+}
+
 // serveSubmit serves MethodSubmit.
 func (n *Node) serveSubmit(ctx context.Context, req *SubmitRequest) (*SubmitReply, error) {
 	r, redirect := n.leaderOrRedirect()
@@ -265,7 +280,7 @@
 func (n *Node) addFleetState(req *SubmitRequest, reply *SubmitReply, now time.Time) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	relay := n.hosts.recordRelay(req.Relay, now)
+	relay := n.hosts.recordRelay(req.Relay, req.RelayEpoch, now)
 	if req.HasGateways {
 		n.hosts.setRelayPeers(relay, req.Gateways, req.GatewaysRevision, now)
 	}
@@ -281,14 +296,13 @@
 	}
 	n.crashes.add(req.Crashes, now)
 	fleet := n.fleetViewOfLeader(now)
-	reply.Hosts, reply.PeersRevision, reply.Quarantined = fleet.hosts, fleet.peersRevision, fleet.quarantined
+	reply.Hosts, reply.Quarantined = fleet.hosts, fleet.quarantined
+	reply.PeersRevision = n.hosts.publishedRevision
+	reply.Peers, reply.PeerChanges = n.peerLists.since(req.Epoch, req.PeersRevision)
 	known := req.TableRevision
 	if req.Epoch != n.epoch {
 		known = 0
 	}
-	if req.Epoch != n.epoch || req.PeersRevision != fleet.peersRevision {
-		reply.Peers = slices.Clone(fleet.peers)
-	}
 	reply.EncodedUpstreams, reply.TableRevision = n.upstreamFeed.since(known, now)
 	return nil
 }
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -42,24 +42,19 @@
 
 // fleetView is what a control host knows of the whole fleet.
 type fleetView struct {
-	// epoch is that of the leader's process.
-	epoch uint64
-	// hosts is the number of gateway hosts. peers lists them, as of peersRevision.
-	hosts         int
-	peers         []Peer
-	peersRevision uint64
+	// hosts is the number of gateway hosts.
+	hosts int
 	// elsewhere holds the loads of the gateway hosts that call other control hosts, by short id.
 	elsewhere   map[uint32]placement.Load
 	quarantined []uint64
 }
 
-// fleetViewOfLeader returns the view of this host, which is the leader. The caller holds n.mu.
+// fleetViewOfLeader returns the view of this host, which is the leader, and renews its list of
+// gateway hosts. The caller holds n.mu.
 func (n *Node) fleetViewOfLeader(now time.Time) fleetView {
 	n.hosts.publish(now)
-	return fleetView{
-		epoch: n.epoch, hosts: len(n.hosts.published), peers: n.hosts.published, peersRevision: n.hosts.publishedRevision,
-		quarantined: n.crashes.quarantined(now),
-	}
+	n.peerLists.add(peerList{epoch: n.epoch, revision: n.hosts.publishedRevision, peers: n.hosts.published})
+	return fleetView{hosts: len(n.hosts.published), quarantined: n.crashes.quarantined(now)}
 }
 
 // addState records the call, and adds to the reply the document, the upstreams, the loads of the
@@ -75,11 +70,18 @@
 		n.addLoads(req, reply, h, fleet, now)
 	}
 	n.addUpstreams(req, reply, now)
-	reply.Hosts, reply.PeersEpoch, reply.PeersRevision = fleet.hosts, fleet.epoch, fleet.peersRevision
-	if req.peersEpoch() != fleet.epoch || req.PeersRevision != fleet.peersRevision {
-		reply.Peers = fleet.peers
+	reply.Hosts, reply.Quarantined = fleet.hosts, fleet.quarantined
+	n.addPeers(req, reply)
+}
+
+// addPeers adds the gateway hosts to the reply that the host's list lacks. The caller holds n.mu.
+func (n *Node) addPeers(req *SyncRequest, reply *SyncReply) {
+	newest := n.peerLists.newest()
+	reply.PeersEpoch, reply.PeersRevision = newest.epoch, newest.revision
+	reply.Peers, reply.PeerChanges = n.peerLists.since(req.peersEpoch(), req.PeersRevision)
+	if reply.PeerChanges != nil && !req.AcceptsEncoded {
+		reply.Peers, reply.PeerChanges = newest.peers, nil
 	}
-	reply.Quarantined = fleet.quarantined
 }
 
 // DirectGateways returns the number of gateway hosts that called this control host recently.
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -27,8 +27,6 @@
 	// maxHostsPerCall is the number of control hosts that are tried in one call. Any
 	// up-to-date one returns the address of the leader.
 	maxHostsPerCall = 3
-	// callTimeout bounds one call to a control host.
-	callTimeout = 700 * time.Millisecond
 	// dialTimeout and unackedTimeout bound the time lost on an unreachable host.
 	dialTimeout    = 120 * time.Millisecond
 	unackedTimeout = time.Second
@@ -86,6 +84,7 @@
 	servedBy        string
 	members         []string
 	controlHosts    controlHosts
+	callTimeout     callTimeout
 	documentVersion uint64
 	epoch           uint64
 	revision        uint64
@@ -283,9 +282,17 @@
 }
 
 func (c *Client) call(ctx context.Context, address string, req *controlnode.SyncRequest) (*controlnode.SyncReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout.next())
 	defer cancel()
-	return rpc.Call[controlnode.SyncRequest, controlnode.SyncReply](ctx, c.rpc, address, controlnode.MethodSync, req)
+	started := time.Now()
+	reply, err := rpc.Call[controlnode.SyncRequest, controlnode.SyncReply](ctx, c.rpc, address, controlnode.MethodSync, req)
+	switch {
+	case err == nil:
+		c.callTimeout.succeeded(time.Since(started))
+	case ctx.Err() != nil:
+		c.callTimeout.failed()
+	}
+	return reply, err
 }
 
 func (c *Client) buildRequest() *controlnode.SyncRequest {
--- a/internal/hostsync/peers.go
+++ b/internal/hostsync/peers.go
@@ -25,13 +25,16 @@
 		c.earlierPeers, c.epochSince = c.peers, now
 	}
 	expired := c.earlierPeers != nil && now.Sub(c.epochSince) > peerRetention
-	if reply.Peers != nil {
+	switch {
+	case reply.Peers != nil:
 		c.currentPeers = reply.Peers
+	case reply.PeerChanges != nil:
+		c.currentPeers = reply.PeerChanges.Apply(c.currentPeers)
 	}
 	if expired {
 		c.earlierPeers = nil
 	}
-	if reply.Peers == nil && !expired {
+	if reply.Peers == nil && reply.PeerChanges == nil && !expired {
 		return
 	}
 	known := len(c.peers)
