Wait longer for connections to upstreams on a congested link

The time allowed is now set as for calls to control hosts, 250 ms to 1 s: a single success at once brings it back, so that upstreams that do not answer still cost 250 ms. The estimator is a package of its own.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -12,7 +12,6 @@
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/errkind"
-	"github.com/godwitbend/godwitbend/internal/hostsync"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
@@ -257,7 +256,7 @@
 func (a *attempt) run(w http.ResponseWriter) attemptResult {
 	a.excludedUpstreams = append(a.excludedUpstreams, a.target.ID)
 	a.backlog, a.prefillRate = a.target.Backlog, a.target.PrefillRate
-	answer, err := upstreamhttp.Do(a.ctx, a.target.Address, a.upstreamRequest())
+	answer, err := a.handler.upstreams.Do(a.ctx, a.target.Address, a.upstreamRequest())
 	var unreachable *upstreamhttp.UnreachableError
 	if errors.As(err, &unreachable) {
 		if a.ctx.Err() == nil {
@@ -327,19 +326,19 @@
 	}
 	a.reportOutcome(placement.Failed)
 	crash := controlnode.Crash{Fingerprint: a.fingerprint(), Upstream: a.target.ID}
-	go reportCrash(a.handler.Sync, crash, a.target.Address, a.ID)
+	go a.handler.reportCrash(crash, a.target.Address, a.ID)
 	return a.brokenResult()
 }
 
 // reportCrash reports to the control group a request whose upstream has crashed. An
 // upstream that still accepts connections has not crashed and is not reported.
-func reportCrash(sync *hostsync.Client, crash controlnode.Crash, address, requestID string) {
-	if upstreamhttp.Reachable(context.Background(), address) {
+func (h *Handler) reportCrash(crash controlnode.Crash, address, requestID string) {
+	if h.upstreams.Reachable(context.Background(), address) {
 		return
 	}
 	klog.InfoS("upstream crashed while running a request", telemetry.FieldRequestID, requestID,
 		"upstream", crash.Upstream, "fingerprint", crash.Fingerprint)
-	sync.ReportCrash(crash)
+	h.Sync.ReportCrash(crash)
 }
 
 // handleAnswer classifies the answer by its header, and forwards it if it is valid.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/retrylimit"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
 // timeToFirstEventBuckets are the upper bounds of the histogram of times to the first event.
@@ -38,6 +39,7 @@
 // Handler implements http.Handler for the requests of callers.
 type Handler struct {
 	Options
+	upstreams *upstreamhttp.Client
 	// startupDeadline is the time until which requests wait for the first configuration.
 	startupDeadline time.Time
 	// draining is set during a shutdown, when new requests are refused.
@@ -50,6 +52,7 @@
 func NewHandler(o Options) *Handler {
 	return &Handler{
 		Options:          o,
+		upstreams:        upstreamhttp.NewClient(),
 		startupDeadline:  time.Now().Add(startupTimeout),
 		served:           o.Scope.Counter("answers"),
 		timeToFirstEvent: o.Scope.Histogram("first_byte", timeToFirstEventBuckets),
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -21,12 +21,17 @@
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/rto"
 )
 
 const (
 	// maxHostsPerCall is the number of control hosts that are tried in one call. Any
 	// up-to-date one returns the address of the leader.
 	maxHostsPerCall = 3
+	// minCallTimeout and maxCallTimeout bound one call to a control host. Changes must be in
+	// force within two seconds, so that a call that takes longer is of little use.
+	minCallTimeout = 700 * time.Millisecond
+	maxCallTimeout = 2 * time.Second
 	// dialTimeout and unackedTimeout bound the time lost on an unreachable host.
 	dialTimeout    = 120 * time.Millisecond
 	unackedTimeout = time.Second
@@ -84,7 +89,7 @@
 	servedBy        string
 	members         []string
 	controlHosts    controlHosts
-	callTimeout     callTimeout
+	callTimeout     *rto.Estimator
 	documentVersion uint64
 	epoch           uint64
 	revision        uint64
@@ -129,6 +134,7 @@
 		allowance:   prepaid.NewAllowance(session),
 		witness:     prepaid.NewWitness(),
 		wake:        make(chan struct{}, 1),
+		callTimeout: rto.NewEstimator(minCallTimeout, maxCallTimeout),
 		sessionLost: make(chan struct{}),
 		syncDone:    make(chan struct{}),
 		unreachable: map[string]time.Time{},
@@ -282,15 +288,15 @@
 }
 
 func (c *Client) call(ctx context.Context, address string, req *controlnode.SyncRequest) (*controlnode.SyncReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.callTimeout.next())
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout.Timeout())
 	defer cancel()
 	started := time.Now()
 	reply, err := rpc.Call[controlnode.SyncRequest, controlnode.SyncReply](ctx, c.rpc, address, controlnode.MethodSync, req)
 	switch {
 	case err == nil:
-		c.callTimeout.succeeded(time.Since(started))
+		c.callTimeout.Succeeded(time.Since(started))
 	case ctx.Err() != nil:
-		c.callTimeout.failed()
+		c.callTimeout.TimedOut()
 	}
 	return reply, err
 }
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -18,12 +18,15 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/godwitbend/godwitbend/internal/netconn"
+	"github.com/godwitbend/godwitbend/internal/rto"
 )
 
 const (
-	// dialTimeout bounds the connection attempt. Within a region a connect takes a few
-	// milliseconds, and an unresponsive upstream must use up little of a request's time.
-	dialTimeout = 250 * time.Millisecond
+	// minDialTimeout and maxDialTimeout bound the connection attempt. Within a region a connect
+	// takes a few milliseconds, and an unresponsive upstream must use up little of a request's
+	// time. It takes longer if this host's own link is congested.
+	minDialTimeout = 250 * time.Millisecond
+	maxDialTimeout = time.Second
 	// unackedTimeout is how long sent bytes may remain unacknowledged.
 	unackedTimeout = 2 * time.Second
 	// maxHeadBytes bounds the header of an answer, including those of interim answers.
@@ -68,9 +71,19 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// Client sends requests to upstreams. It is safe for concurrent use.
+type Client struct {
+	dialTimeout *rto.Estimator
+}
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{dialTimeout: rto.NewEstimator(minDialTimeout, maxDialTimeout)}
+}
+
 // Reachable reports whether connections to address are accepted.
-func Reachable(ctx context.Context, address string) bool {
-	conn, err := netconn.Dial(ctx, address, dialTimeout, unackedTimeout)
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return false
 	}
@@ -78,14 +91,27 @@
 	return true
 }
 
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	started := time.Now()
+	conn, err := netconn.Dial(ctx, address, c.dialTimeout.Timeout(), unackedTimeout)
+	var netErr net.Error
+	switch {
+	case err == nil:
+		c.dialTimeout.Succeeded(time.Since(started))
+	case errors.As(err, &netErr) && netErr.Timeout() && ctx.Err() == nil:
+		c.dialTimeout.TimedOut()
+	}
+	return conn, err
+}
+
 // ErrNoAnswer reports that the request was sent, at least in part, but no answer was
 // received: it may have run.
 var ErrNoAnswer = errors.New("no answer from the upstream")
 
 // Do sends a request and reads the header of the answer. Its errors are either an
 // *UnreachableError or wrap ErrNoAnswer. The exchange ends when ctx is done.
-func Do(ctx context.Context, address string, r *Request) (*Answer, error) {
-	conn, err := netconn.Dial(ctx, address, dialTimeout, unackedTimeout)
+func (c *Client) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
 	}
