Drop a relay's silent gateways whatever their number; describe relays

A control host drops no gateways if more than half are silent, as it may be the one that was cut off. For a relay that is wrong: gateways that cannot reach it call another one, so those of a zone that is gone would have stayed in the list, as holders of tokens.

--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -154,6 +154,17 @@
 	if 2*overdue > all {
 		return
 	}
+	t.expireDirect(now)
+	for address, r := range t.relays {
+		if r.overdue(now) {
+			t.removeRelay(address, r)
+		}
+	}
+}
+
+// expireDirect removes the hosts that call this control host and whose last call is older than
+// hostTimeout. A relay does so whatever their number, as they call another one if they are up.
+func (t *hostTable) expireDirect(now time.Time) {
 	for name, h := range t.hosts {
 		if h.overdue(now) {
 			t.setLoads(h, nil)
@@ -161,11 +172,6 @@
 			t.revision++
 		}
 	}
-	for address, r := range t.relays {
-		if r.overdue(now) {
-			t.removeRelay(address, r)
-		}
-	}
 }
 
 func (h *gatewayHost) overdue(now time.Time) bool { return now.Sub(h.lastCall) > hostTimeout }
--- a/internal/controlnode/hosts_test.go
+++ b/internal/controlnode/hosts_test.go
@@ -85,3 +85,17 @@
 	table.expire(now.Add(hostTimeout + time.Second))
 	g.Expect(table.peers()).To(Equal([]Peer{restarted}), "the relay is silent")
 }
+
+// The gateways of a relay that are all silent have left, or call another control host.
+func TestRelayDropsAllItsSilentHosts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := newHostTable()
+	for _, name := range []string{"a", "b", "c"} {
+		table.recordCall(name, Peer{Address: name}, now)
+	}
+	table.expireDirect(now.Add(hostTimeout))
+	g.Expect(table.directPeers()).To(HaveLen(3))
+	table.expireDirect(now.Add(hostTimeout + 1))
+	g.Expect(table.directPeers()).To(BeEmpty())
+}
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -42,6 +42,8 @@
 
 // fleetView is what a control host knows of the whole fleet.
 type fleetView struct {
+	// leads is true on the leader.
+	leads bool
 	// hosts is the number of gateway hosts.
 	hosts int
 	// elsewhere holds the loads of the gateway hosts that call other control hosts, by short id.
@@ -54,7 +56,7 @@
 func (n *Node) fleetViewOfLeader(now time.Time) fleetView {
 	n.hosts.publish(now)
 	n.peerLists.add(peerList{epoch: n.epoch, revision: n.hosts.publishedRevision, peers: n.hosts.published})
-	return fleetView{hosts: len(n.hosts.published), quarantined: n.crashes.quarantined(now)}
+	return fleetView{leads: true, hosts: len(n.hosts.published), quarantined: n.crashes.quarantined(now)}
 }
 
 // addState records the call, and adds to the reply the document, the upstreams, the loads of the
@@ -65,7 +67,11 @@
 	n.addControlHosts(req, reply, now)
 	h := n.hosts.recordCall(req.Host, req.Peer, now)
 	if !req.Brief {
-		n.hosts.expire(now)
+		if fleet.leads {
+			n.hosts.expire(now)
+		} else {
+			n.hosts.expireDirect(now)
+		}
 		n.hosts.setLoads(h, placement.ByShortID(req.Loads))
 		n.addLoads(req, reply, h, fleet, now)
 	}
@@ -88,7 +94,7 @@
 func (n *Node) DirectGateways() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.hosts.expire(time.Now())
+	n.hosts.expireDirect(time.Now())
 	return len(n.hosts.hosts)
 }
 
