--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
@@ -23,11 +24,21 @@
 	savingSnapshot replication.Snapshot  // snapshot of the save in progress
 }
 
+// slowPersist is the time from which a write to the log is logged. The usual election timeout is
+// 600 ms, and others wait for a replica that writes.
+const slowPersist = 250 * time.Millisecond
+
 // persist makes rd durable. When it returns without error, all of rd is synced.
 func (s *storage) persist(rd replication.Ready) error {
 	if !rd.MustSync {
 		return nil
 	}
+	started := time.Now()
+	defer func() {
+		if d := time.Since(started); d > slowPersist {
+			klog.InfoS("slow write to the log", "after_ms", d.Milliseconds(), "entries", len(rd.Entries))
+		}
+	}()
 	if rd.Snapshot != nil {
 		return s.installSnapshot(rd)
 	}
