Spare the log reports of hosts that hold and use no tokens

A gateway that holds no tokens, has no request in flight and has reported all use now sends a report only every 2 s; its other calls are confirmed by a quorum without an entry in the log. It does so only with control hosts that state it. A relay tells a new leader its gateways with the first call, so that replies never count none.

--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -163,6 +163,8 @@
 	ControlHostsDigest uint64        `cbor:"20,keyasint,omitempty"`
 	// PeerChanges is set in place of Peers for hosts that accept it and whose list is known.
 	PeerChanges *PeerChanges `cbor:"21,keyasint,omitempty"`
+	// ConfirmsIdleCalls states that a quorum confirms the leader also for calls without a report.
+	ConfirmsIdleCalls bool `cbor:"22,keyasint,omitempty"`
 }
 
 // ControlHost is a control host that gateway hosts may call.
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -38,8 +38,10 @@
 	// gateway hosts that the leader has, and tableRevision that of the leader's table that this
 	// host has.
 	epoch, gatewaysAt, tableRevision uint64
-	loadsAt                          time.Time
-	crashes                          []Crash
+	// leader is the address of the leader that was called last.
+	leader  string
+	loadsAt time.Time
+	crashes []Crash
 }
 
 // relayedCall is one call of a gateway host that awaits its result.
@@ -158,7 +160,7 @@
 	if redirect.Leader == "" {
 		return nil, ErrUnavailable
 	}
-	req := r.newRequest(calls, time.Now())
+	req := r.newRequest(redirect.Leader, calls, time.Now())
 	reply, err := rpc.Call[SubmitRequest, SubmitReply](ctx, r.node.rpc, redirect.Leader, MethodSubmit, req)
 	switch {
 	case err != nil:
@@ -175,10 +177,13 @@
 	return reply, err
 }
 
-func (r *relay) newRequest(calls []*relayedCall, now time.Time) *SubmitRequest {
+func (r *relay) newRequest(leader string, calls []*relayedCall, now time.Time) *SubmitRequest {
 	n := r.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if leader != r.leader {
+		r.leader, r.gatewaysAt = leader, 0
+	}
 	req := &SubmitRequest{
 		Relay: n.options.Address, RelayEpoch: n.epoch, Crashes: r.crashes, Epoch: r.epoch, GatewaysRevision: n.hosts.revision,
 		TableRevision: r.tableRevision,
@@ -263,7 +268,7 @@
 	for i := range req.Calls {
 		calls[i] = &req.Calls[i]
 	}
-	results, err := n.reports.submit(ctx, calls...)
+	results, err := n.confirmCalls(ctx, r, calls...)
 	if err != nil {
 		redirect, err := n.redirectFor(err)
 		return &SubmitReply{LeaderRedirect: redirect}, err
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 )
 
@@ -26,7 +28,7 @@
 		}
 		return &SyncReply{LeaderRedirect: redirect}, nil
 	}
-	results, err := n.reports.submit(ctx, req)
+	results, err := n.confirmCalls(ctx, r, req)
 	if err != nil {
 		redirect, err := n.redirectFor(err)
 		return &SyncReply{LeaderRedirect: redirect}, err
@@ -40,6 +42,18 @@
 	return reply, nil
 }
 
+// confirmCalls commits what the calls report and returns the results. A quorum has confirmed that
+// this host leads after the calls arrived, even if they report nothing.
+func (n *Node) confirmCalls(ctx context.Context, r *replica.Replica, calls ...*SyncRequest) ([]submitResult, error) {
+	reporting := slices.ContainsFunc(calls, func(c *SyncRequest) bool { return c.Opening != nil || c.Report != nil })
+	if !reporting {
+		if _, err := r.Barrier(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return n.reports.submit(ctx, calls...)
+}
+
 // fleetView is what a control host knows of the whole fleet.
 type fleetView struct {
 	// leads is true on the leader.
@@ -63,6 +77,7 @@
 // other hosts, the hosts and the quarantined requests. A brief call neither changes nor returns
 // loads. The caller holds n.mu.
 func (n *Node) addState(req *SyncRequest, reply *SyncReply, fleet fleetView, now time.Time) {
+	reply.ConfirmsIdleCalls = true
 	n.addDocument(req, reply)
 	n.addControlHosts(req, reply, now)
 	h := n.hosts.recordCall(req.Host, req.Peer, now)
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -105,6 +105,9 @@
 	// ceilingAnswers answers the ceiling queries of the latest reply.
 	ceilingAnswers   []prepaid.CeilingAnswer
 	controlReachable bool
+	// confirmsIdleCalls reports whether the control host answers calls without a report only if
+	// a quorum has confirmed the leader.
+	confirmsIdleCalls bool
 	// consecutiveFailures counts the failed calls since the last successful one.
 	consecutiveFailures int
 	// lastFullSync is when the leader last sent the loads caused by other hosts.
@@ -321,11 +324,19 @@
 		opening.Age = c.options.Clock() - opening.BootTime
 		req.Opening = &opening
 	}
+	if c.confirmsIdleCalls && req.Opening == nil && len(c.ceilingAnswers) == 0 && c.allowance.Idle(c.options.Clock()) {
+		req.Crashes = c.pendingCrashes()
+		return req
+	}
 	req.Report = c.allowance.Report(prepaid.Instant{BootTime: c.options.Clock(), WallTime: time.Now().UnixNano()}, c.witnesses(), req.Brief)
+	req.Crashes = c.pendingCrashes()
+	return req
+}
+
+func (c *Client) pendingCrashes() []controlnode.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	req.Crashes = slices.Clone(c.crashes)
-	return req
+	return slices.Clone(c.crashes)
 }
 
 // Close reports the final use and closes the session, so that no tokens are written off.
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -37,6 +37,7 @@
 		c.sessionOpened = true
 		c.allowance.Acknowledge(reply.Prepaid, c.options.Clock())
 	}
+	c.confirmsIdleCalls = reply.ConfirmsIdleCalls
 	c.ceilingAnswers = c.answerCeilingQueries(reply.CeilingQueries)
 	if len(reply.Members) > 0 {
 		c.members = reply.Members
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -324,6 +324,25 @@
 	return r
 }
 
+// maxReportGap is the longest time between two reports of a host that has nothing to report.
+const maxReportGap = 2 * time.Second
+
+// Idle reports whether the host needs to send no report now: it holds no tokens, none of its
+// requests is in flight, all that it used is reported, and its last report is recent.
+func (a *Allowance) Idle(now int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.acked == nil || a.unacked != nil || a.sealed || time.Duration(now-a.acked.BootTime) > maxReportGap {
+		return false
+	}
+	for _, t := range a.allotments {
+		if t.changed || t.role != roleBorrower || t.reserved != 0 || t.held() != t.committed() {
+			return false
+		}
+	}
+	return true
+}
+
 // reportUse returns the allotment's part of a report and sets the pending envelope that
 // follows from it.
 func (t *allotment) reportUse(name string, now int64) Use {
--- a/internal/prepaid/holders_test.go
+++ b/internal/prepaid/holders_test.go
@@ -114,9 +114,12 @@
 	h.sync()
 	h.sync()
 	g.Expect(b.total("north").held).To(BeZero(), "a borrower keeps no part of the surplus")
+	g.Expect(h.allowance.Idle(h.now)).To(BeTrue())
+	g.Expect(h.allowance.Idle(h.now+int64(maxReportGap)+1)).To(BeFalse(), "sessions are renewed")
 	const holder = 7
 	b.OpenSession(SessionOpening{Host: "other-0", Session: holder})
 	h.allowance.Receive("north", 1000)
+	g.Expect(h.allowance.Idle(h.now)).To(BeFalse(), "it holds tokens")
 	g.Expect(h.allowance.Reserve("north", 900, h.now).Verdict).To(Equal(Granted))
 	h.allowance.Settle("north", 900, 600)
 	g.Expect(h.allowance.ReturnExcess("north", holder, h.now)).To(Equal(int64(400)))
