--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -223,7 +223,7 @@
 	for _, p := range latest {
 		list = append(list, p)
 	}
-	slices.SortFunc(list, comparePeers)
+	slices.SortFunc(list, Peer.Compare)
 	return list
 }
 
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -116,6 +116,9 @@
 	Address string `cbor:"2,keyasint"`
 }
 
+// Compare orders peers by address.
+func (p Peer) Compare(other Peer) int { return cmp.Compare(p.Address, other.Address) }
+
 // Crash reports that an upstream crashed while running a request.
 type Crash struct {
 	// Fingerprint is a hash that is equal for repetitions of the same request.
--- a/internal/controlnode/peerlists.go
+++ b/internal/controlnode/peerlists.go
@@ -1,9 +1,6 @@
 package controlnode
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // maxPeerLists is the number of lists of gateway hosts that are kept to tell what has changed.
 // Lists are renewed each peersInterval, and hosts call twice a second.
@@ -32,12 +29,10 @@
 			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, comparePeers)
+	slices.SortFunc(list, Peer.Compare)
 	return list
 }
 
-func comparePeers(a, b Peer) int { return cmp.Compare(a.Address, b.Address) }
-
 // peerList is a list of the gateway hosts of the fleet, ordered by address. Its revision counts
 // within epoch, which identifies the leader's process.
 type peerList struct {
--- a/internal/hostsync/peers.go
+++ b/internal/hostsync/peers.go
@@ -57,14 +57,12 @@
 // address.
 func mergePeers(current, earlier []controlnode.Peer) []controlnode.Peer {
 	merged := slices.Clone(current)
-	slices.SortFunc(merged, comparePeers)
+	slices.SortFunc(merged, controlnode.Peer.Compare)
 	for _, p := range earlier {
-		if _, found := slices.BinarySearchFunc(merged[:len(current)], p, comparePeers); !found {
+		if _, found := slices.BinarySearchFunc(merged[:len(current)], p, controlnode.Peer.Compare); !found {
 			merged = append(merged, p)
 		}
 	}
-	slices.SortFunc(merged, comparePeers)
+	slices.SortFunc(merged, controlnode.Peer.Compare)
 	return merged
 }
-
-func comparePeers(a, b controlnode.Peer) int { return cmp.Compare(a.Address, b.Address) }
--- a/internal/hostsync/relay_test.go
+++ b/internal/hostsync/relay_test.go
@@ -172,18 +172,41 @@
 	gr := newControlGroupOf(t, relayTestControlHosts)
 	gr.putDocument(1, 1_000_000)
 	follower := (gr.leader() + 1) % relayTestControlHosts
+	notRelayed, err := gr.callWithoutReport(t.Context(), follower, false)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	gr.g.Expect(notRelayed.NotLeader).To(BeTrue())
+	relayed, err := gr.callWithoutReport(t.Context(), follower, true)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	gr.g.Expect(relayed.NotLeader).To(BeFalse())
+	gr.g.Expect(relayed.Version).To(Equal(uint64(1)))
+	gr.g.Expect(relayed.Document).NotTo(BeNil())
+}
+
+// callWithoutReport calls a control host as a gateway does that has nothing to report.
+func (gr *controlGroup) callWithoutReport(ctx context.Context, i int, relay bool) (*controlnode.SyncReply, error) {
 	client := rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
 	})
-	call := func(relay bool) *controlnode.SyncReply {
-		req := &controlnode.SyncRequest{Host: "g", Peer: controlnode.Peer{Session: 1, Address: "g:1"}, Relay: relay}
-		reply, err := rpc.Call[controlnode.SyncRequest, controlnode.SyncReply](t.Context(), client, gr.controlAddress(follower), controlnode.MethodSync, req)
-		gr.g.Expect(err).NotTo(HaveOccurred())
-		return reply
+	defer func() { _ = client.Close() }()
+	req := &controlnode.SyncRequest{Host: "g", Peer: controlnode.Peer{Session: 1, Address: "g:1"}, Relay: relay}
+	return rpc.Call[controlnode.SyncRequest, controlnode.SyncReply](ctx, client, gr.controlAddress(i), controlnode.MethodSync, req)
+}
+
+// A leader without a quorum may have been replaced: it must not confirm its configuration.
+func TestLeaderWithoutQuorumAnswersNoCallWithoutReport(t *testing.T) {
+	gr := newControlGroupOf(t, relayTestControlHosts)
+	gr.putDocument(1, 1_000_000)
+	leader := gr.leader()
+	reply, err := gr.callWithoutReport(t.Context(), leader, false)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	gr.g.Expect(reply.Version).To(Equal(uint64(1)))
+	for i := range relayTestControlHosts {
+		if i != leader {
+			gr.stops[i]()
+		}
 	}
-	gr.g.Expect(call(false).NotLeader).To(BeTrue())
-	relayed := call(true)
-	gr.g.Expect(relayed.NotLeader).To(BeFalse())
-	gr.g.Expect(relayed.Version).To(Equal(uint64(1)))
-	gr.g.Expect(relayed.Document).NotTo(BeNil())
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	reply, err = gr.callWithoutReport(ctx, leader, false)
+	gr.g.Expect(err != nil || reply.NotLeader).To(BeTrue(), "%+v", reply)
 }
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -268,7 +268,7 @@
 	defer c.mu.Unlock()
 	var reachable, unreachable []controlnode.Peer
 	for _, address := range addresses {
-		at, found := slices.BinarySearchFunc(c.peers, controlnode.Peer{Address: address}, comparePeers)
+		at, found := slices.BinarySearchFunc(c.peers, controlnode.Peer{Address: address}, controlnode.Peer.Compare)
 		switch {
 		case !found:
 		case time.Since(c.unreachable[address]) < unreachableRetention:
