Bound the wait for the document at a relay; forget relays when another host leads

Found on reading: a host that had led kept the loads of the relays in its sums, so that they counted twice once it was a relay itself; and a lagging relay held a call until the gateway gave up, 700 ms, before it named the leader.

--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -94,6 +94,13 @@
 	t.revision++
 }
 
+// removeRelays removes all relays, which report to another leader now.
+func (t *hostTable) removeRelays() {
+	for address, r := range t.relays {
+		t.removeRelay(address, r)
+	}
+}
+
 // setRelayPeers replaces the list of a relay's gateway hosts, unless it has a later one: calls of
 // a relay may overtake each other.
 func (t *hostTable) setRelayPeers(r *relayedHosts, peers []Peer, revision uint64, now time.Time) {
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -18,6 +18,9 @@
 	// submitTimeout limits one call to the leader. The callers of the relay give up after
 	// 700 ms and then ask another control host.
 	submitTimeout = 600 * time.Millisecond
+	// maxDocumentLag is the time for which a call waits for the document in force at a relay that
+	// lags behind the leader. Then the leader itself answers sooner.
+	maxDocumentLag = 200 * time.Millisecond
 	// documentPollInterval is the interval at which a relay checks whether it has the document
 	// that the leader has in force.
 	documentPollInterval = 5 * time.Millisecond
@@ -126,8 +129,11 @@
 	return reply, nil
 }
 
-// awaitDocument waits until this host has a document version, and returns false if ctx ends first.
+// awaitDocument waits until this host has a document version, and returns false if it does not get
+// it within maxDocumentLag.
 func (n *Node) awaitDocument(ctx context.Context, version uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxDocumentLag)
+	defer cancel()
 	for {
 		if m := n.machine.Load(); m != nil && m.Document().Version >= version {
 			return true
@@ -183,6 +189,7 @@
 	defer n.mu.Unlock()
 	if leader != r.leader {
 		r.leader, r.gatewaysAt = leader, 0
+		n.hosts.removeRelays() // this host may have led before
 	}
 	req := &SubmitRequest{
 		Relay: n.options.Address, RelayEpoch: n.epoch, Crashes: r.crashes, Epoch: r.epoch, GatewaysRevision: n.hosts.revision,
