Pass calls on to the next leader while the last one hangs

A relay now gives a call up as soon as another host leads and passes the calls on to that one, within the same 600 ms; if it cannot, it names no leader, and the gateway calls another control host. A redirect says nothing of the link, so it resets the time allowed for calls. A leader of the build before, which lacks the method, is named at once.

--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -18,6 +18,8 @@
 	// submitTimeout limits one call to the leader. The callers of the relay give up after
 	// 700 ms and then ask another control host.
 	submitTimeout = 600 * time.Millisecond
+	// leaderCheckInterval is the interval at which a relay checks whether another host leads.
+	leaderCheckInterval = 25 * time.Millisecond
 	// maxDocumentLag is the time for which a call waits for the document in force at a relay that
 	// lags behind the leader. Then the leader itself answers sooner.
 	maxDocumentLag = 200 * time.Millisecond
@@ -99,7 +101,8 @@
 }
 
 // sync answers a call of a gateway host. redirect names the leader, to which the host is sent if
-// this one cannot pass the call on or lacks the document in force.
+// this one lacks the document in force. If it cannot pass the call on, it names none, and the
+// gateway host calls another control host.
 func (r *relay) sync(ctx context.Context, req *SyncRequest, redirect LeaderRedirect) (*SyncReply, error) {
 	n := r.node
 	req.ArrivalTime = time.Now().UnixNano()
@@ -119,7 +122,13 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if out.err != nil || !n.awaitDocument(ctx, out.version) {
+	switch {
+	case rpc.IsUnregistered(out.err):
+		return &SyncReply{LeaderRedirect: redirect}, nil
+	case out.err != nil:
+		// The leader did not answer this host, and would hold up the gateway host too.
+		return &SyncReply{LeaderRedirect: LeaderRedirect{NotLeader: true}}, nil
+	case !n.awaitDocument(ctx, out.version):
 		return &SyncReply{LeaderRedirect: redirect}, nil
 	}
 	reply := &SyncReply{Prepaid: out.result.Prepaid, CeilingQueries: out.result.CeilingQueries}
@@ -144,11 +153,15 @@
 	}
 }
 
-// submit passes calls on to the leader and delivers their results.
+// submit passes calls on to the leader and delivers their results. If the leader changes, it
+// passes them on to the next one: a report or an opening that comes twice counts once.
 func (r *relay) submit(ctx context.Context, calls []*relayedCall) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	reply, err := r.callLeader(ctx, calls)
+	for err != nil && !rpc.IsUnregistered(err) && timing.Sleep(ctx, leaderCheckInterval) {
+		reply, err = r.callLeader(ctx, calls)
+	}
 	if err != nil {
 		klog.InfoS("calls of gateway hosts not passed on to the leader", "calls", len(calls), "error", err.Error())
 	}
@@ -161,13 +174,23 @@
 	}
 }
 
+// callLeader passes calls on to the current leader. It gives up when another host leads.
 func (r *relay) callLeader(ctx context.Context, calls []*relayedCall) (*SubmitReply, error) {
-	_, redirect := r.node.leaderOrRedirect()
-	if redirect.Leader == "" {
+	leader := r.currentLeader()
+	if leader == "" {
 		return nil, ErrUnavailable
 	}
-	req := r.newRequest(redirect.Leader, calls, time.Now())
-	reply, err := rpc.Call[SubmitRequest, SubmitReply](ctx, r.node.rpc, redirect.Leader, MethodSubmit, req)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go timing.EveryUntil(ctx, leaderCheckInterval, func() bool {
+		if r.currentLeader() == leader {
+			return true
+		}
+		cancel()
+		return false
+	})
+	req := r.newRequest(leader, calls, time.Now())
+	reply, err := rpc.Call[SubmitRequest, SubmitReply](ctx, r.node.rpc, leader, MethodSubmit, req)
 	switch {
 	case err != nil:
 	case reply.NotLeader:
@@ -183,6 +206,12 @@
 	return reply, err
 }
 
+// currentLeader returns the address of the leader; empty if it is unknown or this host leads.
+func (r *relay) currentLeader() string {
+	_, redirect := r.node.leaderOrRedirect()
+	return redirect.Leader
+}
+
 func (r *relay) newRequest(leader string, calls []*relayedCall, now time.Time) *SubmitRequest {
 	n := r.node
 	n.mu.Lock()
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -300,6 +300,8 @@
 	started := time.Now()
 	reply, err := rpc.Call[controlnode.SyncRequest, controlnode.SyncReply](ctx, c.rpc, address, controlnode.MethodSync, req)
 	switch {
+	case err == nil && reply.NotLeader:
+		c.callTimeout.Succeeded(0) // the host may have waited for a leader
 	case err == nil:
 		c.callTimeout.Succeeded(time.Since(started))
 	case ctx.Err() != nil:
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -68,11 +69,18 @@
 	}
 }
 
+// unregistered is part of the error of a call to a method that the server lacks.
+const unregistered = "is not registered"
+
+// IsUnregistered reports whether a call failed because the server lacks the method, as one of an
+// earlier build does.
+func IsUnregistered(err error) bool { return err != nil && strings.Contains(err.Error(), unregistered) }
+
 // HandleRPC implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, method string) error {
 	h, ok := s.methods[method]
 	if !ok {
-		return eris.Errorf("method %q is not registered", method)
+		return eris.Errorf("method %q %s", method, unregistered)
 	}
 	return h(stream)
 }
