--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -65,7 +65,7 @@
 	Document       fleetstate.Document `cbor:"2,keyasint"`
 }
 
-// SyncRequest is a gateway host's periodic call to the leader.
+// SyncRequest is a gateway host's periodic call to the leader or to a relay.
 type SyncRequest struct {
 	Host string `cbor:"1,keyasint"`
 	// Opening opens the host's session. It is sent until it is acknowledged.
