Log what requests have in common when their upstream crashes

The line has the route, the organisation, the hashes of the shared segments and the events sent now. No other change.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -326,18 +327,38 @@
 	}
 	a.reportOutcome(placement.Failed)
 	crash := controlnode.Crash{Fingerprint: a.fingerprint(), Upstream: a.target.ID}
-	go a.handler.reportCrash(crash, a.target.Address, a.ID)
+	go a.handler.reportCrash(crash, a.target.Address, a.crashFields())
 	return a.brokenResult()
 }
 
+// crashFields returns what the requests that an upstream ran at its crash may have in common.
+func (a *attempt) crashFields() []any {
+	fields := []any{telemetry.FieldRequestID, a.ID, "route", a.route.Name, "events", a.eventsSent, "segments", hexSegments(a.sharedSegments())}
+	if a.organisation != nil {
+		fields = append(fields, telemetry.FieldOrganisation, a.organisation.Name)
+	}
+	return fields
+}
+
+func hexSegments(segments []PromptSegment) []string {
+	list := make([]string, 0, len(segments))
+	for _, s := range segments {
+		list = append(list, strconv.FormatUint(s.Hash, 16))
+	}
+	return list
+}
+
+// sharedSegments returns the segments of the prompt that other requests may have too.
+func (c *Call) sharedSegments() []PromptSegment { return c.Prompt[:max(len(c.Prompt)-1, 0)] }
+
 // reportCrash reports to the control group a request whose upstream has crashed. An
 // upstream that still accepts connections has not crashed and is not reported.
-func (h *Handler) reportCrash(crash controlnode.Crash, address, requestID string) {
+func (h *Handler) reportCrash(crash controlnode.Crash, address string, fields []any) {
 	if h.upstreams.Reachable(context.Background(), address) {
 		return
 	}
-	klog.InfoS("upstream crashed while running a request", telemetry.FieldRequestID, requestID,
-		"upstream", crash.Upstream, "fingerprint", crash.Fingerprint)
+	klog.InfoS("upstream crashed while running a request",
+		append(fields, "upstream", crash.Upstream, "fingerprint", crash.Fingerprint)...)
 	h.Sync.ReportCrash(crash)
 }
 
