Find the segment of a prompt that crashes upstreams

Quarantine counted crashes by the fingerprint of the whole request. Ruled out: the control group was reachable, and every crash was reported.

The class of fault is a count keyed by the identity of a request where the cause is a property that requests share. Crashes are attributed to traits now: the request and each shared segment. Answers clear traits, so that segments of sound requests are not blamed; a cause that is found explains its crashes, so that bystanders are released. Processes are told apart by id and start, as an upstream may return under its id. A quarantine outlives its leader. It is checked again before each attempt, not only on arrival.

--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -99,6 +99,10 @@
 	PeersEpoch uint64 `cbor:"15,keyasint,omitempty"`
 	// ControlHosts identifies the host's list of control hosts.
 	ControlHosts uint64 `cbor:"16,keyasint,omitempty"`
+	// Sound lists suspect traits of requests that answers have cleared.
+	Sound []SoundTrait `cbor:"19,keyasint,omitempty"`
+	// Quarantined lists the traits that the previous leader had in quarantine.
+	Quarantined []uint64 `cbor:"20,keyasint,omitempty"`
 	// TableDigests are the digests of the host's copy of the table of upstreams, if it is that of
 	// another epoch.
 	TableDigests []byte `cbor:"18,keyasint,omitempty"`
@@ -123,8 +127,22 @@
 type Crash struct {
 	// Fingerprint is a hash that is equal for repetitions of the same request.
 	Fingerprint uint64 `cbor:"1,keyasint"`
-	// Upstream is the id of the process that crashed.
-	Upstream string `cbor:"2,keyasint"`
+	// Upstream is the id of the process that crashed, and StartedMS its start in milliseconds
+	// since 1970.
+	Upstream  string `cbor:"2,keyasint"`
+	StartedMS int64  `cbor:"3,keyasint,omitempty"`
+	// Segments are the hashes of the shared segments of the prompt, if no answer had begun.
+	Segments []uint64 `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the crash, and Ran the time from the dispatch of the request to it.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	Ran time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+// SoundTrait reports that an answer cleared a trait of requests; see package crashcause.
+type SoundTrait struct {
+	Trait uint64 `cbor:"1,keyasint"`
+	// Age is the time since the answer.
+	Age time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // SyncReply is the leader's reply to a SyncRequest.
@@ -145,8 +163,10 @@
 	Hosts int `cbor:"9,keyasint,omitempty"`
 	// Loads is the load that the other hosts put on each upstream, by upstream id.
 	Loads map[string]placement.Load `cbor:"10,keyasint,omitempty"`
-	// Quarantined are the fingerprints of requests that crash the upstreams they run on.
+	// Quarantined are the traits of requests that crash the upstreams they run on.
 	Quarantined []uint64 `cbor:"11,keyasint,omitempty"`
+	// Suspects are the traits for which hosts report answers that clear them.
+	Suspects []uint64 `cbor:"23,keyasint,omitempty"`
 	// CeilingQueries ask the host, as a witness, for the ceilings of terminated sessions.
 	CeilingQueries []prepaid.CeilingQuery `cbor:"14,keyasint,omitempty"`
 	// Peers lists the gateway hosts if the list has changed; PeersRevision is its revision.
@@ -228,6 +248,7 @@
 	EncodedUpstreams []byte   `cbor:"11,keyasint,omitempty"`
 	TableRevision    uint64   `cbor:"12,keyasint,omitempty"`
 	Quarantined      []uint64 `cbor:"13,keyasint,omitempty"`
+	Suspects         []uint64 `cbor:"15,keyasint,omitempty"`
 	// PeerChanges is set in place of Peers if the relay's list is known.
 	PeerChanges *PeerChanges `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/presence"
@@ -92,7 +93,7 @@
 	peerLists     peerLists
 	upstreamFeed  *upstreamFeed
 	loadFeed      loadFeed
-	crashes       crashTracker
+	crashes       crashcause.Tracker
 	forwardQueues map[string]chan UpstreamRecord
 	wg            sync.WaitGroup
 	ctx           context.Context
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/timing"
@@ -232,6 +233,7 @@
 		req.Calls = append(req.Calls, SyncRequest{
 			Host: c.req.Host, Opening: c.req.Opening, Report: c.req.Report, Peer: c.req.Peer,
 			CeilingAnswers: c.req.CeilingAnswers, ArrivalTime: c.req.ArrivalTime,
+			Sound: c.req.Sound, Quarantined: c.req.Quarantined,
 		})
 	}
 	if r.gatewaysAt != n.hosts.revision {
@@ -267,7 +269,8 @@
 		}
 	}
 	r.epoch, r.gatewaysAt, r.tableRevision = reply.Epoch, reply.GatewaysRevision, reply.TableRevision
-	r.fleet.hosts, r.fleet.quarantined = reply.Hosts, reply.Quarantined
+	r.fleet.hosts = reply.Hosts
+	r.fleet.crashes = crashcause.Decision{Quarantined: reply.Quarantined, Suspects: reply.Suspects}
 	r.applyPeers(req, reply)
 	if req.HasLoads {
 		r.fleet.elsewhere, err = othersLoads(reply.PackedTotals, reply.PackedOwn)
--- a/internal/controlnode/submit.go
+++ b/internal/controlnode/submit.go
@@ -50,9 +50,12 @@
 		n.hosts.expire(now)
 		reply.PackedTotals, reply.PackedOwn = n.loadFeed.totals(n.hosts, nil, &relay.gatewayHost, now)
 	}
-	n.crashes.add(req.Crashes, now)
+	n.addCrashes(req.Crashes, now)
+	for i := range req.Calls {
+		n.addTraits(&req.Calls[i], now)
+	}
 	fleet := n.fleetViewOfLeader(now)
-	reply.Hosts, reply.Quarantined = fleet.hosts, fleet.quarantined
+	reply.Hosts, reply.Quarantined, reply.Suspects = fleet.hosts, fleet.crashes.Quarantined, fleet.crashes.Suspects
 	reply.PeersRevision = n.hosts.publishedRevision
 	reply.Peers, reply.PeerChanges = n.peerLists.since(req.Epoch, req.PeersRevision)
 	known := req.TableRevision
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/replica"
@@ -37,7 +38,8 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.crashes.add(req.Crashes, now)
+	n.addCrashes(req.Crashes, now)
+	n.addTraits(req, now)
 	n.addState(req, reply, n.fleetViewOfLeader(now), now)
 	return reply, nil
 }
@@ -61,8 +63,9 @@
 	// hosts is the number of gateway hosts.
 	hosts int
 	// elsewhere holds the loads of the gateway hosts that call other control hosts, by short id.
-	elsewhere   map[uint32]placement.Load
-	quarantined []uint64
+	elsewhere map[uint32]placement.Load
+	// crashes are the quarantined and the suspect traits of requests.
+	crashes crashcause.Decision
 }
 
 // fleetViewOfLeader returns the view of this host, which is the leader, and renews its list of
@@ -70,7 +73,7 @@
 func (n *Node) fleetViewOfLeader(now time.Time) fleetView {
 	n.hosts.publish(now)
 	n.peerLists.add(peerList{epoch: n.epoch, revision: n.hosts.publishedRevision, peers: n.hosts.published})
-	return fleetView{leads: true, hosts: len(n.hosts.published), quarantined: n.crashes.quarantined(now)}
+	return fleetView{leads: true, hosts: len(n.hosts.published), crashes: n.crashes.Decide(now)}
 }
 
 // addState records the call, and adds to the reply the document, the upstreams, the loads of the
@@ -91,7 +94,7 @@
 		n.addLoads(req, reply, h, fleet, now)
 	}
 	n.addUpstreams(req, reply, now)
-	reply.Hosts, reply.Quarantined = fleet.hosts, fleet.quarantined
+	reply.Hosts, reply.Quarantined, reply.Suspects = fleet.hosts, fleet.crashes.Quarantined, fleet.crashes.Suspects
 	n.addPeers(req, reply)
 }
 
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/hostsync"
 )
@@ -22,8 +20,6 @@
 	noConfigurationRetryAfter = 500 * time.Millisecond
 	// drainingRetryAfter is short, as another host can serve the caller at once.
 	drainingRetryAfter = 50 * time.Millisecond
-	// quarantineRetryAfter is longer than callers wait, as the request would be refused again.
-	quarantineRetryAfter = time.Minute
 	// defaultCallerTimeout applies to callers that state no deadline.
 	defaultCallerTimeout = time.Minute
 )
@@ -113,23 +109,3 @@
 
 // defaultMaxBodyBytes bounds the body if the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
-
-// fingerprint returns a hash of what is the same in all retries of a request.
-func (q *request) fingerprint() uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	for _, part := range []string{q.Method, q.Authority, q.URI, q.Key} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(q.Body)
-	return h.Sum64()
-}
-
-func (q *request) checkQuarantine() *errkind.Error {
-	if len(q.view.Quarantined) > 0 && q.view.Quarantined[q.fingerprint()] {
-		return errkind.New(errkind.Quarantined, "the request crashed every upstream that ran it").
-			WithRetryAfter(quarantineRetryAfter)
-	}
-	return nil
-}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -37,6 +37,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			a.reportOutcome(placement.Served)
+			a.recordComplete()
 			a.writeHeader(w, answer)
 			a.handler.served.Inc(1)
 			klog.InfoS("request answered", append(a.logFields(), "status", answer.StatusCode, "events", a.eventsSent)...)
@@ -45,6 +46,7 @@
 			return a.exchangeBroken(failureBroken)
 		}
 		a.handler.Pool.MarkPrefilled(a.target, time.Now())
+		a.recordBegun()
 		if event.HasID && a.eventsSent > 0 && event.ID <= a.lastEventID {
 			continue
 		}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -5,13 +5,11 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/catalog"
-	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
@@ -75,6 +73,9 @@
 	bufferedFailure *bufferedAnswer
 	// retryAfter is the time after which the upstream expects to have capacity.
 	retryAfter time.Duration
+	sentAt     time.Time
+	// begun reports whether the upstream has begun to answer.
+	begun bool
 }
 
 type bufferedAnswer struct {
@@ -92,6 +93,9 @@
 		if q.ctx.Err() != nil || q.timeRemaining() < minAttemptTime {
 			return q.finalError(nil)
 		}
+		if refusal := q.checkQuarantine(q.handler.Sync.View()); refusal != nil {
+			return q.finalError(refusal)
+		}
 		assignment, refusal := q.chooseUpstream(service)
 		if refusal != nil {
 			return q.finalError(refusal)
@@ -257,6 +261,7 @@
 func (a *attempt) run(w http.ResponseWriter) attemptResult {
 	a.excludedUpstreams = append(a.excludedUpstreams, a.target.ID)
 	a.backlog, a.prefillRate = a.target.Backlog, a.target.PrefillRate
+	a.sentAt = time.Now()
 	answer, err := a.handler.upstreams.Do(a.ctx, a.target.Address, a.upstreamRequest())
 	var unreachable *upstreamhttp.UnreachableError
 	if errors.As(err, &unreachable) {
@@ -326,42 +331,10 @@
 		return a.brokenResult()
 	}
 	a.reportOutcome(placement.Failed)
-	crash := controlnode.Crash{Fingerprint: a.fingerprint(), Upstream: a.target.ID}
-	go a.handler.reportCrash(crash, a.target.Address, a.crashFields())
+	go a.reportCrash(time.Now())
 	return a.brokenResult()
 }
 
-// crashFields returns what the requests that an upstream ran at its crash may have in common.
-func (a *attempt) crashFields() []any {
-	fields := []any{telemetry.FieldRequestID, a.ID, "route", a.route.Name, "events", a.eventsSent, "segments", hexSegments(a.sharedSegments())}
-	if a.organisation != nil {
-		fields = append(fields, telemetry.FieldOrganisation, a.organisation.Name)
-	}
-	return fields
-}
-
-func hexSegments(segments []PromptSegment) []string {
-	list := make([]string, 0, len(segments))
-	for _, s := range segments {
-		list = append(list, strconv.FormatUint(s.Hash, 16))
-	}
-	return list
-}
-
-// sharedSegments returns the segments of the prompt that other requests may have too.
-func (c *Call) sharedSegments() []PromptSegment { return c.Prompt[:max(len(c.Prompt)-1, 0)] }
-
-// reportCrash reports to the control group a request whose upstream has crashed. An
-// upstream that still accepts connections has not crashed and is not reported.
-func (h *Handler) reportCrash(crash controlnode.Crash, address string, fields []any) {
-	if h.upstreams.Reachable(context.Background(), address) {
-		return
-	}
-	klog.InfoS("upstream crashed while running a request",
-		append(fields, "upstream", crash.Upstream, "fingerprint", crash.Fingerprint)...)
-	h.Sync.ReportCrash(crash)
-}
-
 // handleAnswer classifies the answer by its header, and forwards it if it is valid.
 func (a *attempt) handleAnswer(w http.ResponseWriter, answer *upstreamhttp.Answer) attemptResult {
 	class := a.handler.Dialect.ClassifyAnswer(a.Call, answer.Response)
@@ -397,6 +370,10 @@
 	}
 	buffered := &bufferedAnswer{status: answer.StatusCode, header: a.handler.Dialect.AnswerHeader(answer.Header), body: body}
 	a.reportOutcome(placement.Served)
+	if answer.StatusCode < http.StatusInternalServerError {
+		a.recordBegun()
+		a.recordComplete()
+	}
 	if a.eventsSent > 0 {
 		a.lastFailure = failureStatus
 		return resultStreamInterrupted
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -45,6 +45,7 @@
 	// draining is set during a shutdown, when new requests are refused.
 	draining         atomic.Bool
 	served           tally.Counter
+	upstreamCrashes  tally.Counter
 	timeToFirstEvent tally.Histogram
 }
 
@@ -55,6 +56,7 @@
 		upstreams:        upstreamhttp.NewClient(),
 		startupDeadline:  time.Now().Add(startupTimeout),
 		served:           o.Scope.Counter("answers"),
+		upstreamCrashes:  o.Scope.Counter("upstream_crashes"),
 		timeToFirstEvent: o.Scope.Histogram("first_byte", timeToFirstEventBuckets),
 	}
 }
@@ -160,7 +162,7 @@
 	if refusal := q.readBody(w, r); refusal != nil {
 		return refusal
 	}
-	return q.checkQuarantine()
+	return q.checkQuarantine(q.view)
 }
 
 // serve reserves tokens, sends the request to upstreams, and settles the reservation.
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/controlnode"
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
@@ -37,8 +38,6 @@
 	unackedTimeout = time.Second
 	// closeTimeout bounds the time taken to report the last use and close the session.
 	closeTimeout = 800 * time.Millisecond
-	// maxPendingCrashes bounds the crashes that have yet to be reported.
-	maxPendingCrashes = 256
 )
 
 // Options are the settings of a Client.
@@ -64,8 +63,10 @@
 	Index *catalog.Index
 	// Hosts is the number of gateway hosts.
 	Hosts int
-	// Quarantined holds the fingerprints of requests that must not run.
+	// Quarantined holds the traits of requests that must not run; see package crashcause.
 	Quarantined map[uint64]bool
+	// Suspects holds the traits of which answers that clear them are reported.
+	Suspects map[uint64]bool
 }
 
 // Client synchronises one gateway host with the control group.
@@ -112,9 +113,15 @@
 	consecutiveFailures int
 	// lastFullSync is when the leader last sent the loads caused by other hosts.
 	lastFullSync time.Time
+	// quarantines holds the quarantined traits.
+	quarantines map[uint64]quarantine
+	// soundReported holds the latest answers that cleared suspect traits and that the leader
+	// knows of, and soundSent those that it will after the current call.
+	soundReported, soundSent map[uint64]time.Time
 
 	mu      sync.Mutex
-	crashes []controlnode.Crash
+	crashes []pendingCrash
+	sound   crashcause.SoundLog
 	peers   []controlnode.Peer
 	// unreachable holds the time of the latest failed request for tokens by address.
 	unreachable map[string]time.Time
@@ -141,6 +148,7 @@
 		sessionLost: make(chan struct{}),
 		syncDone:    make(chan struct{}),
 		unreachable: map[string]time.Time{},
+		quarantines: map[uint64]quarantine{},
 	}
 }
 
@@ -150,16 +158,6 @@
 // Allowance returns the tokens that this host may spend.
 func (c *Client) Allowance() *prepaid.Allowance { return c.allowance }
 
-// ReportCrash queues the report that an upstream crashed while running a request. It is
-// sent with the next call; if the queue is full, the report is dropped.
-func (c *Client) ReportCrash(crash controlnode.Crash) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.crashes) < maxPendingCrashes {
-		c.crashes = append(c.crashes, crash)
-	}
-}
-
 // AwaitSync requests an immediate call to the leader, and waits until a call has succeeded
 // that started after AwaitSync was called. It returns false if ctx ends first.
 func (c *Client) AwaitSync(ctx context.Context) bool {
@@ -173,10 +171,7 @@
 		if done {
 			return true
 		}
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.requestSync()
 		select {
 		case <-syncDone:
 		case <-ctx.Done():
@@ -185,6 +180,14 @@
 	}
 }
 
+// requestSync requests an immediate call to the leader.
+func (c *Client) requestSync() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
 // AwaitView waits for the first configuration and returns the view, or nil if ctx ends
 // first.
 func (c *Client) AwaitView(ctx context.Context) *View {
@@ -326,21 +329,14 @@
 		opening.Age = c.options.Clock() - opening.BootTime
 		req.Opening = &opening
 	}
+	c.addCrashes(req, time.Now())
 	if c.confirmsIdleCalls && req.Opening == nil && len(c.ceilingAnswers) == 0 && c.allowance.Idle(c.options.Clock()) {
-		req.Crashes = c.pendingCrashes()
 		return req
 	}
 	req.Report = c.allowance.Report(prepaid.Instant{BootTime: c.options.Clock(), WallTime: time.Now().UnixNano()}, c.witnesses(), req.Brief)
-	req.Crashes = c.pendingCrashes()
 	return req
 }
 
-func (c *Client) pendingCrashes() []controlnode.Crash {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Clone(c.crashes)
-}
-
 // Close reports the final use and closes the session, so that no tokens are written off.
 // It must be called after Run has returned and the last request has ended.
 func (c *Client) Close() error {
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -49,9 +49,7 @@
 	}
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	c.peersEpoch, c.peersRevision = peersEpoch(reply), reply.PeersRevision
-	c.mu.Lock()
-	c.crashes = c.crashes[min(len(req.Crashes), len(c.crashes)):]
-	c.mu.Unlock()
+	c.acknowledgeCrashes(req)
 	return c.updateView(reply)
 }
 
@@ -88,10 +86,7 @@
 // decreases.
 func (c *Client) updateView(reply *controlnode.SyncReply) error {
 	old := c.view.Load()
-	next := &View{Hosts: reply.Hosts, Quarantined: make(map[uint64]bool, len(reply.Quarantined))}
-	for _, fingerprint := range reply.Quarantined {
-		next.Quarantined[fingerprint] = true
-	}
+	next := &View{Hosts: reply.Hosts, Quarantined: c.applyQuarantines(reply, time.Now()), Suspects: toSet(reply.Suspects)}
 	if old != nil {
 		next.Index = old.Index
 	}
