--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/placement"
 )
 
 // PromptSegment is one of the consecutive segments that make up a prompt. Requests with
@@ -74,6 +75,8 @@
 	OtherProcess bool
 	// Mismatched: the answer does not belong to the request.
 	Mismatched bool
+	// Notice is what the upstream says of itself.
+	Notice placement.Notice
 	// RetryAfter is the time after which the upstream may have capacity; 0 if unknown.
 	RetryAfter time.Duration
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -338,6 +338,7 @@
 // handleAnswer classifies the answer by its header, and forwards it if it is valid.
 func (a *attempt) handleAnswer(w http.ResponseWriter, answer *upstreamhttp.Answer) attemptResult {
 	class := a.handler.Dialect.ClassifyAnswer(a.Call, answer.Response)
+	a.logNotice(class.Notice)
 	switch {
 	case class.OtherProcess:
 		a.reportOutcome(placement.Misdirected)
@@ -360,6 +361,15 @@
 	return a.bufferAnswer(w, answer)
 }
 
+// logNotice logs what the upstream says of itself in its answer.
+func (a *attempt) logNotice(n placement.Notice) {
+	if !n.Limited && n.Invalid == "" {
+		return
+	}
+	klog.InfoS("upstream limits its requests", telemetry.FieldRequestID, a.ID, "upstream", a.target.ID, "started_ms", a.target.StartedMS,
+		"per_second", n.RequestRate, "invalid", n.Invalid)
+}
+
 // bufferAnswer forwards an answer that is not streamed. It reads the whole answer first,
 // so that the caller never receives a truncated one.
 func (a *attempt) bufferAnswer(w http.ResponseWriter, answer *upstreamhttp.Answer) attemptResult {
