Take an unframed stream without events for broken off

Such a stream is broken off now, and is retried or answered as any other.

TestUnframedStreamWithoutEventsIsNotComplete: 200 before, 502 now.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -35,6 +35,8 @@
 	for {
 		event, err := events.Next()
 		switch {
+		case errors.Is(err, io.EOF) && answer.Unframed() && !a.begun:
+			return a.exchangeBroken(failureBroken) // a crash ends the connection too
 		case errors.Is(err, io.EOF):
 			a.reportOutcome(placement.Served)
 			a.recordComplete()
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -62,6 +62,9 @@
 	_ = a.conn.Close()
 }
 
+// Unframed reports whether nothing but the end of the connection marks the end of the body.
+func (a *Answer) Unframed() bool { return a.ContentLength < 0 && len(a.TransferEncoding) == 0 }
+
 // UnreachableError reports that no connection was established, so nothing was sent.
 type UnreachableError struct{ Cause error }
 
