--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -102,10 +102,10 @@
 	ControlHosts uint64 `cbor:"16,keyasint,omitempty"`
 	// Sound lists suspect traits of requests that answers have cleared.
 	Sound []SoundTrait `cbor:"19,keyasint,omitempty"`
-	// Notices are what upstreams said of themselves in answers to the host. LimitsDigest
-	// identifies the limits that it knows.
-	Notices      []notice.Report `cbor:"21,keyasint,omitempty"`
-	LimitsDigest uint64          `cbor:"22,keyasint,omitempty"`
+	// Notices are what upstreams said of themselves in answers to the host. NoticesDigest
+	// identifies those of other hosts that it knows.
+	Notices       []notice.Report `cbor:"21,keyasint,omitempty"`
+	NoticesDigest uint64          `cbor:"22,keyasint,omitempty"`
 	// Quarantined lists the traits that the previous leader had in quarantine.
 	Quarantined []uint64 `cbor:"20,keyasint,omitempty"`
 	// TableDigests are the digests of the host's copy of the table of upstreams, if it is that of
@@ -172,8 +172,8 @@
 	Quarantined []uint64 `cbor:"11,keyasint,omitempty"`
 	// Suspects are the traits for which hosts report answers that clear them.
 	Suspects []uint64 `cbor:"23,keyasint,omitempty"`
-	// Limits are the limits on the requests to upstreams, for hosts that know others.
-	Limits *LimitList `cbor:"24,keyasint,omitempty"`
+	// Notices are what upstreams say of themselves, for hosts that know other notices.
+	Notices *NoticeList `cbor:"24,keyasint,omitempty"`
 	// CeilingQueries ask the host, as a witness, for the ceilings of terminated sessions.
 	CeilingQueries []prepaid.CeilingQuery `cbor:"14,keyasint,omitempty"`
 	// Peers lists the gateway hosts if the list has changed; PeersRevision is its revision.
@@ -226,15 +226,15 @@
 	// upstreams, and asks for those of the other hosts.
 	HasLoads    bool   `cbor:"10,keyasint,omitempty"`
 	PackedLoads []byte `cbor:"11,keyasint,omitempty"`
-	// LimitsDigest identifies the limits that the relay knows.
-	LimitsDigest uint64 `cbor:"13,keyasint,omitempty"`
+	// NoticesDigest identifies the notices that the relay knows.
+	NoticesDigest uint64 `cbor:"13,keyasint,omitempty"`
 }
 
-// LimitList lists the limits on the requests to upstreams.
-type LimitList struct {
+// NoticeList lists what upstreams say of themselves.
+type NoticeList struct {
 	// Digest identifies the list.
-	Digest uint64          `cbor:"1,keyasint,omitempty"`
-	Limits []notice.Report `cbor:"2,keyasint,omitempty"`
+	Digest  uint64          `cbor:"1,keyasint,omitempty"`
+	Reports []notice.Report `cbor:"2,keyasint,omitempty"`
 }
 
 // SubmitResult is the result of one call in a SubmitRequest.
@@ -265,8 +265,8 @@
 	TableRevision    uint64   `cbor:"12,keyasint,omitempty"`
 	Quarantined      []uint64 `cbor:"13,keyasint,omitempty"`
 	Suspects         []uint64 `cbor:"15,keyasint,omitempty"`
-	// Limits is set for relays that know other limits.
-	Limits *LimitList `cbor:"16,keyasint,omitempty"`
+	// Notices is set for relays that know other notices.
+	Notices *NoticeList `cbor:"16,keyasint,omitempty"`
 	// PeerChanges is set in place of Peers if the relay's list is known.
 	PeerChanges *PeerChanges `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/controlnode/notices.go
+++ b/internal/controlnode/notices.go
@@ -13,11 +13,11 @@
 	}
 }
 
-// limitList returns the limits for a host that knows those with the given digest; nil if it lacks
+// noticeList returns the limits for a host that knows those with the given digest; nil if it lacks
 // none.
-func limitList(s notice.Snapshot, known uint64, now time.Time) *LimitList {
+func noticeList(s notice.Snapshot, known uint64, now time.Time) *NoticeList {
 	if s.Digest == known {
 		return nil
 	}
-	return &LimitList{Digest: s.Digest, Limits: s.Limits(now)}
+	return &NoticeList{Digest: s.Digest, Reports: s.Reports(now)}
 }
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -224,7 +224,7 @@
 	}
 	req := &SubmitRequest{
 		Relay: n.options.Address, RelayEpoch: n.epoch, Crashes: r.crashes, Epoch: r.epoch, GatewaysRevision: n.hosts.revision,
-		TableRevision: r.tableRevision, LimitsDigest: r.fleet.limits.Digest,
+		TableRevision: r.tableRevision, NoticesDigest: r.fleet.notices.Digest,
 	}
 	if newest := n.peerLists.newest(); newest.epoch == r.epoch {
 		req.PeersRevision = newest.revision
@@ -272,8 +272,8 @@
 	r.epoch, r.gatewaysAt, r.tableRevision = reply.Epoch, reply.GatewaysRevision, reply.TableRevision
 	r.fleet.hosts = reply.Hosts
 	r.fleet.crashes = crashcause.Decision{Quarantined: reply.Quarantined, Suspects: reply.Suspects}
-	if l := reply.Limits; l != nil {
-		r.fleet.limits = notice.NewSnapshot(l.Digest, l.Limits, now)
+	if l := reply.Notices; l != nil {
+		r.fleet.notices = notice.NewSnapshot(l.Digest, l.Reports, now)
 	}
 	r.applyPeers(req, reply)
 	if req.HasLoads {
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -68,8 +68,8 @@
 	elsewhere map[uint32]placement.Load
 	// crashes are the quarantined and the suspect traits of requests.
 	crashes crashcause.Decision
-	// limits are those on the requests to upstreams.
-	limits notice.Snapshot
+	// notices are what upstreams say of themselves.
+	notices notice.Snapshot
 }
 
 // fleetViewOfLeader returns the view of this host, which is the leader, and renews its list of
@@ -77,7 +77,7 @@
 func (n *Node) fleetViewOfLeader(now time.Time) fleetView {
 	n.hosts.publish(now)
 	n.peerLists.add(peerList{epoch: n.epoch, revision: n.hosts.publishedRevision, peers: n.hosts.published})
-	return fleetView{leads: true, hosts: len(n.hosts.published), crashes: n.crashes.Decide(now), limits: n.notices.Snapshot(now)}
+	return fleetView{leads: true, hosts: len(n.hosts.published), crashes: n.crashes.Decide(now), notices: n.notices.Snapshot(now)}
 }
 
 // addState records the call, and adds to the reply the document, the upstreams, the loads of the
@@ -99,7 +99,7 @@
 	}
 	n.addUpstreams(req, reply, now)
 	reply.Hosts, reply.Quarantined, reply.Suspects = fleet.hosts, fleet.crashes.Quarantined, fleet.crashes.Suspects
-	reply.Limits = limitList(fleet.limits, req.LimitsDigest, now)
+	reply.Notices = noticeList(fleet.notices, req.NoticesDigest, now)
 	n.addPeers(req, reply)
 }
 
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -118,13 +118,13 @@
 	// soundReported holds the latest answers that cleared suspect traits and that the leader
 	// knows of, and soundSent those that it will after the current call.
 	soundReported, soundSent map[uint64]time.Time
-	// noticesSentAt is when the notices of the current call were collected, and limitsDigest
+	// noticesSentAt is when the notices of the current call were collected, and noticesDigest
 	// identifies the limits that the leader sent last.
 	noticesSentAt time.Time
-	limitsDigest  uint64
-	// limitsEpoch is the epoch of the leader, since limitsEpochSince.
-	limitsEpoch      uint64
-	limitsEpochSince time.Time
+	noticesDigest uint64
+	// noticesEpoch is the epoch of the leader, since noticesEpochSince.
+	noticesEpoch      uint64
+	noticesEpochSince time.Time
 
 	mu      sync.Mutex
 	crashes []pendingCrash
--- a/internal/hostsync/notices.go
+++ b/internal/hostsync/notices.go
@@ -12,21 +12,21 @@
 // addNotices adds to a request what upstreams said of themselves.
 func (c *Client) addNotices(req *controlnode.SyncRequest, now time.Time) {
 	c.noticesSentAt = now
-	req.Notices, req.LimitsDigest = c.options.Pool.NoticeReports(now), c.limitsDigest
+	req.Notices, req.NoticesDigest = c.options.Pool.NoticeReports(now), c.noticesDigest
 }
 
-// applyLimits applies the limits of upstreams that the leader knows. A new leader is told of those
+// applyNotices applies the limits of upstreams that the leader knows. A new leader is told of those
 // that this host knows.
-func (c *Client) applyLimits(reply *controlnode.SyncReply, now time.Time) {
+func (c *Client) applyNotices(reply *controlnode.SyncReply, now time.Time) {
 	pool := c.options.Pool
 	pool.AcknowledgeNotices(c.noticesSentAt)
-	if epoch := peersEpoch(reply); epoch != c.limitsEpoch {
-		c.limitsEpoch, c.limitsEpochSince = epoch, now
-		pool.ReportLimits()
+	if epoch := peersEpoch(reply); epoch != c.noticesEpoch {
+		c.noticesEpoch, c.noticesEpochSince = epoch, now
+		pool.ReportNotices()
 	}
-	if reply.Limits == nil {
+	if reply.Notices == nil {
 		return
 	}
-	c.limitsDigest = reply.Limits.Digest
-	pool.ApplyLimits(reply.Limits.Limits, now.Sub(c.limitsEpochSince) < newLeaderTime, now)
+	c.noticesDigest = reply.Notices.Digest
+	pool.ApplyNotices(reply.Notices.Reports, now.Sub(c.noticesEpochSince) < newLeaderTime, now)
 }
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -47,7 +47,7 @@
 	if err := c.applyTraffic(req, reply); err != nil {
 		return err
 	}
-	c.applyLimits(reply, time.Now())
+	c.applyNotices(reply, time.Now())
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	c.peersEpoch, c.peersRevision = peersEpoch(reply), reply.PeersRevision
 	c.acknowledgeCrashes(req)
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -16,7 +16,7 @@
 
 func rates(t *Table, now time.Time) (list []float64) {
 	s := t.Snapshot(now)
-	for _, r := range s.Limits(now) {
+	for _, r := range s.Reports(now) {
 		if r.Limited {
 			list = append(list, r.RequestRate)
 		}
@@ -72,7 +72,7 @@
 	g.Expect(still.Digest).To(Equal(before.Digest))
 	after := table.Snapshot(start.Add(minRotation))
 	g.Expect(after.Digest).NotTo(Equal(before.Digest))
-	g.Expect(after.Limits(start)[0].Generation).To(Equal(uint32(1)))
+	g.Expect(after.Reports(start)[0].Generation).To(Equal(uint32(1)))
 }
 
 func TestUpstreamThatTakesNoRequestsIsAskedAtIntervals(t *testing.T) {
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -92,19 +92,19 @@
 // Snapshot is the limits in force at a time, and those that ended shortly before.
 type Snapshot struct {
 	// Digest identifies the limits without their ages; 0 if there are none.
-	Digest uint64
-	limits []Report
-	at     time.Time
+	Digest  uint64
+	reports []Report
+	at      time.Time
 }
 
 // NewSnapshot returns a snapshot that another host sent.
-func NewSnapshot(digest uint64, limits []Report, at time.Time) Snapshot {
-	return Snapshot{digest, limits, at}
+func NewSnapshot(digest uint64, reports []Report, at time.Time) Snapshot {
+	return Snapshot{digest, reports, at}
 }
 
-// Limits returns the limits with their ages, ordered by upstream.
-func (s *Snapshot) Limits(now time.Time) []Report {
-	list := slices.Clone(s.limits)
+// Reports returns the notices with their ages, ordered by upstream.
+func (s *Snapshot) Reports(now time.Time) []Report {
+	list := slices.Clone(s.reports)
 	for i := range list {
 		list[i].Age += now.Sub(s.at)
 	}
@@ -118,8 +118,8 @@
 	}
 	t.refresh(now)
 	t.changed = false
-	t.snapshot = Snapshot{limits: t.current(now), at: now}
-	t.snapshot.Digest = digest(t.snapshot.limits)
+	t.snapshot = Snapshot{reports: t.current(now), at: now}
+	t.snapshot.Digest = digest(t.snapshot.reports)
 	return t.snapshot
 }
 
--- a/internal/placement/requestlimit_test.go
+++ b/internal/placement/requestlimit_test.go
@@ -117,7 +117,7 @@
 	}
 	h.pool.AcknowledgeNotices(f.now)
 	if s := f.table.Snapshot(f.now); s.Digest != h.digest {
-		h.pool.ApplyLimits(s.Limits(f.now), false, f.now)
+		h.pool.ApplyNotices(s.Reports(f.now), false, f.now)
 		h.digest = s.Digest
 	}
 	h.syncAt = h.syncAt.Add(limitSync)
@@ -205,7 +205,7 @@
 	next := a.Upstream.Upstream
 	next.StartedMS++
 	p.Update([]presence.Record{{Upstream: next}})
-	p.ApplyLimits([]notice.Report{earlier}, false, startTime)
+	p.ApplyNotices([]notice.Report{earlier}, false, startTime)
 	g.Expect(p.upstreams["u0"].limit).To(BeNil())
 	mustChoose(g, p, &Request{Service: "engine"})
 }
@@ -226,11 +226,11 @@
 	p.ObserveNotice(a, notice.Notice{Limited: true, RequestRate: 3}, startTime)
 	p.AcknowledgeNotices(startTime)
 	later := startTime.Add(time.Minute)
-	p.ApplyLimits(nil, true, later)
-	p.ReportLimits()
+	p.ApplyNotices(nil, true, later)
+	p.ReportNotices()
 	g.Expect(p.NoticeReports(later)).To(Equal([]notice.Report{
 		{Upstream: "u0", StartedMS: a.StartedMS, Limited: true, RequestRate: 3, Age: time.Minute},
 	}))
-	p.ApplyLimits(nil, false, later)
+	p.ApplyNotices(nil, false, later)
 	g.Expect(a.limit).To(BeNil(), "a leader that has had time knows of no limit")
 }
