Send nothing new to upstreams that say in answers that they leave

The header was read nowhere: an upstream's leaving was known from its reports alone, which take the way over a control host.

The notice is final for the process on the host that got the answer. Other hosts are told through the control group and act on it for 15 s.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -136,7 +136,7 @@
 // checkUpstreams refuses a request whose service has no ready upstream before it waits for
 // tokens.
 func (q *request) checkUpstreams() *errkind.Error {
-	if q.handler.Pool.HasReady(q.serviceName) {
+	if q.handler.Pool.HasReady(q.serviceName, time.Now()) {
 		return nil
 	}
 	return noReadyUpstream(q.serviceName)
@@ -343,7 +343,7 @@
 func (a *attempt) handleAnswer(w http.ResponseWriter, answer *upstreamhttp.Answer) attemptResult {
 	class := a.handler.Dialect.ClassifyAnswer(a.Call, answer.Response)
 	if !class.OtherProcess {
-		a.handler.Pool.ObserveNotice(a.target, class.Notice, time.Now())
+		a.handler.notices.count(a.handler.Pool.ObserveNotice(a.target, class.Notice, a.ID, time.Now()))
 	}
 	switch {
 	case class.OtherProcess:
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -47,6 +47,7 @@
 	served           tally.Counter
 	upstreamCrashes  tally.Counter
 	limitRefusals    tally.Counter
+	notices          noticeCounters
 	timeToFirstEvent tally.Histogram
 }
 
@@ -59,6 +60,7 @@
 		served:           o.Scope.Counter("answers"),
 		upstreamCrashes:  o.Scope.Counter("upstream_crashes"),
 		limitRefusals:    o.Scope.Counter("limit_refusals"),
+		notices:          newNoticeCounters(o.Scope),
 		timeToFirstEvent: o.Scope.Histogram("first_byte", timeToFirstEventBuckets),
 	}
 }
--- /dev/null
+++ b/internal/gateway/notice.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/godwitbend/godwitbend/internal/placement"
+)
+
+// noticeCounters count what upstreams say of themselves in answers.
+type noticeCounters struct{ limited, leaving, invalid tally.Counter }
+
+func newNoticeCounters(scope tally.Scope) noticeCounters {
+	return noticeCounters{
+		limited: scope.Counter("upstream_limits"), leaving: scope.Counter("upstream_leavings"),
+		invalid: scope.Counter("upstream_notices_invalid"),
+	}
+}
+
+func (c noticeCounters) count(change placement.NoticeChange) {
+	if change.Limited {
+		c.limited.Inc(1)
+	}
+	if change.Leaving {
+		c.leaving.Inc(1)
+	}
+	if change.Invalid {
+		c.invalid.Inc(1)
+	}
+}
--- a/internal/hostsync/relay_test.go
+++ b/internal/hostsync/relay_test.go
@@ -80,14 +80,14 @@
 	deadline := time.Now().Add(inForceTimeout)
 	for i, c := range f.clients {
 		f.g.Eventually(func() bool {
-			return c.View().Index.Document.Version == version && f.pools[i].HasReady("s")
+			return c.View().Index.Document.Version == version && f.pools[i].HasReady("s", time.Now())
 		}, time.Until(deadline), "10ms").Should(BeTrue(), "gateway %d", i)
 	}
 	u.State, u.Sequence = presence.Draining, 2
 	f.nodes[reportTo].Report(u)
 	deadline = time.Now().Add(inForceTimeout)
 	for i := range f.clients {
-		f.g.Eventually(func() bool { return f.pools[i].HasReady("s") }, time.Until(deadline), "10ms").Should(BeFalse(), "gateway %d", i)
+		f.g.Eventually(func() bool { return f.pools[i].HasReady("s", time.Now()) }, time.Until(deadline), "10ms").Should(BeFalse(), "gateway %d", i)
 	}
 }
 
@@ -128,7 +128,9 @@
 	other, otherPool := f.gatewayInZone(2+relayTestGateways, f.zone(f.leader()))
 	f.nodes[0].Report(presence.Upstream{ID: "u", Address: "10.0.0.1:80", Service: "s", State: presence.Ready, StartedMS: 1, Sequence: 1})
 	request := &placement.Request{Service: "s", MaxInFlight: func(*placement.Upstream) int { return 1 }}
-	f.g.Eventually(func() bool { return other.View() != nil && f.pools[0].HasReady("s") && otherPool.HasReady("s") }, eventuallyTimeout).Should(BeTrue())
+	f.g.Eventually(func() bool {
+		return other.View() != nil && f.pools[0].HasReady("s", time.Now()) && otherPool.HasReady("s", time.Now())
+	}, eventuallyTimeout).Should(BeTrue())
 	for _, pools := range [][2]*placement.Pool{{f.pools[0], otherPool}, {otherPool, f.pools[0]}, {f.pools[0], f.pools[1]}} {
 		var assignment *placement.Assignment
 		f.g.Eventually(func() bool {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -6,11 +6,14 @@
 
 // Notice is what an upstream says of itself in the header of one answer.
 type Notice struct {
+	// Leaving reports that the upstream is about to end and wants nothing new. It is final for the
+	// process.
+	Leaving bool
 	// Limited reports that the upstream takes at most RequestRate requests per second from all
 	// hosts together. An answer without a limit ends an earlier one.
 	Limited     bool
 	RequestRate float64
-	// Invalid is a limit that could not be read; empty if there is none.
+	// Invalid is a value that could not be read; empty if there is none.
 	Invalid string
 }
 
@@ -23,6 +26,9 @@
 	RequestRate float64 `cbor:"4,keyasint,omitempty"`
 	// Generation selects the hosts that share the limit; see Users.
 	Generation uint32 `cbor:"5,keyasint,omitempty"`
-	// Age is the time since the latest answer with the notice.
+	// Age is the time since the latest answer.
 	Age time.Duration `cbor:"6,keyasint,omitempty"`
+	// Leaving reports that an answer said so LeavingAge ago.
+	Leaving    bool          `cbor:"7,keyasint,omitempty"`
+	LeavingAge time.Duration `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -80,3 +80,20 @@
 	r := limit(1, 0, 0)
 	g.Expect(r.Share("a", []string{"a"})).To(Equal(minRequestRate))
 }
+
+func TestLeavingIsKeptForItsProcessOnly(t *testing.T) {
+	g := NewWithT(t)
+	table := &Table{}
+	table.Apply(Report{Upstream: "u", StartedMS: 5, Leaving: true}, start)
+	leaving := func(now time.Time) bool {
+		s := table.Snapshot(now)
+		list := s.Reports(now)
+		return len(list) == 1 && list[0].Leaving
+	}
+	g.Expect(leaving(start)).To(BeTrue())
+	table.Apply(Report{Upstream: "u", StartedMS: 5, Limited: true, RequestRate: 1}, start.Add(time.Second))
+	g.Expect(leaving(start.Add(time.Second))).To(BeTrue(), "another host was not told")
+	g.Expect(leaving(start.Add(HintLifetime))).To(BeFalse())
+	table.Apply(Report{Upstream: "u", StartedMS: 6, Limited: true, RequestRate: 1}, start.Add(2*time.Second))
+	g.Expect(leaving(start.Add(2 * time.Second))).To(BeFalse())
+}
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -14,6 +14,9 @@
 const (
 	// retention is the time after the latest report for which a notice is kept.
 	retention = 10 * time.Minute
+	// HintLifetime is the time for which hosts act on what an upstream told other hosts of its
+	// leaving. By then its own reports say so, or the hint was wrong.
+	HintLifetime = 15 * time.Second
 	// endRetention is the time for which hosts are told that a limit has ended.
 	endRetention = 10 * time.Second
 	// snapshotInterval is the time after which the ages of a snapshot are renewed.
@@ -27,6 +30,8 @@
 	Report
 	at        time.Time
 	rotatedAt time.Time
+	// leavingAt is when an answer said that the upstream leaves; zero if none did.
+	leavingAt time.Time
 }
 
 // Table holds the latest notices of all upstreams. Its zero value is ready to use. It is not safe
@@ -44,7 +49,7 @@
 	at := now.Add(-r.Age)
 	known := t.entries[r.Upstream]
 	switch {
-	case known == nil && !r.Limited, known == nil && len(t.entries) >= maxEntries:
+	case known == nil && !r.Limited && !r.Leaving, known == nil && len(t.entries) >= maxEntries:
 		return
 	case known == nil:
 		if t.entries == nil {
@@ -52,7 +57,13 @@
 		}
 		known = &entry{rotatedAt: now}
 		t.entries[r.Upstream] = known
-	case r.StartedMS < known.StartedMS, r.StartedMS == known.StartedMS && at.Before(known.at):
+	case r.StartedMS < known.StartedMS:
+		return
+	case r.StartedMS > known.StartedMS:
+		known.leavingAt = time.Time{}
+	}
+	t.applyLeaving(known, r, now)
+	if r.StartedMS == known.StartedMS && at.Before(known.at) {
 		return
 	}
 	changed := known.Limited != r.Limited || known.RequestRate != r.RequestRate || known.StartedMS != r.StartedMS
@@ -65,6 +76,15 @@
 	}
 }
 
+func (t *Table) applyLeaving(known *entry, r Report, now time.Time) {
+	if !r.Leaving || !known.leavingAt.IsZero() {
+		return
+	}
+	known.leavingAt = now.Add(-r.LeavingAge)
+	t.changed = true
+	klog.InfoS("upstream leaves, by its answers", "upstream", r.Upstream, "started_ms", r.StartedMS, "age_ms", r.LeavingAge.Milliseconds())
+}
+
 // refresh removes outdated notices, and lets other hosts share the limit of an upstream from which
 // no answer has come.
 func (t *Table) refresh(now time.Time) {
@@ -107,6 +127,9 @@
 	list := slices.Clone(s.reports)
 	for i := range list {
 		list[i].Age += now.Sub(s.at)
+		if list[i].Leaving {
+			list[i].LeavingAge += now.Sub(s.at)
+		}
 	}
 	return list
 }
@@ -126,9 +149,13 @@
 func (t *Table) current(now time.Time) []Report {
 	var list []Report
 	for _, e := range t.entries {
-		if e.Limited || now.Sub(e.at) < endRetention {
-			r := e.Report
-			r.Age = now.Sub(e.at)
+		r := e.Report
+		r.Age, r.LeavingAge = now.Sub(e.at), now.Sub(e.leavingAt)
+		r.Leaving = !e.leavingAt.IsZero() && r.LeavingAge < HintLifetime
+		if !r.Leaving {
+			r.LeavingAge = 0
+		}
+		if r.Limited || r.Leaving || r.Age < endRetention {
 			list = append(list, r)
 		}
 	}
@@ -144,8 +171,11 @@
 	for _, r := range list {
 		data = append(append(data, r.Upstream...), 0)
 		data = binary.AppendVarint(data, r.StartedMS)
-		if r.Limited {
-			data = append(data, 1)
+		for _, flag := range []bool{r.Limited, r.Leaving} {
+			if flag {
+				data = append(data, 1)
+			}
+			data = append(data, 0)
 		}
 		data = binary.AppendUvarint(data, math.Float64bits(r.RequestRate))
 		data = binary.AppendUvarint(data, uint64(r.Generation))
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -232,10 +232,12 @@
 		return nil, &Refusal{Reason: NoneReady, RetryAfter: minRetryAfter}
 	}
 	var healthy, unhealthy []*Upstream
-	full := false
+	full, left := false, 0
 	limitWait := time.Duration(0)
 	for _, u := range all {
 		switch {
+		case u.isLeaving(now):
+			left++
 		case slices.Contains(req.Exclude, u.ID):
 		case req.MaxInFlight != nil && u.inFlight() >= req.MaxInFlight(u):
 			full = true
@@ -252,6 +254,8 @@
 	switch {
 	case len(healthy) > 0:
 		return healthy, nil
+	case left == len(all):
+		return nil, &Refusal{Reason: NoneReady, RetryAfter: minRetryAfter}
 	case full:
 		return nil, &Refusal{Reason: AllFull, RetryAfter: minRetryAfter}
 	case limitWait > 0:
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -35,36 +35,53 @@
 	}
 }
 
-// ObserveNotice records what the upstream said in an answer to this host.
-func (p *Pool) ObserveNotice(a *Assignment, n notice.Notice, now time.Time) {
+// NoticeChange is what changes for this host by a notice.
+type NoticeChange struct {
+	// Limited and Leaving report that a limit on requests or the leaving of the upstream began to
+	// apply, and Invalid that the notice could not be read.
+	Limited, Leaving, Invalid bool
+}
+
+// ObserveNotice records what the upstream said in the answer to a request of this host.
+func (p *Pool) ObserveNotice(a *Assignment, n notice.Notice, requestID string, now time.Time) (change NoticeChange) {
 	if n.Invalid != "" {
-		klog.InfoS("request limit of an upstream ignored", "upstream", a.ID, "value", n.Invalid)
-		return
+		klog.InfoS("notice of an upstream not understood", "upstream", a.ID, "request_id", requestID, "value", n.Invalid)
+		change.Invalid = true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := a.Upstream
+	r := notice.Report{Upstream: u.ID, StartedMS: u.StartedMS, Leaving: n.Leaving || !u.leavingAt.IsZero()}
+	if n.Leaving && u.leavingAt.IsZero() {
+		u.leavingAt, change.Leaving = now, true
+		klog.InfoS("upstream leaves: it gets nothing new", "upstream", u.ID, "started_ms", u.StartedMS, "request_id", requestID,
+			"in_flight", u.own.InFlight)
+	}
 	switch {
+	case n.Invalid != "" && u.limit != nil:
+		r.Limited, r.RequestRate, r.Generation = true, u.limit.RequestRate, u.limit.Generation
 	case n.Limited:
-		r := notice.Report{Upstream: u.ID, StartedMS: u.StartedMS, Limited: true, RequestRate: n.RequestRate}
+		r.Limited, r.RequestRate = true, n.RequestRate
 		if u.limit != nil {
 			r.Generation = u.limit.Generation
 		}
+		change.Limited = u.limit == nil
 		p.setLimit(u, r, now, now)
 		u.limit.ownAt = now
-		p.noticeReports[u.ID] = &observedNotice{r, now}
 	case u.limit != nil:
-		r := notice.Report{Upstream: u.ID, StartedMS: u.StartedMS}
 		p.endLimit(u, "an answer named none")
 		u.limitEndedAt = now
-		p.noticeReports[u.ID] = &observedNotice{r, now}
+	case !change.Leaving:
+		return change
 	}
+	p.noticeReports[u.ID] = &observedNotice{r, now, u.leavingAt}
+	return change
 }
 
 // observedNotice is a notice that the control group does not know yet.
 type observedNotice struct {
 	notice.Report
-	at time.Time
+	at, leavingAt time.Time
 }
 
 // NoticeReports returns the notices of which the control group has not been told.
@@ -75,6 +92,9 @@
 	for _, o := range p.noticeReports {
 		r := o.Report
 		r.Age = now.Sub(o.at)
+		if r.Leaving {
+			r.LeavingAge = now.Sub(o.leavingAt)
+		}
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b notice.Report) int { return cmp.Compare(a.Upstream, b.Upstream) })
@@ -93,39 +113,68 @@
 	}
 }
 
-// ReportNotices makes NoticeReports return all limits in force, for a leader that may know none.
+// ReportNotices makes NoticeReports return all notices in force, for a leader that may know none.
 func (p *Pool) ReportNotices() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, u := range p.upstreams {
-		if u.limit != nil && p.noticeReports[id] == nil {
-			p.noticeReports[id] = &observedNotice{u.limit.Report, u.limit.observedAt}
+		if p.noticeReports[id] != nil || u.limit == nil && u.leavingAt.IsZero() {
+			continue
+		}
+		o := &observedNotice{notice.Report{Upstream: id, StartedMS: u.StartedMS}, u.leavingAt, u.leavingAt}
+		if u.limit != nil {
+			o.Report, o.at = u.limit.Report, u.limit.observedAt
 		}
+		o.Leaving = !u.leavingAt.IsZero()
+		p.noticeReports[id] = o
 	}
 }
 
-// ApplyNotices applies the limits that the control group knows. Limits that it lacks end, unless an
-// answer to this host named them lately or keep is set.
+// ApplyNotices applies the notices that the control group knows. Limits that it lacks end, unless
+// an answer to this host named them lately or keep is set.
 func (p *Pool) ApplyNotices(list []notice.Report, keep bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listed := map[string]bool{}
+	limited := map[string]bool{}
 	for _, r := range list {
-		u, at := p.upstreams[r.Upstream], now.Add(-r.Age)
-		if u == nil || u.StartedMS != r.StartedMS || !at.After(u.limitEndedAt) {
+		u := p.upstreams[r.Upstream]
+		if u == nil || u.StartedMS != r.StartedMS {
 			continue
 		}
-		listed[r.Upstream] = true
-		switch {
-		case !r.Limited && u.limit != nil && at.After(u.limit.observedAt):
-			p.endLimit(u, "an answer to another host named none")
-		case r.Limited && (u.limit == nil || at.After(u.limit.ownAt) || r.RequestRate == u.limit.RequestRate):
-			p.setLimit(u, r, at, now)
-		}
+		p.applyLeavingHint(u, r, now)
+		limited[r.Upstream] = p.applyLimit(u, r, now)
 	}
 	for id, u := range p.upstreams {
-		if u.limit != nil && !listed[id] && !keep && now.Sub(u.limit.ownAt) > ownNoticeTime {
+		if u.limit != nil && !limited[id] && !keep && now.Sub(u.limit.ownAt) > ownNoticeTime {
 			p.endLimit(u, "the control group knows none")
 		}
 	}
 }
+
+func (p *Pool) applyLeavingHint(u *Upstream, r notice.Report, now time.Time) {
+	if !r.Leaving {
+		return
+	}
+	until := now.Add(notice.HintLifetime - r.LeavingAge)
+	if !u.isLeaving(now) && now.Before(until) {
+		klog.InfoS("upstream leaves, as it told another host: it gets nothing new", "upstream", u.ID, "started_ms", u.StartedMS,
+			"age_ms", r.LeavingAge.Milliseconds(), "for_ms", until.Sub(now).Milliseconds())
+	}
+	u.leavingHintUntil = until
+}
+
+// applyLimit applies the limit in a notice, or its end, and reports whether the upstream may have
+// a limit.
+func (p *Pool) applyLimit(u *Upstream, r notice.Report, now time.Time) bool {
+	at := now.Add(-r.Age)
+	if !at.After(u.limitEndedAt) {
+		return false
+	}
+	switch {
+	case !r.Limited && u.limit != nil && at.After(u.limit.observedAt):
+		p.endLimit(u, "an answer to another host named none")
+	case r.Limited && (u.limit == nil || at.After(u.limit.ownAt) || r.RequestRate == u.limit.RequestRate):
+		p.setLimit(u, r, at, now)
+	}
+	return true
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 	// ejectedUntil is the end of the ejection; zero if the upstream is not ejected and
 	// needs no probe.
 	ejectedUntil time.Time
+	// leavingAt is when an answer first said to this host that the upstream leaves; zero if none
+	// did. Until leavingHintUntil it is taken to leave as answers to other hosts said so.
+	leavingAt, leavingHintUntil time.Time
 	// limit is nil if the upstream names no limit on requests. limitEndedAt is the time of the
 	// answer that ended the latest one.
 	limit        *requestLimit
@@ -179,10 +183,15 @@
 }
 
 // HasReady reports whether a service has a ready upstream.
-func (p *Pool) HasReady(service string) bool {
+func (p *Pool) HasReady(service string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.services[service]) > 0
+	return slices.ContainsFunc(p.services[service], func(u *Upstream) bool { return !u.isLeaving(now) })
+}
+
+// isLeaving reports whether the upstream takes no new requests, by what it said in answers.
+func (u *Upstream) isLeaving(now time.Time) bool {
+	return !u.leavingAt.IsZero() || now.Before(u.leavingHintUntil)
 }
 
 // Loads returns the load caused by this host, by upstream id.
--- a/internal/placement/requestlimit_test.go
+++ b/internal/placement/requestlimit_test.go
@@ -106,7 +106,7 @@
 		a := h.answers[0].a
 		h.answers = h.answers[1:]
 		limited := f.rate > 0 && limitedUpstream(a.ID)
-		h.pool.ObserveNotice(a, notice.Notice{Limited: limited, RequestRate: f.rate}, f.now)
+		h.pool.ObserveNotice(a, notice.Notice{Limited: limited, RequestRate: f.rate}, "r", f.now)
 		h.pool.Release(a)
 	}
 }
@@ -187,7 +187,7 @@
 	p := newTestPool(g, "a", 1)
 	req := &Request{Service: "engine"}
 	a := mustChoose(g, p, req)
-	p.ObserveNotice(a, notice.Notice{Limited: true, RequestRate: 2}, startTime)
+	p.ObserveNotice(a, notice.Notice{Limited: true, RequestRate: 2}, "r", startTime)
 	refusedAt := startTime.Add(100 * time.Millisecond)
 	_, refused := p.Choose(req, refusedAt)
 	g.Expect(refused.Reason).To(Equal(AllLimited))
@@ -200,7 +200,7 @@
 	g := NewWithT(t)
 	p := newTestPool(g, "a", 1)
 	a := mustChoose(g, p, &Request{Service: "engine"})
-	p.ObserveNotice(a, notice.Notice{Limited: true}, startTime)
+	p.ObserveNotice(a, notice.Notice{Limited: true}, "r", startTime)
 	earlier := notice.Report{Upstream: "u0", StartedMS: a.StartedMS, Limited: true}
 	next := a.Upstream.Upstream
 	next.StartedMS++
@@ -214,8 +214,8 @@
 	g := NewWithT(t)
 	p := newTestPool(g, "a", 1)
 	a := mustChoose(g, p, &Request{Service: "engine"})
-	p.ObserveNotice(a, notice.Notice{Limited: true, RequestRate: 3}, startTime)
-	p.ObserveNotice(a, notice.Notice{Invalid: "many"}, startTime.Add(time.Second))
+	p.ObserveNotice(a, notice.Notice{Limited: true, RequestRate: 3}, "r", startTime)
+	p.ObserveNotice(a, notice.Notice{Invalid: "many"}, "r", startTime.Add(time.Second))
 	g.Expect(a.limit.RequestRate).To(Equal(3.0))
 }
 
@@ -223,7 +223,7 @@
 	g := NewWithT(t)
 	p := newTestPool(g, "a", 1)
 	a := mustChoose(g, p, &Request{Service: "engine"})
-	p.ObserveNotice(a, notice.Notice{Limited: true, RequestRate: 3}, startTime)
+	p.ObserveNotice(a, notice.Notice{Limited: true, RequestRate: 3}, "r", startTime)
 	p.AcknowledgeNotices(startTime)
 	later := startTime.Add(time.Minute)
 	p.ApplyNotices(nil, true, later)
