Send nothing to upstreams for as long as they ask a host to wait

The time was used once, for the answer to a caller whose attempts had run out; the next request could go to the same upstream at once.

The upstream stays healthy, but is no candidate until then, and requests return gradually. Callers are told the shortest time of all upstreams, spread, in place of the one that the last upstream named.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -77,8 +77,6 @@
 	Mismatched bool
 	// Notice is what the upstream says of itself.
 	Notice notice.Notice
-	// RetryAfter is the time after which the upstream may have capacity; 0 if unknown.
-	RetryAfter time.Duration
 }
 
 // Dialect translates between the HTTP messages of a deployment and the gateway's types.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -21,6 +21,9 @@
 	noUpstreamRetryAfter = time.Second
 	// fullRetryAfter is the time in which a full upstream usually completes a request.
 	fullRetryAfter = 300 * time.Millisecond
+	// maxRetrySpread bounds the random time by which callers return later than the first of
+	// them is served.
+	maxRetrySpread = 2 * time.Second
 	// minAttemptTime is the remaining time below which no attempt is made, as no upstream
 	// can answer in it.
 	minAttemptTime = 5 * time.Millisecond
@@ -71,9 +74,7 @@
 	// bufferedFailure is the upstream's error answer, which is forwarded if this is the
 	// last attempt.
 	bufferedFailure *bufferedAnswer
-	// retryAfter is the time after which the upstream expects to have capacity.
-	retryAfter time.Duration
-	sentAt     time.Time
+	sentAt          time.Time
 	// begun reports whether the upstream has begun to answer.
 	begun bool
 }
@@ -158,8 +159,8 @@
 			WithRetryAfter(max(refused.RetryAfter, fullRetryAfter))
 	case placement.AllLimited:
 		q.handler.limitRefusals.Inc(1)
-		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q limit their requests", service).
-			WithRetryAfter(refused.RetryAfter + rand.N(refused.RetryAfter))
+		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q limit their requests or asked to wait", service).
+			WithRetryAfter(spread(refused.RetryAfter))
 	case placement.NoneReady:
 		return nil, noReadyUpstream(service)
 	default:
@@ -167,6 +168,12 @@
 	}
 }
 
+// spread returns a time at which a caller may come back that is at least wait from now, so that
+// callers who were refused together do not return together.
+func spread(wait time.Duration) time.Duration {
+	return wait + rand.N(min(wait, maxRetrySpread))
+}
+
 // placementRequest describes the request for the choice of an upstream. The shared prompt
 // prefix consists of all segments but the last, or of the only one.
 func (q *request) placementRequest(service string) *placement.Request {
@@ -242,7 +249,7 @@
 	case resultNotRun:
 		if !a.mayHaveRun {
 			return errkind.New(errkind.Overloaded, "no upstream accepted the request: %s", a.lastFailure).
-				WithRetryAfter(max(a.retryAfter, fullRetryAfter))
+				WithRetryAfter(spread(max(a.handler.Pool.Wait(a.serviceName, time.Now()), fullRetryAfter)))
 		}
 	}
 	switch {
@@ -352,7 +359,7 @@
 		return resultNotRun
 	case class.NotRun:
 		a.reportOutcome(placement.Refused)
-		a.lastFailure, a.retryAfter = failureFull, class.RetryAfter
+		a.lastFailure = failureFull
 		return resultNotRun
 	case class.Mismatched:
 		a.mayHaveRun = true
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -9,6 +9,8 @@
 	// Leaving reports that the upstream is about to end and wants nothing new. It is final for the
 	// process.
 	Leaving bool
+	// Wait is the time for which the upstream wants nothing from this host; 0 if it may go on.
+	Wait time.Duration
 	// Limited reports that the upstream takes at most RequestRate requests per second from all
 	// hosts together. An answer without a limit ends an earlier one.
 	Limited     bool
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -98,7 +98,7 @@
 	AllTried
 	// AllFull: no upstream has capacity for the request.
 	AllFull
-	// AllLimited: every upstream that has capacity limits its requests.
+	// AllLimited: every upstream that has capacity limits its requests or has asked to wait.
 	AllLimited
 )
 
@@ -233,7 +233,7 @@
 	}
 	var healthy, unhealthy []*Upstream
 	full, left := false, 0
-	limitWait := time.Duration(0)
+	shortestWait := time.Duration(0)
 	for _, u := range all {
 		switch {
 		case u.isLeaving(now):
@@ -241,9 +241,9 @@
 		case slices.Contains(req.Exclude, u.ID):
 		case req.MaxInFlight != nil && u.inFlight() >= req.MaxInFlight(u):
 			full = true
-		case !u.limit.allows(now):
-			if wait := u.limit.wait(); limitWait == 0 || wait < limitWait {
-				limitWait = wait
+		case u.nextRequest(now) > 0:
+			if wait := u.nextRequest(now); shortestWait == 0 || wait < shortestWait {
+				shortestWait = wait
 			}
 		case p.healthy(u, now):
 			healthy = append(healthy, u)
@@ -258,14 +258,24 @@
 		return nil, &Refusal{Reason: NoneReady, RetryAfter: minRetryAfter}
 	case full:
 		return nil, &Refusal{Reason: AllFull, RetryAfter: minRetryAfter}
-	case limitWait > 0:
-		return nil, &Refusal{Reason: AllLimited, RetryAfter: min(max(limitWait, minRetryAfter), maxRetryAfter)}
+	case shortestWait > 0:
+		return nil, &Refusal{Reason: AllLimited, RetryAfter: max(shortestWait, minRetryAfter)}
 	case len(unhealthy) > 0:
 		return unhealthy, nil
 	}
 	return nil, &Refusal{Reason: AllTried, RetryAfter: minRetryAfter}
 }
 
+// nextRequest returns the time until the upstream takes another request of this host, by what it
+// said in answers; 0 if it takes one now.
+func (u *Upstream) nextRequest(now time.Time) time.Duration {
+	wait := u.wait(now)
+	if !u.limit.allows(now) {
+		wait = max(wait, u.limit.wait())
+	}
+	return wait
+}
+
 // healthy reports whether an upstream is neither ejected nor being probed, and its
 // heartbeat is not overdue.
 func (p *Pool) healthy(u *Upstream, now time.Time) bool {
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -40,6 +40,8 @@
 	// Limited and Leaving report that a limit on requests or the leaving of the upstream began to
 	// apply, and Invalid that the notice could not be read.
 	Limited, Leaving, Invalid bool
+	// Waiting reports that the upstream began to want nothing from this host for a time.
+	Waiting bool
 }
 
 // ObserveNotice records what the upstream said in the answer to a request of this host.
@@ -51,6 +53,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := a.Upstream
+	if n.Wait > 0 {
+		change.Waiting = u.extendWait(n.Wait, requestID, now)
+	}
 	r := notice.Report{Upstream: u.ID, StartedMS: u.StartedMS, Leaving: n.Leaving || !u.leavingAt.IsZero()}
 	if n.Leaving && u.leavingAt.IsZero() {
 		u.leavingAt, change.Leaving = now, true
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -45,6 +45,9 @@
 	// leavingAt is when an answer first said to this host that the upstream leaves; zero if none
 	// did. Until leavingHintUntil it is taken to leave as answers to other hosts said so.
 	leavingAt, leavingHintUntil time.Time
+	// waitUntil is the end of the time for which the upstream wants nothing from this host; zero
+	// if it takes requests as usual. waitFrom is the start.
+	waitFrom, waitUntil time.Time
 	// limit is nil if the upstream names no limit on requests. limitEndedAt is the time of the
 	// answer that ended the latest one.
 	limit        *requestLimit
