Keep what upstreams say apart from their record

Most upstreams say nothing: they share one empty state, and an answer without a notice changes nothing. Behaviour stays.

--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -14,6 +14,35 @@
 // group, which learns of it with the next calls.
 const ownNoticeTime = 3 * time.Second
 
+// saidState is what one process of an upstream said of itself in answers.
+type saidState struct {
+	// leavingAt is when an answer first said to this host that the upstream leaves; zero if none
+	// did. Until leavingHintUntil it is taken to leave as answers to other hosts said so.
+	leavingAt, leavingHintUntil time.Time
+	// waitUntil is the end of the time for which the upstream wants nothing from this host; zero
+	// if it takes requests as usual. waitFrom is the start.
+	waitFrom, waitUntil time.Time
+	// limit is nil if the upstream names no limit on requests. limitEndedAt is the time of the
+	// answer that ended the latest one.
+	limit        *requestLimit
+	limitEndedAt time.Time
+}
+
+// nothingSaid is shared by all upstreams that said nothing, and is never changed.
+var nothingSaid saidState
+
+// setSaid gives the upstream a saidState of its own, which may be changed.
+func (u *Upstream) setSaid() {
+	if u.saidState == &nothingSaid {
+		u.saidState = &saidState{}
+	}
+}
+
+// isLeaving reports whether the upstream takes no new requests, by what it said in answers.
+func (s *saidState) isLeaving(now time.Time) bool {
+	return !s.leavingAt.IsZero() || now.Before(s.leavingHintUntil)
+}
+
 // fleet is the set of gateway hosts that share the limits.
 type fleet struct {
 	own   string
@@ -53,6 +82,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := a.Upstream
+	if n == (notice.Notice{}) && u.saidState == &nothingSaid {
+		return change
+	}
+	u.setSaid()
 	if n.Wait > 0 {
 		change.Waiting = u.extendWait(n.Wait, requestID, now)
 	}
@@ -160,6 +193,7 @@
 	if !r.Leaving {
 		return
 	}
+	u.setSaid()
 	until := now.Add(notice.HintLifetime - r.LeavingAge)
 	if !u.isLeaving(now) && now.Before(until) {
 		klog.InfoS("upstream leaves, as it told another host: it gets nothing new", "upstream", u.ID, "started_ms", u.StartedMS,
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -42,16 +42,8 @@
 	// ejectedUntil is the end of the ejection; zero if the upstream is not ejected and
 	// needs no probe.
 	ejectedUntil time.Time
-	// leavingAt is when an answer first said to this host that the upstream leaves; zero if none
-	// did. Until leavingHintUntil it is taken to leave as answers to other hosts said so.
-	leavingAt, leavingHintUntil time.Time
-	// waitUntil is the end of the time for which the upstream wants nothing from this host; zero
-	// if it takes requests as usual. waitFrom is the start.
-	waitFrom, waitUntil time.Time
-	// limit is nil if the upstream names no limit on requests. limitEndedAt is the time of the
-	// answer that ended the latest one.
-	limit        *requestLimit
-	limitEndedAt time.Time
+	// saidState is nothingSaid until the upstream says something; see setSaid.
+	*saidState
 	// lastChoice is the value of Pool.choices when this upstream was last chosen.
 	lastChoice uint64
 	// probing is true while a request probes the upstream after its ejection.
@@ -164,7 +156,7 @@
 	for _, r := range p.table.All() {
 		u := p.upstreams[r.ID]
 		if u == nil || u.StartedMS != r.StartedMS {
-			u = &Upstream{}
+			u = &Upstream{saidState: &nothingSaid}
 		}
 		u.Upstream, u.heartbeatOverdue = r.Upstream, r.Unresponsive
 		upstreams[r.ID] = u
@@ -192,11 +184,6 @@
 	return slices.ContainsFunc(p.services[service], func(u *Upstream) bool { return !u.isLeaving(now) })
 }
 
-// isLeaving reports whether the upstream takes no new requests, by what it said in answers.
-func (u *Upstream) isLeaving(now time.Time) bool {
-	return !u.leavingAt.IsZero() || now.Before(u.leavingHintUntil)
-}
-
 // Loads returns the load caused by this host, by upstream id.
 func (p *Pool) Loads() map[string]Load {
 	p.mu.Lock()
--- a/internal/placement/requestlimit.go
+++ b/internal/placement/requestlimit.go
@@ -26,6 +26,7 @@
 }
 
 func (p *Pool) setLimit(u *Upstream, r notice.Report, observedAt, now time.Time) {
+	u.setSaid()
 	if u.limit == nil {
 		u.limit = &requestLimit{refilledAt: now}
 		klog.InfoS("requests to an upstream limited", "upstream", u.ID, "started_ms", u.StartedMS, "per_second", r.RequestRate,
