--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -21,9 +21,6 @@
 	noUpstreamRetryAfter = time.Second
 	// fullRetryAfter is the time in which a full upstream usually completes a request.
 	fullRetryAfter = 300 * time.Millisecond
-	// maxRetrySpread bounds the random time by which callers return later than the first of
-	// them is served.
-	maxRetrySpread = 2 * time.Second
 	// minAttemptTime is the remaining time below which no attempt is made, as no upstream
 	// can answer in it.
 	minAttemptTime = 5 * time.Millisecond
@@ -168,12 +165,6 @@
 	}
 }
 
-// spread returns a time at which a caller may come back that is at least wait from now, so that
-// callers who were refused together do not return together.
-func spread(wait time.Duration) time.Duration {
-	return wait + rand.N(min(wait, maxRetrySpread))
-}
-
 // placementRequest describes the request for the choice of an upstream. The shared prompt
 // prefix consists of all segments but the last, or of the only one.
 func (q *request) placementRequest(service string) *placement.Request {
@@ -226,48 +217,6 @@
 	return q.handler.Retries.AllowRetry(service, q.view.Hosts, time.Now())
 }
 
-// finalError returns the error that ends a request when no upstream can be tried.
-// refusal is the reason why none was chosen, or nil if the deadline has passed.
-func (q *request) finalError(refusal *errkind.Error) *errkind.Error {
-	switch {
-	case q.mayHaveRun:
-		return errkind.New(errkind.OutcomeUnknown, "the deadline passed before an answer arrived")
-	case refusal != nil:
-		return refusal
-	default:
-		return errkind.New(errkind.DeadlineUnmet, "the deadline passed before the request was sent").WithRetryAfter(fullRetryAfter)
-	}
-}
-
-// finish ends the request after its last attempt: it forwards the upstream's error answer,
-// or returns the error for the caller.
-func (a *attempt) finish(w http.ResponseWriter, result attemptResult) *errkind.Error {
-	switch result {
-	case resultUpstreamError:
-		a.writeAnswer(w, a.bufferedFailure)
-		return nil
-	case resultNotRun:
-		if !a.mayHaveRun {
-			return errkind.New(errkind.Overloaded, "no upstream accepted the request: %s", a.lastFailure).
-				WithRetryAfter(spread(max(a.handler.Pool.Wait(a.serviceName, time.Now()), fullRetryAfter)))
-		}
-	}
-	switch {
-	case a.lastFailure == failureCallerDisconnected:
-		return errkind.New(errkind.OutcomeUnknown, "the caller disconnected before the answer was complete")
-	case a.timeRemaining() < minAttemptTime:
-		return errkind.New(errkind.OutcomeUnknown, "the deadline passed before an answer arrived")
-	}
-	return errkind.New(errkind.UpstreamFailed, "the upstream failed: %s", a.lastFailure)
-}
-
-// abort closes the caller's connection, so that the caller can tell that the stream is
-// truncated.
-func (q *request) abort(e *errkind.Error) {
-	klog.InfoS("stream aborted", append(q.logFields(), "kind", string(e.Kind), "reason", e.Message, "events", q.eventsSent)...)
-	panic(http.ErrAbortHandler)
-}
-
 // run sends the request to the upstream and handles its answer.
 func (a *attempt) run(w http.ResponseWriter) attemptResult {
 	a.excludedUpstreams = append(a.excludedUpstreams, a.target.ID)
