--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -150,3 +150,28 @@
 		s.Expect(s.callStream().refusal.Kind).To(Equal(errkind.Quarantined))
 	})
 }
+
+// Requests that differ, but share the beginning of their prompts, crash each engine that runs them.
+func TestPromptPrefixThatCrashesEnginesIsContained(t *testing.T) {
+	const contactTime = 3 * time.Second
+	shared := strings.Repeat("poison ", 2*announce.PrefixBlockBytes/len("poison "))
+	inSeededSimulation(t, 1_000_000, 1, func(s *simulation) {
+		_, crashes := s.addCrashableEngines(5, slowEngine)
+		s.addHost("10.0.0.2:80", "session-2")
+		send := func(i int) {
+			body := strings.Replace(streamBody, "draft", fmt.Sprint(shared, i), 1)
+			s.call(http.MethodPost, chatPath, body, toHost(fmt.Sprintf("10.0.0.%d:80", i%2+1)))
+			time.Sleep(time.Second)
+		}
+		sent := 0
+		for ; crashes.Load() < 5 && sent < 30; sent++ {
+			send(sent)
+		}
+		time.Sleep(contactTime)
+		before := crashes.Load()
+		for ; sent < 40; sent++ {
+			send(sent)
+		}
+		s.Expect(crashes.Load()-before).To(BeNumerically("<=", 3))
+	})
+}
