--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/notice"
 	"github.com/godwitbend/godwitbend/internal/placement"
@@ -101,7 +102,7 @@
 	// ControlHosts identifies the host's list of control hosts.
 	ControlHosts uint64 `cbor:"16,keyasint,omitempty"`
 	// Sound lists suspect traits of requests that answers have cleared.
-	Sound []SoundTrait `cbor:"19,keyasint,omitempty"`
+	Sound []crashcause.SoundReport `cbor:"19,keyasint,omitempty"`
 	// Notices are what upstreams said of themselves in answers to the host. NoticesDigest
 	// identifies those of other hosts that it knows.
 	Notices       []notice.Report `cbor:"21,keyasint,omitempty"`
@@ -143,13 +144,6 @@
 	Ran time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
-// SoundTrait reports that an answer cleared a trait of requests; see package crashcause.
-type SoundTrait struct {
-	Trait uint64 `cbor:"1,keyasint"`
-	// Age is the time since the answer.
-	Age time.Duration `cbor:"2,keyasint,omitempty"`
-}
-
 // SyncReply is the leader's reply to a SyncRequest.
 type SyncReply struct {
 	LeaderRedirect `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/crashcause/host.go
@@ -0,0 +1,119 @@
+package crashcause
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// SoundReport reports that an answer cleared a trait.
+type SoundReport struct {
+	Trait uint64 `cbor:"1,keyasint"`
+	// Age is the time since the answer.
+	Age time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// Host is what one host knows of traits: those that answers to it cleared, and those that the leader
+// of the control group has decided on. It is safe for concurrent use.
+type Host struct {
+	// quarantined and watched are replaced when they change. watched are the traits of which
+	// answers that clear them are reported: the suspects and those in quarantine.
+	quarantined, watched atomic.Pointer[map[uint64]bool]
+
+	mu    sync.Mutex
+	sound SoundLog
+	// leader identifies the leader of the latest decision.
+	leader      uint64
+	quarantines map[uint64]quarantine
+	// reported holds the latest answers that cleared watched traits and that the leader knows of,
+	// and sent those that it will after the current call.
+	reported, sent map[uint64]time.Time
+}
+
+// quarantine is a trait of requests that must not run.
+type quarantine struct {
+	// leader listed it last; it ends at until if no leader does.
+	leader uint64
+	until  time.Time
+}
+
+// NewHost returns a host that knows of no traits.
+func NewHost() *Host {
+	h := &Host{quarantines: map[uint64]quarantine{}}
+	h.quarantined.Store(&map[uint64]bool{})
+	h.watched.Store(&map[uint64]bool{})
+	return h
+}
+
+// RecordSound records that an answer cleared traits of a request.
+func (h *Host) RecordSound(at time.Time, traits ...uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, trait := range traits {
+		h.sound.Add(trait, at)
+	}
+}
+
+// Watching reports whether upstreams have crashed lately, so that answers may clear traits.
+func (h *Host) Watching() bool { return len(*h.watched.Load()) > 0 }
+
+// Quarantined returns the traits of requests that must not run. The map must not be changed.
+func (h *Host) Quarantined() map[uint64]bool { return *h.quarantined.Load() }
+
+// Report returns the cleared traits that the leader does not know of, and the quarantines of the
+// previous leader.
+func (h *Host) Report(now time.Time) (sound []SoundReport, handedOver []uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sent = map[uint64]time.Time{}
+	for trait := range *h.watched.Load() {
+		at := h.sound.Latest(trait)
+		if at.IsZero() {
+			continue
+		}
+		h.sent[trait] = at
+		if at.After(h.reported[trait]) {
+			sound = append(sound, SoundReport{Trait: trait, Age: now.Sub(at)})
+		}
+	}
+	for trait, q := range h.quarantines {
+		if q.leader != h.leader {
+			handedOver = append(handedOver, trait)
+		}
+	}
+	return sound, handedOver
+}
+
+// Acknowledge records that the leader has received the latest report.
+func (h *Host) Acknowledge() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reported = h.sent
+}
+
+// Apply applies a decision of a leader. Quarantines of earlier leaders hold until the leader has
+// taken them over.
+func (h *Host) Apply(leader uint64, d Decision, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leader = leader
+	for trait, q := range h.quarantines {
+		ended := q.leader == leader && !slices.Contains(d.Quarantined, trait)
+		if ended || now.After(q.until) {
+			delete(h.quarantines, trait)
+		}
+	}
+	for _, trait := range d.Quarantined {
+		h.quarantines[trait] = quarantine{leader: leader, until: now.Add(QuarantineDuration)}
+	}
+	quarantined, watched := make(map[uint64]bool, len(h.quarantines)), make(map[uint64]bool, len(h.quarantines)+len(d.Suspects))
+	for trait := range h.quarantines {
+		quarantined[trait], watched[trait] = true, true
+	}
+	for _, trait := range d.Suspects {
+		watched[trait] = true
+	}
+	h.quarantined.Store(&quarantined)
+	h.watched.Store(&watched)
+}
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -172,6 +172,6 @@
 		for ; sent < 40; sent++ {
 			send(sent)
 		}
-		s.Expect(crashes.Load()-before).To(BeNumerically("<=", 3))
+		s.Expect(crashes.Load() - before).To(BeNumerically("<=", 3))
 	})
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -11,7 +11,6 @@
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/errkind"
-	"github.com/godwitbend/godwitbend/internal/hostsync"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
 )
 
@@ -41,16 +40,17 @@
 }
 
 // checkQuarantine refuses the request if it or a segment of its prompt is in quarantine.
-func (q *request) checkQuarantine(view *hostsync.View) *errkind.Error {
-	if len(view.Quarantined) == 0 {
+func (q *request) checkQuarantine() *errkind.Error {
+	quarantined := q.handler.Sync.Traits().Quarantined()
+	if len(quarantined) == 0 {
 		return nil
 	}
 	for _, segment := range q.sharedSegments() {
-		if view.Quarantined[segment] {
+		if quarantined[segment] {
 			return quarantinedError("part " + strconv.FormatUint(segment, 16) + " of the prompt")
 		}
 	}
-	if view.Quarantined[q.fingerprint()] {
+	if quarantined[q.fingerprint()] {
 		return quarantinedError("the request")
 	}
 	return nil
@@ -69,15 +69,15 @@
 	}
 	a.begun = true
 	if segments := a.sharedSegments(); len(segments) > 0 {
-		a.handler.Sync.RecordSound(time.Now(), segments...)
+		a.handler.Sync.Traits().RecordSound(time.Now(), segments...)
 	}
 }
 
 // recordComplete records that the upstream has answered to the end, which clears the request. The
 // fingerprint is computed only if an upstream has crashed lately.
 func (a *attempt) recordComplete() {
-	if view := a.handler.Sync.View(); len(view.Suspects) > 0 || len(view.Quarantined) > 0 {
-		a.handler.Sync.RecordSound(time.Now(), a.fingerprint())
+	if traits := a.handler.Sync.Traits(); traits.Watching() {
+		traits.RecordSound(time.Now(), a.fingerprint())
 	}
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -91,7 +91,7 @@
 		if q.ctx.Err() != nil || q.timeRemaining() < minAttemptTime {
 			return q.finalError(nil)
 		}
-		if refusal := q.checkQuarantine(q.handler.Sync.View()); refusal != nil {
+		if refusal := q.checkQuarantine(); refusal != nil {
 			return q.finalError(refusal)
 		}
 		assignment, refusal := q.chooseUpstream(service)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -166,7 +166,7 @@
 	if refusal := q.readBody(w, r); refusal != nil {
 		return refusal
 	}
-	return q.checkQuarantine(q.view)
+	return q.checkQuarantine()
 }
 
 // serve reserves tokens, sends the request to upstreams, and settles the reservation.
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -63,10 +63,6 @@
 	Index *catalog.Index
 	// Hosts is the number of gateway hosts.
 	Hosts int
-	// Quarantined holds the traits of requests that must not run; see package crashcause.
-	Quarantined map[uint64]bool
-	// Suspects holds the traits of which answers that clear them are reported.
-	Suspects map[uint64]bool
 }
 
 // Client synchronises one gateway host with the control group.
@@ -76,6 +72,7 @@
 	opening         prepaid.SessionOpening
 	allowance       *prepaid.Allowance
 	witness         *prepaid.Witness
+	traits          *crashcause.Host
 	view            atomic.Pointer[View]
 	lastSync        atomic.Pointer[time.Time] // time of the latest successful call
 	wake            chan struct{}
@@ -113,11 +110,6 @@
 	consecutiveFailures int
 	// lastFullSync is when the leader last sent the loads caused by other hosts.
 	lastFullSync time.Time
-	// quarantines holds the quarantined traits.
-	quarantines map[uint64]quarantine
-	// soundReported holds the latest answers that cleared suspect traits and that the leader
-	// knows of, and soundSent those that it will after the current call.
-	soundReported, soundSent map[uint64]time.Time
 	// noticesSentAt is when the notices of the current call were collected, and noticesDigest
 	// identifies the limits that the leader sent last.
 	noticesSentAt time.Time
@@ -128,7 +120,6 @@
 
 	mu      sync.Mutex
 	crashes []pendingCrash
-	sound   crashcause.SoundLog
 	peers   []controlnode.Peer
 	// unreachable holds the time of the latest failed request for tokens by address.
 	unreachable map[string]time.Time
@@ -155,7 +146,7 @@
 		sessionLost: make(chan struct{}),
 		syncDone:    make(chan struct{}),
 		unreachable: map[string]time.Time{},
-		quarantines: map[uint64]quarantine{},
+		traits:      crashcause.NewHost(),
 	}
 }
 
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -50,7 +50,7 @@
 	c.applyNotices(reply, time.Now())
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	c.peersEpoch, c.peersRevision = peersEpoch(reply), reply.PeersRevision
-	c.acknowledgeCrashes(req)
+	c.applyCrashes(req, reply, time.Now())
 	return c.updateView(reply)
 }
 
@@ -87,7 +87,7 @@
 // decreases.
 func (c *Client) updateView(reply *controlnode.SyncReply) error {
 	old := c.view.Load()
-	next := &View{Hosts: reply.Hosts, Quarantined: c.applyQuarantines(reply, time.Now()), Suspects: toSet(reply.Suspects)}
+	next := &View{Hosts: reply.Hosts}
 	if old != nil {
 		next.Index = old.Index
 	}
