Contain prompt prefixes that crash engines at entry hosts too

Entry hosts find the cause as gateways do, by one type for both: they report the beginnings of the prompts in flight at a crash with their heartbeats, and those that answers cleared; the leader decides, and hosts refuse requests with a quarantined beginning on arrival and before each dispatch. The promise of two upstreams for one body rests on the log as before.

--- a/internal/controlapi/sessions.go
+++ b/internal/controlapi/sessions.go
@@ -1,6 +1,9 @@
 package controlapi
 
-import "github.com/godwitbend/godwitbend/internal/config"
+import (
+	"github.com/godwitbend/godwitbend/internal/config"
+	"github.com/godwitbend/godwitbend/internal/crashcause"
+)
 
 // OpenSession opens the session of an entry host.
 type OpenSession struct {
@@ -36,6 +39,8 @@
 	// Unmerged reports that the host serves from standby grants, or has charges in its journal
 	// that are not merged yet.
 	Unmerged bool `cbor:"5,keyasint,omitempty"`
+	// Crashes is what the host knows of the requests that crash upstreams.
+	Crashes crashcause.Report `cbor:"6,keyasint,omitempty"`
 }
 
 // HeartbeatReply returns the lease and the configuration changes after the host's revision.
@@ -58,6 +63,8 @@
 	Replicas []string `cbor:"8,keyasint,omitempty"`
 	// HostsVersion identifies the current list of hosts.
 	HostsVersion uint64 `cbor:"9,keyasint,omitempty"`
+	// Crashes is the leader's decision on the requests that crash upstreams.
+	Crashes crashcause.Decision `cbor:"10,keyasint,omitempty"`
 }
 
 // HostInfo describes an entry host with a live session.
--- a/internal/controlgroup/heartbeat.go
+++ b/internal/controlgroup/heartbeat.go
@@ -37,6 +37,9 @@
 	if !s.leader || s.term != term {
 		return &HeartbeatReply{redirect: redirect{NotLeader: true}}, nil
 	}
+	now := s.options.Now()
+	s.crashes.Apply(&req.Crashes, now)
+	out.Reply.Crashes = s.crashes.Decide(now)
 	out.Reply.LeaseMS = s.options.Lease.Milliseconds()
 	out.Reply.FencingNumber = term
 	out.Reply.Replicas = s.replicaAddresses()
--- a/internal/controlgroup/server.go
+++ b/internal/controlgroup/server.go
@@ -13,6 +13,7 @@
 	"github.com/godwitbend/godwitbend/internal/codec"
 	"github.com/godwitbend/godwitbend/internal/control"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/rpc"
@@ -60,6 +61,8 @@
 	// revisionChanged is closed and replaced when it increases.
 	revision        uint64
 	revisionChanged chan struct{}
+	// crashes finds what the requests that crash upstreams have in common.
+	crashes crashcause.Tracker
 	// grantCache is the last query of the standby grants.
 	grantCache grantCache
 }
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -85,7 +85,7 @@
 	// Loads is the load that the host puts on each upstream, by upstream id.
 	Loads map[string]placement.Load `cbor:"7,keyasint,omitempty"`
 	// Crashes lists requests whose upstream crashed while running them.
-	Crashes []Crash `cbor:"8,keyasint,omitempty"`
+	Crashes []crashcause.CrashReport `cbor:"8,keyasint,omitempty"`
 	// Peer is the session and the address under which other gateway hosts reach this one.
 	Peer Peer `cbor:"9,keyasint"`
 	// CeilingAnswers answer the CeilingQueries of the previous reply.
@@ -129,21 +129,6 @@
 // Compare orders peers by address.
 func (p Peer) Compare(other Peer) int { return cmp.Compare(p.Address, other.Address) }
 
-// Crash reports that an upstream crashed while running a request.
-type Crash struct {
-	// Fingerprint is a hash that is equal for repetitions of the same request.
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	// Upstream is the id of the process that crashed, and StartedMS its start in milliseconds
-	// since 1970.
-	Upstream  string `cbor:"2,keyasint"`
-	StartedMS int64  `cbor:"3,keyasint,omitempty"`
-	// Segments are the hashes of the shared segments of the prompt, if no answer had begun.
-	Segments []uint64 `cbor:"4,keyasint,omitempty"`
-	// Age is the time since the crash, and Ran the time from the dispatch of the request to it.
-	Age time.Duration `cbor:"5,keyasint,omitempty"`
-	Ran time.Duration `cbor:"6,keyasint,omitempty"`
-}
-
 // SyncReply is the leader's reply to a SyncRequest.
 type SyncReply struct {
 	LeaderRedirect `cbor:"1,keyasint"`
@@ -204,8 +189,8 @@
 	Relay      string `cbor:"1,keyasint"`
 	RelayEpoch uint64 `cbor:"12,keyasint"`
 	// Calls holds the sessions to open, the reports and the answers of the calls.
-	Calls   []SyncRequest `cbor:"2,keyasint,omitempty"`
-	Crashes []Crash       `cbor:"3,keyasint,omitempty"`
+	Calls   []SyncRequest            `cbor:"2,keyasint,omitempty"`
+	Crashes []crashcause.CrashReport `cbor:"3,keyasint,omitempty"`
 	// Epoch is the leader's epoch that the revisions below belong to.
 	Epoch uint64 `cbor:"4,keyasint,omitempty"`
 	// Gateways are the hosts that call the relay, as of GatewaysRevision, if the leader lacks
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -48,7 +48,7 @@
 	// leader is the address of the leader that was called last.
 	leader  string
 	loadsAt time.Time
-	crashes []Crash
+	crashes []crashcause.CrashReport
 }
 
 // relayedCall is one call of a gateway host that awaits its result.
@@ -248,7 +248,7 @@
 }
 
 // returnCrashes keeps crashes for the next call to the leader.
-func (r *relay) returnCrashes(crashes []Crash) {
+func (r *relay) returnCrashes(crashes []crashcause.CrashReport) {
 	r.node.mu.Lock()
 	defer r.node.mu.Unlock()
 	r.crashes = append(crashes, r.crashes...)
--- a/internal/controlnode/submit.go
+++ b/internal/controlnode/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/placement"
 )
 
@@ -50,9 +51,9 @@
 		n.hosts.expire(now)
 		reply.PackedTotals, reply.PackedOwn = n.loadFeed.totals(n.hosts, nil, &relay.gatewayHost, now)
 	}
-	n.addCrashes(req.Crashes, now)
+	n.crashes.Apply(&crashcause.Report{Crashes: req.Crashes}, now)
 	for i := range req.Calls {
-		n.addTraits(&req.Calls[i], now)
+		n.addCrashes(&req.Calls[i], now)
 		n.addNotices(&req.Calls[i], now)
 	}
 	fleet := n.fleetViewOfLeader(now)
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -39,8 +39,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.addCrashes(req.Crashes, now)
-	n.addTraits(req, now)
+	n.addCrashes(req, now)
 	n.addNotices(req, now)
 	n.addState(req, reply, n.fleetViewOfLeader(now), now)
 	return reply, nil
--- a/internal/crashcause/host.go
+++ b/internal/crashcause/host.go
@@ -7,12 +7,8 @@
 	"time"
 )
 
-// SoundReport reports that an answer cleared a trait.
-type SoundReport struct {
-	Trait uint64 `cbor:"1,keyasint"`
-	// Age is the time since the answer.
-	Age time.Duration `cbor:"2,keyasint,omitempty"`
-}
+// maxPendingCrashes bounds the crashes that a host has yet to report.
+const maxPendingCrashes = 256
 
 // Host is what one host knows of traits: those that answers to it cleared, and those that the leader
 // of the control group has decided on. It is safe for concurrent use.
@@ -23,6 +19,9 @@
 
 	mu    sync.Mutex
 	sound SoundLog
+	// crashes have yet to be reported; crashesSent of them are in the latest report.
+	crashes     []Crash
+	crashesSent int
 	// leader identifies the leader of the latest decision.
 	leader      uint64
 	quarantines map[uint64]quarantine
@@ -61,11 +60,27 @@
 // Quarantined returns the traits of requests that must not run. The map must not be changed.
 func (h *Host) Quarantined() map[uint64]bool { return *h.quarantined.Load() }
 
-// Report returns the cleared traits that the leader does not know of, and the quarantines of the
-// previous leader.
-func (h *Host) Report(now time.Time) (sound []SoundReport, handedOver []uint64) {
+// ReportCrash queues a crash for the next report. If the queue is full, it is dropped.
+func (h *Host) ReportCrash(c Crash) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.crashes) < maxPendingCrashes {
+		h.crashes = append(h.crashes, c)
+	}
+}
+
+// Report returns what the leader does not know of.
+func (h *Host) Report(now time.Time) Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var r Report
+	for _, c := range h.crashes {
+		r.Crashes = append(r.Crashes, CrashReport{
+			Fingerprint: c.Fingerprint, Upstream: c.Upstream, StartedMS: c.StartedMS, Segments: c.Segments,
+			Age: now.Sub(c.CrashedAt), Ran: c.CrashedAt.Sub(c.SentAt),
+		})
+	}
+	h.crashesSent = len(h.crashes)
 	h.sent = map[uint64]time.Time{}
 	for trait := range *h.watched.Load() {
 		at := h.sound.Latest(trait)
@@ -74,15 +89,15 @@
 		}
 		h.sent[trait] = at
 		if at.After(h.reported[trait]) {
-			sound = append(sound, SoundReport{Trait: trait, Age: now.Sub(at)})
+			r.Sound = append(r.Sound, SoundReport{Trait: trait, Age: now.Sub(at)})
 		}
 	}
 	for trait, q := range h.quarantines {
 		if q.leader != h.leader {
-			handedOver = append(handedOver, trait)
+			r.Quarantined = append(r.Quarantined, trait)
 		}
 	}
-	return sound, handedOver
+	return r
 }
 
 // Acknowledge records that the leader has received the latest report.
@@ -90,6 +105,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reported = h.sent
+	h.crashes, h.crashesSent = h.crashes[h.crashesSent:], 0
 }
 
 // Apply applies a decision of a leader. Quarantines of earlier leaders hold until the leader has
--- a/internal/crashcause/host_test.go
+++ b/internal/crashcause/host_test.go
@@ -11,8 +11,7 @@
 	g := NewWithT(t)
 	h := NewHost()
 	handedOver := func() []uint64 {
-		_, traits := h.Report(start)
-		return traits
+		return h.Report(start).Quarantined
 	}
 	both := map[uint64]bool{7: true, 8: true}
 	h.Apply(1, Decision{Quarantined: []uint64{7, 8}}, start)
@@ -34,8 +33,7 @@
 	g := NewWithT(t)
 	h := NewHost()
 	sound := func() []SoundReport {
-		reports, _ := h.Report(start)
-		return reports
+		return h.Report(start).Sound
 	}
 	h.RecordSound(start.Add(-time.Second), 7, 9)
 	g.Expect(h.Watching()).To(BeFalse())
@@ -48,3 +46,21 @@
 	h.RecordSound(start, 7)
 	g.Expect(sound()).To(HaveLen(1))
 }
+
+func TestCrashIsReportedUntilAcknowledged(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHost()
+	h.ReportCrash(Crash{Upstream: "u", Fingerprint: 1, SentAt: start, CrashedAt: start.Add(time.Second)})
+	want := []CrashReport{{Upstream: "u", Fingerprint: 1, Ran: time.Second, Age: time.Second}}
+	g.Expect(h.Report(start.Add(2 * time.Second)).Crashes).To(Equal(want))
+	g.Expect(h.Report(start.Add(2*time.Second)).Crashes).To(Equal(want), "the call failed")
+	h.ReportCrash(Crash{Upstream: "v", Fingerprint: 2})
+	h.Acknowledge()
+	rest := h.Report(start).Crashes
+	g.Expect(rest).To(HaveLen(1), "it came after the report")
+	g.Expect(rest[0].Upstream).To(Equal("v"))
+	for range 2 * maxPendingCrashes {
+		h.ReportCrash(Crash{})
+	}
+	g.Expect(h.Report(start).Crashes).To(HaveLen(maxPendingCrashes))
+}
--- a/internal/crashcause/tracker.go
+++ b/internal/crashcause/tracker.go
@@ -89,9 +89,9 @@
 // Decision is the result of an evaluation.
 type Decision struct {
 	// Quarantined are the traits of requests that must not run.
-	Quarantined []uint64
+	Quarantined []uint64 `cbor:"1,keyasint,omitempty"`
 	// Suspects are the traits for which hosts should report answers that clear them.
-	Suspects []uint64
+	Suspects []uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // AddCrash adds a report. Several hosts may report the same crash, each with its own requests.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/entry"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
@@ -42,6 +43,7 @@
 	rpc      *rpc.Client
 	group    *controlgroup.Client
 	session  *session.Session
+	traits   *crashcause.Host
 	standby  *standby.Client
 	journals []*standby.Journals
 	registry *registry.Registry
@@ -68,7 +70,7 @@
 
 // New returns a host that is not started.
 func New(s *settings.Settings, network Network) *Daemon {
-	return &Daemon{settings: s, network: network}
+	return &Daemon{settings: s, network: network, traits: crashcause.NewHost()}
 }
 
 // Run serves until ctx ends, then drains the host: requests in flight are completed.
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -120,6 +120,7 @@
 		SchemaMax:    d.settings.SchemaMax,
 		Lease:        d.settings.ConfigLease.Duration,
 		HasUnmerged:  func() bool { return d.standby.HasUnmerged() },
+		Traits:       d.traits,
 	})
 }
 
@@ -183,6 +184,7 @@
 		Router:      d.router,
 		Metrics:     d.metrics.Scope,
 		OwnerServes: d.ownerServes,
+		Traits:      d.traits,
 		HTTPClient:  d.upstreamHTTP,
 		Limits: entry.Limits{
 			BodyBytes:        d.settings.Limits.BodyBytes,
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -98,6 +98,7 @@
 		}
 	}
 	x.suspect = true
+	x.reportTraits(t)
 	t.entry.MarkLost(t.incarnation, x.h.Now())
 	report, bodies := x.h.crashReporter.claim(t)
 	if bodies == nil {
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -151,26 +151,39 @@
 	})
 }
 
-// Requests that differ, but share the beginning of their prompts, crash each engine that runs them.
 func TestPromptPrefixThatCrashesEnginesIsContained(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { testPrefixContained(t, seed) })
+	}
+}
+
+// testPrefixContained sends requests that differ but share the beginning of their prompts. Those with
+// the second block of the crashing ones crash each engine that runs them.
+func testPrefixContained(t *testing.T, seed uint64) {
 	const contactTime = 3 * time.Second
-	shared := strings.Repeat("poison ", 2*announce.PrefixBlockBytes/len("poison "))
-	inSeededSimulation(t, 1_000_000, 1, func(s *simulation) {
+	block := func(word string) string {
+		return strings.Repeat(word, 1+announce.PrefixBlockBytes/len(word))[:announce.PrefixBlockBytes]
+	}
+	inSeededSimulation(t, 10_000_000, seed, func(s *simulation) {
 		_, crashes := s.addCrashableEngines(5, slowEngine)
 		s.addHost("10.0.0.2:80", "session-2")
-		send := func(i int) {
-			body := strings.Replace(streamBody, "draft", fmt.Sprint(shared, i), 1)
-			s.call(http.MethodPost, chatPath, body, toHost(fmt.Sprintf("10.0.0.%d:80", i%2+1)))
-			time.Sleep(time.Second)
-		}
 		sent := 0
-		for ; crashes.Load() < 5 && sent < 30; sent++ {
-			send(sent)
+		send := func(secondBlock string) answer {
+			sent++
+			prompt := block("common ") + block(secondBlock) + fmt.Sprint(sent)
+			body := strings.Replace(streamBody, "draft", prompt, 1)
+			defer time.Sleep(500 * time.Millisecond)
+			return s.call(http.MethodPost, chatPath, body, toHost(fmt.Sprintf("10.0.0.%d:80", sent%2+1)))
+		}
+		for crashes.Load() < 5 && sent < 30 {
+			send("poison ")
+			send("draft ")
 		}
 		time.Sleep(contactTime)
 		before := crashes.Load()
-		for ; sent < 40; sent++ {
-			send(sent)
+		for range 10 {
+			send("poison ")
+			s.Expect(send("draft ").complete()).To(BeTrue())
 		}
 		s.Expect(crashes.Load() - before).To(BeNumerically("<=", 3))
 	})
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -49,6 +49,10 @@
 			t.release()
 			return err
 		}
+		if err := x.checkPrefix(); err != nil {
+			t.release()
+			return err
+		}
 		f := x.dispatch(t)
 		if f == nil {
 			t.release()
@@ -114,11 +118,15 @@
 func (x *exchange) dispatch(t target) *failure {
 	untrack := x.h.crashReporter.track(t, x.requestID, x.bodyHash)
 	defer untrack()
-	x.dispatchedAt, x.timeToFirstEvent = x.h.Now(), 0
+	x.dispatchedAt, x.timeToFirstEvent, x.begun = x.h.Now(), 0, false
 	f := x.send(t)
 	if f != nil && f.connectionBroken {
 		f.resendError = x.reportCrash(t)
 	}
+	if f == nil && !x.aborted && x.timeToFirstEvent > 0 {
+		x.recordBegun()
+		x.recordComplete()
+	}
 	x.reportResult(f, t)
 	return f
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -102,6 +102,8 @@
 	containedTo []string
 	// dispatchedAt is the start time of the current dispatch.
 	dispatchedAt time.Time
+	// begun is set once the upstream of the current dispatch has begun to answer.
+	begun bool
 	// timeToFirstEvent is the time from dispatchedAt to the first relayed event, or
 	// to the complete answer if it is not streamed.
 	timeToFirstEvent time.Duration
@@ -207,6 +209,9 @@
 
 // serve admits the call, opens its record and dispatches it.
 func (x *exchange) serve() error {
+	if err := x.checkPrefix(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	defer cancel()
 	release, err := x.h.Admission.Acquire(ctx, x.ticket())
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -18,6 +18,7 @@
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
 )
@@ -67,6 +68,8 @@
 	// request; known is false if that host is unreachable. If nil, only requests
 	// of this host's own session can be taken over before their session ends.
 	OwnerServes func(ctx context.Context, session, requestID string) (serves, known bool)
+	// Traits holds what is known of the requests that crash upstreams; nil means that nothing is.
+	Traits *crashcause.Host
 	// Random is the source of random numbers and must be safe for concurrent use; nil means math/rand/v2.
 	Random routing.Random
 	// Log receives refused requests and failed dispatches; nil means slog.Default().
@@ -100,6 +103,9 @@
 	if o.Log == nil {
 		o.Log = slog.Default()
 	}
+	if o.Traits == nil {
+		o.Traits = crashcause.NewHost()
+	}
 	if o.Random == nil {
 		o.Random = globalRandom{}
 	}
--- a/internal/entry/simulation_test.go
+++ b/internal/entry/simulation_test.go
@@ -24,6 +24,7 @@
 	"github.com/godwitbend/godwitbend/internal/announce"
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
@@ -45,9 +46,12 @@
 // simulation is one host with an in-memory control group and fake upstreams, in virtual time.
 type simulation struct {
 	*GomegaWithT
-	t        *testing.T
-	net      *network
-	control  *localControl
+	t       *testing.T
+	net     *network
+	control *localControl
+	// traits is the leader's tracker of what requests that crash upstreams have in common.
+	traitsMu sync.Mutex
+	traits   crashcause.Tracker
 	registry *registry.Registry
 	metrics  tally.TestScope
 	options  Options
@@ -119,6 +123,8 @@
 		o.Session = func() string { return s.session }
 	}
 	control := &hostControl{localControl: s.control}
+	o.Traits = crashcause.NewHost()
+	s.exchangeTraits(o.Traits)
 	o.Control, o.HTTPClient = control, s.net.newKillableClient(address, &control.terminated)
 	h := New(o)
 	s.net.serve(address, h)
@@ -130,6 +136,30 @@
 	return h
 }
 
+// exchangeTraits tells the leader's tracker what a host knows of crashes, as its heartbeats do.
+func (s *simulation) exchangeTraits(host *crashcause.Host) {
+	stop := make(chan struct{})
+	s.cleanups = append(s.cleanups, func() { close(stop) })
+	go func() {
+		heartbeats := time.NewTicker(500 * time.Millisecond)
+		defer heartbeats.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-heartbeats.C:
+			}
+			now, report := time.Now(), host.Report(time.Now())
+			s.traitsMu.Lock()
+			s.traits.Apply(&report, now)
+			decision := s.traits.Decide(now)
+			s.traitsMu.Unlock()
+			host.Acknowledge()
+			host.Apply(1, decision, now)
+		}
+	}()
+}
+
 // execute commits a command and fails the test on an error.
 func (s *simulation) execute(cmd *controlapi.Command) {
 	result, err := s.control.Execute(context.Background(), cmd)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -94,6 +94,7 @@
 		}
 		wd.reset()
 		state.eventsRead++
+		x.recordBegun()
 		if bytes.Equal(data, doneMarker) {
 			return x.completeStream(t, state)
 		}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
-	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
@@ -87,17 +86,17 @@
 	if a.handler.upstreams.Reachable(context.Background(), a.target.Address) {
 		return
 	}
-	crash := controlnode.Crash{
-		Fingerprint: a.fingerprint(), Upstream: a.target.ID, StartedMS: a.target.StartedMS, Ran: at.Sub(a.sentAt),
+	crash := crashcause.Crash{
+		Fingerprint: a.fingerprint(), Upstream: a.target.ID, StartedMS: a.target.StartedMS, SentAt: a.sentAt, CrashedAt: at,
 	}
 	if !a.begun {
 		crash.Segments = a.sharedSegments()
 	}
 	a.handler.upstreamCrashes.Inc(1)
-	a.handler.Sync.ReportCrash(crash, at)
+	a.handler.Sync.ReportCrash(crash)
 	fields := []any{
 		telemetry.FieldRequestID, a.ID, "route", a.route.Name, "upstream", crash.Upstream, "started_ms", crash.StartedMS,
-		"fingerprint", crash.Fingerprint, "begun", a.begun, "segments", a.sharedSegments(), "ran_ms", crash.Ran.Milliseconds(),
+		"fingerprint", crash.Fingerprint, "begun", a.begun, "segments", a.sharedSegments(), "ran_ms", at.Sub(a.sentAt).Milliseconds(),
 	}
 	if a.organisation != nil {
 		fields = append(fields, telemetry.FieldOrganisation, a.organisation.Name)
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -118,9 +118,8 @@
 	noticesEpoch      uint64
 	noticesEpochSince time.Time
 
-	mu      sync.Mutex
-	crashes []pendingCrash
-	peers   []controlnode.Peer
+	mu    sync.Mutex
+	peers []controlnode.Peer
 	// unreachable holds the time of the latest failed request for tokens by address.
 	unreachable map[string]time.Time
 	// syncsStarted counts the calls started; lastSuccessfulSync is the number of the
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -50,7 +50,7 @@
 	c.applyNotices(reply, time.Now())
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	c.peersEpoch, c.peersRevision = peersEpoch(reply), reply.PeersRevision
-	c.applyCrashes(req, reply, time.Now())
+	c.applyCrashes(reply, time.Now())
 	return c.updateView(reply)
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
+	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -52,6 +53,9 @@
 	// HasUnmerged reports whether the host has served requests from standby grants that are not
 	// merged yet.
 	HasUnmerged func() bool
+	// Traits receives the leader's decisions on the requests that crash upstreams, and is
+	// reported to the leader; nil means that there are none.
+	Traits *crashcause.Host
 }
 
 // state is an immutable snapshot that request goroutines read.
@@ -79,6 +83,9 @@
 
 // New returns a session that is not open yet.
 func New(o Options) *Session {
+	if o.Traits == nil {
+		o.Traits = crashcause.NewHost()
+	}
 	s := &Session{options: o}
 	s.state.Store(&state{view: config.NewView(nil, 0)})
 	return s
@@ -163,6 +170,7 @@
 		HoldMS:       s.heartbeatInterval().Milliseconds(),
 		HostsVersion: before.hostsVersion,
 		Unmerged:     !s.Connected() || s.options.HasUnmerged(),
+		Crashes:      s.options.Traits.Report(sent),
 	}
 	reply, err := s.options.ControlGroup.Heartbeat(ctx, req)
 	if errkind.Is(err, errkind.SessionExpired) {
@@ -179,6 +187,8 @@
 }
 
 func (s *Session) apply(reply *controlapi.HeartbeatReply, sent time.Time) {
+	s.options.Traits.Acknowledge()
+	s.options.Traits.Apply(reply.FencingNumber, reply.Crashes, time.Now())
 	view := s.View()
 	if reply.Revision > view.Revision() {
 		view = nextView(view, reply)
