Say why no further upstream was tried

A request that may have run, and was then refused by a quarantine or for lack of upstreams, was logged and answered as if its deadline had passed; status 504 as before.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -18,6 +18,8 @@
 // refusal is the reason why none was chosen, or nil if the deadline has passed.
 func (q *request) finalError(refusal *errkind.Error) *errkind.Error {
 	switch {
+	case q.mayHaveRun && refusal != nil:
+		return errkind.New(errkind.OutcomeUnknown, "no further upstream was tried: %s", refusal.Message)
 	case q.mayHaveRun:
 		return errkind.New(errkind.OutcomeUnknown, "the deadline passed before an answer arrived")
 	case refusal != nil:
