Ask hosts only for traits that are close to a quarantine

After any crash of an upstream all traits of the requests there were suspect for 10 minutes, up to 1,024, and listed in each reply to each host: fingerprints never recur and are never cleared.

--- a/internal/crashcause/evidence.go
+++ b/internal/crashcause/evidence.go
@@ -58,7 +58,7 @@
 }
 
 func (t *Tracker) bestCause(causes map[uint64]*evidence, now time.Time) (trait uint64, best *evidence) {
-	gathered := t.gather(causes)
+	gathered := t.gather(explainedBy(causes))
 	for candidate, e := range gathered {
 		if !e.suffices(now) {
 			continue
@@ -70,13 +70,12 @@
 	return trait, best
 }
 
-// gather counts for each trait the crashes since an answer last cleared it that none of causes
-// explains.
-func (t *Tracker) gather(causes map[uint64]*evidence) map[uint64]*evidence {
+// gather counts for each trait the crashes since an answer last cleared it that are not explained.
+func (t *Tracker) gather(explained func(*crashRecord) bool) map[uint64]*evidence {
 	gathered := map[uint64]*evidence{}
 	position := 0
 	for _, c := range t.crashes {
-		if isExplained(c, causes) {
+		if explained(c) {
 			continue
 		}
 		position++
@@ -112,14 +111,16 @@
 	}
 }
 
-// isExplained reports whether the crash has one of the traits in causes.
-func isExplained[V any](c *crashRecord, causes map[uint64]V) bool {
-	for trait := range causes {
-		if c.has(trait) {
-			return true
+// explainedBy returns a function that reports whether a crash has one of the traits in causes.
+func explainedBy[V any](causes map[uint64]V) func(*crashRecord) bool {
+	return func(c *crashRecord) bool {
+		for trait := range causes {
+			if c.has(trait) {
+				return true
+			}
 		}
+		return false
 	}
-	return false
 }
 
 // isEnough reports whether there are enough crashes to decide on.
--- a/internal/crashcause/tracker.go
+++ b/internal/crashcause/tracker.go
@@ -216,7 +216,7 @@
 // endQuarantines ends those that have expired, whose traits an answer cleared, or whose crashes
 // have other causes.
 func (t *Tracker) endQuarantines(causes map[uint64]*evidence, now time.Time) {
-	all, unexplained := t.gather(nil), t.gather(causes)
+	all, unexplained := t.gather(explainedBy[bool](nil)), t.gather(explainedBy(causes))
 	for trait, since := range t.quarantined {
 		_, isCause := causes[trait]
 		explained := !isCause && all[trait].isEnough() && !unexplained[trait].isEnough()
@@ -236,20 +236,22 @@
 	}
 }
 
-// suspects returns the traits of crashes that no quarantine explains, the latest crashes first.
+// suspects returns the traits that one more crash, or the answers to other requests, may put in
+// quarantine. If there are too many, those with the most crashes are returned.
 func (t *Tracker) suspects() []uint64 {
-	found := map[uint64]bool{}
-	for _, c := range slices.Backward(t.crashes) {
-		if isExplained(c, t.quarantined) {
-			continue
-		}
-		for trait := range c.traits {
-			if c.at.After(t.soundAt[trait]) && len(found) < MaxSuspects {
-				found[trait] = true
-			}
+	gathered := t.gather(explainedBy(t.quarantined))
+	var traits []uint64
+	for trait, e := range gathered {
+		if e.crashes >= minCrashes-1 {
+			traits = append(traits, trait)
 		}
 	}
-	return sortedKeys(found)
+	slices.SortFunc(traits, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(gathered[b].crashes, gathered[a].crashes), cmp.Compare(a, b))
+	})
+	traits = traits[:min(len(traits), MaxSuspects)]
+	slices.Sort(traits)
+	return traits
 }
 
 func sortedKeys[V any](m map[uint64]V) []uint64 {
--- a/internal/crashcause/tracker_test.go
+++ b/internal/crashcause/tracker_test.go
@@ -155,3 +155,12 @@
 	g.Expect(len(log.current) + len(log.previous)).To(BeNumerically("<=", 2*maxSoundTraits))
 	g.Expect(log.Latest(10*maxSoundTraits - 1)).To(Equal(at(10*maxSoundTraits - 1)))
 }
+
+func TestTraitsOfASingleCrashAreNotSuspect(t *testing.T) {
+	g := NewWithT(t)
+	tracker := &Tracker{}
+	tracker.crash(0, 0, 100, common, rare)
+	g.Expect(tracker.Decide(at(100)).Suspects).To(BeEmpty())
+	tracker.crash(1, 200, 101, common, bad)
+	g.Expect(tracker.Decide(at(300)).Suspects).To(Equal([]uint64{common}))
+}
