Evaluate only the evidence on traits that recur

Each evaluation counted all traits of all recorded crashes, up to 20 times a second, for 10 minutes after a crash, whether there was news or not. Counted are now the traits of two crashes and more, and without news only once a second unless a decision is due.

--- a/internal/crashcause/evidence.go
+++ b/internal/crashcause/evidence.go
@@ -61,6 +61,7 @@
 	gathered := t.gather(explainedBy(causes))
 	for candidate, e := range gathered {
 		if !e.suffices(now) {
+			t.pending = t.pending || e.isEnough()
 			continue
 		}
 		if order := e.compare(best); order > 0 || order == 0 && candidate < trait {
@@ -71,6 +72,7 @@
 }
 
 // gather counts for each trait the crashes since an answer last cleared it that are not explained.
+// Traits that are neither suspect nor a cause are left out.
 func (t *Tracker) gather(explained func(*crashRecord) bool) map[uint64]*evidence {
 	gathered := map[uint64]*evidence{}
 	position := 0
@@ -80,6 +82,9 @@
 		}
 		position++
 		for trait, x := range c.traits {
+			if t.present[trait] < minCrashes-1 {
+				continue
+			}
 			soundAt := t.soundAt[trait]
 			if !c.at.After(soundAt) {
 				continue
--- a/internal/crashcause/tracker.go
+++ b/internal/crashcause/tracker.go
@@ -25,8 +25,10 @@
 	maxTraitsPerCrash = 512
 	// MaxSuspects bounds the suspect traits that hosts are asked about.
 	MaxSuspects = 1024
-	// decisionInterval is the minimum time between two evaluations of the evidence.
-	decisionInterval = 50 * time.Millisecond
+	// decisionInterval is the minimum time between two evaluations of the evidence, and
+	// idleInterval that between two without new evidence.
+	decisionInterval = 100 * time.Millisecond
+	idleInterval     = time.Second
 )
 
 // Crash reports a request that an upstream was running when it crashed.
@@ -76,14 +78,18 @@
 type Tracker struct {
 	// crashes is ordered by time.
 	crashes []*crashRecord
+	// present holds the number of recorded crashes by trait.
+	present map[uint64]int
 	// soundAt holds the time of the latest answer that cleared a trait.
 	soundAt map[uint64]time.Time
 	// quarantined holds the start of each quarantine.
 	quarantined map[uint64]time.Time
 
-	changed     bool
-	evaluatedAt time.Time
-	decision    Decision
+	// changed reports that there is new evidence, and pending that a trait has enough crashes for
+	// a quarantine that time alone may decide on.
+	changed, pending bool
+	evaluatedAt      time.Time
+	decision         Decision
 }
 
 // Decision is the result of an evaluation.
@@ -98,9 +104,9 @@
 func (t *Tracker) AddCrash(c Crash) {
 	record := t.record(instance{c.Upstream, c.StartedMS}, c.CrashedAt)
 	for depth, segment := range c.Segments {
-		record.expose(segment, exposure{c.SentAt, depth})
+		t.expose(record, segment, exposure{c.SentAt, depth})
 	}
-	record.expose(c.Fingerprint, exposure{c.SentAt, wholeRequest})
+	t.expose(record, c.Fingerprint, exposure{c.SentAt, wholeRequest})
 	t.changed = true
 }
 
@@ -111,20 +117,35 @@
 			return c
 		}
 	}
+	if len(t.crashes) >= maxCrashes {
+		t.removeOldest()
+	}
 	c := &crashRecord{instance: i, at: at, traits: map[uint64]exposure{}}
 	position, _ := slices.BinarySearchFunc(t.crashes, at, func(c *crashRecord, at time.Time) int { return c.at.Compare(at) })
 	t.crashes = slices.Insert(t.crashes, position, c)
-	if len(t.crashes) > maxCrashes {
-		t.crashes = slices.Delete(t.crashes, 0, 1)
-	}
 	return c
 }
 
-func (c *crashRecord) expose(trait uint64, e exposure) {
+func (t *Tracker) removeOldest() {
+	for trait := range t.crashes[0].traits {
+		if t.present[trait]--; t.present[trait] == 0 {
+			delete(t.present, trait)
+		}
+	}
+	t.crashes = slices.Delete(t.crashes, 0, 1)
+}
+
+func (t *Tracker) expose(c *crashRecord, trait uint64, e exposure) {
 	known, found := c.traits[trait]
 	if !found && len(c.traits) >= maxTraitsPerCrash {
 		return
 	}
+	if !found {
+		if t.present == nil {
+			t.present = map[uint64]int{}
+		}
+		t.present[trait]++
+	}
 	if known.sentAt.After(e.sentAt) {
 		e.sentAt = known.sentAt
 	}
@@ -149,10 +170,8 @@
 }
 
 func (t *Tracker) isKnown(trait uint64) bool {
-	if _, found := t.quarantined[trait]; found {
-		return true
-	}
-	return slices.ContainsFunc(t.crashes, func(c *crashRecord) bool { return c.has(trait) })
+	_, found := t.quarantined[trait]
+	return found || t.present[trait] > 0
 }
 
 func (c *crashRecord) has(trait uint64) bool {
@@ -178,11 +197,15 @@
 
 // Decide evaluates the evidence. Its result is shared and must not be changed.
 func (t *Tracker) Decide(now time.Time) Decision {
-	idle := !t.changed && len(t.crashes) == 0 && len(t.quarantined) == 0
-	if idle || now.Sub(t.evaluatedAt) < decisionInterval {
+	interval := decisionInterval
+	if !t.changed && !t.pending {
+		interval = idleInterval
+	}
+	empty := len(t.crashes) == 0 && len(t.quarantined) == 0
+	if empty && !t.changed || now.Sub(t.evaluatedAt) < interval {
 		return t.decision
 	}
-	t.evaluatedAt, t.changed = now, false
+	t.evaluatedAt, t.changed, t.pending = now, false, false
 	t.expire(now)
 	causes := t.findCauses(now)
 	t.startQuarantines(causes, now)
@@ -193,7 +216,9 @@
 
 // expire removes old crashes, and what is known of traits that no crash has.
 func (t *Tracker) expire(now time.Time) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c *crashRecord) bool { return now.Sub(c.at) > crashRetention })
+	for len(t.crashes) > 0 && now.Sub(t.crashes[0].at) > crashRetention {
+		t.removeOldest()
+	}
 	for trait := range t.soundAt {
 		if !t.isKnown(trait) {
 			delete(t.soundAt, trait)
--- a/internal/crashcause/tracker_test.go
+++ b/internal/crashcause/tracker_test.go
@@ -144,6 +144,11 @@
 		}
 	}
 	g.Expect(len(tracker.crashes)).To(BeNumerically("<=", maxCrashes))
+	recorded := 0
+	for _, c := range tracker.crashes {
+		recorded += len(c.traits)
+	}
+	g.Expect(tracker.present).To(HaveLen(recorded), "traits of crashes that are forgotten are forgotten too")
 	started := time.Now()
 	decision := tracker.Decide(at(400 * maxCrashes))
 	g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
