Read and log the software versions of upstreams, and which streams callers resume

The logs could not tell a stream that a gateway continues from one that its caller resumes, nor versions at all. The reports of upstreams now carry their version to the gateways; the lines of requests have the software_version of the upstream, resumes_after and stream_origin; the lines of control hosts have the version. No decision depends on them yet. A process keeps a known version if a control host of an earlier build passes its reports on.

--- a/internal/controlnode/upstreams.go
+++ b/internal/controlnode/upstreams.go
@@ -47,7 +47,7 @@
 	n.table.Apply(u, seen)
 	changed := n.table.Revision() != before
 	if changed {
-		klog.InfoS("upstream changed", "upstream", u.ID, "address", u.Address, "service", u.Service,
+		klog.InfoS("upstream changed", "upstream", u.ID, "address", u.Address, "service", u.Service, "software_version", u.Version,
 			"state", u.State.String(), "started", u.StartedMS, "sequence", u.Sequence, "revision", n.table.Revision())
 	}
 	return changed
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -44,6 +44,9 @@
 	// ResumeAfter is the id of the last event that the caller received; valid if Resumes.
 	ResumeAfter int64
 	Resumes     bool
+	// StreamOrigin is the id of the call that delivered the first event of the resumed stream;
+	// empty if not stated.
+	StreamOrigin string
 	// Body is read in full before the request is forwarded. HasBody reports whether the
 	// request has a body, which may be empty.
 	Body    []byte
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -232,7 +232,7 @@
 		return resultNotRun
 	}
 	a.attempts++
-	a.upstreamID = a.target.ID
+	a.upstreamID, a.upstreamVersion = a.target.ID, a.target.Version
 	if err != nil {
 		a.mayHaveRun = true
 		return a.exchangeBroken(failureNoAnswer)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -118,6 +118,8 @@
 	attempts          int
 	excludedUpstreams []string
 	upstreamID        string
+	// upstreamVersion is the software version of the latest upstream.
+	upstreamVersion string
 	// backlog and prefillRate are those of the latest upstream, or of the latest refusal
 	// to choose one, in tokens and tokens per millisecond.
 	backlog     int64
@@ -214,7 +216,10 @@
 		}
 	}
 	if q.attempts > 0 {
-		fields = append(fields, "upstream", q.upstreamID, "attempts", q.attempts)
+		fields = append(fields, "upstream", q.upstreamID, "software_version", q.upstreamVersion, "attempts", q.attempts)
+	}
+	if q.Call != nil && q.Resumes {
+		fields = append(fields, "resumes_after", q.ResumeAfter, "stream_origin", q.StreamOrigin)
 	}
 	if q.Call != nil && q.InputTokens > 0 {
 		fields = append(fields, "input_tokens", q.InputTokens, "backlog_tokens", q.backlog, "pace", int(q.prefillRate))
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -132,6 +133,7 @@
 		}
 		if old != nil && old.StartedMS == r.StartedMS {
 			r.State = max(r.State, old.State) // draining and leaving are final
+			r.Version = cmp.Or(r.Version, old.Version)
 		}
 		p.table.Set(r)
 	}
--- a/internal/presence/digest.go
+++ b/internal/presence/digest.go
@@ -23,6 +23,7 @@
 	for _, number := range []int64{int64(u.Slots), int64(u.State), u.StartedMS} {
 		buffer = binary.AppendVarint(buffer, number)
 	}
+	buffer = append(buffer, u.Version...)
 	return xxhash.Sum64(buffer)
 }
 
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -4,6 +4,7 @@
 package presence
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -58,6 +59,8 @@
 	StartedMS int64 `cbor:"7,keyasint"`
 	// Sequence increases with each report of a process.
 	Sequence int64 `cbor:"8,keyasint"`
+	// Version is the version of the software that the process runs; empty if unknown.
+	Version string `cbor:"9,keyasint,omitempty"`
 }
 
 // Record is an upstream with the data that the table adds.
@@ -166,7 +169,8 @@
 	return u.Sequence > old.Sequence
 }
 
-// merge returns old updated by u. Draining and Terminated are final for a process.
+// merge returns old updated by u. Draining and Terminated are final for a process, and a known
+// version stays known.
 func merge(old *Record, u Upstream) *Record {
 	if u.StartedMS != old.StartedMS {
 		return &Record{Upstream: u}
@@ -177,6 +181,7 @@
 		return &next
 	}
 	u.State = max(u.State, old.State)
+	u.Version = cmp.Or(u.Version, old.Version)
 	return &Record{Upstream: u}
 }
 
--- a/internal/presence/table_test.go
+++ b/internal/presence/table_test.go
@@ -45,6 +45,21 @@
 		"a late departure of the earlier process")
 }
 
+func TestKnownVersionOfProcessStaysKnown(t *testing.T) {
+	g := NewWithT(t)
+	table := presence.NewTable()
+	first := report("u", "a:1", 10, 5, presence.Ready)
+	first.Version = "v1"
+	table.Apply(first, now)
+	before := table.Digests()
+	table.Apply(report("u", "a:1", 10, 6, presence.Ready), now)
+	g.Expect(table.Record("u").Version).To(Equal("v1"), "passed on by a host that does not know versions")
+	g.Expect(table.Digests()).To(Equal(before))
+	table.Apply(report("u", "a:1", 11, 1, presence.Ready), now)
+	g.Expect(table.Record("u").Version).To(BeEmpty(), "another process")
+	g.Expect(table.Digests()).NotTo(Equal(before))
+}
+
 // Guards against reactivating a crashed process by a delayed report that arrives after
 // another process has taken over its address.
 func TestLaterProcessReplacesAddressHolder(t *testing.T) {
