Continue a broken stream only at the software version that began it

The gateway chose any upstream of the service after one had broken off. Now the version of the upstream that sent the first event is kept with the request, and only ready upstreams of that version are candidates for the rest; none are if the version is not known. Without one the answer ends at once, so that the caller can go on elsewhere. Such streams are admitted up to twice the backlog at which new ones begin: their version may have few upstreams, and their callers wait longer than the objective for the first event.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -67,6 +67,7 @@
 	maps.Copy(w.Header(), a.handler.Dialect.AnswerHeader(answer.Header))
 	w.Header().Del("Content-Length")
 	w.WriteHeader(answer.StatusCode)
+	a.streamVersion = a.target.Version
 	a.recordFirstEvent()
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -106,6 +106,9 @@
 	eventsSent  int64
 	lastEventID int64
 	resumable   bool
+	// streamVersion is the software version of the upstream that began the stream; empty until
+	// the first event, or if it is unknown.
+	streamVersion string
 	// timeToFirstEvent is the time to the first event or, for a buffered answer, to the
 	// first byte. longestGap is the longest pause between two events, and lastEventAt
 	// the time of the latest event.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -58,6 +58,10 @@
 	LatencyObjective time.Duration
 	// Rank orders requests when capacity is short; 0 is served first.
 	Rank int
+	// Resumes reports that the request goes on with a stream that an upstream of the software
+	// version Version began. Only upstreams of that version can; none can if it is empty.
+	Resumes bool
+	Version string
 	// Exclude holds the ids of upstreams already tried.
 	Exclude []string
 	// MaxInFlight returns the number of in-flight requests at which an upstream is full.
@@ -100,6 +104,8 @@
 	AllFull
 	// AllLimited: every upstream that has capacity limits its requests or has asked to wait.
 	AllLimited
+	// NoneOfVersion: no ready upstream has the software version of the stream to resume.
+	NoneOfVersion
 )
 
 // Refusal reports why no upstream was chosen and the load that led to the decision.
@@ -232,12 +238,18 @@
 		return nil, &Refusal{Reason: NoneReady, RetryAfter: minRetryAfter}
 	}
 	var healthy, unhealthy []*Upstream
-	full, left := false, 0
+	full, staying, ofVersion := false, 0, 0
 	shortestWait := time.Duration(0)
 	for _, u := range all {
+		if u.isLeaving(now) {
+			continue
+		}
+		staying++
+		if !req.fitsVersion(u) {
+			continue
+		}
+		ofVersion++
 		switch {
-		case u.isLeaving(now):
-			left++
 		case slices.Contains(req.Exclude, u.ID):
 		case req.MaxInFlight != nil && u.inFlight() >= req.MaxInFlight(u):
 			full = true
@@ -254,8 +266,10 @@
 	switch {
 	case len(healthy) > 0:
 		return healthy, nil
-	case left == len(all):
+	case staying == 0:
 		return nil, &Refusal{Reason: NoneReady, RetryAfter: minRetryAfter}
+	case ofVersion == 0:
+		return nil, &Refusal{Reason: NoneOfVersion, RetryAfter: minRetryAfter}
 	case full:
 		return nil, &Refusal{Reason: AllFull, RetryAfter: minRetryAfter}
 	case shortestWait > 0:
@@ -266,6 +280,12 @@
 	return nil, &Refusal{Reason: AllTried, RetryAfter: minRetryAfter}
 }
 
+// fitsVersion reports whether the upstream can go on with the stream that the request resumes, if
+// it does: what another software version continues does not fit the events before.
+func (r *Request) fitsVersion(u *Upstream) bool {
+	return !r.Resumes || r.Version != "" && r.Version == u.Version
+}
+
 // nextRequest returns the time until the upstream takes another request of this host, by what it
 // said in answers; 0 if it takes one now.
 func (u *Upstream) nextRequest(now time.Time) time.Duration {
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -31,6 +31,10 @@
 	// largePromptShare is the share of the backlog limit up to which an engine accepts
 	// any prompt, so that prompts larger than the limit are served too.
 	largePromptShare = 0.35
+	// resumedBacklogFactor is the factor by which the backlog limit is higher for resumed
+	// streams. Their callers have received events, and wait longer for the next one than the
+	// latency objective of the first.
+	resumedBacklogFactor = 2
 	// maxKVShare is the share of the KV-cache capacity that requests may fill. Beyond it
 	// an engine preempts running requests and prefills their prompts again.
 	maxKVShare = 0.85
@@ -95,6 +99,9 @@
 // still begin the answer within the request's latency objective.
 func (s *prefillStats) maxBacklog(req *Request) int64 {
 	share := max(1-rankShareStep*float64(req.Rank), minRankShare)
+	if req.Resumes {
+		share = resumedBacklogFactor
+	}
 	return int64(s.rate * float64(req.LatencyObjective/time.Millisecond) * share)
 }
 
