Resume a caller's stream only at the software version that began it

A resumed stream was placed like a new one. Now the gateway that passes on a first event records service and version under the caller's id of the call. Three other gateways keep the record, by rendezvous hashing over the gateways, so that it outlives the first one; the gateway at which the stream is resumed asks them. If nobody knows the version, or the route has moved to another service, the request is refused at once as not run (stream_not_resumable). Records travel as datagrams, one to each keeper for a stream; no control host takes part, so that it works while the control group is away.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -34,6 +34,7 @@
 	DeadlineUnmet      Kind = "deadline_unmet"
 	Displaced          Kind = "displaced"
 	NoUpstream         Kind = "no_upstream"
+	StreamNotResumable Kind = "stream_not_resumable"
 	Quarantined        Kind = "quarantined"
 	SuspectBusy        Kind = "suspect_busy"
 	Draining           Kind = "draining"
@@ -87,6 +88,7 @@
 	DeadlineUnmet:      {http.StatusServiceUnavailable, NotRun, true},
 	Displaced:          {http.StatusServiceUnavailable, NotRun, true},
 	NoUpstream:         {http.StatusServiceUnavailable, NotRun, true},
+	StreamNotResumable: {http.StatusServiceUnavailable, NotRun, true},
 	Quarantined:        {http.StatusUnprocessableEntity, NotRun, false},
 	SuspectBusy:        {http.StatusServiceUnavailable, NotRun, true},
 	Draining:           {http.StatusServiceUnavailable, NotRun, true},
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -52,6 +52,9 @@
 		if event.HasID && a.eventsSent > 0 && event.ID <= a.lastEventID {
 			continue
 		}
+		if a.eventsSent == 0 {
+			a.recordOrigin()
+		}
 		a.writeHeader(w, answer)
 		if !a.writeEvent(w, event) {
 			return resultAnswered
@@ -67,7 +70,6 @@
 	maps.Copy(w.Header(), a.handler.Dialect.AnswerHeader(answer.Header))
 	w.Header().Del("Content-Length")
 	w.WriteHeader(answer.StatusCode)
-	a.streamVersion = a.target.Version
 	a.recordFirstEvent()
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -161,8 +162,7 @@
 	case placement.NoneReady:
 		return nil, noReadyUpstream(service)
 	case placement.NoneOfVersion:
-		return nil, errkind.New(errkind.NoUpstream, "service %q has no ready upstream of software version %q, which began the stream", service, q.streamVersion).
-			WithRetryAfter(noUpstreamRetryAfter)
+		return nil, notResumable(fmt.Sprintf("service %q has no ready upstream of software version %q, which began the stream", service, q.streamVersion))
 	default:
 		return nil, errkind.New(errkind.NoUpstream, "all upstreams of service %q were tried", service).WithRetryAfter(noUpstreamRetryAfter)
 	}
@@ -173,7 +173,7 @@
 func (q *request) placementRequest(service string) *placement.Request {
 	r := &placement.Request{
 		Service: service, PromptTokens: q.InputTokens, MaxOutputTokens: q.OutputTokens, Exclude: q.excludedUpstreams, MaxInFlight: q.inFlightLimit(),
-		LatencyObjective: q.route.LatencyObjective, Rank: q.rank(), Resumes: q.eventsSent > 0, Version: q.streamVersion,
+		LatencyObjective: q.route.LatencyObjective, Rank: q.rank(), Resumes: q.goesOn(), Version: q.streamVersion,
 	}
 	if q.service != nil && q.service.Engine != nil {
 		r.PrefixTransfer, r.KVCapacity = q.service.Engine.PrefixTransfer, q.service.Engine.KVCapacity
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -166,19 +166,25 @@
 		return errkind.New(errkind.Draining, "the host is stopping").WithRetryAfter(drainingRetryAfter)
 	}
 	q.setDeadline()
-	q.serviceName = q.pickService()
-	q.service = q.view.Index.Service(q.serviceName)
+	q.setService(q.pickService())
 	if refusal := q.readBody(w, r); refusal != nil {
 		return refusal
 	}
 	return q.checkQuarantine()
 }
 
+func (q *request) setService(name string) {
+	q.serviceName, q.service = name, q.view.Index.Service(name)
+}
+
 // serve reserves tokens, sends the request to upstreams, and settles the reservation.
 func (q *request) serve(w http.ResponseWriter, r *http.Request) *errkind.Error {
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	if refusal := q.findOrigin(); refusal != nil {
+		return refusal
+	}
 	if refusal := q.reserve(); refusal != nil {
 		return refusal
 	}
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -23,6 +23,7 @@
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/rto"
+	"github.com/godwitbend/godwitbend/internal/streamorigin"
 )
 
 const (
@@ -73,6 +74,8 @@
 	allowance       *prepaid.Allowance
 	witness         *prepaid.Witness
 	traits          *crashcause.Host
+	origins         *streamorigin.Table
+	gossipConn      atomic.Pointer[net.UDPConn] // nil until Gossip runs
 	view            atomic.Pointer[View]
 	lastSync        atomic.Pointer[time.Time] // time of the latest successful call
 	wake            chan struct{}
@@ -146,6 +149,7 @@
 		syncDone:    make(chan struct{}),
 		unreachable: map[string]time.Time{},
 		traits:      crashcause.NewHost(),
+		origins:     streamorigin.NewTable(),
 	}
 }
 
--- a/internal/hostsync/gossip.go
+++ b/internal/hostsync/gossip.go
@@ -27,17 +27,19 @@
 	maxDatagramBytes = 8 << 10
 )
 
-// loadMessage is the datagram with which a host publishes its load to the other hosts. Each
-// message holds the whole load, so that the next one makes up for a lost one.
-type loadMessage struct {
+// gossipMessage is a datagram to other hosts. One with a Seq publishes the whole load of the host, so
+// that the next one makes up for a lost one.
+type gossipMessage struct {
 	Session uint64                    `cbor:"1,keyasint"`
 	Seq     uint64                    `cbor:"2,keyasint"`
 	Loads   map[uint32]placement.Load `cbor:"3,keyasint,omitempty"`
 	// RecentPrefixes are the prompt prefixes that were prefilled recently.
 	RecentPrefixes []placement.CachedPrefix `cbor:"4,keyasint,omitempty"`
+	// StreamOrigins are records for the receiver to keep.
+	StreamOrigins []streamOriginRecord `cbor:"5,keyasint,omitempty"`
 }
 
-// Gossip exchanges loads with the other gateway hosts until ctx ends.
+// Gossip exchanges datagrams with the other gateway hosts until ctx ends.
 func (c *Client) Gossip(ctx context.Context) error {
 	address, err := netip.ParseAddrPort(c.options.Address)
 	if err != nil {
@@ -45,11 +47,12 @@
 	}
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return eris.Wrap(err, "listen for load messages")
+		return eris.Wrap(err, "listen for messages of other hosts")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	go c.receiveLoads(ctx, conn)
+	c.gossipConn.Store(conn)
+	go c.receiveMessages(ctx, conn)
 	c.sendLoads(ctx, conn)
 	return nil
 }
@@ -79,7 +82,7 @@
 		return
 	}
 	pool := c.options.Pool
-	data, err := codec.Marshal(&loadMessage{
+	data, err := codec.Marshal(&gossipMessage{
 		Session: c.opening.Session, Seq: seq, Loads: pool.LoadsByShortID(), RecentPrefixes: pool.RecentPrefixes(),
 	})
 	if err != nil || len(data) > maxDatagramBytes {
@@ -110,19 +113,25 @@
 	return list
 }
 
-func (c *Client) receiveLoads(ctx context.Context, conn *net.UDPConn) {
+func (c *Client) receiveMessages(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, _, err := conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
-				klog.ErrorS(err, "no longer receiving load messages")
+				klog.ErrorS(err, "no longer receiving messages of other hosts")
 			}
 			return
 		}
-		var msg loadMessage
+		var msg gossipMessage
 		if err := codec.Unmarshal(buffer[:n], &msg); err != nil {
-			klog.V(2).InfoS("invalid load message", "error", err.Error())
+			klog.V(2).InfoS("invalid message of another host", "error", err.Error())
+			continue
+		}
+		for i := range msg.StreamOrigins {
+			c.keepStreamOrigin(&msg.StreamOrigins[i])
+		}
+		if msg.Seq == 0 {
 			continue
 		}
 		c.options.Pool.ApplyPeerLoad(msg.Session, msg.Seq, msg.Loads, msg.RecentPrefixes, time.Now())
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -73,6 +73,7 @@
 func (c *Client) NewServer() *rpc.Server {
 	srv := rpc.NewServer()
 	c.registerWitness(srv)
+	c.registerStreamOrigin(srv)
 	rpc.Handle(srv, methodTransfer, c.handleTransfer)
 	rpc.Handle(srv, methodReturn, c.handleReturn)
 	return srv
