Keep the origins of streams by the fingerprint of their requests

A resumed stream repeats its request, so its fingerprint finds the record as well, and chooses the keepers. An id that is given still decides between equal requests; without one the version must be the same for all of them. Ruled out: a second record by fingerprint beside the one by id, which doubles the messages.

--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -18,14 +18,6 @@
 // resumesStream reports whether the caller resumes a stream that it received in part.
 func (q *request) resumesStream() bool { return q.Resumes && q.route.Kind == catalog.Streaming }
 
-// originKey returns the key of the record of where a stream of the caller's organisation began.
-func (q *request) originKey(callID string) string {
-	if q.organisation == nil {
-		return "\x00" + callID
-	}
-	return q.organisation.Name + "\x00" + callID
-}
-
 // recordOrigin records, with the first event of a stream, which software version began it.
 func (a *attempt) recordOrigin() {
 	if a.goesOn() {
@@ -39,8 +31,10 @@
 	if timeout <= 0 {
 		timeout = defaultCallerTimeout
 	}
-	origin := streamorigin.Origin{Service: a.serviceName, Version: a.streamVersion}
-	a.handler.Sync.RecordStreamOrigin(a.originKey(a.ID), origin, time.Until(a.arrived.Add(timeout))+originSlack)
+	a.handler.Sync.RecordStreamOrigin(streamorigin.Record{
+		Fingerprint: a.fingerprint(), CallID: a.ID, Origin: streamorigin.Origin{Service: a.serviceName, Version: a.streamVersion},
+		Lifetime: time.Until(a.arrived.Add(timeout)) + originSlack,
+	})
 }
 
 // findOrigin finds out which software version began the stream that the caller resumes, and
@@ -49,10 +43,7 @@
 	if !q.resumesStream() {
 		return nil
 	}
-	origin, known := streamorigin.Origin{}, false
-	if q.StreamOrigin != "" {
-		origin, known = q.handler.Sync.StreamOrigin(q.ctx, q.originKey(q.StreamOrigin))
-	}
+	origin, known := q.handler.Sync.StreamOrigin(q.ctx, q.fingerprint(), q.StreamOrigin)
 	if !known {
 		return notResumable("the software version that began the stream is not known")
 	}
--- a/internal/hostsync/gossip.go
+++ b/internal/hostsync/gossip.go
@@ -11,6 +11,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/codec"
 	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/streamorigin"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
@@ -36,7 +37,7 @@
 	// RecentPrefixes are the prompt prefixes that were prefilled recently.
 	RecentPrefixes []placement.CachedPrefix `cbor:"4,keyasint,omitempty"`
 	// StreamOrigins are records for the receiver to keep.
-	StreamOrigins []streamOriginRecord `cbor:"5,keyasint,omitempty"`
+	StreamOrigins []streamorigin.Record `cbor:"5,keyasint,omitempty"`
 }
 
 // Gossip exchanges datagrams with the other gateway hosts until ctx ends.
@@ -129,7 +130,7 @@
 			continue
 		}
 		for i := range msg.StreamOrigins {
-			c.keepStreamOrigin(&msg.StreamOrigins[i])
+			c.keepStreamOrigin(msg.StreamOrigins[i])
 		}
 		if msg.Seq == 0 {
 			continue
--- a/internal/hostsync/streamorigin.go
+++ b/internal/hostsync/streamorigin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -19,16 +20,9 @@
 // takes a few milliseconds, or about 100 ms if they are busy.
 const streamOriginTimeout = 300 * time.Millisecond
 
-// streamOriginRecord tells another host to keep the origin of a stream.
-type streamOriginRecord struct {
-	Key    string              `cbor:"1,keyasint"`
-	Origin streamorigin.Origin `cbor:"2,keyasint"`
-	// Lifetime is the time for which the record is needed.
-	Lifetime time.Duration `cbor:"3,keyasint"`
-}
-
 type streamOriginRequest struct {
-	Key string `cbor:"1,keyasint"`
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	CallID      string `cbor:"2,keyasint,omitempty"`
 }
 
 type streamOriginReply struct {
@@ -38,43 +32,42 @@
 
 func (c *Client) registerStreamOrigin(srv *rpc.Server) {
 	rpc.Handle(srv, methodStreamOrigin, func(_ context.Context, req *streamOriginRequest) (*streamOriginReply, error) {
-		origin, known := c.origins.Get(req.Key, time.Now())
+		origin, known := c.origins.Get(req.Fingerprint, req.CallID, time.Now())
 		return &streamOriginReply{Origin: origin, Known: known}, nil
 	})
 }
 
-// RecordStreamOrigin keeps the origin of a stream for lifetime, here and on a few other hosts.
-// The messages to them may be lost.
-func (c *Client) RecordStreamOrigin(key string, o streamorigin.Origin, lifetime time.Duration) {
-	record := streamOriginRecord{Key: key, Origin: o, Lifetime: lifetime}
-	if !c.keepStreamOrigin(&record) {
+// RecordStreamOrigin keeps the origin of a stream here and on a few other hosts. The messages to
+// them may be lost.
+func (c *Client) RecordStreamOrigin(r streamorigin.Record) {
+	if !c.keepStreamOrigin(r) {
 		return
 	}
 	conn := c.gossipConn.Load()
 	if conn == nil {
 		return
 	}
-	data, err := codec.Marshal(&gossipMessage{StreamOrigins: []streamOriginRecord{record}})
+	data, err := codec.Marshal(&gossipMessage{StreamOrigins: []streamorigin.Record{r}})
 	if err != nil {
-		klog.ErrorS(err, "origin of a stream not sent", "stream_origin", key)
+		klog.ErrorS(err, "origin of a stream not sent", "stream_origin", r.CallID)
 		return
 	}
-	for _, host := range streamorigin.KeepersOf(key, c.options.Address, c.peerAddresses(), streamorigin.Keepers) {
+	for _, host := range streamorigin.KeepersOf(r.Fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Keepers) {
 		address, err := netip.ParseAddrPort(host)
 		if err == nil {
 			_, err = conn.WriteToUDPAddrPort(data, address)
 		}
 		if err != nil {
-			klog.V(2).InfoS("origin of a stream not sent", "stream_origin", key, "peer", host, "error", err.Error())
+			klog.V(2).InfoS("origin of a stream not sent", "stream_origin", r.CallID, "peer", host, "error", err.Error())
 		}
 	}
 }
 
 // keepStreamOrigin keeps a record on this host, and reports whether there is room for it.
-func (c *Client) keepStreamOrigin(r *streamOriginRecord) bool {
-	kept := c.origins.Put(r.Key, r.Origin, r.Lifetime, time.Now())
+func (c *Client) keepStreamOrigin(r streamorigin.Record) bool {
+	kept := c.origins.Put(r, time.Now())
 	if !kept {
-		klog.InfoS("origin of a stream not kept", "key_bytes", len(r.Key))
+		klog.InfoS("origin of a stream not kept: too many, or its id is too long", "id_bytes", len(r.CallID))
 	}
 	return kept
 }
@@ -90,18 +83,19 @@
 	return addresses
 }
 
-// StreamOrigin returns the origin of a stream, which this host keeps or asks others for, and whether
-// it is known.
-func (c *Client) StreamOrigin(ctx context.Context, key string) (streamorigin.Origin, bool) {
-	if origin, known := c.origins.Get(key, time.Now()); known {
+// StreamOrigin returns the origin of the stream that a call began, and whether it is known, here or
+// on the hosts that keep it. If callID is empty, any stream of the same request is meant.
+func (c *Client) StreamOrigin(ctx context.Context, fingerprint uint64, callID string) (streamorigin.Origin, bool) {
+	if origin, known := c.origins.Get(fingerprint, callID, time.Now()); known {
 		return origin, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, streamOriginTimeout)
 	defer cancel()
-	hosts := streamorigin.KeepersOf(key, c.options.Address, c.peerAddresses(), streamorigin.Lookups)
+	req := &streamOriginRequest{Fingerprint: fingerprint, CallID: callID}
+	hosts := streamorigin.KeepersOf(fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Lookups)
 	replies := make(chan *streamOriginReply, len(hosts))
 	for _, host := range hosts {
-		go func() { replies <- c.askStreamOrigin(ctx, host, key) }()
+		go func() { replies <- c.askStreamOrigin(ctx, host, req) }()
 	}
 	for range hosts {
 		if reply := <-replies; reply.Known {
@@ -112,11 +106,11 @@
 }
 
 // askStreamOrigin asks one host for the origin of a stream. If the call fails the reply is empty.
-func (c *Client) askStreamOrigin(ctx context.Context, host, key string) *streamOriginReply {
-	reply, err := rpc.Call[streamOriginRequest, streamOriginReply](ctx, c.rpc, host, methodStreamOrigin, &streamOriginRequest{Key: key})
+func (c *Client) askStreamOrigin(ctx context.Context, host string, req *streamOriginRequest) *streamOriginReply {
+	reply, err := rpc.Call[streamOriginRequest, streamOriginReply](ctx, c.rpc, host, methodStreamOrigin, req)
 	if err != nil {
-		if ctx.Err() == nil {
-			klog.InfoS("host not asked for the origin of a stream", "stream_origin", key, "peer", host, "error", err.Error())
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			klog.InfoS("host did not tell the origin of a stream", "stream_origin", req.CallID, "peer", host, "error", err.Error())
 		}
 		return &streamOriginReply{}
 	}
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -1,10 +1,11 @@
 // Package streamorigin remembers which software version began a stream, for callers that resume
-// it at another host. A few hosts keep each record, chosen by its key alone, so that any host finds
-// them without knowing where the stream began.
+// it at another host. A few hosts keep each record, chosen by the fingerprint of the request, so
+// that any host finds them without knowing where the stream began.
 package streamorigin
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
@@ -20,10 +21,12 @@
 	Lookups = Keepers + 1
 	// MaxLifetime bounds the time for which a record is kept.
 	MaxLifetime = 10 * time.Minute
-	// MaxKeyBytes bounds the length of a key.
-	MaxKeyBytes = 512
-	// maxRecords bounds the records on one host.
-	maxRecords = 1 << 15
+	// MaxCallIDBytes bounds the length of the id of a call.
+	MaxCallIDBytes = 256
+	// maxRecords bounds the records on one host, and maxRecordsPerRequest those of one
+	// fingerprint, of which the oldest yield.
+	maxRecords           = 1 << 15
+	maxRecordsPerRequest = 256
 	// purgeInterval is the time between two removals of expired records.
 	purgeInterval = time.Second
 )
@@ -35,58 +38,90 @@
 	Version string `cbor:"2,keyasint"`
 }
 
+// Record states the origin of one stream.
+type Record struct {
+	// Fingerprint is a hash of what is the same in all retries of the request.
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	// CallID is the id of the call that delivered the first event.
+	CallID string `cbor:"2,keyasint"`
+	Origin Origin `cbor:"3,keyasint"`
+	// Lifetime is the time for which the record is needed.
+	Lifetime time.Duration `cbor:"4,keyasint"`
+}
+
 // Table holds the records that this host keeps. It is safe for concurrent use, and has no clock:
 // times are passed in.
 type Table struct {
-	mu       sync.Mutex
-	records  map[string]record
+	mu sync.Mutex
+	// records holds the records by fingerprint, oldest first.
+	records  map[uint64][]entry
+	count    int
 	purgedAt time.Time
 }
 
-type record struct {
-	Origin
+type entry struct {
+	callID    string
+	origin    Origin
 	expiresAt time.Time
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{records: map[string]record{}} }
+func NewTable() *Table { return &Table{records: map[uint64][]entry{}} }
 
-// Put keeps a record for lifetime, at most MaxLifetime. It returns false if the table is full or
-// the key too long.
-func (t *Table) Put(key string, o Origin, lifetime time.Duration, now time.Time) bool {
+// Put keeps a record for its lifetime, at most MaxLifetime. It returns false if the table is full
+// or the id of the call too long.
+func (t *Table) Put(r Record, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.purgedAt) >= purgeInterval {
 		t.purge(now)
 	}
-	_, known := t.records[key]
-	if len(key) > MaxKeyBytes || !known && len(t.records) >= maxRecords {
+	if len(r.CallID) > MaxCallIDBytes || t.count >= maxRecords {
 		return false
 	}
-	t.records[key] = record{o, now.Add(min(lifetime, MaxLifetime))}
+	list := t.records[r.Fingerprint]
+	if len(list) >= maxRecordsPerRequest {
+		list = slices.Delete(list, 0, 1)
+		t.count--
+	}
+	t.records[r.Fingerprint] = append(list, entry{r.CallID, r.Origin, now.Add(min(r.Lifetime, MaxLifetime))})
+	t.count++
 	return true
 }
 
 func (t *Table) purge(now time.Time) {
-	t.purgedAt = now
-	for key, r := range t.records {
-		if !now.Before(r.expiresAt) {
-			delete(t.records, key)
+	t.purgedAt, t.count = now, 0
+	for fingerprint, list := range t.records {
+		list = slices.DeleteFunc(list, func(e entry) bool { return !now.Before(e.expiresAt) })
+		if len(list) == 0 {
+			delete(t.records, fingerprint)
+			continue
 		}
+		t.records[fingerprint] = list
+		t.count += len(list)
 	}
 }
 
-// Get returns the record with the given key.
-func (t *Table) Get(key string, now time.Time) (Origin, bool) {
+// Get returns the origin of the stream that the call with the given id began. If callID is empty it
+// returns the origin of all streams of the fingerprint, provided that they have the same one.
+func (t *Table) Get(fingerprint uint64, callID string, now time.Time) (origin Origin, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, known := t.records[key]
-	return r.Origin, known && now.Before(r.expiresAt)
+	for _, e := range t.records[fingerprint] {
+		if callID != "" && e.callID != callID || !now.Before(e.expiresAt) {
+			continue
+		}
+		if known && e.origin != origin {
+			return Origin{}, false
+		}
+		origin, known = e.origin, true
+	}
+	return origin, known
 }
 
-// KeepersOf returns the n hosts of highest rendezvous weight for the key, own excluded. Hosts that
-// know the same fleet agree on them.
-func KeepersOf(key, own string, hosts []string, n int) []string {
+// KeepersOf returns the n hosts of highest rendezvous weight for the fingerprint, own excluded.
+// Hosts that know the same fleet agree on them.
+func KeepersOf(fingerprint uint64, own string, hosts []string, n int) []string {
 	type candidate struct {
 		host   string
 		weight uint64
@@ -94,7 +129,7 @@
 	candidates := make([]candidate, 0, len(hosts))
 	for _, h := range hosts {
 		if h != own {
-			candidates = append(candidates, candidate{h, weight(key, h)})
+			candidates = append(candidates, candidate{h, weight(fingerprint, h)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -107,11 +142,10 @@
 	return keepers
 }
 
-func weight(key, host string) uint64 {
+func weight(fingerprint uint64, host string) uint64 {
 	var h xxhash.Digest
 	h.Reset()
-	_, _ = h.WriteString(key)
-	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, fingerprint))
 	_, _ = h.WriteString(host)
 	return h.Sum64()
 }
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -13,28 +13,55 @@
 
 var now = time.Unix(1_000_000, 0)
 
+func record(fingerprint uint64, callID, version string) streamorigin.Record {
+	return streamorigin.Record{
+		Fingerprint: fingerprint, CallID: callID, Origin: streamorigin.Origin{Service: "s", Version: version}, Lifetime: time.Minute,
+	}
+}
+
 func TestRecordsExpireAndAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	table := streamorigin.NewTable()
-	origin := streamorigin.Origin{Service: "s", Version: "v1"}
-	g.Expect(table.Put("a", origin, time.Minute, now)).To(BeTrue())
-	got, known := table.Get("a", now.Add(59*time.Second))
+	g.Expect(table.Put(record(1, "a", "v1"), now)).To(BeTrue())
+	origin, known := table.Get(1, "a", now.Add(59*time.Second))
 	g.Expect(known).To(BeTrue())
-	g.Expect(got).To(Equal(origin))
-	_, known = table.Get("a", now.Add(time.Minute))
+	g.Expect(origin).To(Equal(streamorigin.Origin{Service: "s", Version: "v1"}))
+	_, known = table.Get(1, "a", now.Add(time.Minute))
 	g.Expect(known).To(BeFalse())
-	g.Expect(table.Put("b", origin, 24*time.Hour, now)).To(BeTrue())
-	_, known = table.Get("b", now.Add(streamorigin.MaxLifetime))
+	long := record(2, "b", "v1")
+	long.Lifetime = 24 * time.Hour
+	g.Expect(table.Put(long, now)).To(BeTrue())
+	_, known = table.Get(2, "b", now.Add(streamorigin.MaxLifetime))
 	g.Expect(known).To(BeFalse())
-	g.Expect(table.Put(strings.Repeat("k", streamorigin.MaxKeyBytes+1), origin, time.Minute, now)).To(BeFalse())
+	g.Expect(table.Put(record(3, strings.Repeat("k", streamorigin.MaxCallIDBytes+1), "v1"), now)).To(BeFalse())
 	kept := 0
-	for i := range 100_000 {
-		if table.Put(fmt.Sprint(i), origin, time.Minute, now) {
+	for i := range uint64(100_000) {
+		if table.Put(record(i, "c", "v1"), now) {
 			kept++
 		}
 	}
 	g.Expect(kept).To(And(BeNumerically(">", 10_000), BeNumerically("<", 100_000)))
-	g.Expect(table.Put("c", origin, time.Minute, now.Add(2*time.Minute))).To(BeTrue(), "expired records make room")
+	g.Expect(table.Put(record(4, "d", "v1"), now.Add(2*time.Minute))).To(BeTrue(), "expired records make room")
+}
+
+// Guards against the version of another stream with the same request.
+func TestStreamsOfEqualRequestsAreToldApart(t *testing.T) {
+	g := NewWithT(t)
+	table := streamorigin.NewTable()
+	g.Expect(table.Put(record(1, "a", "v1"), now)).To(BeTrue())
+	origin, known := table.Get(1, "", now)
+	g.Expect(known).To(BeTrue(), "the caller does not name the call, and there is one")
+	g.Expect(origin.Version).To(Equal("v1"))
+	g.Expect(table.Put(record(1, "b", "v2"), now)).To(BeTrue())
+	for id, version := range map[string]string{"a": "v1", "b": "v2"} {
+		origin, known = table.Get(1, id, now)
+		g.Expect(known).To(BeTrue())
+		g.Expect(origin.Version).To(Equal(version))
+	}
+	_, known = table.Get(1, "", now)
+	g.Expect(known).To(BeFalse(), "there are two, of different versions")
+	_, known = table.Get(1, "c", now)
+	g.Expect(known).To(BeFalse())
 }
 
 // Guards against records that the host which needs them does not find: whichever host began the
@@ -48,11 +75,11 @@
 		}
 		load := map[string]int{}
 		for i := range 200 {
-			key := fmt.Sprintf("attempt-%d", i)
+			fingerprint := uint64(i) * 7919
 			began, resumed := hosts[i%size], hosts[(i+1)%size]
-			keepers := streamorigin.KeepersOf(key, began, hosts, streamorigin.Keepers)
+			keepers := streamorigin.KeepersOf(fingerprint, began, hosts, streamorigin.Keepers)
 			g.Expect(keepers).To(HaveLen(min(streamorigin.Keepers, size-1)))
-			asked := append(streamorigin.KeepersOf(key, resumed, hosts, streamorigin.Lookups), resumed)
+			asked := append(streamorigin.KeepersOf(fingerprint, resumed, hosts, streamorigin.Lookups), resumed)
 			for _, k := range keepers {
 				g.Expect(k).NotTo(Equal(began))
 				g.Expect(asked).To(ContainElement(k))
