Fetch a prompt prefix only from an upstream of the same software version

An engine was told to fetch the KV cache of a prefix from whichever upstream had it, also of another version, and answers to callers then rest on memory that does not fit. TestPrefixIsNotFetchedFromAnotherSoftwareVersion on the code before: the source is at v2 and the engine at v1. Now the likely holder is kept for each version, and a copy at another version counts as none. Not affected: the product's own entry hosts resume a stream only at the process that began it, and fetch no caches.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -322,11 +322,11 @@
 	home := slices.MaxFunc(candidates, func(a, b *Upstream) int {
 		return cmp.Or(cmp.Compare(rendezvousWeight(a.ID, req.Prefix), rendezvousWeight(b.ID, req.Prefix)), cmp.Compare(a.ID, b.ID))
 	})
-	holder := likelyHolder(req.Prefix, home, candidates, now)
+	holders := likelyHolders(req.Prefix, home, candidates, now)
 	minBacklog = math.MaxInt64
 	var bestCost int64
 	for _, u := range candidates {
-		unprefilled, penalty := req.prefillCost(u, u == home, holder, now)
+		unprefilled, penalty := req.prefillCost(u, u == home, holders.of(u.Version), now)
 		minBacklog = min(minBacklog, u.backlog())
 		if !stats.admits(req, u, unprefilled) || !fitsKVCache(req, u, unprefilled+req.MaxOutputTokens) {
 			continue
@@ -336,27 +336,50 @@
 			best, bestCost = &Assignment{Upstream: u, prefix: req.Prefix, hasPrefix: true, unprefilled: unprefilled}, cost
 		}
 	}
-	if best != nil && req.PrefixTransfer && holder != best.Upstream && !best.likelyCached(req.Prefix, now) && !best.likelyPrefilling(req.Prefix, now) {
+	if best == nil {
+		return nil, minBacklog
+	}
+	holder := holders.of(best.Version)
+	if req.PrefixTransfer && holder != nil && holder != best.Upstream && !best.likelyCached(req.Prefix, now) && !best.likelyPrefilling(req.Prefix, now) {
 		best.PrefixSource = holder.Address
 	}
 	return best, minBacklog
 }
 
-// likelyHolder returns the upstream most likely to have a prefix cached.
-func likelyHolder(prefix uint64, home *Upstream, candidates []*Upstream, now time.Time) *Upstream {
-	if home.likelyCached(prefix, now) {
-		return home
-	}
+// prefixHolders holds, for each software version, the upstream that most likely has a prefix cached.
+// An upstream can't use the KV cache of another version.
+type prefixHolders []*Upstream
+
+func likelyHolders(prefix uint64, home *Upstream, candidates []*Upstream, now time.Time) prefixHolders {
+	holders := prefixHolders{home}
 	for _, u := range candidates {
-		if u.likelyCached(prefix, now) {
+		if !u.likelyCached(prefix, now) {
+			continue
+		}
+		i := slices.IndexFunc(holders, func(h *Upstream) bool { return h.Version == u.Version })
+		switch {
+		case i < 0:
+			holders = append(holders, u)
+		case !holders[i].likelyCached(prefix, now):
+			holders[i] = u
+		}
+	}
+	return holders
+}
+
+// of returns the holder of a software version, or nil if there is none.
+func (h prefixHolders) of(version string) *Upstream {
+	for _, u := range h {
+		if u.Version == version {
 			return u
 		}
 	}
-	return home
+	return nil
 }
 
 // prefillCost returns the prompt tokens that u would have to prefill, and the penalty
-// in tokens for a prefix transfer or a non-home copy.
+// in tokens for a prefix transfer or a non-home copy. holder is the upstream of the same version that
+// most likely has the prefix cached, or nil.
 func (req *Request) prefillCost(u *Upstream, home bool, holder *Upstream, now time.Time) (unprefilled, penalty int64) {
 	uncached := max(req.PromptTokens-req.PrefixTokens, 0)
 	switch {
@@ -364,7 +387,7 @@
 		return uncached, 0
 	case home:
 		return req.PromptTokens, 0
-	case req.PrefixTransfer && holder.likelyCached(req.Prefix, now):
+	case req.PrefixTransfer && holder != nil && holder.likelyCached(req.Prefix, now):
 		return uncached, prefixTransferCost + nonHomeCost
 	default:
 		return req.PromptTokens, nonHomeCost
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -93,3 +93,27 @@
 	g.Expect(refused.RetryAfter).To(BeNumerically("<=", maxRetryAfter))
 	g.Expect(refused.RetryAfter).To(BeNumerically(">", time.Duration(0)))
 }
+
+// Guards against a KV cache of one software version that is read by another.
+func TestPrefixIsNotFetchedFromAnotherSoftwareVersion(t *testing.T) {
+	g := NewWithT(t)
+	fetched := 0
+	for prefix := range uint64(60) {
+		p := newVersionedPool("v1", "v1", "v2", "v2")
+		home := mustChoose(g, p, prefixRequest(prefix))
+		p.MarkPrefilled(home, startTime)
+		p.Release(home)
+		for range 40 {
+			a, refused := p.Choose(prefixRequest(prefix), startTime)
+			if refused != nil {
+				break
+			}
+			if a.PrefixSource != "" {
+				fetched++
+				g.Expect(a.PrefixSource).To(Equal(home.Address))
+				g.Expect(a.Version).To(Equal(home.Version))
+			}
+		}
+	}
+	g.Expect(fetched).To(BeNumerically(">", 0), "an upstream of the same version fetches")
+}
