--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -232,6 +232,8 @@
 			a.reportOutcome(placement.Unreachable)
 		}
 		a.lastFailure = failureUnreachable
+		klog.InfoS("no connection to an upstream", append(a.logFields(), "target", a.target.ID, "address", a.target.Address,
+			"dial_ms", time.Since(a.sentAt).Milliseconds(), "error", err.Error())...)
 		return resultNotRun
 	}
 	a.attempts++
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -31,7 +31,9 @@
 	Sync    *hostsync.Client
 	Pool    *placement.Pool
 	Retries *retrylimit.Limiter
-	Scope   tally.Scope
+	// Dial connects to upstreams.
+	Dial  upstreamhttp.DialFunc
+	Scope tally.Scope
 	// Clock returns the time since boot in nanoseconds.
 	Clock func() int64
 }
@@ -55,7 +57,7 @@
 func NewHandler(o Options) *Handler {
 	return &Handler{
 		Options:          o,
-		upstreams:        upstreamhttp.NewClient(),
+		upstreams:        upstreamhttp.NewClient(o.Dial),
 		startupDeadline:  time.Now().Add(startupTimeout),
 		served:           o.Scope.Counter("answers"),
 		upstreamCrashes:  o.Scope.Counter("upstream_crashes"),
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -38,7 +38,7 @@
 	limit := retrylimit.Settings{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration}
 	handler := gateway.NewHandler(gateway.Options{
 		Dialect: adapter.Dialect, Sync: client, Pool: pool, Retries: retrylimit.New(limit, time.Now()),
-		Scope: metrics.Scope, Clock: bootTime,
+		Dial: adapter.Dial, Scope: metrics.Scope, Clock: bootTime,
 	})
 	ready := func() error {
 		if err := ctx.Err(); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/settings"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
 const (
@@ -44,6 +45,8 @@
 	DecodeDocument func(content []byte) (*catalog.Document, error)
 	// Ready returns the handler of the load balancer's readiness check.
 	Ready func(ready func() error) http.Handler
+	// Dial connects to upstreams.
+	Dial upstreamhttp.DialFunc
 	// Control returns the handler for operators and the reports of upstreams.
 	Control func(n *controlnode.Node) http.Handler
 }
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -74,14 +74,23 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// DialFunc connects to address within timeout.
+type DialFunc func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+
+// DialTCP is the DialFunc for TCP connections.
+func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	return netconn.Dial(ctx, address, timeout, unackedTimeout)
+}
+
 // Client sends requests to upstreams. It is safe for concurrent use.
 type Client struct {
+	dialFunc    DialFunc
 	dialTimeout *rto.Estimator
 }
 
-// NewClient returns a client.
-func NewClient() *Client {
-	return &Client{dialTimeout: rto.NewEstimator(minDialTimeout, maxDialTimeout)}
+// NewClient returns a client that connects with dial.
+func NewClient(dial DialFunc) *Client {
+	return &Client{dialFunc: dial, dialTimeout: rto.NewEstimator(minDialTimeout, maxDialTimeout)}
 }
 
 // Reachable reports whether connections to address are accepted.
@@ -96,7 +105,7 @@
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	started := time.Now()
-	conn, err := netconn.Dial(ctx, address, c.dialTimeout.Timeout(), unackedTimeout)
+	conn, err := c.dialFunc(ctx, address, c.dialTimeout.Timeout())
 	var netErr net.Error
 	switch {
 	case err == nil:
