Connect to upstreams through other hosts while the own links are lost

A gateway had only its own links, and took their loss for failures of one upstream after the other. Now a connection that two upstreams in a row did not accept is asked of another gateway (internal/tunnel). Ejections end when a cut is found, as they were the links' fault. A host that is cut off itself carries no tunnel and says so, so that the next one is asked; an upstream that two hosts can't reach is down. The choice of upstreams, budgets and billing stay with the gateway that has the caller. Ruled out: refusing readiness, as open connections stay and a whole zone may be cut off; lack of tokens or configuration, as the control group was in reach.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -83,7 +83,7 @@
 // reportCrash reports to the control group that the upstream crashed at the given time while it
 // ran the request. An upstream that still accepts connections has not crashed.
 func (a *attempt) reportCrash(at time.Time) {
-	if a.handler.upstreams.Reachable(context.Background(), a.target.Address) {
+	if a.handler.Paths.Reachable(context.Background(), a.target.Address) {
 		return
 	}
 	crash := crashcause.Crash{
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -17,6 +17,7 @@
 	"github.com/godwitbend/godwitbend/internal/retrylimit"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
+	"github.com/godwitbend/godwitbend/internal/upstreampath"
 )
 
 // timeToFirstEventBuckets are the upper bounds of the histogram of times to the first event.
@@ -31,8 +32,8 @@
 	Sync    *hostsync.Client
 	Pool    *placement.Pool
 	Retries *retrylimit.Limiter
-	// Dial connects to upstreams.
-	Dial  upstreamhttp.DialFunc
+	// Paths connects to upstreams.
+	Paths *upstreampath.Dialer
 	Scope tally.Scope
 	// Clock returns the time since boot in nanoseconds.
 	Clock func() int64
@@ -57,7 +58,7 @@
 func NewHandler(o Options) *Handler {
 	return &Handler{
 		Options:          o,
-		upstreams:        upstreamhttp.NewClient(o.Dial),
+		upstreams:        upstreamhttp.NewClient(o.Paths.Dial),
 		startupDeadline:  time.Now().Add(startupTimeout),
 		served:           o.Scope.Counter("answers"),
 		upstreamCrashes:  o.Scope.Counter("upstream_crashes"),
--- a/internal/hostsync/peers.go
+++ b/internal/hostsync/peers.go
@@ -67,3 +67,19 @@
 	slices.SortFunc(merged, controlnode.Peer.Compare)
 	return merged
 }
+
+// OtherHosts returns the addresses of the other gateway hosts.
+func (c *Client) OtherHosts() []string {
+	return slices.DeleteFunc(c.peerAddresses(), func(address string) bool { return address == c.options.Address })
+}
+
+// peerAddresses returns the addresses of the gateway hosts.
+func (c *Client) peerAddresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addresses := make([]string, 0, len(c.peers))
+	for _, p := range c.peers {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
--- a/internal/hostsync/streamorigin.go
+++ b/internal/hostsync/streamorigin.go
@@ -72,17 +72,6 @@
 	return kept
 }
 
-// peerAddresses returns the addresses of the gateway hosts.
-func (c *Client) peerAddresses() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	addresses := make([]string, 0, len(c.peers))
-	for _, p := range c.peers {
-		addresses = append(addresses, p.Address)
-	}
-	return addresses
-}
-
 // StreamOrigin returns the origin of the stream that a call began, and whether it is known, here or
 // on the hosts that keep it. If callID is empty, any stream of the same request is meant.
 func (c *Client) StreamOrigin(ctx context.Context, fingerprint uint64, callID string) (streamorigin.Origin, bool) {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -13,7 +15,11 @@
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/retrylimit"
+	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/internal/tunnel"
+	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
+	"github.com/godwitbend/godwitbend/internal/upstreampath"
 )
 
 const (
@@ -27,6 +33,10 @@
 	// the load balancer detects that it is not ready and directs new connections to
 	// other hosts.
 	drainDelay = 2500 * time.Millisecond
+	// tunnelDialTimeout bounds the connection to another host that carries one to an upstream, and
+	// tunnelUnackedTimeout is how long bytes sent on it may stay unacknowledged.
+	tunnelDialTimeout    = 120 * time.Millisecond
+	tunnelUnackedTimeout = 2 * time.Second
 )
 
 // runGateway serves callers until ctx ends.
@@ -35,10 +45,14 @@
 	client := hostsync.New(hostsync.Options{
 		Host: s.Host, Address: s.Listen.Hosts, Zone: s.Zone, Seeds: s.hostSeeds, Decode: adapter.DecodeDocument, Pool: pool, Clock: bootTime,
 	})
+	paths := upstreampath.NewDialer(upstreampath.Options{
+		Direct: upstreamhttp.NewDialer(adapter.Dial).Dial, Tunnel: tunnelDialer(), Hosts: client.OtherHosts, CutOff: pool.ForgiveFailures,
+		Scope: metrics.Scope,
+	})
 	limit := retrylimit.Settings{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration}
 	handler := gateway.NewHandler(gateway.Options{
 		Dialect: adapter.Dialect, Sync: client, Pool: pool, Retries: retrylimit.New(limit, time.Now()),
-		Dial: adapter.Dial, Scope: metrics.Scope, Clock: bootTime,
+		Paths: paths, Scope: metrics.Scope, Clock: bootTime,
 	})
 	ready := func() error {
 		if err := ctx.Err(); err != nil {
@@ -67,7 +81,9 @@
 		return err
 	}
 	go func() {
-		if err := client.NewServer().Serve(background, hosts); err != nil {
+		srv := client.NewServer()
+		(&tunnel.Server{Dial: paths.DialForOther, Serves: pool.ServesAt}).Register(srv)
+		if err := srv.Serve(background, hosts); err != nil {
 			klog.ErrorS(err, "RPC server for hosts failed")
 		}
 	}()
@@ -97,6 +113,16 @@
 	return failure
 }
 
+// tunnelDialer returns a function that opens tunnels through other hosts.
+func tunnelDialer() func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
+	client := rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		return netconn.Dial(ctx, address, tunnelDialTimeout, tunnelUnackedTimeout)
+	})
+	return func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
+		return tunnel.Dial(ctx, client, via, address, timeout)
+	}
+}
+
 // stopGateway waits until the load balancer directs callers to other hosts, then
 // refuses new requests and waits for those in flight.
 func stopGateway(s *watchedSettings, handler *gateway.Handler, callers *http.Server) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,7 +46,7 @@
 	// Ready returns the handler of the load balancer's readiness check.
 	Ready func(ready func() error) http.Handler
 	// Dial connects to upstreams.
-	Dial upstreamhttp.DialFunc
+	Dial upstreamhttp.TimedDialFunc
 	// Control returns the handler for operators and the reports of upstreams.
 	Control func(n *controlnode.Node) http.Handler
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -186,6 +186,27 @@
 	return slices.ContainsFunc(p.services[service], func(u *Upstream) bool { return !u.isLeaving(now) })
 }
 
+// ServesAt reports whether an upstream that takes requests is known at an address.
+func (p *Pool) ServesAt(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.upstreams {
+		if u.Address == address && u.State != presence.Terminated {
+			return true
+		}
+	}
+	return false
+}
+
+// ForgiveFailures ends all ejections: the failures were those of this host's own links.
+func (p *Pool) ForgiveFailures() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.upstreams {
+		u.consecutiveFailures, u.ejections, u.ejectedUntil, u.probing = 0, 0, time.Time{}, false
+	}
+}
+
 // Loads returns the load caused by this host, by upstream id.
 func (p *Pool) Loads() map[string]Load {
 	p.mu.Lock()
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
@@ -61,33 +60,3 @@
 	}
 	return out.Value, nil
 }
-
-// Stream is a one-way stream of messages to one host.
-type Stream struct {
-	conn   drpcpool.Conn
-	stream drpc.Stream
-}
-
-// OpenStream opens a stream of messages to method of the host at address.
-func (c *Client) OpenStream(ctx context.Context, address, method string) (*Stream, error) {
-	conn, err := c.connect(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	stream, err := conn.NewStream(ctx, method, codec.Encoding{})
-	if err != nil {
-		_ = conn.Close()
-		return nil, eris.Wrapf(err, "open stream %s to host %s", method, address)
-	}
-	return &Stream{conn: conn, stream: stream}, nil
-}
-
-// Send sends one message.
-func (s *Stream) Send(msg any) error {
-	return s.stream.MsgSend(msg, codec.Encoding{})
-}
-
-// Close closes the stream and its connection.
-func (s *Stream) Close() error {
-	return s.conn.Close()
-}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -55,20 +55,6 @@
 	}
 }
 
-// HandleStream registers a method that calls fn with each message until the client closes
-// the stream.
-func HandleStream[Msg any](s *Server, method string, fn func(*Msg)) {
-	s.methods[method] = func(stream drpc.Stream) error {
-		for {
-			msg := new(Msg)
-			if err := stream.MsgRecv(msg, codec.Encoding{}); err != nil {
-				return err
-			}
-			fn(msg)
-		}
-	}
-}
-
 // unregistered is part of the error of a call to a method that the server lacks.
 const unregistered = "is not registered"
 
--- /dev/null
+++ b/internal/tunnel/tunnel_test.go
@@ -0,0 +1,135 @@
+package tunnel_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/tunnel"
+)
+
+const known = "known"
+
+// testHost is a host that carries tunnels to one upstream, which serves connections with fn.
+type testHost struct {
+	g       *WithT
+	client  *rpc.Client
+	address string
+	dialErr error
+}
+
+func newTestHost(t *testing.T, fn func(net.Conn)) *testHost {
+	h := &testHost{g: NewWithT(t)}
+	upstream, err := net.Listen("tcp4", "127.0.0.1:0")
+	h.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = upstream.Close() })
+	go func() {
+		for {
+			conn, err := upstream.Accept()
+			if err != nil {
+				return
+			}
+			go fn(conn)
+		}
+	}()
+	srv := rpc.NewServer()
+	(&tunnel.Server{
+		Dial: func(ctx context.Context, _ string) (io.ReadWriteCloser, error) {
+			if h.dialErr != nil {
+				return nil, h.dialErr
+			}
+			return new(net.Dialer).DialContext(ctx, "tcp4", upstream.Addr().String())
+		},
+		Serves: func(address string) bool { return address == known },
+	}).Register(srv)
+	hosts, err := net.Listen("tcp4", "127.0.0.1:0")
+	h.g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = srv.Serve(t.Context(), hosts) }()
+	h.address = hosts.Addr().String()
+	h.client = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp4", address)
+	})
+	return h
+}
+
+func (h *testHost) dial(ctx context.Context, address string) (io.ReadWriteCloser, error) {
+	return tunnel.Dial(ctx, h.client, h.address, address, time.Second)
+}
+
+func (h *testHost) mustDial(t *testing.T) io.ReadWriteCloser {
+	conn, err := h.dial(t.Context(), known)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	return conn
+}
+
+func TestDataPassesBothWaysToTheEnd(t *testing.T) {
+	h := newTestHost(t, func(c net.Conn) {
+		_, _ = io.CopyN(c, c, 1<<20)
+		_ = c.Close()
+	})
+	conn := h.mustDial(t)
+	sent := make([]byte, 1<<20)
+	for i := range sent {
+		sent[i] = byte(i * 7)
+	}
+	go func() { _, _ = conn.Write(sent) }()
+	received, err := io.ReadAll(conn)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(received).To(Equal(sent))
+	h.g.Expect(conn.Close()).To(Succeed())
+}
+
+// Guards against an answer without a length that looks complete after a reset.
+func TestResetIsNoEnd(t *testing.T) {
+	h := newTestHost(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, "part")
+		_, _ = c.Read(make([]byte, 1))
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	conn := h.mustDial(t)
+	data := make([]byte, 4)
+	_, err := io.ReadFull(conn, data)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(string(data)).To(Equal("part"))
+	_, err = conn.Write([]byte("x"))
+	h.g.Expect(err).NotTo(HaveOccurred())
+	_, err = conn.Read(data)
+	h.g.Expect(err).To(HaveOccurred())
+	h.g.Expect(errors.Is(err, io.EOF)).To(BeFalse())
+}
+
+// Guards against upstreams that work on for callers who have left.
+func TestCloseReachesTheUpstream(t *testing.T) {
+	closed := make(chan struct{})
+	h := newTestHost(t, func(c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+	})
+	h.g.Expect(h.mustDial(t).Close()).To(Succeed())
+	h.g.Eventually(closed, "500ms").Should(BeClosed())
+}
+
+func TestErrorsTellUpstreamsFromHosts(t *testing.T) {
+	h := newTestHost(t, func(net.Conn) {})
+	_, err := h.dial(t.Context(), "other")
+	var unavailable *tunnel.UnavailableError
+	h.g.Expect(errors.As(err, &unavailable)).To(BeTrue(), "not the address of an upstream")
+	h.dialErr = errors.New("refused")
+	_, err = h.dial(t.Context(), known)
+	var unreachable *tunnel.UnreachableError
+	h.g.Expect(errors.As(err, &unreachable)).To(BeTrue())
+	h.dialErr = errors.Join(tunnel.ErrUnavailable, errors.New("timeout"))
+	_, err = h.dial(t.Context(), known)
+	h.g.Expect(errors.As(err, &unavailable)).To(BeTrue())
+	h.address = "127.0.0.1:1"
+	_, err = h.dial(t.Context(), known)
+	h.g.Expect(err).To(HaveOccurred())
+	h.g.Expect(errors.As(err, &unavailable) || errors.As(err, &unreachable)).To(BeFalse())
+}
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -10,25 +10,13 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/godwitbend/godwitbend/internal/netconn"
-	"github.com/godwitbend/godwitbend/internal/rto"
 )
 
 const (
-	// minDialTimeout and maxDialTimeout bound the connection attempt. Within a region a connect
-	// takes a few milliseconds, and an unresponsive upstream must use up little of a request's
-	// time. It takes longer if this host's own link is congested.
-	minDialTimeout = 250 * time.Millisecond
-	maxDialTimeout = time.Second
-	// unackedTimeout is how long sent bytes may remain unacknowledged.
-	unackedTimeout = 2 * time.Second
 	// maxHeadBytes bounds the header of an answer, including those of interim answers.
 	maxHeadBytes = 64 << 10
 	// readBufferSize fits the header of an answer and typical events of a stream.
@@ -51,7 +39,7 @@
 // Answer is the answer of an upstream. It must be closed.
 type Answer struct {
 	*http.Response
-	conn net.Conn
+	conn io.Closer
 	stop func() bool
 }
 
@@ -74,47 +62,16 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
-// DialFunc connects to address within timeout.
-type DialFunc func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
-
-// DialTCP is the DialFunc for TCP connections.
-func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	return netconn.Dial(ctx, address, timeout, unackedTimeout)
-}
+// DialFunc connects to an upstream.
+type DialFunc func(ctx context.Context, address string) (io.ReadWriteCloser, error)
 
 // Client sends requests to upstreams. It is safe for concurrent use.
 type Client struct {
-	dialFunc    DialFunc
-	dialTimeout *rto.Estimator
+	dial DialFunc
 }
 
 // NewClient returns a client that connects with dial.
-func NewClient(dial DialFunc) *Client {
-	return &Client{dialFunc: dial, dialTimeout: rto.NewEstimator(minDialTimeout, maxDialTimeout)}
-}
-
-// Reachable reports whether connections to address are accepted.
-func (c *Client) Reachable(ctx context.Context, address string) bool {
-	conn, err := c.dial(ctx, address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
-func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	started := time.Now()
-	conn, err := c.dialFunc(ctx, address, c.dialTimeout.Timeout())
-	var netErr net.Error
-	switch {
-	case err == nil:
-		c.dialTimeout.Succeeded(time.Since(started))
-	case errors.As(err, &netErr) && netErr.Timeout() && ctx.Err() == nil:
-		c.dialTimeout.TimedOut()
-	}
-	return conn, err
-}
+func NewClient(dial DialFunc) *Client { return &Client{dial: dial} }
 
 // ErrNoAnswer reports that the request was sent, at least in part, but no answer was
 // received: it may have run.
@@ -138,7 +95,7 @@
 	return answer, nil
 }
 
-func roundTrip(conn net.Conn, r *Request) (*Answer, error) {
+func roundTrip(conn io.ReadWriteCloser, r *Request) (*Answer, error) {
 	if _, err := conn.Write(r.encode()); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/upstreampath/dialer_test.go
@@ -0,0 +1,150 @@
+package upstreampath
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/godwitbend/godwitbend/internal/tunnel"
+)
+
+var errRefused = errors.New("connection refused")
+
+// network simulates the links of a host and those of the other hosts to upstreams.
+type network struct {
+	mu sync.Mutex
+	// linksDown cuts the host off from all upstreams, and otherLinksDown other hosts.
+	linksDown      bool
+	otherLinksDown map[string]bool
+	// upstreamsDown accept no connections of anybody.
+	upstreamsDown  map[string]bool
+	direct, tunnel int
+	cuts           int
+}
+
+func newNetwork() *network {
+	return &network{otherLinksDown: map[string]bool{}, upstreamsDown: map[string]bool{}}
+}
+
+func (n *network) dialer(hosts int) *Dialer {
+	var others []string
+	for i := range hosts {
+		others = append(others, fmt.Sprintf("host-%d", i))
+	}
+	return NewDialer(Options{
+		Direct: n.dialDirect, Tunnel: n.dialTunnel, Scope: tally.NoopScope,
+		Hosts: func() []string { return append([]string(nil), others...) },
+		CutOff: func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.cuts++
+		},
+	})
+}
+
+func (n *network) dialDirect(_ context.Context, address string) (io.ReadWriteCloser, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.direct++
+	if n.linksDown || n.upstreamsDown[address] {
+		return nil, errRefused
+	}
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+func (n *network) dialTunnel(_ context.Context, via, address string, _ time.Duration) (io.ReadWriteCloser, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tunnel++
+	switch {
+	case n.otherLinksDown[via]:
+		return nil, &tunnel.UnavailableError{Reason: "cut off"}
+	case n.upstreamsDown[address]:
+		return nil, &tunnel.UnreachableError{Reason: "refused"}
+	}
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+func (n *network) set(fn func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	fn()
+}
+
+func upstream(i int) string { return fmt.Sprintf("upstream-%d", i) }
+
+// Guards against refusing requests that another host could pass on.
+func TestCutOffHostConnectsThroughOthersAndReturnsToItsLinks(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork()
+	d := n.dialer(5)
+	n.set(func() { n.linksDown, n.otherLinksDown["host-0"], n.otherLinksDown["host-1"] = true, true, true })
+	_, err := d.Dial(t.Context(), upstream(0))
+	g.Expect(err).To(HaveOccurred(), "a single upstream may be down")
+	for i := 1; i < 50; i++ {
+		_, err := d.Dial(t.Context(), upstream(i%4))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(d.CutOff()).To(BeTrue())
+	n.set(func() {
+		g.Expect(n.cuts).To(Equal(1))
+		g.Expect(n.direct).To(BeNumerically("<", 6), "its own links are tried seldom")
+		n.linksDown = false
+	})
+	g.Eventually(func() bool {
+		_, err := d.Dial(t.Context(), upstream(1))
+		g.Expect(err).NotTo(HaveOccurred())
+		return d.CutOff()
+	}, "3s", "20ms").Should(BeFalse())
+}
+
+// Guards against taking crashed upstreams for lost links.
+func TestUpstreamsThatAreDownForAllDoNotCutTheHostOff(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork()
+	d := n.dialer(5)
+	n.set(func() {
+		n.upstreamsDown[upstream(0)], n.upstreamsDown[upstream(1)], n.upstreamsDown[upstream(2)] = true, true, true
+	})
+	for i := range 30 {
+		_, err := d.Dial(t.Context(), upstream(i%3))
+		g.Expect(err).To(HaveOccurred())
+	}
+	g.Expect(d.CutOff()).To(BeFalse())
+	_, err := d.Dial(t.Context(), upstream(3))
+	g.Expect(err).NotTo(HaveOccurred())
+	n.set(func() { n.tunnel = 0 })
+	_, err = d.Dial(t.Context(), upstream(0))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(n.tunnel).To(BeZero(), "the host has just reached an upstream by its own links")
+}
+
+// Guards against hosts that hand a connection from one to the other while all are cut off.
+func TestCutOffHostCarriesNoTunnels(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork()
+	d := n.dialer(1)
+	n.set(func() { n.linksDown = true })
+	for i := range 3 {
+		_, _ = d.Dial(t.Context(), upstream(i))
+	}
+	g.Expect(d.CutOff()).To(BeTrue())
+	_, err := d.DialForOther(t.Context(), upstream(0))
+	g.Expect(errors.Is(err, tunnel.ErrUnavailable)).To(BeTrue())
+	n.set(func() { n.otherLinksDown["host-0"] = true })
+	_, err = d.Dial(t.Context(), upstream(0))
+	g.Expect(err).To(HaveOccurred())
+	n.set(func() { n.linksDown = false })
+	_, err = d.Dial(t.Context(), upstream(0))
+	g.Expect(err).NotTo(HaveOccurred(), "without a tunnel its own links are tried at once")
+}
