Hold no upstream responsible for what breaks while this host is cut off

Now an exchange that breaks while the host is cut off ejects nothing, and a crash is reported only of an upstream that no other host reaches either. On the code before TestBrokenExchangesOfCutOffHostEjectNoUpstream chose the upstream 2 of 10 times (5 since), and TestUpstreamIsReachableIfAnotherHostReachesIt failed.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -285,17 +285,21 @@
 
 // exchangeBroken records that the exchange with the upstream broke, and returns the
 // result. If the caller has disconnected or the deadline has passed, the gateway itself
-// ended the exchange, so that it does not count as a failure of the upstream.
+// ended the exchange, and if it is cut off from all upstreams its links did, so that it does not count
+// as a failure of the upstream.
 func (a *attempt) exchangeBroken(failure string) attemptResult {
 	a.lastFailure = failure
 	if errors.Is(a.ctx.Err(), context.Canceled) {
 		a.lastFailure = failureCallerDisconnected
 	}
-	if a.ctx.Err() != nil {
+	if a.ctx.Err() != nil || a.handler.Paths.CutOff() {
 		a.reportOutcome(placement.Abandoned)
+	} else {
+		a.reportOutcome(placement.Failed)
+	}
+	if a.ctx.Err() != nil {
 		return a.brokenResult()
 	}
-	a.reportOutcome(placement.Failed)
 	go a.reportCrash(time.Now())
 	return a.brokenResult()
 }
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/placement"
+	"github.com/godwitbend/godwitbend/internal/presence"
+	"github.com/godwitbend/godwitbend/internal/upstreampath"
 )
 
 // An exchange that breaks because its caller disconnects must not count as a failure of
@@ -32,3 +38,42 @@
 	g.Expect(refusal.Kind).To(Equal(errkind.OutcomeUnknown))
 	g.Expect(refusal.Message).To(ContainSubstring("the caller disconnected"))
 }
+
+// Guards against ejecting upstreams for the failures of this host's own links.
+func TestBrokenExchangesOfCutOffHostEjectNoUpstream(t *testing.T) {
+	g := NewWithT(t)
+	pool := placement.NewPool("a")
+	var records []presence.Record
+	for _, id := range []string{"u0", "u1"} {
+		records = append(records, presence.Record{Upstream: presence.Upstream{ID: id, Address: id, Service: "s", State: presence.Ready, StartedMS: 1}})
+	}
+	pool.Update(records)
+	paths := upstreampath.NewDialer(upstreampath.Options{
+		Direct: func(context.Context, string) (io.ReadWriteCloser, error) { return nil, errors.New("refused") },
+		Tunnel: func(context.Context, string, string, time.Duration) (io.ReadWriteCloser, error) {
+			conn, _ := net.Pipe()
+			return conn, nil
+		},
+		Hosts: func() []string { return []string{"other"} }, CutOff: pool.ForgiveFailures, Scope: tally.NoopScope,
+	})
+	_, err := paths.Dial(t.Context(), "u0")
+	g.Expect(err).To(HaveOccurred())
+	_, err = paths.Dial(t.Context(), "u1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(paths.CutOff()).To(BeTrue())
+	chosen := map[string]int{}
+	for range 10 {
+		target, refused := pool.Choose(&placement.Request{Service: "s"}, time.Now())
+		g.Expect(refused).To(BeNil())
+		chosen[target.ID]++
+		a := &attempt{
+			request: &request{handler: &Handler{Options: Options{Pool: pool, Paths: paths}}, ctx: t.Context(), deadline: time.Now().Add(time.Minute)},
+			target:  target,
+		}
+		if target.ID == "u0" {
+			a.exchangeBroken(failureBroken)
+		}
+		pool.Release(target)
+	}
+	g.Expect(chosen).To(HaveKeyWithValue("u0", 5), "both take turns")
+}
--- a/internal/upstreampath/dialer.go
+++ b/internal/upstreampath/dialer.go
@@ -92,9 +92,12 @@
 	return d.dialTunnel(ctx, address)
 }
 
-// Reachable reports whether an upstream accepts connections of this host.
+// Reachable reports whether an upstream accepts connections of this host or of others.
 func (d *Dialer) Reachable(ctx context.Context, address string) bool {
 	conn, err := d.dialDirect(ctx, address)
+	if err != nil {
+		conn, err = d.dialTunnel(ctx, address)
+	}
 	if err != nil {
 		return false
 	}
--- a/internal/upstreampath/dialer_test.go
+++ b/internal/upstreampath/dialer_test.go
@@ -148,3 +148,14 @@
 	_, err = d.Dial(t.Context(), upstream(0))
 	g.Expect(err).NotTo(HaveOccurred(), "without a tunnel its own links are tried at once")
 }
+
+// Guards against reports of crashes of upstreams that only this host can't reach.
+func TestUpstreamIsReachableIfAnotherHostReachesIt(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork()
+	d := n.dialer(3)
+	n.set(func() { n.linksDown, n.otherLinksDown["host-0"] = true, true })
+	g.Expect(d.Reachable(t.Context(), upstream(0))).To(BeTrue())
+	n.set(func() { n.upstreamsDown[upstream(1)] = true })
+	g.Expect(d.Reachable(t.Context(), upstream(1))).To(BeFalse())
+}
