Give up silent connections after the timeout that the code states

The comment promised two seconds: keep-alive intervals are whole seconds, so that 500 ms became one, and three probes after one idle second make four.

--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -12,16 +12,18 @@
 	"golang.org/x/sys/unix"
 )
 
+// keepAliveIdle is the time without data after which a connection is probed, and
+// keepAliveInterval the time between probes. Both are whole seconds, as the system has no finer unit.
 const (
-	// keepAliveIdle, keepAliveInterval and keepAliveProbes close an idle connection to an
-	// unreachable peer after about two seconds.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveProbes   = 3
+	keepAliveInterval = time.Second
 )
 
-func keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
+// keepAlive closes an idle connection to an unreachable peer after unackedTimeout, or two seconds if
+// that is longer, so that one that waits for data fails as soon as one that has sent some.
+func keepAlive(unackedTimeout time.Duration) net.KeepAliveConfig {
+	probes := (unackedTimeout - keepAliveIdle + keepAliveInterval - 1) / keepAliveInterval
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: max(int(probes), 1)}
 }
 
 // setUserTimeout returns a function that sets TCP_USER_TIMEOUT on a socket: the time for
@@ -42,7 +44,7 @@
 // Dial connects to address. The connection fails when sent bytes stay unacknowledged
 // for unackedTimeout.
 func Dial(ctx context.Context, address string, timeout, unackedTimeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, Control: setUserTimeout(unackedTimeout), KeepAliveConfig: keepAlive()}
+	d := net.Dialer{Timeout: timeout, Control: setUserTimeout(unackedTimeout), KeepAliveConfig: keepAlive(unackedTimeout)}
 	conn, err := d.DialContext(ctx, "tcp4", address)
 	return conn, eris.Wrap(err, "connect")
 }
@@ -50,7 +52,7 @@
 // Listen listens on address. An accepted connection fails when sent bytes stay
 // unacknowledged for unackedTimeout.
 func Listen(address string, unackedTimeout time.Duration) (net.Listener, error) {
-	c := net.ListenConfig{Control: setUserTimeout(unackedTimeout), KeepAliveConfig: keepAlive()}
+	c := net.ListenConfig{Control: setUserTimeout(unackedTimeout), KeepAliveConfig: keepAlive(unackedTimeout)}
 	l, err := c.Listen(context.Background(), "tcp4", address)
 	return l, eris.Wrap(err, "listen")
 }
--- a/internal/upstreamhttp/dial.go
+++ b/internal/upstreamhttp/dial.go
@@ -17,8 +17,9 @@
 	// time. It takes longer if this host's own link is congested.
 	minDialTimeout = 250 * time.Millisecond
 	maxDialTimeout = time.Second
-	// unackedTimeout is how long sent bytes may remain unacknowledged.
-	unackedTimeout = 2 * time.Second
+	// unackedTimeout is how long sent bytes or keep-alive probes may remain unacknowledged. A sound
+	// upstream may be silent for over a second.
+	unackedTimeout = 3 * time.Second
 )
 
 // TimedDialFunc connects to address within timeout.
