Judge the links to upstreams one by one

Each upstream's link has a state and a probe of its own now; all count as lost only while no upstream accepts a connection. TestOnlyLostLinksAreAvoided is new. Ruled out: one probe for all links, which a request to an upstream out of reach uses up each time.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -285,14 +285,14 @@
 
 // exchangeBroken records that the exchange with the upstream broke, and returns the
 // result. If the caller has disconnected or the deadline has passed, the gateway itself
-// ended the exchange, and if it is cut off from all upstreams its links did, so that it does not count
+// ended the exchange, and if it has lost its link to the upstream that did, so that it does not count
 // as a failure of the upstream.
 func (a *attempt) exchangeBroken(failure string) attemptResult {
 	a.lastFailure = failure
 	if errors.Is(a.ctx.Err(), context.Canceled) {
 		a.lastFailure = failureCallerDisconnected
 	}
-	if a.ctx.Err() != nil || a.handler.Paths.CutOff() {
+	if a.ctx.Err() != nil || a.handler.Paths.Lost(a.target.Address) {
 		a.reportOutcome(placement.Abandoned)
 	} else {
 		a.reportOutcome(placement.Failed)
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -60,7 +60,7 @@
 	g.Expect(err).To(HaveOccurred())
 	_, err = paths.Dial(t.Context(), "u1")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(paths.CutOff()).To(BeTrue())
+	g.Expect(paths.Lost("u0")).To(BeTrue())
 	chosen := map[string]int{}
 	for range 10 {
 		target, refused := pool.Choose(&placement.Request{Service: "s"}, time.Now())
--- a/internal/upstreampath/dialer.go
+++ b/internal/upstreampath/dialer.go
@@ -41,7 +41,7 @@
 	Tunnel func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error)
 	// Hosts returns the addresses of the other gateway hosts.
 	Hosts func() []string
-	// CutOff is called when the host has lost its links to the upstreams.
+	// CutOff is called when the host has lost its links to all upstreams.
 	CutOff func()
 	Scope  tally.Scope
 }
@@ -61,21 +61,21 @@
 // NewDialer returns a dialer that uses the host's own links until they fail.
 func NewDialer(o Options) *Dialer {
 	return &Dialer{
-		options: o, avoided: map[string]time.Time{},
+		options: o, state: newState(), avoided: map[string]time.Time{},
 		tunnels: o.Scope.Counter("tunnels"), failedTunnels: o.Scope.Counter("tunnels_failed"), losses: o.Scope.Counter("upstream_links_lost"),
 	}
 }
 
-// CutOff reports whether the host has lost its links to the upstreams.
-func (d *Dialer) CutOff() bool {
+// Lost reports whether the host has lost its link to an upstream.
+func (d *Dialer) Lost(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.cutOff
+	return d.state.isLost(address)
 }
 
 // Dial connects to an upstream by the host's own links, or through another host if these are lost.
 func (d *Dialer) Dial(ctx context.Context, address string) (io.ReadWriteCloser, error) {
-	switch d.route() {
+	switch d.route(address) {
 	case tunnelled:
 		conn, err := d.dialTunnel(ctx, address)
 		if err == nil || isUnreachable(err) || ctx.Err() != nil {
@@ -108,7 +108,7 @@
 // DialForOther connects by the host's own links for another host. The error wraps
 // tunnel.ErrUnavailable if these links may be lost.
 func (d *Dialer) DialForOther(ctx context.Context, address string) (io.ReadWriteCloser, error) {
-	if d.route() == tunnelled {
+	if d.route(address) == tunnelled {
 		return nil, tunnel.ErrUnavailable
 	}
 	conn, err := d.dialDirect(ctx, address)
@@ -118,10 +118,10 @@
 	return conn, err
 }
 
-func (d *Dialer) route() route {
+func (d *Dialer) route(address string) route {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.route(time.Now())
+	return d.state.route(address, time.Now())
 }
 
 func (d *Dialer) suspicious() bool {
@@ -137,13 +137,13 @@
 	d.mu.Lock()
 	switch {
 	case err == nil:
-		regained = d.state.connected()
+		regained = d.state.connected(address, time.Now())
 	case !errors.Is(ctx.Err(), context.Canceled):
-		d.state.failedAt(address)
+		d.state.failedAt(address, time.Now())
 	}
 	d.mu.Unlock()
 	if regained {
-		klog.InfoS("links to the upstreams regained", "upstream_address", address)
+		klog.InfoS("links to upstreams regained", "upstream_address", address)
 	}
 	return conn, err
 }
@@ -215,13 +215,17 @@
 	}
 	d.tunnels.Inc(1)
 	d.mu.Lock()
-	failed := len(d.state.failed)
-	lost := d.state.tunnelledTo(address, time.Now())
+	wasLost, failed := d.state.isLost(address), len(d.state.failedInARow)
+	cutOff := d.state.tunnelledTo(address, time.Now())
+	lost := !wasLost && d.state.isLost(address)
 	d.mu.Unlock()
-	if lost {
+	switch {
+	case cutOff:
 		d.losses.Inc(1)
-		klog.InfoS("links to the upstreams lost: connecting through other hosts", "upstreams_failed", failed, "via", via)
+		klog.InfoS("links to all upstreams lost: connecting through other hosts", "upstreams_failed", failed, "via", via)
 		d.options.CutOff()
+	case lost:
+		klog.InfoS("link to an upstream lost: connecting through other hosts", "upstream_address", address, "via", via)
 	}
 	return conn, nil
 }
--- a/internal/upstreampath/dialer_test.go
+++ b/internal/upstreampath/dialer_test.go
@@ -24,6 +24,8 @@
 	// linksDown cuts the host off from all upstreams, and otherLinksDown other hosts.
 	linksDown      bool
 	otherLinksDown map[string]bool
+	// linkDown cuts the host off from single upstreams.
+	linkDown map[string]bool
 	// upstreamsDown accept no connections of anybody.
 	upstreamsDown  map[string]bool
 	direct, tunnel int
@@ -31,7 +33,7 @@
 }
 
 func newNetwork() *network {
-	return &network{otherLinksDown: map[string]bool{}, upstreamsDown: map[string]bool{}}
+	return &network{otherLinksDown: map[string]bool{}, linkDown: map[string]bool{}, upstreamsDown: map[string]bool{}}
 }
 
 func (n *network) dialer(hosts int) *Dialer {
@@ -54,7 +56,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.direct++
-	if n.linksDown || n.upstreamsDown[address] {
+	if n.linksDown || n.linkDown[address] || n.upstreamsDown[address] {
 		return nil, errRefused
 	}
 	conn, _ := net.Pipe()
@@ -81,6 +83,12 @@
 	fn()
 }
 
+func (d *Dialer) isCutOff() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.cutOff
+}
+
 func upstream(i int) string { return fmt.Sprintf("upstream-%d", i) }
 
 // Guards against refusing requests that another host could pass on.
@@ -95,7 +103,7 @@
 		_, err := d.Dial(t.Context(), upstream(i%4))
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	g.Expect(d.CutOff()).To(BeTrue())
+	g.Expect(d.isCutOff()).To(BeTrue())
 	n.set(func() {
 		g.Expect(n.cuts).To(Equal(1))
 		g.Expect(n.direct).To(BeNumerically("<", 6), "its own links are tried seldom")
@@ -104,7 +112,7 @@
 	g.Eventually(func() bool {
 		_, err := d.Dial(t.Context(), upstream(1))
 		g.Expect(err).NotTo(HaveOccurred())
-		return d.CutOff()
+		return d.isCutOff()
 	}, "3s", "20ms").Should(BeFalse())
 }
 
@@ -120,7 +128,7 @@
 		_, err := d.Dial(t.Context(), upstream(i%3))
 		g.Expect(err).To(HaveOccurred())
 	}
-	g.Expect(d.CutOff()).To(BeFalse())
+	g.Expect(d.isCutOff()).To(BeFalse())
 	_, err := d.Dial(t.Context(), upstream(3))
 	g.Expect(err).NotTo(HaveOccurred())
 	n.set(func() { n.tunnel = 0 })
@@ -138,7 +146,7 @@
 	for i := range 3 {
 		_, _ = d.Dial(t.Context(), upstream(i))
 	}
-	g.Expect(d.CutOff()).To(BeTrue())
+	g.Expect(d.isCutOff()).To(BeTrue())
 	_, err := d.DialForOther(t.Context(), upstream(0))
 	g.Expect(errors.Is(err, tunnel.ErrUnavailable)).To(BeTrue())
 	n.set(func() { n.otherLinksDown["host-0"] = true })
@@ -159,3 +167,52 @@
 	n.set(func() { n.upstreamsDown[upstream(1)] = true })
 	g.Expect(d.Reachable(t.Context(), upstream(1))).To(BeFalse())
 }
+
+// Guards against using the links to some upstreams less or more than they are lost.
+func TestOnlyLostLinksAreAvoided(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork()
+	d := n.dialer(3)
+	n.set(func() { n.linkDown[upstream(0)], n.linkDown[upstream(1)], n.linkDown[upstream(2)] = true, true, true })
+	failed := 0
+	dialAll := func() {
+		for i := range 4 {
+			if _, err := d.Dial(t.Context(), upstream(i)); err != nil {
+				failed++
+			}
+		}
+	}
+	dialAll()
+	g.Eventually(func() bool {
+		dialAll()
+		return d.isCutOff()
+	}, "3s", "50ms").Should(BeFalse(), "one upstream stays reachable")
+	dialAll()
+	dialAll()
+	g.Expect(failed).To(BeNumerically("<=", 1), "the first one may be down")
+	g.Expect(d.Lost(upstream(1))).To(BeTrue())
+	g.Expect(d.Lost(upstream(3))).To(BeFalse())
+	n.set(func() {
+		n.direct, n.tunnel = 0, 0
+	})
+	for range 20 {
+		dialAll()
+	}
+	n.set(func() {
+		g.Expect(n.direct).To(BeNumerically("<=", 20+3), "lost links are tried seldom")
+		g.Expect(n.tunnel).To(BeNumerically(">=", 60))
+		clear(n.linkDown)
+	})
+	for i := range 3 {
+		g.Eventually(func() bool {
+			_, err := d.Dial(t.Context(), upstream(i))
+			g.Expect(err).NotTo(HaveOccurred())
+			return d.Lost(upstream(i))
+		}, "3s", "20ms").Should(BeFalse())
+	}
+	time.Sleep(100 * time.Millisecond) // the slower attempts of the last probes end
+	n.set(func() { n.upstreamsDown[upstream(1)], n.tunnel = true, 0 })
+	_, err := d.Dial(t.Context(), upstream(1))
+	g.Expect(err).To(HaveOccurred())
+	n.set(func() { g.Expect(n.tunnel).To(BeZero(), "an upstream that is down is not asked for") })
+}
