Tell gateways of upstreams that come or leave also without a leader

A control host that knows no leader now adds to its reply which upstreams changed in the last 15 s, as it knows them, encoded once for all. The gateway takes later processes and later states of known ones, and nothing else: the merge is the maximum by start and state, so that its order and repetition do not matter and an older view ends nothing. Whether an upstream is responsive stays with the leader. In calm nothing more is sent. Not done: loads, notices and quarantines without a leader; part 1 of the issue, the vote of a replaced host.

--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -55,6 +55,7 @@
 		now := time.Now()
 		n.mu.Lock()
 		unresponsive := n.table.Expire(now)
+		n.upstreamFeed.mark(now)
 		direct := newDirectUpstreams(n.directRecords(now), now)
 		n.recordGeneration(direct)
 		n.mu.Unlock()
--- a/internal/controlnode/feed.go
+++ b/internal/controlnode/feed.go
@@ -18,6 +18,9 @@
 	wholeTableInterval = 250 * time.Millisecond
 	// loadsInterval is the minimum time between two sums of the loads.
 	loadsInterval = 100 * time.Millisecond
+	// newsTime is the age up to which changes of upstreams are told to hosts that reach no leader.
+	// They call several times in it.
+	newsTime = 15 * time.Second
 	// maxEncodedBytes bounds the encoded table before compression.
 	maxEncodedBytes = 64 << 20
 )
@@ -27,6 +30,8 @@
 type upstreamFeed struct {
 	table *presence.Table
 	whole encodedTable
+	// marks are revisions of the table, one for each second of newsTime, oldest first.
+	marks []revisionMark
 	// changes holds the changes since earlier revisions, by these. All lead to revision.
 	changes   map[uint64][]byte
 	revision  uint64
@@ -40,6 +45,31 @@
 	at       time.Time
 }
 
+// revisionMark is the revision of the table at a time.
+type revisionMark struct {
+	at       time.Time
+	revision uint64
+}
+
+// mark records the revision of the table, for news.
+func (f *upstreamFeed) mark(now time.Time) {
+	f.marks = append(f.marks, revisionMark{now, f.table.Revision()})
+	for len(f.marks) > 1 && now.Sub(f.marks[1].at) >= newsTime {
+		f.marks = f.marks[1:]
+	}
+}
+
+// news returns the encoded records that have changed within newsTime, or all records if this host
+// has not run for so long.
+func (f *upstreamFeed) news(now time.Time) []byte {
+	known := uint64(0)
+	if len(f.marks) > 0 && now.Sub(f.marks[0].at) >= newsTime {
+		known = f.marks[0].revision
+	}
+	data, _ := f.since(known, now)
+	return data
+}
+
 func newUpstreamFeed(t *presence.Table) *upstreamFeed {
 	return &upstreamFeed{table: t, changes: map[uint64][]byte{}}
 }
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -158,7 +158,8 @@
 	// Peers lists the gateway hosts if the list has changed; PeersRevision is its revision.
 	Peers         []Peer `cbor:"12,keyasint,omitempty"`
 	PeersRevision uint64 `cbor:"13,keyasint,omitempty"`
-	// EncodedUpstreams replaces Upstreams for hosts that accept it; see DecodeUpstreams.
+	// EncodedUpstreams replaces Upstreams for hosts that accept it; see DecodeUpstreams. In a reply
+	// without a leader it holds what changed lately, as the control host knows it.
 	EncodedUpstreams []byte `cbor:"15,keyasint,omitempty"`
 	// PackedTotals replaces Loads for hosts that accept it; see DecodeLoads. It holds the loads
 	// that all hosts put on the upstreams, and PackedOwn those of the calling host.
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -19,8 +19,18 @@
 const syncTimeout = 800 * time.Millisecond
 
 // sync serves MethodSync: on the leader itself, elsewhere through the leader if the call asks for
-// that.
+// that. Without a leader it tells what this host knows of the upstreams.
 func (n *Node) sync(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
+	reply, err := n.syncThroughLeader(ctx, req)
+	if err == nil && reply.NotLeader && reply.Leader == "" && req.AcceptsEncoded {
+		n.mu.Lock()
+		reply.EncodedUpstreams = n.upstreamFeed.news(time.Now())
+		n.mu.Unlock()
+	}
+	return reply, err
+}
+
+func (n *Node) syncThroughLeader(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	r, redirect := n.leaderOrRedirect()
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -261,6 +261,7 @@
 				c.servedBy = address
 				return c.applyReply(req, reply)
 			}
+			c.applyNews(reply)
 			lastErr = eris.New("the leader of the control group is unknown")
 			if address = reply.Leader; address == "" {
 				break
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -75,6 +75,19 @@
 	return nil
 }
 
+// applyNews applies what a control host that reaches no leader knows of the upstreams.
+func (c *Client) applyNews(reply *controlnode.SyncReply) {
+	upstreams, err := reply.DecodeUpstreams()
+	if err != nil {
+		klog.ErrorS(err, "news of upstreams not read")
+		return
+	}
+	for _, u := range c.options.Pool.MergeNews(presenceRecords(upstreams)) {
+		klog.InfoS("upstream changed, by a control host without a leader", "upstream", u.ID, "address", u.Address, "service", u.Service,
+			"state", u.State.String(), "started", u.StartedMS)
+	}
+}
+
 func presenceRecords(messages []controlnode.UpstreamRecord) []presence.Record {
 	list := make([]presence.Record, 0, len(messages))
 	for i := range messages {
