--- a/internal/controlnode/group_test.go
+++ b/internal/controlnode/group_test.go
@@ -230,6 +230,21 @@
 	gr.expectRead("1 one")
 }
 
+// Guards against a group that survives one failure less because a replaced host keeps its vote.
+func TestReplacedHostDoesNotCostTheGroupAnotherFailure(t *testing.T) {
+	gr := newGroup(t)
+	gr.startAll(true)
+	gr.awaitVoters(1, 2, 3, 4, 5)
+	gr.put(1, 1, "one")
+	gr.stop(5)
+	gr.start(6, false)
+	gr.g.Eventually(gr.voters, eventuallyTimeout, "50ms").Should(ContainElement(gr.address(6)))
+	gr.stop(3)
+	gr.stop(4)
+	gr.put(1, 2, "two")
+	gr.expectRead("2 two")
+}
+
 func TestMinorityRefusesReadsAndWrites(t *testing.T) {
 	gr := newGroup(t)
 	gr.startAll(true)
