Use upstreams that answer though the leader does not hear from them

The fault of the observer again: an answer to this host within the time of a heartbeat is a sign of life as well. TestUpstreamThatAnswersIsUsedThoughItsHeartbeatIsOverdue on the code before: both upstreams in turns.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/godwitbend/godwitbend/internal/presence"
 )
 
 // Placement costs are expressed in prompt tokens to prefill, because prefill
@@ -170,6 +172,7 @@
 	if a.prefilled {
 		return
 	}
+	a.Upstream.answeredAt = now
 	p.clearBacklog(a)
 	if a.hasPrefix {
 		p.statsOf(a.Service).addSample(a.Backlog, now.Sub(a.assignedAt))
@@ -296,10 +299,12 @@
 	return wait
 }
 
-// healthy reports whether an upstream is neither ejected nor being probed, and its
-// heartbeat is not overdue.
+// healthy reports whether an upstream is neither ejected nor being probed, and has given a sign of
+// life lately: a heartbeat, or an answer to this host, which may reach it while the control group
+// does not hear from it.
 func (p *Pool) healthy(u *Upstream, now time.Time) bool {
-	return !now.Before(u.ejectedUntil) && !u.probing && !u.heartbeatOverdue
+	alive := !u.heartbeatOverdue || now.Sub(u.answeredAt) < presence.HeartbeatTimeout
+	return !now.Before(u.ejectedUntil) && !u.probing && alive
 }
 
 func (p *Pool) leastLoaded(candidates []*Upstream) *Upstream {
--- a/internal/placement/news_test.go
+++ b/internal/placement/news_test.go
@@ -64,3 +64,33 @@
 	g.Expect(p.MergeNews(unknown)).To(BeEmpty())
 	g.Expect(p.HasReady("engine", time.Now())).To(BeTrue())
 }
+
+// Guards against losing the capacity of upstreams that report to control hosts which the leader does
+// not reach.
+func TestUpstreamThatAnswersIsUsedThoughItsHeartbeatIsOverdue(t *testing.T) {
+	g := NewWithT(t)
+	p := newVersionedPool("v1", "v1")
+	var answering *Assignment
+	for answering == nil {
+		if a := mustChoose(g, p, &Request{Service: "engine"}); a.ID == "u0" {
+			answering = a
+		}
+	}
+	p.Observe(answering, Served, startTime)
+	p.Release(answering)
+	overdue := versionRecords("v1", "v1")
+	overdue[0].Unresponsive, overdue[1].Unresponsive = true, true
+	p.Update(overdue)
+	choices := func(at time.Time) map[string]int {
+		chosen := map[string]int{}
+		for range 8 {
+			a, refused := p.Choose(&Request{Service: "engine"}, at)
+			g.Expect(refused).To(BeNil())
+			chosen[a.ID]++
+			p.Release(a)
+		}
+		return chosen
+	}
+	g.Expect(choices(startTime.Add(presence.HeartbeatTimeout/2))).To(Equal(map[string]int{"u0": 8}), "it has answered lately")
+	g.Expect(choices(startTime.Add(presence.HeartbeatTimeout))).To(HaveLen(2), "neither has")
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -31,6 +31,8 @@
 	// heartbeatOverdue is true if the control group's latest report from the upstream is
 	// too old.
 	heartbeatOverdue bool
+	// answeredAt is the time of the latest answer to this host, or of its beginning.
+	answeredAt time.Time
 	// own is the load caused by this host. controlReported and peerReported are the load
 	// caused by all other hosts, as reported by the control group and by the hosts
 	// themselves.
@@ -279,6 +281,7 @@
 	u.probing = false
 	switch o {
 	case Served:
+		u.answeredAt = now
 		u.consecutiveFailures, u.ejections, u.ejectedUntil = 0, 0, time.Time{}
 	case Unreachable:
 		u.ejectedUntil = now.Add(unreachableEjection)
