Decide what is sent once the connection is established

The upstream was chosen and the request encoded before the connection was made, which takes up to a second by the own links, and longer since it may go through other hosts. Now both are checked when the connection stands: nothing is sent if the upstream has ceased to take requests or the caller has left, and another upstream is tried; the time that is left is stated as of then, and no longer by up to the time of the connection too long. Attempts to open a tunnel take a second at most.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -39,6 +39,7 @@
 // Reasons of failed attempts, as used in metrics and logs.
 const (
 	failureUnreachable        = "unreachable"
+	failureWithdrawn          = "left_meanwhile"
 	failureFull               = "full"
 	failureMisdirected        = "misdirected"
 	failureNoAnswer           = "no_answer"
@@ -211,7 +212,7 @@
 	if result == resultStreamInterrupted && !q.resumable {
 		return false
 	}
-	if q.lastFailure == failureUnreachable {
+	if q.lastFailure == failureUnreachable || q.lastFailure == failureWithdrawn {
 		return len(q.excludedUpstreams) < maxUnreachableUpstreams
 	}
 	if q.attempts >= max(q.route.MaxAttempts, 1) {
@@ -225,7 +226,12 @@
 	a.excludedUpstreams = append(a.excludedUpstreams, a.target.ID)
 	a.backlog, a.prefillRate = a.target.Backlog, a.target.PrefillRate
 	a.sentAt = time.Now()
-	answer, err := a.handler.upstreams.Do(a.ctx, a.target.Address, a.upstreamRequest())
+	answer, err := a.handler.upstreams.Do(a.ctx, a.target.Address, a.prepareRequest)
+	if errors.Is(err, upstreamhttp.ErrWithdrawn) {
+		a.lastFailure = failureWithdrawn
+		a.reportOutcome(placement.Abandoned)
+		return resultNotRun
+	}
 	var unreachable *upstreamhttp.UnreachableError
 	if errors.As(err, &unreachable) {
 		if a.ctx.Err() == nil {
@@ -246,7 +252,12 @@
 	return a.handleAnswer(w, answer)
 }
 
-func (a *attempt) upstreamRequest() *upstreamhttp.Request {
+// prepareRequest returns the request as it is to be sent now, or nil if the caller has left or the
+// upstream has ceased to take requests while the connection was established.
+func (a *attempt) prepareRequest() *upstreamhttp.Request {
+	if a.ctx.Err() != nil || !a.handler.Pool.Takes(a.target, time.Now()) {
+		return nil
+	}
 	metadata := &UpstreamMetadata{
 		Upstream: a.target.ID, TimeRemaining: a.timeRemaining(), Rank: a.rank(), CacheSource: a.target.PrefixSource,
 		ResumeAfter: a.ResumeAfter, Resumes: a.Resumes,
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -218,6 +218,13 @@
 	return slices.ContainsFunc(p.services[service], func(u *Upstream) bool { return !u.isLeaving(now) })
 }
 
+// Takes reports whether the assigned upstream still takes requests.
+func (p *Pool) Takes(a *Assignment, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return a.State == presence.Ready && !a.isLeaving(now)
+}
+
 // ServesAt reports whether an upstream that takes requests is known at an address.
 func (p *Pool) ServesAt(address string) bool {
 	p.mu.Lock()
--- a/internal/upstreamhttp/endless_test.go
+++ b/internal/upstreamhttp/endless_test.go
@@ -57,7 +57,7 @@
 
 // readAnswer reads an answer as a gateway does, and returns the error that ends it.
 func readAnswer(ctx context.Context, address string, stream bool) error {
-	answer, err := upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial).Do(ctx, address, request())
+	answer, err := upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial).Do(ctx, address, request)
 	if err != nil {
 		return err
 	}
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -73,17 +73,26 @@
 // NewClient returns a client that connects with dial.
 func NewClient(dial DialFunc) *Client { return &Client{dial: dial} }
 
+// ErrWithdrawn reports that the request was no longer wanted when the connection was established.
+var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
+
 // ErrNoAnswer reports that the request was sent, at least in part, but no answer was
 // received: it may have run.
 var ErrNoAnswer = errors.New("no answer from the upstream")
 
-// Do sends a request and reads the header of the answer. Its errors are either an
-// *UnreachableError or wrap ErrNoAnswer. The exchange ends when ctx is done.
-func (c *Client) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
+// Do connects, sends the request that prepare returns then, and reads the header of the answer. Its
+// errors are either an *UnreachableError or wrap ErrNoAnswer. If prepare returns nil nothing is sent, and
+// the error wraps ErrWithdrawn: connecting may take long. The exchange ends when ctx is done.
+func (c *Client) Do(ctx context.Context, address string, prepare func() *Request) (*Answer, error) {
 	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
 	}
+	r := prepare()
+	if r == nil {
+		_ = conn.Close()
+		return nil, &UnreachableError{Cause: ErrWithdrawn}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	answer, err := roundTrip(conn, r)
 	if err != nil {
--- a/internal/upstreamhttp/exchange_test.go
+++ b/internal/upstreamhttp/exchange_test.go
@@ -55,7 +55,7 @@
 
 func do(t *testing.T, address string) (*upstreamhttp.Answer, error) {
 	t.Helper()
-	answer, err := upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial).Do(context.Background(), address, request())
+	answer, err := upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial).Do(context.Background(), address, request)
 	if err == nil {
 		t.Cleanup(answer.Close)
 	}
@@ -155,7 +155,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
-	_, err = upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial).Do(ctx, l.Addr().String(), request())
+	_, err = upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial).Do(ctx, l.Addr().String(), request)
 	g.Expect(errors.Is(err, upstreamhttp.ErrNoAnswer)).To(BeTrue())
 	g.Eventually(closed).Should(BeClosed(), "the connection to the upstream is closed")
 }
@@ -183,7 +183,7 @@
 	r := &upstreamhttp.Request{
 		Method: "POST", URI: "/a/%2f?b=c", Host: "a.example", Header: http.Header{"X-A": {"1"}}, Body: []byte("body"), HasBody: true,
 	}
-	answer, err := upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial).Do(context.Background(), l.Addr().String(), r)
+	answer, err := upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial).Do(context.Background(), l.Addr().String(), func() *upstreamhttp.Request { return r })
 	g.Expect(err).NotTo(HaveOccurred())
 	defer answer.Close()
 	g.Expect(<-got).To(Equal("POST /a/%2f?b=c a.example 1 body"))
--- a/internal/upstreampath/dialer.go
+++ b/internal/upstreampath/dialer.go
@@ -21,6 +21,8 @@
 	// attempt of the other host in it.
 	tunnelTimeout     = 400 * time.Millisecond
 	remoteDialTimeout = 250 * time.Millisecond
+	// maxTunnelTime bounds the attempts to open a tunnel for one connection.
+	maxTunnelTime = time.Second
 	// maxHosts is the number of other hosts that are tried for one connection.
 	maxHosts = 4
 	// minConfirmations is the number of other hosts that must fail to reach an upstream for it to
@@ -178,6 +180,8 @@
 // dialTunnel connects through other hosts, one after the other. The error is a
 // *tunnel.UnreachableError only if enough of them can't reach the upstream.
 func (d *Dialer) dialTunnel(ctx context.Context, address string) (io.ReadWriteCloser, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxTunnelTime)
+	defer cancel()
 	hosts := d.hostsToTry(time.Now())
 	confirmations := 0
 	lastErr := errNoTunnel
