Send brittle upstreams no more than they have room for

While a service says that its upstreams are brittle, the gateways together keep to nine tenths of each upstream's slots: every gateway has a share of each, and the shares add up to that whatever the gateways know of each other. A request without room is refused at once; one that is turned away all the same keeps its gateway from that upstream for a second. Ruled out: counting rejections, as what all gateways send at once arrives before any of them hears of one.

--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -7,12 +7,12 @@
 )
 
 // noticeCounters count what upstreams say of themselves in answers.
-type noticeCounters struct{ limited, leaving, waiting, invalid tally.Counter }
+type noticeCounters struct{ limited, leaving, waiting, brittle, invalid tally.Counter }
 
 func newNoticeCounters(scope tally.Scope) noticeCounters {
 	return noticeCounters{
 		limited: scope.Counter("upstream_limits"), leaving: scope.Counter("upstream_leavings"),
-		waiting: scope.Counter("upstream_waits"), invalid: scope.Counter("upstream_notices_invalid"),
+		waiting: scope.Counter("upstream_waits"), brittle: scope.Counter("brittle_services"), invalid: scope.Counter("upstream_notices_invalid"),
 	}
 }
 
@@ -26,6 +26,9 @@
 	if change.Waiting {
 		c.waiting.Inc(1)
 	}
+	if change.Brittle {
+		c.brittle.Inc(1)
+	}
 	if change.Invalid {
 		c.invalid.Inc(1)
 	}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -15,6 +15,10 @@
 	// hosts together. An answer without a limit ends an earlier one.
 	Limited     bool
 	RequestRate float64
+	// Brittle reports that the upstream falls over if it has to turn more than MaxRejections
+	// requests away in a second for want of room.
+	Brittle       bool
+	MaxRejections float64
 	// Invalid is a value that could not be read; empty if there is none.
 	Invalid string
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -243,6 +243,7 @@
 	var healthy, unhealthy []*Upstream
 	full, staying, ofVersion := false, 0, 0
 	shortestWait := time.Duration(0)
+	brittle := p.isBrittle(req.Service, now)
 	for _, u := range all {
 		if u.isLeaving(now) {
 			continue
@@ -256,6 +257,8 @@
 		case slices.Contains(req.Exclude, u.ID):
 		case req.MaxInFlight != nil && u.inFlight() >= req.MaxInFlight(u):
 			full = true
+		case brittle && u.own.InFlight >= p.brittleShare(u):
+			full = true
 		case u.nextRequest(now) > 0:
 			if wait := u.nextRequest(now); shortestWait == 0 || wait < shortestWait {
 				shortestWait = wait
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -56,6 +56,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fleet = fleet{own, slices.Compact(sorted)}
+	clear(p.brittleShares)
 	now := time.Now()
 	for _, u := range p.upstreams {
 		if u.limit != nil {
@@ -71,6 +72,8 @@
 	Limited, Leaving, Invalid bool
 	// Waiting reports that the upstream began to want nothing from this host for a time.
 	Waiting bool
+	// Brittle reports that the upstreams of the service began to be brittle.
+	Brittle bool
 }
 
 // ObserveNotice records what the upstream said in the answer to a request of this host.
@@ -82,6 +85,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := a.Upstream
+	if n.Brittle {
+		change.Brittle = !p.isBrittle(u.Service, now)
+		p.observeBrittleness(u, n, requestID, now)
+		n.Brittle, n.MaxRejections = false, 0 // concerns the service
+	}
 	if n == (notice.Notice{}) && u.saidState == &nothingSaid {
 		return change
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -111,6 +111,10 @@
 	// that the control group does not know yet, by upstream id.
 	fleet         fleet
 	noticeReports map[string]*observedNotice
+	// brittle holds the services whose upstreams are brittle, and brittleShares what this host may
+	// have in flight at each of these, by upstream id.
+	brittle       map[string]*brittleness
+	brittleShares map[string]int
 	// stats holds the prefill statistics by service.
 	stats map[string]*prefillStats
 }
@@ -121,6 +125,7 @@
 		zone: zone, table: presence.NewTable(),
 		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
 		peers: map[uint64]*peerLoad{}, stats: map[string]*prefillStats{}, noticeReports: map[string]*observedNotice{}, loadChanged: make(chan struct{}, 1),
+		brittle: map[string]*brittleness{}, brittleShares: map[string]int{},
 	}
 }
 
@@ -199,6 +204,7 @@
 		}
 	}
 	p.upstreams = upstreams
+	clear(p.brittleShares)
 }
 
 // ApplyControlLoads applies the load of all other hosts as reported by the control group, by
@@ -300,6 +306,11 @@
 			u.ejectedUntil = now.Add(min(minEjection<<min(u.ejections, 4), maxEjection))
 			u.ejections++
 		}
-	case Refused, Abandoned:
+	case Refused:
+		if p.isBrittle(u.Service, now) {
+			u.setSaid()
+			u.extendWait(brittleWait, "", now)
+		}
+	case Abandoned:
 	}
 }
