Ask no further host for a path while this one is out of reach of all

Three hosts that do not answer now end the search for a second; hosts that answer that they are cut off themselves do not count.

--- a/internal/upstreampath/dialer.go
+++ b/internal/upstreampath/dialer.go
@@ -23,12 +23,15 @@
 	remoteDialTimeout = 250 * time.Millisecond
 	// maxTunnelTime bounds the attempts to open a tunnel for one connection.
 	maxTunnelTime = time.Second
-	// maxHosts is the number of other hosts that are tried for one connection.
-	maxHosts = 4
+	// maxHosts is the number of other hosts that are tried for one connection, and maxSilentHosts
+	// the number of those that do not answer after which no further one is.
+	maxHosts       = 10
+	maxSilentHosts = 3
 	// minConfirmations is the number of other hosts that must fail to reach an upstream for it to
 	// count as unreachable: one may have lost its own links a moment ago.
 	minConfirmations = 2
-	// avoidTime is the time for which a host is tried last after a tunnel through it failed.
+	// avoidTime is the time for which a host is tried last after a tunnel through it failed, and none
+	// is tried after maxSilentHosts were silent in a row.
 	avoidTime = time.Second
 )
 
@@ -58,6 +61,8 @@
 	state state
 	// avoided holds the times of the latest failures of other hosts.
 	avoided map[string]time.Time
+	// noTunnelUntil is the end of the time in which no tunnel is tried, as no host answered.
+	noTunnelUntil time.Time
 }
 
 // NewDialer returns a dialer that uses the host's own links until they fail.
@@ -179,11 +184,14 @@
 
 // dialTunnel connects through other hosts, one after the other. The error is a
 // *tunnel.UnreachableError only if enough of them can't reach the upstream.
-func (d *Dialer) dialTunnel(ctx context.Context, address string) (io.ReadWriteCloser, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxTunnelTime)
-	defer cancel()
+func (d *Dialer) dialTunnel(parent context.Context, address string) (io.ReadWriteCloser, error) {
 	hosts := d.hostsToTry(time.Now())
-	confirmations := 0
+	if len(hosts) == 0 {
+		return nil, errNoTunnel
+	}
+	ctx, cancel := context.WithTimeout(parent, maxTunnelTime)
+	defer cancel()
+	confirmations, silent := 0, 0
 	lastErr := errNoTunnel
 	for _, via := range hosts {
 		conn, err := d.tunnelThrough(ctx, via, address)
@@ -191,15 +199,25 @@
 			return conn, nil
 		}
 		lastErr = err
-		if isUnreachable(err) {
+		var unavailable *tunnel.UnavailableError
+		switch {
+		case isUnreachable(err):
 			confirmations++
-		} else {
+		case errors.As(err, &unavailable):
+			d.avoid(via, time.Now())
+		default:
+			silent++
 			d.avoid(via, time.Now())
 		}
-		if ctx.Err() != nil || confirmations >= min(minConfirmations, len(hosts)) {
+		if ctx.Err() != nil || confirmations >= min(minConfirmations, len(hosts)) || silent >= maxSilentHosts {
 			break
 		}
 	}
+	if silent >= min(maxSilentHosts, len(hosts)) && parent.Err() == nil {
+		d.mu.Lock()
+		d.noTunnelUntil = time.Now().Add(avoidTime)
+		d.mu.Unlock()
+	}
 	d.failedTunnels.Inc(1)
 	klog.InfoS("no tunnel to an upstream", "upstream_address", address, "hosts", len(hosts), "unreachable_from", confirmations, "error", lastErr.Error())
 	return nil, eris.Wrap(lastErr, "connect through other hosts")
@@ -234,12 +252,16 @@
 	return conn, nil
 }
 
-// hostsToTry returns other hosts in random order, those that were of no help lately last.
+// hostsToTry returns other hosts in random order, those that were of no help lately last, or none if
+// this host seems to be out of reach of the others.
 func (d *Dialer) hostsToTry(now time.Time) []string {
 	hosts := d.options.Hosts()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now.Before(d.noTunnelUntil) {
+		return nil
+	}
 	var preferred, avoided []string
 	for _, h := range hosts {
 		if now.Sub(d.avoided[h]) < avoidTime {
--- a/internal/upstreampath/dialer_test.go
+++ b/internal/upstreampath/dialer_test.go
@@ -24,6 +24,8 @@
 	// linksDown cuts the host off from all upstreams, and otherLinksDown other hosts.
 	linksDown      bool
 	otherLinksDown map[string]bool
+	// isolated cuts the host off from the other hosts.
+	isolated bool
 	// linkDown cuts the host off from single upstreams.
 	linkDown map[string]bool
 	// upstreamsDown accept no connections of anybody.
@@ -68,6 +70,8 @@
 	defer n.mu.Unlock()
 	n.tunnel++
 	switch {
+	case n.isolated:
+		return nil, errors.New("timeout")
 	case n.otherLinksDown[via]:
 		return nil, &tunnel.UnavailableError{Reason: "cut off"}
 	case n.upstreamsDown[address]:
@@ -216,3 +220,25 @@
 	g.Expect(err).To(HaveOccurred())
 	n.set(func() { g.Expect(n.tunnel).To(BeZero(), "an upstream that is down is not asked for") })
 }
+
+// Guards against delays by hosts that are out of reach too.
+func TestHostThatReachesNoOtherSeldomTriesTunnels(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork()
+	d := n.dialer(40)
+	n.set(func() {
+		n.linksDown, n.isolated = true, true
+	})
+	for i := range 20 {
+		_, err := d.Dial(t.Context(), upstream(i%4))
+		g.Expect(err).To(HaveOccurred())
+	}
+	n.set(func() {
+		g.Expect(n.tunnel).To(And(BeNumerically(">=", 1), BeNumerically("<=", 2*maxSilentHosts)))
+		n.isolated = false
+	})
+	g.Eventually(func() error {
+		_, err := d.Dial(t.Context(), upstream(0))
+		return err
+	}, "2s", "20ms").Should(Succeed())
+}
