--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -147,36 +147,6 @@
 	p.rebuild()
 }
 
-// MergeNews applies what a control host without a leader knows, and returns what is new: later
-// processes, and later states of known ones. Whether an upstream is responsive is left to the leader,
-// as others may not hear from it.
-func (p *Pool) MergeNews(records []presence.Record) []presence.Upstream {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var news []presence.Upstream
-	for _, r := range records {
-		old := p.table.Record(r.ID)
-		switch {
-		case old == nil && r.Unresponsive:
-			continue
-		case old == nil || r.StartedMS > old.StartedMS:
-			r.Unresponsive = false
-		case r.StartedMS == old.StartedMS && r.State > old.State:
-			next := *old
-			next.State = r.State
-			r = next
-		default:
-			continue
-		}
-		p.table.Set(r)
-		news = append(news, r.Upstream)
-	}
-	if len(news) > 0 {
-		p.rebuild()
-	}
-	return news
-}
-
 // TableDigests returns the digests of the table of upstreams; nil if it is empty.
 func (p *Pool) TableDigests() []byte {
 	p.mu.Lock()
