Send the origins of streams also to gateways that start later

Now a host that learns of gateways which have just started sends them the records of its own streams that they should keep.

--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -75,6 +75,7 @@
 	witness         *prepaid.Witness
 	traits          *crashcause.Host
 	origins         *streamorigin.Table
+	begunStreams    streamorigin.Begun
 	gossipConn      atomic.Pointer[net.UDPConn] // nil until Gossip runs
 	view            atomic.Pointer[View]
 	lastSync        atomic.Pointer[time.Time] // time of the latest successful call
--- a/internal/hostsync/peers.go
+++ b/internal/hostsync/peers.go
@@ -37,15 +37,22 @@
 	if reply.Peers == nil && reply.PeerChanges == nil && !expired {
 		return
 	}
-	known := len(c.peers)
+	earlier := c.peers
 	c.peers = mergePeers(c.currentPeers, c.earlierPeers)
 	addresses := []string{c.options.Address}
+	var started []string
 	for _, p := range c.peers {
 		addresses = append(addresses, p.Address)
+		if at, found := slices.BinarySearchFunc(earlier, p, controlnode.Peer.Compare); !found || earlier[at].Session != p.Session {
+			started = append(started, p.Address)
+		}
+	}
+	if len(started) > 0 {
+		go c.resendStreamOrigins(started)
 	}
 	c.options.Pool.SetHosts(c.options.Address, addresses)
 	c.allowance.SetFleet(prepaid.NewFleet(c.options.Address, addresses))
-	if len(c.peers) != known {
+	if len(c.peers) != len(earlier) {
 		klog.InfoS("number of gateway hosts changed", "hosts", len(c.peers), "epoch", peersEpoch(reply), "revision", reply.PeersRevision)
 	}
 }
--- a/internal/hostsync/streamorigin.go
+++ b/internal/hostsync/streamorigin.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -32,7 +33,7 @@
 
 func (c *Client) registerStreamOrigin(srv *rpc.Server) {
 	rpc.Handle(srv, methodStreamOrigin, func(_ context.Context, req *streamOriginRequest) (*streamOriginReply, error) {
-		origin, known := c.origins.Get(req.Fingerprint, req.CallID, time.Now())
+		origin, known := c.KeptStreamOrigin(req.Fingerprint, req.CallID)
 		return &streamOriginReply{Origin: origin, Known: known}, nil
 	})
 }
@@ -43,26 +44,51 @@
 	if !c.keepStreamOrigin(r) {
 		return
 	}
+	c.begunStreams.Add(r, time.Now())
+	for _, host := range c.keepersOf(r) {
+		c.sendStreamOrigin(r, host)
+	}
+}
+
+func (c *Client) keepersOf(r streamorigin.Record) []string {
+	return streamorigin.KeepersOf(r.Fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Keepers)
+}
+
+func (c *Client) sendStreamOrigin(r streamorigin.Record, host string) {
 	conn := c.gossipConn.Load()
 	if conn == nil {
 		return
 	}
-	data, err := codec.Marshal(&gossipMessage{StreamOrigins: []streamorigin.Record{r}})
+	address, err := netip.ParseAddrPort(host)
+	var data []byte
+	if err == nil {
+		data, err = codec.Marshal(&gossipMessage{StreamOrigins: []streamorigin.Record{r}})
+	}
+	if err == nil {
+		_, err = conn.WriteToUDPAddrPort(data, address)
+	}
 	if err != nil {
-		klog.ErrorS(err, "origin of a stream not sent", "stream_origin", r.CallID)
-		return
+		klog.V(2).InfoS("origin of a stream not sent", "stream_origin", r.CallID, "peer", host, "error", err.Error())
 	}
-	for _, host := range streamorigin.KeepersOf(r.Fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Keepers) {
-		address, err := netip.ParseAddrPort(host)
-		if err == nil {
-			_, err = conn.WriteToUDPAddrPort(data, address)
-		}
-		if err != nil {
-			klog.V(2).InfoS("origin of a stream not sent", "stream_origin", r.CallID, "peer", host, "error", err.Error())
+}
+
+// resendStreamOrigins sends the records of the streams that this host began to those of their keepers
+// that have just started.
+func (c *Client) resendStreamOrigins(started []string) {
+	for _, r := range c.begunStreams.Needed(time.Now()) {
+		for _, host := range c.keepersOf(r) {
+			if slices.Contains(started, host) {
+				c.sendStreamOrigin(r, host)
+			}
 		}
 	}
 }
 
+// KeptStreamOrigin returns the origin of a stream if this host keeps its record.
+func (c *Client) KeptStreamOrigin(fingerprint uint64, callID string) (streamorigin.Origin, bool) {
+	return c.origins.Get(fingerprint, callID, time.Now())
+}
+
 // keepStreamOrigin keeps a record on this host, and reports whether there is room for it.
 func (c *Client) keepStreamOrigin(r streamorigin.Record) bool {
 	kept := c.origins.Put(r, time.Now())
@@ -75,7 +101,7 @@
 // StreamOrigin returns the origin of the stream that a call began, and whether it is known, here or
 // on the hosts that keep it. If callID is empty, any stream of the same request is meant.
 func (c *Client) StreamOrigin(ctx context.Context, fingerprint uint64, callID string) (streamorigin.Origin, bool) {
-	if origin, known := c.origins.Get(fingerprint, callID, time.Now()); known {
+	if origin, known := c.KeptStreamOrigin(fingerprint, callID); known {
 		return origin, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, streamOriginTimeout)
