Charge no prompt of which no upstream had begun to answer

The gateway now closes its sending direction and reads on for 100 ms. An upstream that ends the connection without a byte had not begun, and nothing is charged.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -188,15 +188,18 @@
 // charge returns the charge if the given number of events reached the caller.
 func (c tokenCost) charge(events int64) int64 { return c.input + events*c.tokensPerEvent }
 
-// settle ends the reservation. The charge is 0 if no upstream ran the request; otherwise
+// settle ends the reservation. The charge is 0 if no upstream began to answer; otherwise
 // it covers the prompt and the events that reached the caller.
 func (q *request) settle() {
 	if q.reservedTokens == 0 {
 		return
 	}
 	used := int64(0)
-	if q.mayHaveRun {
+	switch {
+	case q.mayHaveBegun:
 		used = q.cost().charge(q.eventsSent)
+	case q.mayHaveRun:
+		q.handler.uncharged.Inc(1)
 	}
 	q.handler.Sync.Allowance().Settle(q.organisation.Name, q.reservedTokens, used)
 	go q.handler.Sync.ReturnTokens(q.organisation.Name)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -246,6 +246,7 @@
 	a.upstreamID, a.upstreamVersion = a.target.ID, a.target.Version
 	if err != nil {
 		a.mayHaveRun = true
+		a.mayHaveBegun = a.mayHaveBegun || !errors.Is(err, upstreamhttp.ErrNotBegun)
 		return a.exchangeBroken(failureNoAnswer)
 	}
 	defer answer.Close()
@@ -331,12 +332,12 @@
 		a.lastFailure = failureFull
 		return resultNotRun
 	case class.Mismatched:
-		a.mayHaveRun = true
+		a.mayHaveRun, a.mayHaveBegun = true, true
 		a.reportOutcome(placement.Failed)
 		a.lastFailure = failureMismatched
 		return a.brokenResult()
 	}
-	a.mayHaveRun = true
+	a.mayHaveRun, a.mayHaveBegun = true, true
 	if a.route.Kind == catalog.Streaming && answer.StatusCode < http.StatusMultipleChoices {
 		return a.streamAnswer(w, answer)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -48,6 +48,7 @@
 	// draining is set during a shutdown, when new requests are refused.
 	draining         atomic.Bool
 	served           tally.Counter
+	uncharged        tally.Counter
 	upstreamCrashes  tally.Counter
 	limitRefusals    tally.Counter
 	notices          noticeCounters
@@ -61,6 +62,7 @@
 		upstreams:        upstreamhttp.NewClient(o.Paths.Dial),
 		startupDeadline:  time.Now().Add(startupTimeout),
 		served:           o.Scope.Counter("answers"),
+		uncharged:        o.Scope.Counter("withdrawn_uncharged"),
 		upstreamCrashes:  o.Scope.Counter("upstream_crashes"),
 		limitRefusals:    o.Scope.Counter("limit_refusals"),
 		notices:          newNoticeCounters(o.Scope),
@@ -104,6 +106,9 @@
 	tokenSearch    *tokenSearch
 	// mayHaveRun reports whether an upstream may have run the request, if only in part.
 	mayHaveRun bool
+	// mayHaveBegun reports whether an upstream may have begun to answer, from which time on the
+	// prompt counts as used.
+	mayHaveBegun bool
 	// eventsSent is the number of stream events sent to the caller. The stream is
 	// resumable if the last of them had an id, which is lastEventID.
 	eventsSent  int64
@@ -202,7 +207,7 @@
 	telemetry.Refusal(h.Scope, e.Kind).Inc(1)
 	fields := q.logFields()
 	klog.InfoS("request refused", append(fields, "kind", string(e.Kind), "reason", e.Message,
-		"retry_after_ms", e.RetryAfterMS, "ran", q.mayHaveRun)...)
+		"retry_after_ms", e.RetryAfterMS, "ran", q.mayHaveRun, "begun", q.mayHaveBegun)...)
 	h.Dialect.Refuse(w, q.Call, e)
 }
 
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -80,9 +80,14 @@
 // received: it may have run.
 var ErrNoAnswer = errors.New("no answer from the upstream")
 
+// ErrNotBegun reports that the request was withdrawn and the upstream ended the connection without
+// having sent a byte: it had not begun to answer.
+var ErrNotBegun = errors.New("the upstream had not begun to answer when the request was withdrawn")
+
 // Do connects, sends the request that prepare returns then, and reads the header of the answer. Its
 // errors are either an *UnreachableError or wrap ErrNoAnswer. If prepare returns nil nothing is sent, and
-// the error wraps ErrWithdrawn: connecting may take long. The exchange ends when ctx is done.
+// the error wraps ErrWithdrawn: connecting may take long. The exchange ends when ctx is done; if the
+// answer had not begun by then, the error also wraps ErrNotBegun.
 func (c *Client) Do(ctx context.Context, address string, prepare func() *Request) (*Answer, error) {
 	conn, err := c.dial(ctx, address)
 	if err != nil {
@@ -93,19 +98,26 @@
 		_ = conn.Close()
 		return nil, &UnreachableError{Cause: ErrWithdrawn}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	answer, err := roundTrip(conn, r)
+	withdrawal := &withdrawableConn{ReadWriteCloser: conn}
+	stop := context.AfterFunc(ctx, withdrawal.withdraw)
+	answer, err := roundTrip(withdrawal, r)
+	withdrawn := !stop()
+	if err == nil && withdrawn {
+		err = ctx.Err()
+	}
 	if err != nil {
-		stop()
 		_ = conn.Close()
+		if withdrawn && withdrawal.endedUnanswered(err) {
+			err = errors.Join(ErrNotBegun, err)
+		}
 		return nil, eris.Wrap(errors.Join(ErrNoAnswer, err), "exchange with the upstream")
 	}
-	answer.stop = stop
+	answer.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return answer, nil
 }
 
-func roundTrip(conn io.ReadWriteCloser, r *Request) (*Answer, error) {
-	if _, err := conn.Write(r.encode()); err != nil {
+func roundTrip(conn *withdrawableConn, r *Request) (*Answer, error) {
+	if err := conn.send(r.encode()); err != nil {
 		return nil, err
 	}
 	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
--- /dev/null
+++ b/internal/upstreamhttp/withdraw.go
@@ -0,0 +1,56 @@
+package upstreamhttp
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"time"
+)
+
+// withdrawTimeout bounds the time for which a withdrawn exchange waits for the end of the
+// connection. An upstream that notices the half-close ends it within a round trip; the others must
+// be freed soon, as they may still work on the request.
+const withdrawTimeout = 100 * time.Millisecond
+
+// halfCloser is a connection whose sending direction can be closed by itself.
+type halfCloser interface {
+	CloseWrite() error
+	SetReadDeadline(t time.Time) error
+}
+
+// withdrawableConn is a connection on which a request can be withdrawn, so that it shows whether the
+// upstream had begun to answer.
+type withdrawableConn struct {
+	io.ReadWriteCloser
+	// sent reports that the whole request was written, and received that a byte arrived.
+	sent, received bool
+}
+
+// withdraw ends the sending direction, and the connection after withdrawTimeout. A connection that
+// can't be half-closed is closed.
+func (c *withdrawableConn) withdraw() {
+	conn, ok := c.ReadWriteCloser.(halfCloser)
+	if !ok || conn.SetReadDeadline(time.Now().Add(withdrawTimeout)) != nil || conn.CloseWrite() != nil {
+		_ = c.Close()
+	}
+}
+
+func (c *withdrawableConn) send(data []byte) error {
+	_, err := c.Write(data)
+	c.sent = err == nil
+	return err
+}
+
+// Read implements io.Reader.
+func (c *withdrawableConn) Read(p []byte) (int, error) {
+	n, err := c.ReadWriteCloser.Read(p)
+	c.received = c.received || n > 0
+	return n, err
+}
+
+// endedUnanswered reports whether the exchange failed with err because the upstream ended the
+// connection before it sent anything. After a timeout or a close by this host that is not known.
+func (c *withdrawableConn) endedUnanswered(err error) bool {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	return c.sent && !c.received && ended
+}
