Cold times of upstreams in reports, answers and messages between hosts

Cause: a process that has just started takes few requests a second, and hosts did not read what it states of that.

The table of upstreams holds the time until which a process is cold by the host's own clock; hosts send it to each other as the remaining time. Encodings of the table that state a remaining time are renewed every 100 ms.

One existing test passes the time of an encoding to encodeUpstreams.

--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -94,6 +94,16 @@
 	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// WarmUp is the zero value if the upstreams take requests at the full rate from their start.
+	WarmUp WarmUp
+}
+
+// WarmUp describes what an upstream accepts while it is cold.
+type WarmUp struct {
+	// Rate is the number of requests per second that a cold upstream takes from all hosts together.
+	Rate float64
+	// Duration is the time for which a process is cold after its start.
+	Duration time.Duration
 }
 
 // Limits holds the size limits and timeouts for requests from callers.
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -21,6 +21,9 @@
 			return eris.Errorf("service %q is listed twice", name)
 		}
 		services[name] = true
+		if w := d.Services[i].WarmUp; w.Rate < 0 || w.Duration < 0 {
+			return eris.Errorf("the warm-up of service %q is negative", name)
+		}
 	}
 	if err := d.validateRoutes(services); err != nil {
 		return err
--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"maps"
@@ -33,6 +34,7 @@
 // directUpstreams are the upstreams that report to this host, ordered by id.
 type directUpstreams struct {
 	records    []UpstreamRecord
+	digests    []uint64 // of the states, in the same order
 	generation uint64
 }
 
@@ -85,10 +87,12 @@
 
 func newDirectUpstreams(records []*presence.Record, now time.Time) directUpstreams {
 	d := directUpstreams{records: toUpstreamRecords(records, now)}
+	slices.SortFunc(records, func(a, b *presence.Record) int { return cmp.Compare(a.ID, b.ID) })
 	digest := xxhash.New()
 	var buffer []byte
-	for i := range d.records {
-		buffer = binary.LittleEndian.AppendUint64(buffer[:0], d.records[i].Digest())
+	for _, r := range records {
+		d.digests = append(d.digests, r.StateDigest())
+		buffer = binary.LittleEndian.AppendUint64(buffer[:0], r.StateDigest())
 		_, _ = digest.Write(buffer) // never fails
 	}
 	d.generation = max(digest.Sum64(), 1)
@@ -157,11 +161,11 @@
 	}
 	before := make(map[string]uint64, len(earlier.records))
 	for i := range earlier.records {
-		before[earlier.records[i].ID] = earlier.records[i].Digest()
+		before[earlier.records[i].ID] = earlier.digests[i]
 	}
 	for i := range d.records {
 		r := &d.records[i]
-		if digest, known := before[r.ID]; !known || digest != r.Digest() {
+		if digest, known := before[r.ID]; !known || digest != d.digests[i] {
 			changed = append(changed, *r)
 		}
 		delete(before, r.ID)
@@ -173,7 +177,7 @@
 func (n *Node) receiveUpstreams(_ context.Context, msg *UpstreamsMessage) (*UpstreamsReply, error) {
 	now := time.Now()
 	for i := range msg.Records {
-		n.applyReport(msg.Records[i].Upstream, now.Add(-msg.Records[i].Age))
+		n.applyReport(msg.Records[i].Upstream, msg.Records[i].Coldness(now), now.Add(-msg.Records[i].Age), now)
 	}
 	if msg.Sender == "" {
 		return &UpstreamsReply{}, nil
--- a/internal/controlnode/feed.go
+++ b/internal/controlnode/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,6 +22,9 @@
 	// newsTime is the age up to which changes of upstreams are told to hosts that reach no leader.
 	// They call several times in it.
 	newsTime = 15 * time.Second
+	// coldInterval is the age up to which an encoding is sent that states for how long upstreams
+	// remain cold. An older one would prolong their warm-ups.
+	coldInterval = 100 * time.Millisecond
 	// maxEncodedBytes bounds the encoded table before compression.
 	maxEncodedBytes = 64 << 20
 )
@@ -33,7 +37,7 @@
 	// marks are revisions of the table, one for each second of newsTime, oldest first.
 	marks []revisionMark
 	// changes holds the changes since earlier revisions, by these. All lead to revision.
-	changes   map[uint64][]byte
+	changes   map[uint64]encodedTable
 	revision  uint64
 	changesAt time.Time
 }
@@ -43,8 +47,13 @@
 	data     []byte
 	revision uint64
 	at       time.Time
+	// cold reports that the encoding states for how long upstreams remain cold.
+	cold bool
 }
 
+// isOutdated reports whether times in the encoding are too old.
+func (e *encodedTable) isOutdated(now time.Time) bool { return e.cold && now.Sub(e.at) >= coldInterval }
+
 // revisionMark is the revision of the table at a time.
 type revisionMark struct {
 	at       time.Time
@@ -71,7 +80,7 @@
 }
 
 func newUpstreamFeed(t *presence.Table) *upstreamFeed {
-	return &upstreamFeed{table: t, changes: map[uint64][]byte{}}
+	return &upstreamFeed{table: t, changes: map[uint64]encodedTable{}}
 }
 
 // since returns the encoded records that a host lacks which knows the table as of revision
@@ -89,12 +98,12 @@
 	if known >= f.revision {
 		return nil, known
 	}
-	data, encoded := f.changes[known]
-	if !encoded {
-		data = encodeUpstreams(f.table.ChangedSince(known))
-		f.changes[known] = data
+	changes, encoded := f.changes[known]
+	if !encoded || changes.isOutdated(now) {
+		changes = encodeTable(f.table.ChangedSince(known), f.revision, now)
+		f.changes[known] = changes
 	}
-	return data, f.revision
+	return changes.data, f.revision
 }
 
 // differences returns the encoded records in which the table of a host with the given digests
@@ -105,24 +114,30 @@
 	if 2*len(records) > f.table.Len() {
 		return f.wholeTable(now)
 	}
-	return encodeUpstreams(records), f.table.Revision()
+	return encodeUpstreams(records, now), f.table.Revision()
 }
 
 func (f *upstreamFeed) wholeTable(now time.Time) ([]byte, uint64) {
 	current := f.table.Revision()
-	if f.whole.revision != current && now.Sub(f.whole.at) >= wholeTableInterval {
-		f.whole = encodedTable{data: encodeUpstreams(f.table.ChangedSince(0)), revision: current, at: now}
+	if f.whole.revision != current && now.Sub(f.whole.at) >= wholeTableInterval || f.whole.isOutdated(now) {
+		f.whole = encodeTable(f.table.ChangedSince(0), current, now)
 	}
 	return f.whole.data, f.whole.revision
 }
 
+// encodeTable encodes the records as of a revision.
+func encodeTable(records []*presence.Record, revision uint64, now time.Time) encodedTable {
+	cold := slices.ContainsFunc(records, func(r *presence.Record) bool { return r.Cold.Left(now) > 0 })
+	return encodedTable{data: encodeUpstreams(records, now), revision: revision, at: now, cold: cold}
+}
+
 // encodeUpstreams returns the encoding of the records without what gateways do not need, and nil
 // if there are no records.
-func encodeUpstreams(records []*presence.Record) []byte {
+func encodeUpstreams(records []*presence.Record, now time.Time) []byte {
 	if len(records) == 0 {
 		return nil
 	}
-	list := toUpstreamRecords(records, time.Time{})
+	list := toUpstreamRecords(records, now)
 	for i := range list {
 		list[i].Age, list[i].Sequence = 0, 0
 	}
--- a/internal/controlnode/feed_test.go
+++ b/internal/controlnode/feed_test.go
@@ -148,7 +148,7 @@
 
 func TestTruncatedUpstreamsAreRefused(t *testing.T) {
 	g := NewWithT(t)
-	data := encodeUpstreams([]*presence.Record{{Upstream: feedUpstream(1, 1, presence.Ready)}})
+	data := encodeUpstreams([]*presence.Record{{Upstream: feedUpstream(1, 1, presence.Ready)}}, feedStart)
 	_, err := (&SyncReply{EncodedUpstreams: data[:len(data)/2]}).DecodeUpstreams()
 	g.Expect(err).To(HaveOccurred())
 }
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -258,6 +258,15 @@
 	Age time.Duration `cbor:"2,keyasint,omitempty"`
 	// Unresponsive reports that the upstream's heartbeat is overdue.
 	Unresponsive bool `cbor:"3,keyasint,omitempty"`
+	// ColdLeft is the time for which the process remains cold, as reported, and ColdSequence the
+	// sequence of that statement; 0 if there is none. See presence.Coldness.
+	ColdLeft     time.Duration `cbor:"4,keyasint,omitempty"`
+	ColdSequence int64         `cbor:"5,keyasint,omitempty"`
+}
+
+// Coldness returns what the process has reported about its warm-up.
+func (r *UpstreamRecord) Coldness(now time.Time) presence.Coldness {
+	return presence.NewColdness(r.ColdLeft, r.ColdSequence, now)
 }
 
 // UpstreamsMessage forwards reports of upstreams to another control host: changed ones, or in an
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -266,7 +266,7 @@
 	defer n.mu.Unlock()
 	for i := range upstreams {
 		if !upstreams[i].Unresponsive {
-			n.table.ApplyState(upstreams[i].Upstream, now)
+			n.table.ApplyStateOf(upstreams[i].Upstream, upstreams[i].Coldness(now), now)
 		}
 	}
 	r.epoch, r.gatewaysAt, r.tableRevision = reply.Epoch, reply.GatewaysRevision, reply.TableRevision
--- a/internal/controlnode/upstreams.go
+++ b/internal/controlnode/upstreams.go
@@ -21,15 +21,22 @@
 
 // Report applies a report that an upstream sent to this host. A report that changes the
 // table is forwarded to the other control hosts at once; others wait for the next exchange.
-func (n *Node) Report(u presence.Upstream) {
+func (n *Node) Report(u presence.Upstream) { n.report(u, presence.Coldness{}, time.Now()) }
+
+// ReportHeartbeat is Report for a report that states the time for which the process remains cold.
+func (n *Node) ReportHeartbeat(u presence.Upstream, coldLeft time.Duration) {
 	now := time.Now()
+	n.report(u, presence.ReportedColdness(coldLeft, &u, now), now)
+}
+
+func (n *Node) report(u presence.Upstream, cold presence.Coldness, now time.Time) {
 	n.mu.Lock()
 	n.directReports[u.ID] = now
 	n.mu.Unlock()
-	if !n.applyReport(u, now) {
+	if !n.applyReport(u, cold, now, now) {
 		return
 	}
-	record := UpstreamRecord{Upstream: u}
+	record := newUpstreamRecord(&presence.Record{Upstream: u, Cold: cold, ReceivedAt: now}, now)
 	for _, address := range n.otherControlHosts() {
 		select {
 		case n.forwardQueueTo(address) <- record:
@@ -40,15 +47,15 @@
 }
 
 // applyReport applies a report and returns whether it changed the table.
-func (n *Node) applyReport(u presence.Upstream, seen time.Time) bool {
+func (n *Node) applyReport(u presence.Upstream, cold presence.Coldness, seen, now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	before := n.table.Revision()
-	n.table.Apply(u, seen)
+	n.table.ApplyReport(u, cold, seen, now)
 	changed := n.table.Revision() != before
 	if changed {
 		klog.InfoS("upstream changed", "upstream", u.ID, "address", u.Address, "service", u.Service, "software_version", u.Version,
-			"state", u.State.String(), "started", u.StartedMS, "sequence", u.Sequence, "revision", n.table.Revision())
+			"state", u.State.String(), "started", u.StartedMS, "sequence", u.Sequence, "cold_left_ms", max(cold.Left(now), 0).Milliseconds(), "revision", n.table.Revision())
 	}
 	return changed
 }
@@ -118,8 +125,15 @@
 func toUpstreamRecords(records []*presence.Record, now time.Time) []UpstreamRecord {
 	list := make([]UpstreamRecord, 0, len(records))
 	for _, r := range records {
-		list = append(list, UpstreamRecord{Upstream: r.Upstream, Age: now.Sub(r.ReceivedAt), Unresponsive: r.Unresponsive})
+		list = append(list, newUpstreamRecord(r, now))
 	}
 	slices.SortFunc(list, func(a, b UpstreamRecord) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
+
+func newUpstreamRecord(r *presence.Record, now time.Time) UpstreamRecord {
+	return UpstreamRecord{
+		Upstream: r.Upstream, Age: now.Sub(r.ReceivedAt), Unresponsive: r.Unresponsive,
+		ColdLeft: r.Cold.Left(now), ColdSequence: r.Cold.Sequence,
+	}
+}
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -89,9 +89,12 @@
 }
 
 func presenceRecords(messages []controlnode.UpstreamRecord) []presence.Record {
+	now := time.Now()
 	list := make([]presence.Record, 0, len(messages))
 	for i := range messages {
-		list = append(list, presence.Record{Upstream: messages[i].Upstream, Unresponsive: messages[i].Unresponsive})
+		list = append(list, presence.Record{
+			Upstream: messages[i].Upstream, Unresponsive: messages[i].Unresponsive, Cold: messages[i].Coldness(now),
+		})
 	}
 	return list
 }
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -19,6 +19,10 @@
 	// requests away in a second for want of room.
 	Brittle       bool
 	MaxRejections float64
+	// ColdStated reports that the upstream states for how long it remains cold, which is ColdLeft; 0
+	// if it is not cold.
+	ColdStated bool
+	ColdLeft   time.Duration
 	// Invalid is a value that could not be read; empty if there is none.
 	Invalid string
 }
--- a/internal/presence/digest.go
+++ b/internal/presence/digest.go
@@ -27,11 +27,14 @@
 	return xxhash.Sum64(buffer)
 }
 
+// StateDigest returns a hash of the upstream without its sequence, and of its coldness.
+func (r *Record) StateDigest() uint64 { return r.Digest() ^ r.Cold.digest() }
+
 func bucketOf(id string) int { return int(xxhash.Sum64String(id) % digestBuckets) }
 
 // addDigest adds a record to the digest of its bucket, or removes it if sign is -1.
 func (t *Table) addDigest(r *Record, sign int) {
-	digest := r.Digest()
+	digest := r.StateDigest()
 	if r.Unresponsive {
 		digest = bits.RotateLeft64(digest, 1)
 	}
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -66,12 +66,14 @@
 // Record is an upstream with the data that the table adds.
 type Record struct {
 	Upstream
+	// Cold is what the process has reported about its warm-up.
+	Cold Coldness
 	// ReceivedAt is the time at which the latest report was received.
 	ReceivedAt time.Time
 	// Unresponsive reports whether the latest report is older than HeartbeatTimeout.
 	Unresponsive bool
 	// Revision is the revision of the latest change of any field but Sequence and
-	// ReceivedAt.
+	// ReceivedAt, and of Cold only if the stated end of the warm-up moved.
 	Revision uint64
 }
 
@@ -105,10 +107,14 @@
 
 // Apply applies a report and reports whether it is newer than the known state. A
 // departure has state Terminated; only its ID and StartedMS need to be set.
-func (t *Table) Apply(u Upstream, now time.Time) bool {
+func (t *Table) Apply(u Upstream, now time.Time) bool { return t.ApplyReport(u, Coldness{}, now, now) }
+
+// ApplyReport is Apply for a report that was received at time at and states the coldness of the
+// process.
+func (t *Table) ApplyReport(u Upstream, cold Coldness, at, now time.Time) bool {
 	old := t.records[u.ID]
 	if old == nil {
-		t.store(&Record{Upstream: u, ReceivedAt: now})
+		t.store(&Record{Upstream: u, Cold: cold, ReceivedAt: at})
 		t.terminateReplaced(u)
 		return true
 	}
@@ -116,9 +122,13 @@
 		return false
 	}
 	next := merge(old, u)
-	next.ReceivedAt = now
-	if sameExceptSequence(&old.Upstream, &next.Upstream) && !old.Unresponsive {
-		old.ReceivedAt, old.Sequence = now, u.Sequence
+	next.ReceivedAt = at
+	next.Cold = cold
+	if u.StartedMS == old.StartedMS {
+		next.Cold = old.Cold.updated(cold, now)
+	}
+	if sameExceptSequence(&old.Upstream, &next.Upstream) && !old.Unresponsive && next.Cold == old.Cold {
+		old.ReceivedAt, old.Sequence = at, u.Sequence
 		return true
 	}
 	t.store(next)
@@ -144,15 +154,21 @@
 
 // ApplyState applies the state of an upstream as another control host knows it, which does not
 // state when the upstream reported. Only a later process, or a later state of a process, is news.
-func (t *Table) ApplyState(u Upstream, now time.Time) {
+func (t *Table) ApplyState(u Upstream, now time.Time) { t.ApplyStateOf(u, Coldness{}, now) }
+
+// ApplyStateOf is ApplyState with the coldness of the process, of which a later statement is news.
+func (t *Table) ApplyStateOf(u Upstream, cold Coldness, now time.Time) {
 	old := t.records[u.ID]
 	switch {
 	case old == nil || u.StartedMS > old.StartedMS:
 		u.Sequence = 0
-		t.Apply(u, now)
-	case u.StartedMS == old.StartedMS && u.State > old.State:
+		t.ApplyReport(u, cold, now, now)
+	case u.StartedMS == old.StartedMS && (u.State > old.State || cold.Sequence > old.Cold.Sequence):
 		next := *old
-		next.State = u.State
+		next.State = max(u.State, old.State)
+		if cold.Sequence > old.Cold.Sequence {
+			next.Cold = cold
+		}
 		t.store(&next)
 	}
 }
