Limit on requests to cold upstreams that hosts share by hashing

Cause: a cold upstream fails if all hosts together send it more than a few requests a second.

Change: a cold process, reported or inferred, has a limit that few hosts share. Each has a rate and a bound in a sliding window of 1.1 s; the bounds of two disjoint sets of hosts stay within 1.5 times the rate plus the burst. A request is counted when it is sent, so that connections that take long do not send a burst. A host that takes over a share waits 3 s. After the end a host has at most one more request in flight for 500 ms.

--- a/internal/placement/brittle.go
+++ b/internal/placement/brittle.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/notice"
@@ -73,10 +72,9 @@
 
 // rankFor returns the number of hosts of higher rendezvous weight for an upstream than this one.
 func (f *fleet) rankFor(upstream string) (rank int) {
-	weight := func(host string) uint64 { return xxhash.Sum64String(upstream + "\x00" + host) }
-	own := weight(f.own)
+	own := rendezvousWeightOfHost(upstream, f.own)
 	for _, h := range f.hosts {
-		if other := weight(h); h != f.own && (other > own || other == own && h < f.own) {
+		if other := rendezvousWeightOfHost(upstream, h); h != f.own && (other > own || other == own && h < f.own) {
 			rank++
 		}
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -86,6 +86,9 @@
 	kvTokens   int64
 	assignedAt time.Time
 	prefilled  bool
+	// coldReservation is the limit that the request was taken from, until it is sent; nil if the
+	// upstream was not cold.
+	coldReservation *warmUp
 }
 
 // Reason tells whether an upstream was chosen and, if not, why.
@@ -117,6 +120,8 @@
 	// services.
 	MinBacklog  int64
 	PrefillRate float64
+	// WarmUp reports that the requests to a cold upstream are limited.
+	WarmUp bool
 }
 
 // Choose assigns a request to an upstream, or returns the reason for refusing it.
@@ -147,6 +152,7 @@
 	p.choices++
 	a.Upstream.lastChoice = p.choices
 	a.limit.use()
+	a.reserveWhileCold(now)
 	a.own.InFlight++
 	a.own.Backlog += a.unprefilled
 	a.own.KVTokens += a.kvTokens
@@ -170,6 +176,7 @@
 		return
 	}
 	a.Upstream.answeredAt = now
+	p.observeConnection(a.Upstream, false, now)
 	p.clearBacklog(a)
 	if a.hasPrefix {
 		p.statsOf(a.Service).addSample(a.Backlog, now.Sub(a.assignedAt))
@@ -197,6 +204,7 @@
 		delete(a.prefixes, a.prefix)
 	}
 	p.clearBacklog(a)
+	a.releaseColdReservation()
 	a.own.InFlight--
 	a.own.KVTokens -= a.kvTokens
 }
@@ -209,7 +217,7 @@
 		return nil, &Refusal{Reason: NoneReady, RetryAfter: minRetryAfter}
 	}
 	var healthy, unhealthy []*Upstream
-	full, staying, ofVersion := false, 0, 0
+	full, staying, ofVersion, warmUp := false, 0, 0, false
 	shortestWait := time.Duration(0)
 	brittle := p.isBrittle(req.Service, now)
 	for _, u := range all {
@@ -231,6 +239,7 @@
 			if wait := u.nextRequest(now); shortestWait == 0 || wait < shortestWait {
 				shortestWait = wait
 			}
+			warmUp = warmUp || u.warmUp != nil
 		case p.healthy(u, now):
 			healthy = append(healthy, u)
 		default:
@@ -247,7 +256,7 @@
 	case full:
 		return nil, &Refusal{Reason: AllFull, RetryAfter: minRetryAfter}
 	case shortestWait > 0:
-		return nil, &Refusal{Reason: AllLimited, RetryAfter: max(shortestWait, minRetryAfter)}
+		return nil, &Refusal{Reason: AllLimited, RetryAfter: max(shortestWait, minRetryAfter), WarmUp: warmUp}
 	case len(unhealthy) > 0:
 		return unhealthy, nil
 	}
@@ -261,12 +270,15 @@
 }
 
 // nextRequest returns the time until the upstream takes another request of this host, by what it
-// said in answers; 0 if it takes one now.
+// said in answers and as far as it is cold; 0 if it takes one now.
 func (u *Upstream) nextRequest(now time.Time) time.Duration {
 	wait := u.wait(now)
 	if !u.limit.allows(now) {
 		wait = max(wait, u.limit.wait())
 	}
+	if u.warmUp != nil {
+		wait = max(wait, u.warmUp.next(u, now))
+	}
 	return wait
 }
 
--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -16,9 +16,12 @@
 			continue
 		case old == nil || r.StartedMS > old.StartedMS:
 			r.Unresponsive = false
-		case r.StartedMS == old.StartedMS && r.State > old.State:
+		case r.StartedMS == old.StartedMS && (r.State > old.State || r.Cold.Sequence > old.Cold.Sequence):
 			next := *old
-			next.State = r.State
+			next.State = max(r.State, old.State)
+			if r.Cold.Sequence > old.Cold.Sequence {
+				next.Cold = r.Cold
+			}
 			r = next
 		default:
 			continue
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -55,9 +55,12 @@
 	slices.Sort(sorted)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fleet = fleet{own, slices.Compact(sorted)}
+	now := p.clock()
+	next := fleet{own, slices.Compact(sorted)}
+	p.recordHandover(next, now)
+	p.fleet = next
 	clear(p.brittleShares)
-	now := time.Now()
+	p.shareWarmUps()
 	for _, u := range p.upstreams {
 		if u.limit != nil {
 			u.limit.setShare(p.fleet, now)
@@ -90,6 +93,10 @@
 		p.observeBrittleness(u, n, requestID, now)
 		n.Brittle, n.MaxRejections = false, 0 // concerns the service
 	}
+	if n.ColdStated {
+		p.observeColdness(u, n, now)
+		n.ColdStated, n.ColdLeft = false, 0 // no limit that other hosts are told of
+	}
 	if n == (notice.Notice{}) && u.saidState == &nothingSaid {
 		return change
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/presence"
 )
 
@@ -45,6 +46,10 @@
 	// ejectedUntil is the end of the ejection; zero if the upstream is not ejected and
 	// needs no probe.
 	ejectedUntil time.Time
+	// evidence is what this host knows of the coldness of the process. warmUp is nil unless the
+	// process counts as cold or did lately.
+	evidence coldEvidence
+	warmUp   *warmUp
 	// saidState is nothingSaid until the upstream says something; see setSaid.
 	*saidState
 	// lastChoice is the value of Pool.choices when this upstream was last chosen.
@@ -117,6 +122,18 @@
 	brittleShares map[string]int
 	// stats holds the prefill statistics by service.
 	stats map[string]*prefillStats
+	// clock returns the time at which updates are received.
+	clock func() time.Time
+	// warmUps holds the services whose upstreams warm up, zonesReturned the ends of evacuations by
+	// zone, and warmingUp is the number of upstreams with a limit.
+	warmUpOptions WarmUpOptions
+	warmUps       map[string]catalog.WarmUp
+	zonesReturned map[string]time.Time
+	warmingUp     int
+	// departed are the hosts that left the list lately, and listedSince is when this host first had a
+	// list.
+	departed    []departedHost
+	listedSince time.Time
 }
 
 // NewPool returns an empty pool for a host in zone.
@@ -126,6 +143,7 @@
 		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
 		peers: map[uint64]*peerLoad{}, stats: map[string]*prefillStats{}, noticeReports: map[string]*observedNotice{}, loadChanged: make(chan struct{}, 1),
 		brittle: map[string]*brittleness{}, brittleShares: map[string]int{},
+		clock: time.Now, warmUpOptions: WarmUpOptions{Burst: DefaultWarmUpBurst}, zonesReturned: map[string]time.Time{},
 	}
 }
 
@@ -141,6 +159,9 @@
 		if old != nil && old.StartedMS == r.StartedMS {
 			r.State = max(r.State, old.State) // draining and leaving are final
 			r.Version = cmp.Or(r.Version, old.Version)
+			if r.Cold.Sequence <= old.Cold.Sequence {
+				r.Cold = old.Cold
+			}
 		}
 		p.table.Set(r)
 	}
@@ -162,12 +183,18 @@
 func (p *Pool) rebuild() {
 	upstreams := map[string]*Upstream{}
 	p.services = map[string][]*Upstream{}
+	now := p.clock()
 	for _, r := range p.table.All() {
 		u := p.upstreams[r.ID]
 		if u == nil || u.StartedMS != r.StartedMS {
-			u = &Upstream{saidState: &nothingSaid}
+			if u != nil {
+				p.abandonWarmUp(u, now)
+			}
+			u = &Upstream{saidState: &nothingSaid, evidence: coldEvidence{learnedAt: now}}
 		}
 		u.Upstream, u.heartbeatOverdue = r.Upstream, r.Unresponsive
+		u.evidence.setReported(r.Cold, now)
+		p.reviewWarmUp(u, now)
 		upstreams[r.ID] = u
 		if r.State == presence.Ready {
 			p.services[r.Service] = append(p.services[r.Service], u)
@@ -182,8 +209,10 @@
 func (p *Pool) ApplyControlLoads(loads map[uint32]Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.clock()
 	for id, u := range p.upstreams {
 		u.controlReported = loads[ShortID(id)]
+		p.maintainWarmUp(u, now)
 	}
 }
 
@@ -198,7 +227,7 @@
 func (p *Pool) Takes(a *Assignment, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return a.State == presence.Ready && !a.isLeaving(now)
+	return a.State == presence.Ready && !a.isLeaving(now) && a.takesWhileCold(now)
 }
 
 // ServesAt reports whether an upstream that takes requests is known at an address.
@@ -217,8 +246,11 @@
 func (p *Pool) ForgiveFailures() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.clock()
 	for _, u := range p.upstreams {
 		u.consecutiveFailures, u.ejections, u.ejectedUntil, u.probing = 0, 0, time.Time{}, false
+		u.evidence.lostAt, u.evidence.regainedAt = time.Time{}, time.Time{}
+		p.reviewWarmUp(u, now)
 	}
 }
 
@@ -266,11 +298,14 @@
 	case Served:
 		u.answeredAt = now
 		u.consecutiveFailures, u.ejections, u.ejectedUntil = 0, 0, time.Time{}
+		p.observeConnection(u, false, now)
 	case Unreachable:
+		p.observeConnection(u, true, now)
 		u.ejectedUntil = now.Add(unreachableEjection)
 	case Misdirected:
 		u.ejectedUntil = now.Add(maxEjection)
 	case Failed:
+		p.observeConnection(u, true, now)
 		u.consecutiveFailures++
 		if u.consecutiveFailures >= ejectAfterFailures {
 			u.ejectedUntil = now.Add(min(minEjection<<min(u.ejections, 4), maxEjection))
