--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -40,6 +40,7 @@
 const (
 	failureUnreachable        = "unreachable"
 	failureWithdrawn          = "left_meanwhile"
+	failureCold               = "cold_meanwhile"
 	failureFull               = "full"
 	failureMisdirected        = "misdirected"
 	failureNoAnswer           = "no_answer"
@@ -158,6 +159,11 @@
 			WithRetryAfter(max(refused.RetryAfter, fullRetryAfter))
 	case placement.AllLimited:
 		q.handler.limitRefusals.Inc(1)
+		if refused.WarmUp {
+			q.handler.warmUpRefusals.Inc(1)
+			return nil, errkind.New(errkind.Overloaded, "upstreams of service %q are cold, and all limit their requests or asked to wait", service).
+				WithRetryAfter(spread(refused.RetryAfter))
+		}
 		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q limit their requests or asked to wait", service).
 			WithRetryAfter(spread(refused.RetryAfter))
 	case placement.NoneReady:
@@ -212,7 +218,7 @@
 	if result == resultStreamInterrupted && !q.resumable {
 		return false
 	}
-	if q.lastFailure == failureUnreachable || q.lastFailure == failureWithdrawn {
+	if q.lastFailure == failureUnreachable || q.lastFailure == failureWithdrawn || q.lastFailure == failureCold {
 		return len(q.excludedUpstreams) < maxUnreachableUpstreams
 	}
 	if q.attempts >= max(q.route.MaxAttempts, 1) {
@@ -229,6 +235,9 @@
 	answer, err := a.handler.upstreams.Do(a.ctx, a.target.Address, a.prepareRequest)
 	if errors.Is(err, upstreamhttp.ErrWithdrawn) {
 		a.lastFailure = failureWithdrawn
+		if a.handler.Pool.WarmsUp(a.target, time.Now()) {
+			a.lastFailure = failureCold
+		}
 		a.reportOutcome(placement.Abandoned)
 		return resultNotRun
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -50,6 +50,7 @@
 	served           tally.Counter
 	upstreamCrashes  tally.Counter
 	limitRefusals    tally.Counter
+	warmUpRefusals   tally.Counter
 	notices          noticeCounters
 	timeToFirstEvent tally.Histogram
 }
@@ -63,6 +64,7 @@
 		served:           o.Scope.Counter("answers"),
 		upstreamCrashes:  o.Scope.Counter("upstream_crashes"),
 		limitRefusals:    o.Scope.Counter("limit_refusals"),
+		warmUpRefusals:   o.Scope.Counter("warm_up_refusals"),
 		notices:          newNoticeCounters(o.Scope),
 		timeToFirstEvent: o.Scope.Histogram("first_byte", timeToFirstEventBuckets),
 	}
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -114,6 +114,7 @@
 		}
 		next.Index, c.documentVersion = index, d.Version
 		c.allowance.RegisterOrganisations(prepaidOrganisations(index.Document))
+		c.options.Pool.SetWarmUps(index.Document.Services, time.Now())
 		klog.InfoS("configuration in force", "version", d.Version, "routes", len(index.Document.Routes))
 	}
 	if next.Index == nil {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -42,6 +42,7 @@
 // runGateway serves callers until ctx ends.
 func runGateway(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics) error {
 	pool := placement.NewPool(s.Zone)
+	pool.SetWarmUpOptions(placement.WarmUpOptions{Burst: s.WarmUp.Burst, Observe: gateway.WarmUpObserver(metrics.Scope)})
 	client := hostsync.New(hostsync.Options{
 		Host: s.Host, Address: s.Listen.Hosts, Zone: s.Zone, Seeds: s.hostSeeds, Decode: adapter.DecodeDocument, Pool: pool, Clock: bootTime,
 	})
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -45,6 +45,8 @@
 	StopTimeout Duration `json:"stop_timeout"`
 	// Retries limits the requests that are sent to a second upstream.
 	Retries Retries `json:"retries"`
+	// WarmUp limits the requests to upstreams that are cold.
+	WarmUp WarmUp `json:"warm_up"`
 	// Log holds the log settings.
 	Log Log `json:"log"`
 }
@@ -79,11 +81,20 @@
 	Window Duration `json:"window"`
 }
 
+// WarmUp limits the requests that all hosts together send to an upstream that is cold.
+type WarmUp struct {
+	// Burst is the number of requests that a cold upstream takes in any second beyond 1.5 times
+	// the rate of its service. It also bounds the number of hosts that share the rate. It may be
+	// a fraction. Default: 3.
+	Burst float64 `json:"burst"`
+}
+
 const (
 	minNodeMemoryMB = 16
 	maxNodeMemoryMB = 1 << 20
 	minStopTimeout  = time.Second
 	maxRetrySlack   = 1_000_000
+	maxWarmUpBurst  = 1_000_000
 )
 
 // DefaultNode returns the default settings. Required values are not set.
@@ -92,6 +103,7 @@
 		MemoryMB:    128,
 		StopTimeout: Duration{8 * time.Second},
 		Retries:     Retries{Ratio: 0.1, Slack: 20, Window: Duration{10 * time.Second}},
+		WarmUp:      WarmUp{Burst: 3},
 		Log:         Log{Level: "info"},
 	}
 }
@@ -152,6 +164,7 @@
 	c.checkFraction("retries.ratio", n.Retries.Ratio, 0, 1)
 	c.checkFraction("retries.slack", n.Retries.Slack, 0, maxRetrySlack)
 	c.checkDuration("retries.window", n.Retries.Window, minTick, maxDuration)
+	c.checkFraction("warm_up.burst", n.WarmUp.Burst, 0, maxWarmUpBurst)
 	if !slices.Contains(logLevels, n.Log.Level) {
 		c.addFault("log.level", "%q is not one of %q", n.Log.Level, logLevels)
 	}
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -45,6 +45,7 @@
 		"host":             strings.Replace(gatewaySettings, `"g1"`, `""`, 1),
 		"memory_mb":        strings.Replace(gatewaySettings, `"zone"`, `"memory_mb": 1, "zone"`, 1),
 		"retries.ratio":    strings.Replace(gatewaySettings, `"zone"`, `"retries": {"ratio": 2}, "zone"`, 1),
+		"warm_up.burst":    strings.Replace(gatewaySettings, `"zone"`, `"warm_up": {"burst": -1}, "zone"`, 1),
 		"retries.slack":    strings.Replace(gatewaySettings, `"zone"`, `"retries": {"slack": -0.5}, "zone"`, 1),
 		"a number, not":    strings.Replace(gatewaySettings, `"zone"`, `"retries": {"slack": "many"}, "zone"`, 1),
 		"log.level":        strings.Replace(gatewaySettings, `"zone"`, `"log": {"level": "loud"}, "zone"`, 1),
