--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -210,14 +210,14 @@
 }
 
 // candidates returns the upstreams that may be chosen: the healthy ones or, if there are
-// none and no upstream is full or limited, those that are ejected or whose heartbeat is overdue.
+// none and no upstream is full or limited for another reason than that it is cold, those that are ejected or whose heartbeat is overdue.
 func (p *Pool) candidates(req *Request, now time.Time) ([]*Upstream, *Refusal) {
 	all := p.services[req.Service]
 	if len(all) == 0 {
 		return nil, &Refusal{Reason: NoneReady, RetryAfter: minRetryAfter}
 	}
 	var healthy, unhealthy []*Upstream
-	full, staying, ofVersion, warmUp := false, 0, 0, false
+	full, staying, ofVersion, limited, warmUp := false, 0, 0, false, false
 	shortestWait := time.Duration(0)
 	brittle := p.isBrittle(req.Service, now)
 	for _, u := range all {
@@ -239,7 +239,11 @@
 			if wait := u.nextRequest(now); shortestWait == 0 || wait < shortestWait {
 				shortestWait = wait
 			}
-			warmUp = warmUp || u.warmUp != nil
+			if u.warmUp != nil {
+				warmUp = true
+			} else {
+				limited = true
+			}
 		case p.healthy(u, now):
 			healthy = append(healthy, u)
 		default:
@@ -255,7 +259,7 @@
 		return nil, &Refusal{Reason: NoneOfVersion, RetryAfter: minRetryAfter}
 	case full:
 		return nil, &Refusal{Reason: AllFull, RetryAfter: minRetryAfter}
-	case shortestWait > 0:
+	case limited || warmUp && len(unhealthy) == 0:
 		return nil, &Refusal{Reason: AllLimited, RetryAfter: max(shortestWait, minRetryAfter), WarmUp: warmUp}
 	case len(unhealthy) > 0:
 		return unhealthy, nil
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -31,6 +31,7 @@
 	hosts    []*coldHost
 	started  int
 	cold     presence.Coldness
+	down     bool // the upstream accepts no connections
 	arrivals []time.Time
 	delayed  []delayedCall
 }
@@ -116,7 +117,13 @@
 	if refused != nil {
 		return
 	}
+	if f.down {
+		h.pool.Observe(a, Unreachable, f.now)
+		h.pool.Release(a)
+		return
+	}
 	if h.pool.Takes(a, f.now) {
+		h.pool.Observe(a, Served, f.now)
 		f.arrivals = append(f.arrivals, f.now.Add(time.Duration(f.rng.Int64N(int64(coldDelay)))))
 	}
 	h.pool.Release(a)
@@ -235,6 +242,32 @@
 	}
 }
 
+// Guards against hosts that all try an upstream again when it recovers from a failure, which nothing has
+// reported.
+func TestHostsThatLostAnUpstreamKeepToItsWarmUpWhenItRecovers(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newColdFleet(67, 6.7, seed)
+		f.now = f.now.Add(time.Minute)
+		f.down = true
+		f.play(2 * time.Second)
+		f.down, f.arrivals = false, nil
+		from := f.now
+		f.play(10 * time.Second)
+		g := NewWithT(t)
+		g.Expect(float64(mostInASecond(f.arrivals))).To(BeNumerically("<=", warmUpTolerance*f.rate+coldBurst), "seed %d", seed)
+		g.Expect(f.used(from)).To(BeNumerically(">=", 0.75), "seed %d", seed)
+	}
+}
+
+// Guards against refusing requests for which an ejected upstream would be tried if no other were cold.
+func TestEjectedUpstreamIsTheLastResortAlsoWhileAnotherIsCold(t *testing.T) {
+	g := NewWithT(t)
+	p, now := newColdPool(g, 2)
+	p.upstreams["u1"].ejectedUntil = now.Add(time.Second)
+	p.Update([]presence.Record{report("u0", presence.NewColdness(5*time.Second, 2, *now))})
+	g.Expect(sendAll(p, *now, 10)["u1"]).To(BeNumerically(">=", 8))
+}
+
 // newColdPool returns a pool with a number of upstreams of a service that warms up, none cold.
 func newColdPool(g *WithT, upstreams int) (*Pool, *time.Time) {
 	p, now := NewPool("a"), startTime
