A reservation ends with the warm-up that it was taken from

Cause: an upstream that became cold again within 500 ms kept the count of reservations of its earlier limit, which were returned to that one. With one request in a window its limit then allowed none.

Change: the new limit starts without reservations; requests reserved from the earlier one are checked when they are sent. A change of the hosts that share a limit is logged.

Measured: the test fails without the change (1 pending) and passes with it; go test ./internal/placement passes.

--- a/internal/placement/pacer.go
+++ b/internal/placement/pacer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 )
 
 // pacer bounds the requests of one of the hosts that share the limit of a cold upstream, both by a rate
@@ -131,6 +132,10 @@
 		if w.shares && !shared {
 			w.sharesFrom = p.handoverEnd(u.ID, rank, w.users)
 		}
+		if w.shares != shared && !w.ended {
+			klog.InfoS("hosts that share the limit of a cold upstream changed", "upstream", u.ID, "started_ms", u.StartedMS, "hosts", len(p.fleet.hosts),
+				"sharing_hosts", w.users, "shares", w.shares, "shares_in_ms", max(w.sharesFrom.Sub(p.clock()), 0).Milliseconds())
+		}
 		w.rampFrom = rampFrom(rank, w.users, len(p.fleet.hosts))
 	}
 }
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -146,6 +146,7 @@
 	w := &warmUp{pool: p, since: now, until: until}
 	if u.warmUp != nil {
 		w.pacer = u.warmUp.pacer
+		w.pending = 0 // reservations of the earlier limit are returned to that, and checked when sent
 	}
 	w.setShare(service.Rate, p.warmUpOptions.Burst, len(p.fleet.hosts))
 	rank := p.fleet.rankFor(u.ID)
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -350,6 +350,23 @@
 	g.Expect(p.upstreams["u0"].warmUp.pending).To(BeZero())
 }
 
+// Guards against a reservation that is never returned, as the upstream became cold again meanwhile.
+func TestReservationEndsWithTheWarmUpThatItWasTakenFrom(t *testing.T) {
+	g := NewWithT(t)
+	p, now := newColdPool(g, 1)
+	p.Update([]presence.Record{report("u0", presence.NewColdness(time.Second, 2, *now))})
+	a, refused := p.Choose(&Request{Service: "engine"}, *now)
+	g.Expect(refused).To(BeNil())
+	*now = now.Add(time.Second + warmUpRamp/2)
+	p.ApplyControlLoads(nil)
+	p.Update([]presence.Record{report("u0", presence.NewColdness(time.Minute, 3, *now))})
+	g.Expect(p.upstreams["u0"].warmUp.pending).To(BeZero())
+	g.Expect(p.Takes(a, *now)).To(BeTrue())
+	p.Release(a)
+	g.Expect(p.upstreams["u0"].warmUp.pending).To(BeZero())
+	g.Expect(p.upstreams["u0"].warmUp.sent).To(HaveLen(1))
+}
+
 func TestColdUpstreamGetsNothingFromHostsThatDoNotShareItsLimit(t *testing.T) {
 	g := NewWithT(t)
 	p, now := newColdPool(g, 2)
