--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,6 +51,7 @@
 	uncharged        tally.Counter
 	upstreamCrashes  tally.Counter
 	limitRefusals    tally.Counter
+	warmUpRefusals   tally.Counter
 	notices          noticeCounters
 	timeToFirstEvent tally.Histogram
 }
@@ -65,6 +66,7 @@
 		uncharged:        o.Scope.Counter("withdrawn_uncharged"),
 		upstreamCrashes:  o.Scope.Counter("upstream_crashes"),
 		limitRefusals:    o.Scope.Counter("limit_refusals"),
+		warmUpRefusals:   o.Scope.Counter("warm_up_refusals"),
 		notices:          newNoticeCounters(o.Scope),
 		timeToFirstEvent: o.Scope.Histogram("first_byte", timeToFirstEventBuckets),
 	}
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -89,9 +89,12 @@
 }
 
 func presenceRecords(messages []controlnode.UpstreamRecord) []presence.Record {
+	now := time.Now()
 	list := make([]presence.Record, 0, len(messages))
 	for i := range messages {
-		list = append(list, presence.Record{Upstream: messages[i].Upstream, Unresponsive: messages[i].Unresponsive})
+		list = append(list, presence.Record{
+			Upstream: messages[i].Upstream, Unresponsive: messages[i].Unresponsive, Cold: messages[i].Coldness(now),
+		})
 	}
 	return list
 }
@@ -111,6 +114,7 @@
 		}
 		next.Index, c.documentVersion = index, d.Version
 		c.allowance.RegisterOrganisations(prepaidOrganisations(index.Document))
+		c.options.Pool.SetWarmUps(index.Document.Services, time.Now())
 		klog.InfoS("configuration in force", "version", d.Version, "routes", len(index.Document.Routes))
 	}
 	if next.Index == nil {
