Replicate the set of evacuated zones

Operators are to be able to evacuate an availability zone; the state must survive the loss of all hosts. The state machine gets a command (zone, start or end), the set of at most 64 evacuated zones with a revision that counts effective changes, and the ids of the voters that were known to understand the command. Nothing proposes the command yet.

--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -1,5 +1,6 @@
 // Package fleetstate implements the state machine that the control group of a gateway
-// fleet replicates: the configuration document in force and the ledger of prepaid budgets.
+// fleet replicates: the configuration document in force, the ledger of prepaid budgets and the
+// evacuated availability zones.
 package fleetstate
 
 import (
@@ -35,7 +36,7 @@
 }
 
 // Command is an entry of the replicated log. The document is applied first, then the
-// openings, the ceiling answers, the reports and the closings.
+// openings, the ceiling answers, the reports, the closings and the evacuation.
 type Command struct {
 	Document *Document                `cbor:"1,keyasint,omitempty"`
 	Openings []prepaid.SessionOpening `cbor:"2,keyasint,omitempty"`
@@ -43,6 +44,9 @@
 	Closings []SessionClosing         `cbor:"4,keyasint,omitempty"`
 	// CeilingAnswers are the answers of witnesses on terminated sessions.
 	CeilingAnswers []prepaid.CeilingAnswer `cbor:"5,keyasint,omitempty"`
+	// Evacuation is understood by replicas whose Features are FeatureEvacuations or more. Others
+	// ignore it, so that it is proposed only if no voter is one of those.
+	Evacuation *Evacuation `cbor:"6,keyasint,omitempty"`
 }
 
 // Result is the result of applying a Command.
@@ -58,6 +62,8 @@
 	CeilingQueries [][]prepaid.CeilingQuery
 	// Recovered is the number of tokens of terminated sessions that the CeilingAnswers freed.
 	Recovered int64
+	// Evacuation is the result of the Evacuation.
+	Evacuation EvacuationResult
 	// Err is set if the command could not be decoded.
 	Err error
 }
@@ -66,13 +72,16 @@
 type state struct {
 	Document Document      `cbor:"1,keyasint"`
 	Book     *prepaid.Book `cbor:"2,keyasint"`
+	// Evacuations is nil, and absent from the encoding, before the first effective evacuation.
+	Evacuations *Evacuations `cbor:"3,keyasint,omitempty"`
 }
 
-// Machine implements replica.StateMachine. Document may be called from any goroutine, the
-// other methods only from the replica's event loop.
+// Machine implements replica.StateMachine. Document and Evacuations may be called from any
+// goroutine, the other methods only from the replica's event loop.
 type Machine struct {
-	state    state
-	document atomic.Pointer[Document]
+	state       state
+	document    atomic.Pointer[Document]
+	evacuations atomic.Pointer[Evacuations]
 }
 
 // New returns a machine in its initial, empty state.
@@ -86,13 +95,22 @@
 // applied. Its version is 0 before the first document. It must not be modified.
 func (m *Machine) Document() *Document { return m.document.Load() }
 
+// Evacuations returns the evacuated zones in the part of the log that this replica has applied.
+// It must not be modified.
+func (m *Machine) Evacuations() *Evacuations { return m.evacuations.Load() }
+
 // Book returns the ledger of the budgets.
 func (m *Machine) Book() *prepaid.Book { return m.state.Book }
 
-// publish makes the current document available to Document.
+// publish makes the current document and evacuations available to Document and Evacuations.
 func (m *Machine) publish() {
 	d := m.state.Document
 	m.document.Store(&d)
+	if m.state.Evacuations == nil {
+		m.evacuations.Store(&Evacuations{})
+		return
+	}
+	m.evacuations.Store(m.state.Evacuations)
 }
 
 // Apply implements replica.StateMachine. It returns a *Result.
@@ -119,6 +137,18 @@
 	for _, closing := range c.Closings {
 		m.state.Book.CloseSession(closing.Host, closing.Session)
 	}
+	if c.Evacuation != nil {
+		result.Evacuation = m.applyEvacuation(c.Evacuation)
+	}
+	return result
+}
+
+func (m *Machine) applyEvacuation(c *Evacuation) EvacuationResult {
+	next, result := m.evacuations.Load().after(c)
+	if next.Revision > 0 {
+		m.state.Evacuations = &next
+		m.publish()
+	}
 	return result
 }
 
