Exclude the upstreams of evacuated zones from all choices

Nothing may be sent to the upstreams of an evacuated zone, neither as the last resort nor by a request that was placed before.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -117,6 +117,8 @@
 	brittleShares map[string]int
 	// stats holds the prefill statistics by service.
 	stats map[string]*prefillStats
+	// evacuation holds the evacuated zones. Their upstreams are not in services.
+	evacuation evacuation
 }
 
 // NewPool returns an empty pool for a host in zone.
@@ -162,6 +164,7 @@
 func (p *Pool) rebuild() {
 	upstreams := map[string]*Upstream{}
 	p.services = map[string][]*Upstream{}
+	p.evacuation.excluded = 0
 	for _, r := range p.table.All() {
 		u := p.upstreams[r.ID]
 		if u == nil || u.StartedMS != r.StartedMS {
@@ -169,7 +172,7 @@
 		}
 		u.Upstream, u.heartbeatOverdue = r.Upstream, r.Unresponsive
 		upstreams[r.ID] = u
-		if r.State == presence.Ready {
+		if p.evacuation.usable(r) {
 			p.services[r.Service] = append(p.services[r.Service], u)
 		}
 	}
@@ -198,7 +201,7 @@
 func (p *Pool) Takes(a *Assignment, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return a.State == presence.Ready && !a.isLeaving(now)
+	return a.State == presence.Ready && !a.isLeaving(now) && !p.evacuation.excludes(a.Zone)
 }
 
 // ServesAt reports whether an upstream that takes requests is known at an address.
