Commit evacuations through the control group and send them to all gateways

Any control host takes the command, the leader commits it, and it is acknowledged after the commit. Replies to gateways' calls have the set if it is newer than theirs: from the leader, from control hosts that pass calls on (which get it with the leader's replies, as their own replica may lag), and from control hosts that reach no leader. Voters of an old build would ignore the log entry, so control hosts state in their exchanges which entries they understand, and the leader proposes the command only if all voters do.

--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/presence"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -121,7 +122,7 @@
 	n.mu.Lock()
 	acknowledged := n.acknowledgedGenerations[address]
 	i := slices.IndexFunc(n.generations, func(d directUpstreams) bool { return d.generation == acknowledged })
-	msg := &UpstreamsMessage{Sender: n.options.Address, Zone: n.options.Zone, Generation: direct.generation}
+	msg := n.newExchange(direct)
 	if i >= 0 {
 		msg.Records, msg.Removed = direct.changesSince(n.generations[i])
 		msg.Base, msg.Ages = acknowledged, direct.ages()
@@ -137,12 +138,18 @@
 			return
 		}
 	}
-	msg = &UpstreamsMessage{Sender: n.options.Address, Zone: n.options.Zone, Generation: direct.generation, Records: direct.records}
+	msg = n.newExchange(direct)
+	msg.Records = direct.records
 	if reply := n.sendUpstreams(ctx, address, msg); reply != nil {
 		n.acknowledge(address, reply.Generation)
 	}
 }
 
+// newExchange returns a message of an exchange without records.
+func (n *Node) newExchange(direct directUpstreams) *UpstreamsMessage {
+	return &UpstreamsMessage{Sender: n.options.Address, Zone: n.options.Zone, Generation: direct.generation, Features: fleetstate.Features}
+}
+
 func (n *Node) acknowledge(address string, generation uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -181,6 +188,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, heardAt: now}
+	n.features[msg.Sender] = msg.Features
 	remote, known := n.remoteUpstreams[msg.Sender].after(msg)
 	if !known {
 		return &UpstreamsReply{}, nil
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -22,6 +22,7 @@
 	MethodClose     = "/fleet/CloseSession"
 	MethodUpstreams = "/fleet/Upstreams"
 	MethodSubmit    = "/fleet/Submit"
+	MethodEvacuate  = "/fleet/Evacuate"
 )
 
 // LeaderRedirect is the part of a reply that redirects the caller to the leader.
@@ -67,6 +68,27 @@
 	Document       fleetstate.Document `cbor:"2,keyasint"`
 }
 
+// EvacuateRequest asks the leader to commit the start or the end of the evacuation of a zone.
+type EvacuateRequest struct {
+	Zone string `cbor:"1,keyasint"`
+	End  bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// EvacuateReply returns the result of the committed command.
+type EvacuateReply struct {
+	LeaderRedirect `cbor:"1,keyasint"`
+	Result         fleetstate.EvacuationResult `cbor:"2,keyasint"`
+	// OldVoters holds the addresses of voters that are not known to understand evacuations. If
+	// there are any, nothing was committed.
+	OldVoters []string `cbor:"3,keyasint,omitempty"`
+}
+
+// EvacuatedZones is the set of evacuated zones as of a revision.
+type EvacuatedZones struct {
+	Revision uint64   `cbor:"1,keyasint"`
+	Zones    []string `cbor:"2,keyasint,omitempty"`
+}
+
 // SyncRequest is a gateway host's periodic call to the leader or to a relay.
 type SyncRequest struct {
 	Host string `cbor:"1,keyasint"`
@@ -115,6 +137,8 @@
 	// ArrivalTime is the wall clock of the relay when the call arrived there, in Unix ns; 0 in
 	// a call to the leader.
 	ArrivalTime int64 `cbor:"17,keyasint,omitempty"`
+	// EvacuationRevision is the revision of the evacuated zones that the host knows.
+	EvacuationRevision uint64 `cbor:"23,keyasint,omitempty"`
 }
 
 // peersEpoch returns the epoch of the host's list of gateway hosts.
@@ -175,6 +199,8 @@
 	PeerChanges *PeerChanges `cbor:"21,keyasint,omitempty"`
 	// ConfirmsIdleCalls states that a quorum confirms the leader also for calls without a report.
 	ConfirmsIdleCalls bool `cbor:"22,keyasint,omitempty"`
+	// Evacuations is set if the host knows an earlier revision.
+	Evacuations *EvacuatedZones `cbor:"25,keyasint,omitempty"`
 }
 
 // ControlHost is a control host that gateway hosts may call.
@@ -208,6 +234,8 @@
 	PackedLoads []byte `cbor:"11,keyasint,omitempty"`
 	// NoticesDigest identifies the notices that the relay knows.
 	NoticesDigest uint64 `cbor:"13,keyasint,omitempty"`
+	// EvacuationRevision is the revision of the evacuated zones that the relay knows.
+	EvacuationRevision uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // NoticeList lists what upstreams say of themselves.
@@ -249,6 +277,8 @@
 	Notices *NoticeList `cbor:"16,keyasint,omitempty"`
 	// PeerChanges is set in place of Peers if the relay's list is known.
 	PeerChanges *PeerChanges `cbor:"14,keyasint,omitempty"`
+	// Evacuations is set if the relay knows an earlier revision.
+	Evacuations *EvacuatedZones `cbor:"17,keyasint,omitempty"`
 }
 
 // UpstreamRecord is the wire form of an upstream in calls between hosts.
@@ -277,6 +307,9 @@
 	// is new or has changed since, and Removed the ids of the upstreams that have left the set.
 	Base    uint64   `cbor:"6,keyasint,omitempty"`
 	Removed []string `cbor:"7,keyasint,omitempty"`
+	// Features is fleetstate.Features of the sender's build, in an exchange; 0 in builds that do not
+	// state it.
+	Features int `cbor:"8,keyasint,omitempty"`
 }
 
 // UpstreamsReply acknowledges an UpstreamsMessage.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -88,6 +88,10 @@
 	// controlHosts holds the control hosts that this one has heard from, by address.
 	controlHosts            map[string]knownControlHost
 	acknowledgedGenerations map[string]uint64
+	// features holds the latest statement of each control host that this one has heard from on the
+	// log entries that it understands, by address. It outlives controlHosts, as a voter that is down
+	// counts too.
+	features map[string]int
 	// generations holds the latest sets of upstreams that report to this host.
 	generations   []directUpstreams
 	hosts         *hostTable
@@ -108,6 +112,7 @@
 		addresses: map[uint64]string{}, table: presence.NewTable(),
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
 		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
+		features: map[string]int{},
 	}
 	n.upstreamFeed = newUpstreamFeed(n.table)
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
@@ -129,6 +134,7 @@
 	rpc.Handle(srv, MethodClose, n.closeSession)
 	rpc.Handle(srv, MethodUpstreams, n.receiveUpstreams)
 	rpc.Handle(srv, MethodSubmit, n.serveSubmit)
+	rpc.Handle(srv, MethodEvacuate, n.evacuate)
 	return srv
 }
 
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/crashcause"
+	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/notice"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/rpc"
@@ -49,6 +50,8 @@
 	leader  string
 	loadsAt time.Time
 	crashes []crashcause.CrashReport
+	// evacuations is the latest set that a leader told this host, whose own replica may lag.
+	evacuations fleetstate.Evacuations
 }
 
 // relayedCall is one call of a gateway host that awaits its result.
@@ -225,6 +228,7 @@
 	req := &SubmitRequest{
 		Relay: n.options.Address, RelayEpoch: n.epoch, Crashes: r.crashes, Epoch: r.epoch, GatewaysRevision: n.hosts.revision,
 		TableRevision: r.tableRevision, NoticesDigest: r.fleet.notices.Digest,
+		EvacuationRevision: n.newestEvacuations().Revision,
 	}
 	if newest := n.peerLists.newest(); newest.epoch == r.epoch {
 		req.PeersRevision = newest.revision
@@ -275,6 +279,7 @@
 	if l := reply.Notices; l != nil {
 		r.fleet.notices = notice.NewSnapshot(l.Digest, l.Reports, now)
 	}
+	r.applyEvacuations(reply.Evacuations)
 	r.applyPeers(req, reply)
 	if req.HasLoads {
 		r.fleet.elsewhere, err = othersLoads(reply.PackedTotals, reply.PackedOwn)
--- a/internal/controlnode/submit.go
+++ b/internal/controlnode/submit.go
@@ -59,6 +59,7 @@
 	fleet := n.fleetViewOfLeader(now)
 	reply.Hosts, reply.Quarantined, reply.Suspects = fleet.hosts, fleet.crashes.Quarantined, fleet.crashes.Suspects
 	reply.Notices = noticeList(fleet.notices, req.NoticesDigest, now)
+	reply.Evacuations = n.evacuationsSince(req.EvacuationRevision)
 	reply.PeersRevision = n.hosts.publishedRevision
 	reply.Peers, reply.PeerChanges = n.peerLists.since(req.Epoch, req.PeersRevision)
 	known := req.TableRevision
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -19,12 +19,13 @@
 const syncTimeout = 800 * time.Millisecond
 
 // sync serves MethodSync: on the leader itself, elsewhere through the leader if the call asks for
-// that. Without a leader it tells what this host knows of the upstreams.
+// that. Without a leader it tells what this host knows of the upstreams and the evacuated zones.
 func (n *Node) sync(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
 	reply, err := n.syncThroughLeader(ctx, req)
 	if err == nil && reply.NotLeader && reply.Leader == "" && req.AcceptsEncoded {
 		n.mu.Lock()
 		reply.EncodedUpstreams = n.upstreamFeed.news(time.Now())
+		reply.Evacuations = n.evacuationsSince(req.EvacuationRevision)
 		n.mu.Unlock()
 	}
 	return reply, err
@@ -89,11 +90,12 @@
 	return fleetView{leads: true, hosts: len(n.hosts.published), crashes: n.crashes.Decide(now), notices: n.notices.Snapshot(now)}
 }
 
-// addState records the call, and adds to the reply the document, the upstreams, the loads of the
-// other hosts, the hosts and the quarantined requests. A brief call neither changes nor returns
+// addState records the call, and adds to the reply the evacuated zones, the document, the upstreams,
+// the loads of the other hosts, the hosts and the quarantined requests. A brief call neither changes nor returns
 // loads. The caller holds n.mu.
 func (n *Node) addState(req *SyncRequest, reply *SyncReply, fleet fleetView, now time.Time) {
 	reply.ConfirmsIdleCalls = true
+	reply.Evacuations = n.evacuationsSince(req.EvacuationRevision)
 	n.addDocument(req, reply)
 	n.addControlHosts(req, reply, now)
 	h := n.hosts.recordCall(req.Host, req.Peer, now)
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -321,7 +321,7 @@
 		Host: c.options.Host, Version: c.documentVersion, Epoch: c.epoch, Revision: c.revision,
 		PeersRevision: c.peersRevision, PeersEpoch: c.peersEpoch, Relay: c.usesRelays(), ControlHosts: c.controlHosts.digest,
 		Brief:          time.Since(c.lastFullSync) < c.syncInterval()/2,
-		CeilingAnswers: c.ceilingAnswers, AcceptsEncoded: true,
+		CeilingAnswers: c.ceilingAnswers, AcceptsEncoded: true, EvacuationRevision: c.options.Pool.Evacuations().Revision,
 		Peer: controlnode.Peer{Session: c.opening.Session, Address: c.options.Address},
 	}
 	if !req.Brief {
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -44,6 +44,7 @@
 	}
 	c.controlHosts.apply(reply, time.Now())
 	c.applyPeers(reply)
+	c.applyEvacuations(reply)
 	if err := c.applyTraffic(req, reply); err != nil {
 		return err
 	}
@@ -75,8 +76,10 @@
 	return nil
 }
 
-// applyNews applies what a control host that reaches no leader knows of the upstreams.
+// applyNews applies what a control host that reaches no leader knows of the upstreams and the
+// evacuated zones.
 func (c *Client) applyNews(reply *controlnode.SyncReply) {
+	c.applyEvacuations(reply)
 	upstreams, err := reply.DecodeUpstreams()
 	if err != nil {
 		klog.ErrorS(err, "news of upstreams not read")
