--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -139,11 +139,15 @@
 	if q.handler.Pool.HasReady(q.serviceName, time.Now()) {
 		return nil
 	}
-	return noReadyUpstream(q.serviceName)
+	return q.noReadyUpstream(q.serviceName)
 }
 
-func noReadyUpstream(service string) *errkind.Error {
-	return errkind.New(errkind.NoUpstream, "service %q has no ready upstream", service).WithRetryAfter(noUpstreamRetryAfter)
+func (q *request) noReadyUpstream(service string) *errkind.Error {
+	where := ""
+	if q.handler.Pool.Evacuations().Zones > 0 {
+		where = " outside the evacuated zones"
+	}
+	return errkind.New(errkind.NoUpstream, "service %q has no ready upstream%s", service, where).WithRetryAfter(noUpstreamRetryAfter)
 }
 
 func (q *request) chooseUpstream(service string) (*placement.Assignment, *errkind.Error) {
@@ -161,7 +165,7 @@
 		return nil, errkind.New(errkind.Overloaded, "all upstreams of service %q limit their requests or asked to wait", service).
 			WithRetryAfter(spread(refused.RetryAfter))
 	case placement.NoneReady:
-		return nil, noReadyUpstream(service)
+		return nil, q.noReadyUpstream(service)
 	case placement.NoneOfVersion:
 		return nil, notResumable(fmt.Sprintf("service %q has no ready upstream of software version %q, which began the stream", service, q.streamVersion))
 	default:
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -26,7 +26,8 @@
 		}
 		return ctx.Err()
 	}
-	if err := serveMetrics(s.Node, metrics, ready); err != nil {
+	more := map[string]http.Handler{"GET " + pathEvacuations: evacuationsHandler(control)}
+	if err := serveMetrics(s.Node, metrics, ready, more); err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
@@ -37,6 +38,7 @@
 		defer close(done)
 		failed <- control.Run(runCtx)
 	}()
+	go updateControlGauges(runCtx, metrics.Scope, control)
 	callers := &http.Server{Handler: adapter.Control(control), ReadHeaderTimeout: callerHeaderTimeout}
 	if err := serve(s.Listen.Control, callers); err != nil {
 		return err
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -65,7 +65,7 @@
 		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerHeaderBytes,
 	}
 	readiness := &http.Server{Handler: adapter.Ready(ready), ReadHeaderTimeout: time.Second}
-	if err := serveMetrics(s.Node, metrics, ready); err != nil {
+	if err := serveMetrics(s.Node, metrics, ready, nil); err != nil {
 		return err
 	}
 	if err := serve(s.Listen.Readiness, readiness); err != nil {
@@ -92,6 +92,7 @@
 			klog.ErrorS(err, "exchange of upstream loads with other hosts failed")
 		}
 	}()
+	go updateGatewayGauges(background, metrics.Scope, pool)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,13 +114,16 @@
 	return nil
 }
 
-// serveMetrics serves the metrics and health endpoints if the settings have an address
-// for them.
-func serveMetrics(s *settings.Node, metrics *telemetry.Metrics, ready func() error) error {
+// serveMetrics serves the metrics and health endpoints and additional ones, by pattern, if the
+// settings have an address for them.
+func serveMetrics(s *settings.Node, metrics *telemetry.Metrics, ready func() error, more map[string]http.Handler) error {
 	if s.Listen.Metrics == "" {
 		return nil
 	}
 	mux := http.NewServeMux()
 	telemetry.Register(mux, metrics.Handler, ready)
+	for pattern, handler := range more {
+		mux.Handle(pattern, handler)
+	}
 	return eris.Wrap(serve(s.Listen.Metrics, &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}), "serve metrics")
 }
