--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -124,16 +124,17 @@
 	stats map[string]*prefillStats
 	// clock returns the time at which updates are received.
 	clock func() time.Time
-	// warmUps holds the services whose upstreams warm up, zonesReturned the ends of evacuations by
-	// zone, and warmingUp is the number of upstreams with a limit.
+	// warmUps holds the services whose upstreams warm up, and warmingUp is the number of upstreams
+	// with a limit.
 	warmUpOptions WarmUpOptions
 	warmUps       map[string]catalog.WarmUp
-	zonesReturned map[string]time.Time
 	warmingUp     int
 	// departed are the hosts that left the list lately, and listedSince is when this host first had a
 	// list.
 	departed    []departedHost
 	listedSince time.Time
+	// evacuation holds the evacuated zones. Their upstreams are not in services.
+	evacuation evacuation
 }
 
 // NewPool returns an empty pool for a host in zone.
@@ -143,7 +144,7 @@
 		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
 		peers: map[uint64]*peerLoad{}, stats: map[string]*prefillStats{}, noticeReports: map[string]*observedNotice{}, loadChanged: make(chan struct{}, 1),
 		brittle: map[string]*brittleness{}, brittleShares: map[string]int{},
-		clock: time.Now, warmUpOptions: WarmUpOptions{Burst: DefaultWarmUpBurst}, zonesReturned: map[string]time.Time{},
+		clock: time.Now, warmUpOptions: WarmUpOptions{Burst: DefaultWarmUpBurst},
 	}
 }
 
@@ -184,6 +185,7 @@
 	upstreams := map[string]*Upstream{}
 	p.services = map[string][]*Upstream{}
 	now := p.clock()
+	p.evacuation.excluded = 0
 	for _, r := range p.table.All() {
 		u := p.upstreams[r.ID]
 		if u == nil || u.StartedMS != r.StartedMS {
@@ -196,7 +198,7 @@
 		u.evidence.setReported(r.Cold, now)
 		p.reviewWarmUp(u, now)
 		upstreams[r.ID] = u
-		if r.State == presence.Ready {
+		if p.evacuation.usable(r) {
 			p.services[r.Service] = append(p.services[r.Service], u)
 		}
 	}
@@ -227,7 +229,7 @@
 func (p *Pool) Takes(a *Assignment, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return a.State == presence.Ready && !a.isLeaving(now) && a.takesWhileCold(now)
+	return a.State == presence.Ready && !a.isLeaving(now) && !p.evacuation.excludes(a.Zone) && a.takesWhileCold(now)
 }
 
 // ServesAt reports whether an upstream that takes requests is known at an address.
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -98,24 +98,6 @@
 	p.shareWarmUps()
 }
 
-// ZoneReturned makes the upstreams of a zone count as cold whose service has a warm-up: they had no
-// requests while the zone was evacuated.
-func (p *Pool) ZoneReturned(zone string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for z, at := range p.zonesReturned {
-		if now.Sub(at) > presence.MaxColdTime {
-			delete(p.zonesReturned, z)
-		}
-	}
-	p.zonesReturned[zone] = now
-	for _, u := range p.upstreams {
-		if u.Zone == zone {
-			p.reviewWarmUp(u, now)
-		}
-	}
-}
-
 // reviewWarmUp begins, extends or ends the limit of an upstream by what is known of it. The caller
 // holds p.mu.
 func (p *Pool) reviewWarmUp(u *Upstream, now time.Time) {
@@ -125,7 +107,7 @@
 	service, warmsUp := p.warmUps[u.Service]
 	until, reason := time.Time{}, ColdReason("")
 	if warmsUp && u.State != presence.Terminated {
-		until, reason = u.evidence.coldUntil(service.Duration, p.zonesReturned[u.Zone])
+		until, reason = u.evidence.coldUntil(service.Duration, p.evacuation.ends[u.Zone])
 	}
 	w := u.warmUp
 	switch {
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -394,10 +394,16 @@
 	p, now := newColdPool(g, 1)
 	p.SetWarmUps([]catalog.Service{{Name: "engine"}}, *now)
 	p.Update([]presence.Record{report("u0", presence.NewColdness(time.Minute, 2, *now))})
-	p.ZoneReturned("a", *now)
+	evacuateAndReturn(p, "a", *now)
 	g.Expect(sendAll(p, *now, 100)["u0"]).To(Equal(100))
 }
 
+// evacuateAndReturn has a zone evacuated and used again.
+func evacuateAndReturn(p *Pool, zone string, now time.Time) {
+	p.ApplyEvacuations(1, []string{zone}, now)
+	p.ApplyEvacuations(2, nil, now)
+}
+
 func TestColdnessIsInferred(t *testing.T) {
 	for name, make := range map[ColdReason]func(p *Pool, now time.Time){
 		ColdStarted: func(p *Pool, _ time.Time) {
@@ -411,7 +417,7 @@
 			p.Observe(a, Served, now)
 			p.Release(a)
 		},
-		ColdZoneReturned: func(p *Pool, now time.Time) { p.ZoneReturned("a", now) },
+		ColdZoneReturned: func(p *Pool, now time.Time) { evacuateAndReturn(p, "a", now) },
 	} {
 		t.Run(string(name), func(t *testing.T) {
 			g := NewWithT(t)
@@ -442,7 +448,7 @@
 	p, now := newColdPool(g, 1)
 	a, _ := p.Choose(&Request{Service: "engine"}, *now)
 	*now = now.Add(time.Second)
-	p.ZoneReturned("a", *now)
+	evacuateAndReturn(p, "a", *now)
 	*now = now.Add(time.Second)
 	p.Update([]presence.Record{report("u0", presence.Coldness{Sequence: 1})})
 	g.Expect(p.upstreams["u0"].warmUp.ended).To(BeFalse(), "the same report once more")
