Records of streams at control hosts; searches that tell what was answered

Change: the gateway that begins a stream also sends its record to three members of the control group, which keep it in memory. A gateway at which a stream is resumed asks four gateways and four control hosts at once. The first that knows a named call decides; without a name all answers must agree, and a host whose records differ says so. Control hosts state their process in lists and exchanges, so that gateways send records of open streams to those that have started or joined. Records sent again share datagrams and take no further room. Requests that resume a stream and are refused have the search in their log line and a counter by reason.

Existing tests: Table.Get and Client.KeptStreamOrigin return a Reply, with the same expectations.

--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -121,7 +121,7 @@
 	n.mu.Lock()
 	acknowledged := n.acknowledgedGenerations[address]
 	i := slices.IndexFunc(n.generations, func(d directUpstreams) bool { return d.generation == acknowledged })
-	msg := &UpstreamsMessage{Sender: n.options.Address, Zone: n.options.Zone, Generation: direct.generation}
+	msg := &UpstreamsMessage{Sender: n.options.Address, Zone: n.options.Zone, SenderEpoch: n.epoch, Generation: direct.generation}
 	if i >= 0 {
 		msg.Records, msg.Removed = direct.changesSince(n.generations[i])
 		msg.Base, msg.Ages = acknowledged, direct.ages()
@@ -137,7 +137,7 @@
 			return
 		}
 	}
-	msg = &UpstreamsMessage{Sender: n.options.Address, Zone: n.options.Zone, Generation: direct.generation, Records: direct.records}
+	msg = &UpstreamsMessage{Sender: n.options.Address, Zone: n.options.Zone, SenderEpoch: n.epoch, Generation: direct.generation, Records: direct.records}
 	if reply := n.sendUpstreams(ctx, address, msg); reply != nil {
 		n.acknowledge(address, reply.Generation)
 	}
@@ -180,7 +180,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, heardAt: now}
+	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, epoch: msg.SenderEpoch, heardAt: now}
 	remote, known := n.remoteUpstreams[msg.Sender].after(msg)
 	if !known {
 		return &UpstreamsReply{}, nil
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -182,6 +182,8 @@
 	Address string `cbor:"1,keyasint"`
 	// Zone is its availability zone; empty if unknown.
 	Zone string `cbor:"2,keyasint,omitempty"`
+	// Epoch identifies its process; 0 if unknown.
+	Epoch uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // SubmitRequest passes the calls of gateway hosts on to the leader.
@@ -277,6 +279,8 @@
 	// is new or has changed since, and Removed the ids of the upstreams that have left the set.
 	Base    uint64   `cbor:"6,keyasint,omitempty"`
 	Removed []string `cbor:"7,keyasint,omitempty"`
+	// SenderEpoch identifies the process of the sender.
+	SenderEpoch uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // UpstreamsReply acknowledges an UpstreamsMessage.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -23,6 +23,7 @@
 	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/streamorigin"
 	"github.com/godwitbend/godwitbend/internal/wal"
 )
 
@@ -89,7 +90,9 @@
 	controlHosts            map[string]knownControlHost
 	acknowledgedGenerations map[string]uint64
 	// generations holds the latest sets of upstreams that report to this host.
-	generations   []directUpstreams
+	generations []directUpstreams
+	// origins holds the records of streams that gateway hosts sent to this host.
+	origins       *streamorigin.Table
 	hosts         *hostTable
 	peerLists     peerLists
 	upstreamFeed  *upstreamFeed
@@ -108,6 +111,7 @@
 		addresses: map[uint64]string{}, table: presence.NewTable(),
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
 		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
+		origins: streamorigin.NewTable(),
 	}
 	n.upstreamFeed = newUpstreamFeed(n.table)
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
@@ -129,6 +133,7 @@
 	rpc.Handle(srv, MethodClose, n.closeSession)
 	rpc.Handle(srv, MethodUpstreams, n.receiveUpstreams)
 	rpc.Handle(srv, MethodSubmit, n.serveSubmit)
+	streamorigin.Register(srv, n.origins)
 	return srv
 }
 
@@ -147,6 +152,12 @@
 			klog.ErrorS(err, "serving other hosts failed")
 		}
 	})
+	n.goRun(func() {
+		// The gateway hosts and the other control hosts keep records too, so that this one can do without.
+		if err := n.receiveStreamOrigins(background); err != nil {
+			klog.ErrorS(err, "no longer receiving records of streams")
+		}
+	})
 	n.goRun(func() { n.reports.run(background) })
 	n.goRun(func() { n.relay.run(background) })
 	n.goRun(func() { n.maintainUpstreams(background) })
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -163,7 +163,7 @@
 	case placement.NoneReady:
 		return nil, noReadyUpstream(service)
 	case placement.NoneOfVersion:
-		return nil, notResumable(fmt.Sprintf("service %q has no ready upstream of software version %q, which began the stream", service, q.streamVersion))
+		return nil, q.notResumable(reasonNoneOfVersion, fmt.Sprintf("service %q has no ready upstream of software version %q, which began the stream", service, q.streamVersion))
 	default:
 		return nil, errkind.New(errkind.NoUpstream, "all upstreams of service %q were tried", service).WithRetryAfter(noUpstreamRetryAfter)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/retrylimit"
+	"github.com/godwitbend/godwitbend/internal/streamorigin"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 	"github.com/godwitbend/godwitbend/internal/upstreampath"
@@ -112,6 +113,10 @@
 	// streamVersion is the software version of the upstream that began the stream; empty until
 	// the first event, or if it is unknown.
 	streamVersion string
+	// originSearch is the search for the origin of the stream that the caller resumes, and
+	// notResumedReason tells why that is not resumable; both may be unset.
+	originSearch     *streamorigin.Search
+	notResumedReason string
 	// timeToFirstEvent is the time to the first event or, for a buffered answer, to the
 	// first byte. longestGap is the longest pause between two events, and lastEventAt
 	// the time of the latest event.
@@ -200,7 +205,7 @@
 // refuse answers with e, logs it and counts it by kind.
 func (h *Handler) refuse(w http.ResponseWriter, q *request, e *errkind.Error) {
 	telemetry.Refusal(h.Scope, e.Kind).Inc(1)
-	fields := q.logFields()
+	fields := append(q.logFields(), q.countNotResumed(e)...)
 	klog.InfoS("request refused", append(fields, "kind", string(e.Kind), "reason", e.Message,
 		"retry_after_ms", e.RetryAfterMS, "ran", q.mayHaveRun)...)
 	h.Dialect.Refuse(w, q.Call, e)
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/streamorigin"
+	"github.com/godwitbend/godwitbend/internal/telemetry"
 )
 
 // originSlack is the time after the caller's deadline for which the origin of its stream is kept.
@@ -43,18 +45,48 @@
 	if !q.resumesStream() {
 		return nil
 	}
-	origin, known := q.handler.Sync.StreamOrigin(q.ctx, q.fingerprint(), q.StreamOrigin)
-	if !known {
-		return notResumable("the software version that began the stream is not known")
+	q.originSearch = q.handler.Sync.StreamOrigin(q.ctx, q.fingerprint(), q.StreamOrigin)
+	switch q.originSearch.Verdict() {
+	case streamorigin.Found:
+	case streamorigin.Ambiguous:
+		return q.notResumable(reasonAmbiguousOrigin, "streams with this request began at several software versions")
+	default:
+		return q.notResumable(reasonUnknownOrigin, "the software version that began the stream is not known")
 	}
+	origin := q.originSearch.Origin()
 	if !slices.ContainsFunc(q.route.Targets, func(t catalog.Target) bool { return t.Service == origin.Service && t.Weight > 0 }) {
-		return notResumable("the route no longer leads to the service that began the stream")
+		return q.notResumable(reasonRouteChanged, "the route no longer leads to the service that began the stream")
 	}
 	q.setService(origin.Service)
 	q.streamVersion = origin.Version
 	return nil
 }
 
-func notResumable(reason string) *errkind.Error {
-	return errkind.New(errkind.StreamNotResumable, "%s", reason).WithRetryAfter(noUpstreamRetryAfter)
+// Reasons why a stream is not resumable, as used in metrics and logs. Streams that were not resumed for
+// another reason are counted by the kind of their refusal.
+const (
+	reasonUnknownOrigin   = "origin_unknown"
+	reasonAmbiguousOrigin = "origin_ambiguous"
+	reasonRouteChanged    = "route_changed"
+	reasonNoneOfVersion   = "none_of_version"
+)
+
+// notResumable returns the refusal of a stream that can't go on for the given reason.
+func (q *request) notResumable(reason, message string) *errkind.Error {
+	q.notResumedReason = reason
+	return errkind.New(errkind.StreamNotResumable, "%s", message).WithRetryAfter(noUpstreamRetryAfter)
+}
+
+// countNotResumed counts a resumed stream that is refused, and returns the fields that tell why in logs.
+func (q *request) countNotResumed(e *errkind.Error) []any {
+	if q.Call == nil || q.route == nil || !q.resumesStream() {
+		return nil
+	}
+	reason := cmp.Or(q.notResumedReason, string(e.Kind))
+	telemetry.StreamNotResumed(q.handler.Scope, reason).Inc(1)
+	fields := []any{"not_resumed", reason, "stream_version", q.streamVersion}
+	if q.originSearch != nil {
+		fields = append(fields, q.originSearch.LogFields()...)
+	}
+	return fields
 }
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -68,14 +68,18 @@
 
 // Client synchronises one gateway host with the control group.
 type Client struct {
-	options         Options
-	rpc             *rpc.Client
-	opening         prepaid.SessionOpening
-	allowance       *prepaid.Allowance
-	witness         *prepaid.Witness
-	traits          *crashcause.Host
-	origins         *streamorigin.Table
-	begunStreams    streamorigin.Begun
+	options      Options
+	rpc          *rpc.Client
+	opening      prepaid.SessionOpening
+	allowance    *prepaid.Allowance
+	witness      *prepaid.Witness
+	traits       *crashcause.Host
+	origins      *streamorigin.Table
+	begunStreams streamorigin.Begun
+	// resending lets one transfer of records run at a time, and originKeepers are the control hosts that
+	// keep records; nil until the control group has named them.
+	resending       sync.Mutex
+	originKeepers   atomic.Pointer[controlKeepers]
 	gossipConn      atomic.Pointer[net.UDPConn] // nil until Gossip runs
 	view            atomic.Pointer[View]
 	lastSync        atomic.Pointer[time.Time] // time of the latest successful call
--- a/internal/hostsync/gossip.go
+++ b/internal/hostsync/gossip.go
@@ -36,7 +36,7 @@
 	Loads   map[uint32]placement.Load `cbor:"3,keyasint,omitempty"`
 	// RecentPrefixes are the prompt prefixes that were prefilled recently.
 	RecentPrefixes []placement.CachedPrefix `cbor:"4,keyasint,omitempty"`
-	// StreamOrigins are records for the receiver to keep.
+	// StreamOrigins are records for the receiver to keep; see streamorigin.Datagram.
 	StreamOrigins []streamorigin.Record `cbor:"5,keyasint,omitempty"`
 }
 
@@ -130,7 +130,7 @@
 			continue
 		}
 		for i := range msg.StreamOrigins {
-			c.keepStreamOrigin(msg.StreamOrigins[i])
+			c.origins.Keep(msg.StreamOrigins[i], time.Now())
 		}
 		if msg.Seq == 0 {
 			continue
--- a/internal/hostsync/peers.go
+++ b/internal/hostsync/peers.go
@@ -48,7 +48,7 @@
 		}
 	}
 	if len(started) > 0 {
-		go c.resendStreamOrigins(started)
+		go c.resendToStarted(started)
 	}
 	c.options.Pool.SetHosts(c.options.Address, addresses)
 	c.allowance.SetFleet(prepaid.NewFleet(c.options.Address, addresses))
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -43,6 +43,7 @@
 		c.members = reply.Members
 	}
 	c.controlHosts.apply(reply, time.Now())
+	c.applyControlKeepers(reply)
 	c.applyPeers(reply)
 	if err := c.applyTraffic(req, reply); err != nil {
 		return err
--- a/internal/hostsync/streamorigin.go
+++ b/internal/hostsync/streamorigin.go
@@ -10,124 +10,147 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/codec"
-	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/streamorigin"
 )
 
-// methodStreamOrigin is the RPC method that returns the origin of a stream.
-const methodStreamOrigin = "/fleet/StreamOrigin"
-
-// streamOriginTimeout bounds the search for the origin of a stream. A round trip between hosts
-// takes a few milliseconds, or about 100 ms if they are busy.
-const streamOriginTimeout = 300 * time.Millisecond
-
-type streamOriginRequest struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	CallID      string `cbor:"2,keyasint,omitempty"`
-}
-
-type streamOriginReply struct {
-	Origin streamorigin.Origin `cbor:"1,keyasint"`
-	Known  bool                `cbor:"2,keyasint,omitempty"`
-}
-
-func (c *Client) registerStreamOrigin(srv *rpc.Server) {
-	rpc.Handle(srv, methodStreamOrigin, func(_ context.Context, req *streamOriginRequest) (*streamOriginReply, error) {
-		origin, known := c.KeptStreamOrigin(req.Fingerprint, req.CallID)
-		return &streamOriginReply{Origin: origin, Known: known}, nil
-	})
-}
+const (
+	// streamOriginTimeout bounds the search for the origin of a stream. A round trip between hosts
+	// takes a few milliseconds, or about 100 ms if they are busy.
+	streamOriginTimeout = 300 * time.Millisecond
+	// resentPerDatagram is the number of records in one datagram when many are sent again. A record
+	// takes about 100 bytes, so that the datagram fits into one packet.
+	resentPerDatagram = 8
+	// resendPause is the time between two datagrams of records that are sent again to a host. The
+	// socket buffer of a host holds about 160 of them, and up to 300 gateways send at once.
+	resendPause = 5 * time.Millisecond
+)
 
-// RecordStreamOrigin keeps the origin of a stream here and on a few other hosts. The messages to
-// them may be lost.
+// RecordStreamOrigin keeps the origin of a stream here, on a few other gateway hosts and on a few control
+// hosts. The messages to them may be lost.
 func (c *Client) RecordStreamOrigin(r streamorigin.Record) {
-	if !c.keepStreamOrigin(r) {
+	now := time.Now()
+	if !c.origins.Keep(r, now) {
 		return
 	}
-	c.begunStreams.Add(r, time.Now())
-	for _, host := range c.keepersOf(r) {
-		c.sendStreamOrigin(r, host)
-	}
+	c.begunStreams.Add(r, now)
+	c.sendStreamOrigins([]streamorigin.Record{r}, append(c.keepersOf(r), c.controlKeepers().of(r)...)...)
 }
 
 func (c *Client) keepersOf(r streamorigin.Record) []string {
 	return streamorigin.KeepersOf(r.Fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Keepers)
 }
 
-func (c *Client) sendStreamOrigin(r streamorigin.Record, host string) {
+// sendStreamOrigins sends records to hosts, one datagram to each.
+func (c *Client) sendStreamOrigins(records []streamorigin.Record, hosts ...string) {
 	conn := c.gossipConn.Load()
 	if conn == nil {
 		return
 	}
-	address, err := netip.ParseAddrPort(host)
-	var data []byte
-	if err == nil {
-		data, err = codec.Marshal(&gossipMessage{StreamOrigins: []streamorigin.Record{r}})
-	}
-	if err == nil {
-		_, err = conn.WriteToUDPAddrPort(data, address)
-	}
+	data, err := codec.Marshal(&streamorigin.Datagram{Records: records})
 	if err != nil {
-		klog.V(2).InfoS("origin of a stream not sent", "stream_origin", r.CallID, "peer", host, "error", err.Error())
+		klog.ErrorS(err, "origins of streams not encoded", "stream_origin", records[0].CallID)
+		return
+	}
+	for _, host := range hosts {
+		address, err := netip.ParseAddrPort(host)
+		if err == nil {
+			_, err = conn.WriteToUDPAddrPort(data, address)
+		}
+		if err != nil {
+			klog.V(2).InfoS("origins of streams not sent", "stream_origin", records[0].CallID, "host", host, "error", err.Error())
+		}
 	}
 }
 
-// resendStreamOrigins sends the records of the streams that this host began to those of their keepers
-// that have just started.
-func (c *Client) resendStreamOrigins(started []string) {
+// resendStreamOrigins sends the records of the streams that this host began again, each to the hosts that
+// keepers returns for it.
+func (c *Client) resendStreamOrigins(reason string, keepers func(streamorigin.Record) []string) {
+	c.resending.Lock()
+	defer c.resending.Unlock()
+	pending := map[string][]streamorigin.Record{}
+	sent := 0
 	for _, r := range c.begunStreams.Needed(time.Now()) {
-		for _, host := range c.keepersOf(r) {
-			if slices.Contains(started, host) {
-				c.sendStreamOrigin(r, host)
+		for _, host := range keepers(r) {
+			pending[host] = append(pending[host], r)
+			sent++
+		}
+	}
+	if sent == 0 {
+		return
+	}
+	klog.InfoS("sending origins of streams again", "reason", reason, "records", sent, "hosts", len(pending))
+	for len(pending) > 0 {
+		for host, records := range pending {
+			n := min(len(records), resentPerDatagram)
+			c.sendStreamOrigins(records[:n], host)
+			if pending[host] = records[n:]; n == len(records) {
+				delete(pending, host)
 			}
 		}
+		time.Sleep(resendPause)
 	}
 }
 
-// KeptStreamOrigin returns the origin of a stream if this host keeps its record.
-func (c *Client) KeptStreamOrigin(fingerprint uint64, callID string) (streamorigin.Origin, bool) {
+// resendToStarted sends the records of the streams that this host began to those of their keepers that
+// have just started.
+func (c *Client) resendToStarted(started []string) {
+	c.resendStreamOrigins("gateway hosts started", func(r streamorigin.Record) []string {
+		return slices.DeleteFunc(c.keepersOf(r), func(host string) bool { return !slices.Contains(started, host) })
+	})
+}
+
+// KeptStreamOrigin returns what the records on this host tell of the origin of a stream.
+func (c *Client) KeptStreamOrigin(fingerprint uint64, callID string) streamorigin.Reply {
 	return c.origins.Get(fingerprint, callID, time.Now())
 }
 
-// keepStreamOrigin keeps a record on this host, and reports whether there is room for it.
-func (c *Client) keepStreamOrigin(r streamorigin.Record) bool {
-	kept := c.origins.Put(r, time.Now())
-	if !kept {
-		klog.InfoS("origin of a stream not kept: too many, or its id is too long", "id_bytes", len(r.CallID))
+// StreamOrigin searches for the origin of the stream that a call began, here and on the gateway and
+// control hosts that keep it. If callID is empty, any stream of the same request is meant.
+func (c *Client) StreamOrigin(ctx context.Context, fingerprint uint64, callID string) *streamorigin.Search {
+	query := &streamorigin.Query{Fingerprint: fingerprint, CallID: callID}
+	hosts := streamorigin.KeepersOf(fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Lookups)
+	hosts = append(hosts, streamorigin.KeepersOf(fingerprint, "", c.controlKeepers().members, streamorigin.Lookups)...)
+	search := streamorigin.NewSearch(query, 1+len(hosts))
+	kept := c.KeptStreamOrigin(fingerprint, callID)
+	search.Add(c.options.Address, &kept)
+	if search.Verdict() == streamorigin.Undecided {
+		c.askStreamOrigin(ctx, query, hosts, search)
 	}
-	return kept
+	return search
 }
 
-// StreamOrigin returns the origin of the stream that a call began, and whether it is known, here or
-// on the hosts that keep it. If callID is empty, any stream of the same request is meant.
-func (c *Client) StreamOrigin(ctx context.Context, fingerprint uint64, callID string) (streamorigin.Origin, bool) {
-	if origin, known := c.KeptStreamOrigin(fingerprint, callID); known {
-		return origin, true
-	}
+// originAnswer is the answer of one host to a query.
+type originAnswer struct {
+	host  string
+	reply *streamorigin.Reply
+	err   error
+}
+
+// askStreamOrigin sends a query to hosts at once, and adds their answers to the search until it is decided
+// or streamOriginTimeout has passed.
+func (c *Client) askStreamOrigin(ctx context.Context, query *streamorigin.Query, hosts []string, search *streamorigin.Search) {
 	ctx, cancel := context.WithTimeout(ctx, streamOriginTimeout)
 	defer cancel()
-	req := &streamOriginRequest{Fingerprint: fingerprint, CallID: callID}
-	hosts := streamorigin.KeepersOf(fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Lookups)
-	replies := make(chan *streamOriginReply, len(hosts))
+	answers := make(chan originAnswer, len(hosts))
 	for _, host := range hosts {
-		go func() { replies <- c.askStreamOrigin(ctx, host, req) }()
-	}
-	for range hosts {
-		if reply := <-replies; reply.Known {
-			return reply.Origin, true
-		}
+		go func() {
+			reply, err := streamorigin.Ask(ctx, c.rpc, host, query)
+			answers <- originAnswer{host, reply, err}
+		}()
 	}
-	return streamorigin.Origin{}, false
-}
-
-// askStreamOrigin asks one host for the origin of a stream. If the call fails the reply is empty.
-func (c *Client) askStreamOrigin(ctx context.Context, host string, req *streamOriginRequest) *streamOriginReply {
-	reply, err := rpc.Call[streamOriginRequest, streamOriginReply](ctx, c.rpc, host, methodStreamOrigin, req)
-	if err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) {
-			klog.InfoS("host did not tell the origin of a stream", "stream_origin", req.CallID, "peer", host, "error", err.Error())
+	for search.Verdict() == streamorigin.Undecided {
+		select {
+		case a := <-answers:
+			switch {
+			case a.err == nil:
+				search.Add(a.host, a.reply)
+			case errors.Is(a.err, context.DeadlineExceeded):
+				search.AddFailure(a.host, "no answer in time")
+			default:
+				search.AddFailure(a.host, a.err.Error())
+			}
+		case <-ctx.Done():
+			search.End()
 		}
-		return &streamOriginReply{}
 	}
-	return reply
 }
--- a/internal/hostsync/streamorigin_test.go
+++ b/internal/hostsync/streamorigin_test.go
@@ -21,7 +21,7 @@
 	later, _ := gr.gateway(3)
 	gr.g.Eventually(func() bool { return later.View() != nil && later.View().Hosts == 2 }, eventuallyTimeout).Should(BeTrue())
 	gr.g.Eventually(func() bool {
-		kept, known := later.KeptStreamOrigin(7, "c")
-		return known && kept == origin
+		kept := later.KeptStreamOrigin(7, "c")
+		return kept.Known && kept.Origin == origin
 	}, inForceTimeout).Should(BeTrue())
 }
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -11,6 +11,7 @@
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/streamorigin"
 )
 
 // RPC methods that move tokens between gateway hosts.
@@ -73,7 +74,7 @@
 func (c *Client) NewServer() *rpc.Server {
 	srv := rpc.NewServer()
 	c.registerWitness(srv)
-	c.registerStreamOrigin(srv)
+	streamorigin.Register(srv, c.origins)
 	rpc.Handle(srv, methodTransfer, c.handleTransfer)
 	rpc.Handle(srv, methodReturn, c.handleReturn)
 	return srv
--- /dev/null
+++ b/internal/streamorigin/search.go
@@ -0,0 +1,97 @@
+package streamorigin
+
+// Verdict is the state of a search for the origin of a stream.
+type Verdict uint8
+
+// The values of Verdict.
+const (
+	// Undecided: further answers may decide.
+	Undecided Verdict = iota
+	// Found: the origin is known.
+	Found
+	// Unknown: no host that answered knows the origin.
+	Unknown
+	// Ambiguous: the hosts know different origins.
+	Ambiguous
+)
+
+// String implements fmt.Stringer.
+func (v Verdict) String() string {
+	switch v {
+	case Found:
+		return "found"
+	case Unknown:
+		return "unknown"
+	case Ambiguous:
+		return "ambiguous"
+	}
+	return "undecided"
+}
+
+// Search combines the answers of several hosts to one query, which arrive in any order and some not
+// at all. It addresses the burst of resumed streams after many hosts have stopped: most of those
+// asked have lost their records, and one that was suspended may have old ones.
+type Search struct {
+	// named states that the query names the call that began the stream.
+	named             bool
+	asked, answered   int
+	answers           []string
+	origin            Origin
+	known, conflicted bool
+	ended             bool
+}
+
+// NewSearch returns a search by a query that is sent to a number of hosts.
+func NewSearch(q *Query, hosts int) *Search {
+	return &Search{named: q.CallID != "", asked: hosts}
+}
+
+// Add adds the answer of a host. An answer after the decision changes nothing.
+func (s *Search) Add(host string, r *Reply) {
+	if s.Verdict() != Undecided {
+		return
+	}
+	s.answered++
+	s.answers = append(s.answers, host+": "+r.String())
+	switch {
+	case r.Ambiguous, r.Known && s.known && r.Origin != s.origin:
+		s.conflicted = true
+	case r.Known:
+		s.origin, s.known = r.Origin, true
+	}
+}
+
+// AddFailure records that a host gave no answer.
+func (s *Search) AddFailure(host, reason string) {
+	if s.Verdict() == Undecided {
+		s.answers = append(s.answers, host+": "+reason)
+	}
+}
+
+// End ends the search: hosts that have not answered no longer count.
+func (s *Search) End() { s.ended = true }
+
+// Verdict returns the state of the search. The first host that knows a named call decides, because the
+// id of a call has one origin. Without a name all hosts must agree, because the records of equal
+// requests can't be told apart.
+func (s *Search) Verdict() Verdict {
+	switch {
+	case s.conflicted:
+		return Ambiguous
+	case s.named && s.known:
+		return Found
+	case len(s.answers) < s.asked && !s.ended:
+		return Undecided
+	case s.known:
+		return Found
+	}
+	return Unknown
+}
+
+// Origin returns the origin, if the verdict is Found.
+func (s *Search) Origin() Origin { return s.origin }
+
+// LogFields returns the fields that describe the search in logs.
+func (s *Search) LogFields() []any {
+	return []any{"origin_search", s.Verdict().String(), "hosts_asked", s.asked, "hosts_answered", s.answered, "origin_answers", s.answers}
+}
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -11,10 +11,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 )
 
 const (
-	// Keepers is the number of other hosts that keep each record.
+	// Keepers is the number of other gateway hosts that keep each record, and that of control hosts.
 	Keepers = 3
 	// Lookups is the number of hosts that are asked for a record. They include all keepers: the
 	// host that began the stream is not among them, and any other one counts it as a candidate.
@@ -68,8 +69,9 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{records: map[uint64][]entry{}} }
 
-// Put keeps a record for its lifetime, at most MaxLifetime. It returns false if the table is full
-// or the id of the call too long.
+// Put keeps a record for its lifetime, at most MaxLifetime. One that is known already, because the host
+// that began the stream sent it again, takes no further room. Put returns false if the table is full or
+// the id of the call too long.
 func (t *Table) Put(r Record, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -80,11 +82,18 @@
 		return false
 	}
 	list := t.records[r.Fingerprint]
+	expiresAt := now.Add(min(r.Lifetime, MaxLifetime))
+	if i := slices.IndexFunc(list, func(e entry) bool { return e.callID == r.CallID && e.origin == r.Origin }); i >= 0 {
+		if expiresAt.After(list[i].expiresAt) {
+			list[i].expiresAt = expiresAt
+		}
+		return true
+	}
 	if len(list) >= maxRecordsPerRequest {
 		list = slices.Delete(list, 0, 1)
 		t.count--
 	}
-	t.records[r.Fingerprint] = append(list, entry{r.CallID, r.Origin, now.Add(min(r.Lifetime, MaxLifetime))})
+	t.records[r.Fingerprint] = append(list, entry{r.CallID, r.Origin, expiresAt})
 	t.count++
 	return true
 }
@@ -102,21 +111,31 @@
 	}
 }
 
+// Keep puts a record into the table, and logs if there is no room for it.
+func (t *Table) Keep(r Record, now time.Time) bool {
+	kept := t.Put(r, now)
+	if !kept {
+		klog.InfoS("origin of a stream not kept: too many, or its id is too long", "id_bytes", len(r.CallID))
+	}
+	return kept
+}
+
 // Get returns the origin of the stream that the call with the given id began. If callID is empty it
 // returns the origin of all streams of the fingerprint, provided that they have the same one.
-func (t *Table) Get(fingerprint uint64, callID string, now time.Time) (origin Origin, known bool) {
+func (t *Table) Get(fingerprint uint64, callID string, now time.Time) Reply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var reply Reply
 	for _, e := range t.records[fingerprint] {
 		if callID != "" && e.callID != callID || !now.Before(e.expiresAt) {
 			continue
 		}
-		if known && e.origin != origin {
-			return Origin{}, false
+		if reply.Known && e.origin != reply.Origin {
+			return Reply{Ambiguous: true}
 		}
-		origin, known = e.origin, true
+		reply = Reply{Origin: e.origin, Known: true}
 	}
-	return origin, known
+	return reply
 }
 
 // KeepersOf returns the n hosts of highest rendezvous weight for the fingerprint, own excluded.
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -19,20 +19,20 @@
 	}
 }
 
+func found(version string) streamorigin.Reply {
+	return streamorigin.Reply{Origin: streamorigin.Origin{Service: "s", Version: version}, Known: true}
+}
+
 func TestRecordsExpireAndAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	table := streamorigin.NewTable()
 	g.Expect(table.Put(record(1, "a", "v1"), now)).To(BeTrue())
-	origin, known := table.Get(1, "a", now.Add(59*time.Second))
-	g.Expect(known).To(BeTrue())
-	g.Expect(origin).To(Equal(streamorigin.Origin{Service: "s", Version: "v1"}))
-	_, known = table.Get(1, "a", now.Add(time.Minute))
-	g.Expect(known).To(BeFalse())
+	g.Expect(table.Get(1, "a", now.Add(59*time.Second))).To(Equal(found("v1")))
+	g.Expect(table.Get(1, "a", now.Add(time.Minute))).To(Equal(streamorigin.Reply{}))
 	long := record(2, "b", "v1")
 	long.Lifetime = 24 * time.Hour
 	g.Expect(table.Put(long, now)).To(BeTrue())
-	_, known = table.Get(2, "b", now.Add(streamorigin.MaxLifetime))
-	g.Expect(known).To(BeFalse())
+	g.Expect(table.Get(2, "b", now.Add(streamorigin.MaxLifetime))).To(Equal(streamorigin.Reply{}))
 	g.Expect(table.Put(record(3, strings.Repeat("k", streamorigin.MaxCallIDBytes+1), "v1"), now)).To(BeFalse())
 	kept := 0
 	for i := range uint64(100_000) {
@@ -49,19 +49,13 @@
 	g := NewWithT(t)
 	table := streamorigin.NewTable()
 	g.Expect(table.Put(record(1, "a", "v1"), now)).To(BeTrue())
-	origin, known := table.Get(1, "", now)
-	g.Expect(known).To(BeTrue(), "the caller does not name the call, and there is one")
-	g.Expect(origin.Version).To(Equal("v1"))
+	g.Expect(table.Get(1, "", now)).To(Equal(found("v1")), "the caller does not name the call, and there is one")
 	g.Expect(table.Put(record(1, "b", "v2"), now)).To(BeTrue())
 	for id, version := range map[string]string{"a": "v1", "b": "v2"} {
-		origin, known = table.Get(1, id, now)
-		g.Expect(known).To(BeTrue())
-		g.Expect(origin.Version).To(Equal(version))
+		g.Expect(table.Get(1, id, now)).To(Equal(found(version)))
 	}
-	_, known = table.Get(1, "", now)
-	g.Expect(known).To(BeFalse(), "there are two, of different versions")
-	_, known = table.Get(1, "c", now)
-	g.Expect(known).To(BeFalse())
+	g.Expect(table.Get(1, "", now)).To(Equal(streamorigin.Reply{Ambiguous: true}), "there are two, of different versions")
+	g.Expect(table.Get(1, "c", now)).To(Equal(streamorigin.Reply{}))
 }
 
 // Guards against records that the host which needs them does not find: whichever host began the
@@ -91,3 +85,19 @@
 		}
 	}
 }
+
+// Guards against records that are sent again and push others out, and against a longer life of a record
+// by a copy that arrives late with less of its lifetime left.
+func TestRecordSentAgainTakesNoRoom(t *testing.T) {
+	g := NewWithT(t)
+	table := streamorigin.NewTable()
+	g.Expect(table.Put(record(1, "first", "v1"), now)).To(BeTrue())
+	for i := range 10_000 {
+		again := record(1, "second", "v1")
+		again.Lifetime -= time.Duration(i) * time.Millisecond
+		g.Expect(table.Put(again, now)).To(BeTrue())
+	}
+	g.Expect(table.Get(1, "first", now)).To(Equal(found("v1")))
+	g.Expect(table.Get(1, "second", now.Add(59*time.Second))).To(Equal(found("v1")))
+	g.Expect(table.Get(1, "second", now.Add(time.Minute))).To(Equal(streamorigin.Reply{}))
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,8 +25,10 @@
 const (
 	CounterRefusals = "refusals"
 	CounterRetries  = "retries"
-	TagKind         = "kind"
-	TagReason       = "reason"
+	// CounterStreamsNotResumed counts the resumed streams that were refused.
+	CounterStreamsNotResumed = "streams_not_resumed"
+	TagKind                  = "kind"
+	TagReason                = "reason"
 )
 
 // Metrics holds the root scope of a process's metrics and the handler that exports them.
@@ -90,3 +92,8 @@
 func Retry(scope tally.Scope, reason string) tally.Counter {
 	return scope.Tagged(map[string]string{TagReason: reason}).Counter(CounterRetries)
 }
+
+// StreamNotResumed returns the counter of resumed streams that were refused for reason.
+func StreamNotResumed(scope tally.Scope, reason string) tally.Counter {
+	return scope.Tagged(map[string]string{TagReason: reason}).Counter(CounterStreamsNotResumed)
+}
