No resumed stream goes to an upstream whose connection broke until its version is confirmed

Cause: a process that restarts under its id may run another version before its first report arrives.

Change: after a connection to an upstream broke or could not be established, the pool gives it no resumed stream, neither at the choice nor between the choice and the sending, until another process is reported under its id, or until the control group was reachable for 3 s. An upstream whose heartbeat is overdue stays in doubt: it may be down and restart later. A loss of this host's own links counts as a broken connection too. If only such upstreams of the version are left the refusal is stream_not_resumable with the rest of the time.

Existing tests: TestResumedStreamPrefersUnhealthyUpstreamOfItsVersion expected a resumed stream at an upstream right after it was unreachable, which the rule forbids; it now expects the refusal, and the upstream as the last resort once its version is confirmed and it is still ejected.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -164,6 +164,9 @@
 		return nil, noReadyUpstream(service)
 	case placement.NoneOfVersion:
 		return nil, q.notResumable(reasonNoneOfVersion, fmt.Sprintf("service %q has no ready upstream of software version %q, which began the stream", service, q.streamVersion))
+	case placement.VersionUnconfirmed:
+		return nil, q.notResumable(reasonVersionUnconfirmed, fmt.Sprintf("each upstream of software version %q in service %q may have "+
+			"restarted with another one", q.streamVersion, service)).WithRetryAfter(refused.RetryAfter)
 	default:
 		return nil, errkind.New(errkind.NoUpstream, "all upstreams of service %q were tried", service).WithRetryAfter(noUpstreamRetryAfter)
 	}
@@ -303,9 +306,12 @@
 	if errors.Is(a.ctx.Err(), context.Canceled) {
 		a.lastFailure = failureCallerDisconnected
 	}
-	if a.ctx.Err() != nil || a.handler.Paths.Lost(a.target.Address) {
+	switch {
+	case a.ctx.Err() != nil:
 		a.reportOutcome(placement.Abandoned)
-	} else {
+	case a.handler.Paths.Lost(a.target.Address):
+		a.reportOutcome(placement.LinkLost)
+	default:
 		a.reportOutcome(placement.Failed)
 	}
 	if a.ctx.Err() != nil {
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -65,10 +65,11 @@
 // Reasons why a stream is not resumable, as used in metrics and logs. Streams that were not resumed for
 // another reason are counted by the kind of their refusal.
 const (
-	reasonUnknownOrigin   = "origin_unknown"
-	reasonAmbiguousOrigin = "origin_ambiguous"
-	reasonRouteChanged    = "route_changed"
-	reasonNoneOfVersion   = "none_of_version"
+	reasonUnknownOrigin      = "origin_unknown"
+	reasonAmbiguousOrigin    = "origin_ambiguous"
+	reasonRouteChanged       = "route_changed"
+	reasonNoneOfVersion      = "none_of_version"
+	reasonVersionUnconfirmed = "version_unconfirmed"
 )
 
 // notResumable returns the refusal of a stream that can't go on for the given reason.
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -52,6 +52,7 @@
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	c.peersEpoch, c.peersRevision = peersEpoch(reply), reply.PeersRevision
 	c.applyCrashes(reply, time.Now())
+	c.options.Pool.ControlSynced(time.Now())
 	return c.updateView(reply)
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -86,6 +86,8 @@
 	kvTokens   int64
 	assignedAt time.Time
 	prefilled  bool
+	// resumes reports that the request goes on with a stream.
+	resumes bool
 }
 
 // Reason tells whether an upstream was chosen and, if not, why.
@@ -105,6 +107,9 @@
 	AllLimited
 	// NoneOfVersion: no ready upstream has the software version of the stream to resume.
 	NoneOfVersion
+	// VersionUnconfirmed: a connection to each ready upstream of the version broke lately, so that it
+	// may have restarted with another one.
+	VersionUnconfirmed
 )
 
 // Refusal reports why no upstream was chosen and the load that led to the decision.
@@ -142,6 +147,7 @@
 }
 
 func (p *Pool) assign(a *Assignment, req *Request, now time.Time) {
+	a.resumes = req.Resumes
 	a.kvTokens = a.unprefilled + req.MaxOutputTokens
 	a.Backlog, a.PrefillRate, a.assignedAt = a.unprefilled+max(a.Upstream.backlog(), 0), p.statsOf(req.Service).rate, now
 	p.choices++
@@ -210,7 +216,7 @@
 	}
 	var healthy, unhealthy []*Upstream
 	full, staying, ofVersion := false, 0, 0
-	shortestWait := time.Duration(0)
+	shortestWait, unconfirmed := time.Duration(0), time.Duration(0)
 	brittle := p.isBrittle(req.Service, now)
 	for _, u := range all {
 		if u.isLeaving(now) {
@@ -223,6 +229,10 @@
 		ofVersion++
 		switch {
 		case slices.Contains(req.Exclude, u.ID):
+		case req.isUnconfirmed(u):
+			if rest := max(u.doubt.rest(), minRetryAfter); unconfirmed == 0 || rest < unconfirmed {
+				unconfirmed = rest
+			}
 		case req.MaxInFlight != nil && u.inFlight() >= req.MaxInFlight(u):
 			full = true
 		case brittle && u.own.InFlight >= p.brittleShare(u):
@@ -250,6 +260,8 @@
 		return nil, &Refusal{Reason: AllLimited, RetryAfter: max(shortestWait, minRetryAfter)}
 	case len(unhealthy) > 0:
 		return unhealthy, nil
+	case unconfirmed > 0:
+		return nil, &Refusal{Reason: VersionUnconfirmed, RetryAfter: unconfirmed}
 	}
 	return nil, &Refusal{Reason: AllTried, RetryAfter: minRetryAfter}
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -51,6 +51,8 @@
 	lastChoice uint64
 	// probing is true while a request probes the upstream after its ejection.
 	probing bool
+	// doubt is nil while the process is known to run Version.
+	doubt *versionDoubt
 }
 
 // prefixState is the state of a prompt prefix at an upstream.
@@ -198,6 +200,9 @@
 func (p *Pool) Takes(a *Assignment, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if a.resumes && (a.doubt != nil || p.upstreams[a.ID] != a.Upstream) {
+		return false // it may have restarted with another software version, or has done so
+	}
 	return a.State == presence.Ready && !a.isLeaving(now)
 }
 
@@ -254,6 +259,8 @@
 	Misdirected
 	// Abandoned: the caller disconnected before the result was known.
 	Abandoned
+	// LinkLost: this host's own link broke, which does not affect the upstream's health.
+	LinkLost
 )
 
 // Observe updates the health of the assigned upstream with the outcome of a request.
@@ -267,10 +274,12 @@
 		u.answeredAt = now
 		u.consecutiveFailures, u.ejections, u.ejectedUntil = 0, 0, time.Time{}
 	case Unreachable:
+		u.doubtVersion(now)
 		u.ejectedUntil = now.Add(unreachableEjection)
 	case Misdirected:
 		u.ejectedUntil = now.Add(maxEjection)
 	case Failed:
+		u.doubtVersion(now)
 		u.consecutiveFailures++
 		if u.consecutiveFailures >= ejectAfterFailures {
 			u.ejectedUntil = now.Add(min(minEjection<<min(u.ejections, 4), maxEjection))
@@ -281,6 +290,8 @@
 			u.setSaid()
 			u.extendWait(brittleWait, "", now)
 		}
+	case LinkLost:
+		u.doubtVersion(now)
 	case Abandoned:
 	}
 }
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -63,6 +63,11 @@
 	a := mustChoose(g, p, resumedRequest(1, "v1"))
 	p.Observe(a, Unreachable, startTime)
 	p.Release(a)
+	_, unconfirmed := p.Choose(resumedRequest(1, "v1"), startTime)
+	g.Expect(unconfirmed).NotTo(BeNil(), "it may have restarted with another version")
+	g.Expect(unconfirmed.Reason).To(Equal(VersionUnconfirmed))
+	confirm(p, startTime, confirmTime)
+	p.upstreams[a.ID].ejectedUntil = startTime.Add(time.Minute)
 	g.Expect(mustChoose(g, p, resumedRequest(1, "v1")).Version).To(Equal("v1"))
 	tried := resumedRequest(1, "v1")
 	tried.Exclude = []string{a.ID}
--- /dev/null
+++ b/internal/placement/versiondoubt.go
@@ -0,0 +1,81 @@
+package placement
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// confirmTime is the time with a reachable control group after which an upstream whose connection
+	// broke still runs the version that it reported. Upstreams send a heartbeat every 1.2 s, so that a
+	// process that started meanwhile would have become known.
+	confirmTime = 3 * time.Second
+	// maxSyncGap is the time between two replies of the control group up to which it counts as
+	// reachable in between. Gateway hosts call it each 250 to 500 ms, and a call takes up to 700 ms.
+	maxSyncGap = 1200 * time.Millisecond
+)
+
+// versionDoubt is the time since the latest broken connection to an upstream, as far as a process that
+// restarted would have become known in it. It addresses upstreams that restart under their id with
+// another software version: until the first report of such a process the host knows only the version
+// before, and a stream that goes on there would join the text of two versions.
+type versionDoubt struct {
+	// since is the first break, brokenAt the latest one, and syncedAt the latest reply of the control
+	// group after it.
+	since, brokenAt, syncedAt time.Time
+	// reachable is the time since brokenAt with a reachable control group.
+	reachable time.Duration
+}
+
+// broken returns the doubt after a connection broke; d may be nil.
+func (d *versionDoubt) broken(now time.Time) *versionDoubt {
+	next := &versionDoubt{since: now, brokenAt: now, syncedAt: now}
+	if d != nil {
+		next.since = d.since
+	}
+	return next
+}
+
+// synced records a reply of the control group.
+func (d *versionDoubt) synced(now time.Time) {
+	if gap := now.Sub(d.syncedAt); gap <= maxSyncGap {
+		d.reachable += gap
+	}
+	d.syncedAt = now
+}
+
+// rest returns the time for which the control group must be reachable yet; 0 if the doubt is over.
+func (d *versionDoubt) rest() time.Duration { return max(confirmTime-d.reachable, 0) }
+
+// doubtVersion records that a connection to the upstream broke or could not be established.
+func (u *Upstream) doubtVersion(now time.Time) {
+	if u.doubt == nil {
+		klog.InfoS("upstream gets no resumed streams: a connection broke, and it may have restarted", "upstream", u.ID,
+			"started_ms", u.StartedMS, "software_version", u.Version)
+	}
+	u.doubt = u.doubt.broken(now)
+}
+
+// ControlSynced records that the control group has just replied to this host. Doubts end at upstreams of
+// which no other process has become known meanwhile. One whose heartbeat is overdue may be down,
+// and restart later.
+func (p *Pool) ControlSynced(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.upstreams {
+		if u.doubt == nil {
+			continue
+		}
+		u.doubt.synced(now)
+		if u.doubt.rest() == 0 && !u.heartbeatOverdue {
+			klog.InfoS("upstream gets resumed streams again", "upstream", u.ID, "started_ms", u.StartedMS,
+				"software_version", u.Version, "after_ms", now.Sub(u.doubt.since).Milliseconds())
+			u.doubt = nil
+		}
+	}
+}
+
+// isUnconfirmed reports whether the upstream may run another version than the one that the stream of the
+// request needs.
+func (r *Request) isUnconfirmed(u *Upstream) bool { return r.Resumes && u.doubt != nil }
