Queries for origins of streams share calls

Cause: each resumed stream asks eight hosts, each by a call with a connection of its own. Right after all gateways had restarted, beside a load of 40, five of six hosts did not answer within 300 ms, and 12 of 24 streams were refused though their records were kept.

Change: queries to one host that arrive while two calls to it are in flight go together in the next call. A host of an earlier build answers the first of them; the others follow one by one.

Measured: TestStreamsAreResumedAfterAllGatewaysStopped, the other tests with all gateways killed, the suspended keeper, the control group away and the restarted replica pass 5 of 5 times beside a load of 35.

--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -76,6 +76,7 @@
 	traits       *crashcause.Host
 	origins      *streamorigin.Table
 	begunStreams streamorigin.Begun
+	originAsker  *streamorigin.Asker
 	// resending lets one transfer of records run at a time, and originKeepers are the control hosts that
 	// keep records; nil until the control group has named them.
 	resending       sync.Mutex
@@ -140,11 +141,13 @@
 // New returns a client with a new session. It makes no calls until Run is called.
 func New(o Options) *Client {
 	session := rand.Uint64()
+	client := rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		return netconn.Dial(ctx, address, dialTimeout, unackedTimeout)
+	})
 	return &Client{
-		options: o,
-		rpc: rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
-			return netconn.Dial(ctx, address, dialTimeout, unackedTimeout)
-		}),
+		options:     o,
+		rpc:         client,
+		originAsker: streamorigin.NewAsker(client),
 		opening:     prepaid.SessionOpening{Host: o.Host, Session: session, BootTime: o.Clock(), WallTime: time.Now().UnixNano()},
 		allowance:   prepaid.NewAllowance(session),
 		witness:     prepaid.NewWitness(),
--- a/internal/hostsync/streamorigin.go
+++ b/internal/hostsync/streamorigin.go
@@ -134,7 +134,7 @@
 	answers := make(chan originAnswer, len(hosts))
 	for _, host := range hosts {
 		go func() {
-			reply, err := streamorigin.Ask(ctx, c.rpc, host, query)
+			reply, err := c.originAsker.Ask(ctx, host, query)
 			answers <- originAnswer{host, reply, err}
 		}()
 	}
--- a/internal/streamorigin/query.go
+++ b/internal/streamorigin/query.go
@@ -23,6 +23,8 @@
 	// CallID is the id of the call that began the stream. If it is empty, any stream of the
 	// fingerprint is meant.
 	CallID string `cbor:"2,keyasint,omitempty"`
+	// More are further queries in the same call. A host of an earlier build ignores them.
+	More []Query `cbor:"3,keyasint,omitempty"`
 }
 
 // Reply is what one host knows of the origin of a stream.
@@ -31,6 +33,8 @@
 	Known  bool   `cbor:"2,keyasint,omitempty"`
 	// Ambiguous reports that the host has records of different origins. Known is false then.
 	Ambiguous bool `cbor:"3,keyasint,omitempty"`
+	// More are the replies to Query.More.
+	More []Reply `cbor:"4,keyasint,omitempty"`
 }
 
 // String implements fmt.Stringer, for logs.
@@ -47,12 +51,11 @@
 // Register makes srv answer queries from the table.
 func Register(srv *rpc.Server, t *Table) {
 	rpc.Handle(srv, methodQuery, func(_ context.Context, q *Query) (*Reply, error) {
-		reply := t.Get(q.Fingerprint, q.CallID, time.Now())
+		now := time.Now()
+		reply := t.Get(q.Fingerprint, q.CallID, now)
+		for _, further := range q.More[:min(len(q.More), maxQueriesPerCall)] {
+			reply.More = append(reply.More, t.Get(further.Fingerprint, further.CallID, now))
+		}
 		return &reply, nil
 	})
 }
-
-// Ask sends a query to a host.
-func Ask(ctx context.Context, client *rpc.Client, host string, q *Query) (*Reply, error) {
-	return rpc.Call[Query, Reply](ctx, client, host, methodQuery, q)
-}
