--- a/internal/hostsync/streamorigin_bench_test.go
+++ b/internal/hostsync/streamorigin_bench_test.go
@@ -43,7 +43,8 @@
 	}
 	c.originKeepers.Store(keepers)
 	r := streamorigin.Record{
-		CallID: "5a0cf6b2-91e3-4c7c-8a83-0d9f2f0c2f11", Origin: streamorigin.Origin{Service: "engine", Version: "2026.12.1"}, Lifetime: 20 * time.Second,
+		Fingerprint: 1 << 63,
+		CallID:      "5a0cf6b2-91e3-4c7c-8a83-0d9f2f0c2f11", Origin: streamorigin.Origin{Service: "engine", Version: "2026.12.1"}, Lifetime: 20 * time.Second,
 	}
 	data, err := codec.Marshal(&streamorigin.Datagram{Records: []streamorigin.Record{r}})
 	if err != nil {
