--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -23,6 +23,7 @@
 	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/streamorigin"
 	"github.com/godwitbend/godwitbend/internal/wal"
 )
 
@@ -93,7 +94,9 @@
 	// counts too.
 	features map[string]int
 	// generations holds the latest sets of upstreams that report to this host.
-	generations   []directUpstreams
+	generations []directUpstreams
+	// origins holds the records of streams that gateway hosts sent to this host.
+	origins       *streamorigin.Table
 	hosts         *hostTable
 	peerLists     peerLists
 	upstreamFeed  *upstreamFeed
@@ -113,6 +116,7 @@
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
 		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
 		features: map[string]int{},
+		origins:  streamorigin.NewTable(),
 	}
 	n.upstreamFeed = newUpstreamFeed(n.table)
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
@@ -135,6 +139,7 @@
 	rpc.Handle(srv, MethodUpstreams, n.receiveUpstreams)
 	rpc.Handle(srv, MethodSubmit, n.serveSubmit)
 	rpc.Handle(srv, MethodEvacuate, n.evacuate)
+	streamorigin.Register(srv, n.origins)
 	return srv
 }
 
@@ -153,6 +158,12 @@
 			klog.ErrorS(err, "serving other hosts failed")
 		}
 	})
+	n.goRun(func() {
+		// The gateway hosts and the other control hosts keep records too, so that this one can do without.
+		if err := n.receiveStreamOrigins(background); err != nil {
+			klog.ErrorS(err, "no longer receiving records of streams")
+		}
+	})
 	n.goRun(func() { n.reports.run(background) })
 	n.goRun(func() { n.relay.run(background) })
 	n.goRun(func() { n.maintainUpstreams(background) })
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -43,6 +43,7 @@
 		c.members = reply.Members
 	}
 	c.controlHosts.apply(reply, time.Now())
+	c.applyControlKeepers(reply)
 	c.applyPeers(reply)
 	c.applyEvacuations(reply)
 	if err := c.applyTraffic(req, reply); err != nil {
@@ -52,6 +53,7 @@
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	c.peersEpoch, c.peersRevision = peersEpoch(reply), reply.PeersRevision
 	c.applyCrashes(reply, time.Now())
+	c.options.Pool.ControlSynced(time.Now())
 	return c.updateView(reply)
 }
 
