--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -151,7 +151,9 @@
 
 // newExchange returns a message of an exchange without records.
 func (n *Node) newExchange(direct directUpstreams) *UpstreamsMessage {
-	return &UpstreamsMessage{Sender: n.options.Address, Zone: n.options.Zone, Generation: direct.generation, Features: fleetstate.Features}
+	return &UpstreamsMessage{
+		Sender: n.options.Address, Zone: n.options.Zone, SenderEpoch: n.epoch, Generation: direct.generation, Features: fleetstate.Features,
+	}
 }
 
 func (n *Node) acknowledge(address string, generation uint64) {
@@ -191,7 +193,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, heardAt: now}
+	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, epoch: msg.SenderEpoch, heardAt: now}
 	n.features[msg.Sender] = msg.Features
 	remote, known := n.remoteUpstreams[msg.Sender].after(msg)
 	if !known {
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -208,6 +208,8 @@
 	Address string `cbor:"1,keyasint"`
 	// Zone is its availability zone; empty if unknown.
 	Zone string `cbor:"2,keyasint,omitempty"`
+	// Epoch identifies its process; 0 if unknown.
+	Epoch uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // SubmitRequest passes the calls of gateway hosts on to the leader.
@@ -319,6 +321,8 @@
 	// Features is fleetstate.Features of the sender's build, in an exchange; 0 in builds that do not
 	// state it.
 	Features int `cbor:"8,keyasint,omitempty"`
+	// SenderEpoch identifies the process of the sender.
+	SenderEpoch uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // UpstreamsReply acknowledges an UpstreamsMessage.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -89,6 +89,8 @@
 	// coldReservation is the limit that the request was taken from, until it is sent; nil if the
 	// upstream was not cold.
 	coldReservation *warmUp
+	// resumes reports that the request goes on with a stream.
+	resumes bool
 }
 
 // Reason tells whether an upstream was chosen and, if not, why.
@@ -108,6 +110,9 @@
 	AllLimited
 	// NoneOfVersion: no ready upstream has the software version of the stream to resume.
 	NoneOfVersion
+	// VersionUnconfirmed: a connection to each ready upstream of the version broke lately, so that it
+	// may have restarted with another one.
+	VersionUnconfirmed
 )
 
 // Refusal reports why no upstream was chosen and the load that led to the decision.
@@ -147,6 +152,7 @@
 }
 
 func (p *Pool) assign(a *Assignment, req *Request, now time.Time) {
+	a.resumes = req.Resumes
 	a.kvTokens = a.unprefilled + req.MaxOutputTokens
 	a.Backlog, a.PrefillRate, a.assignedAt = a.unprefilled+max(a.Upstream.backlog(), 0), p.statsOf(req.Service).rate, now
 	p.choices++
@@ -218,7 +224,7 @@
 	}
 	var healthy, unhealthy []*Upstream
 	full, staying, ofVersion, limited, warmUp := false, 0, 0, false, false
-	shortestWait := time.Duration(0)
+	shortestWait, unconfirmed := time.Duration(0), time.Duration(0)
 	brittle := p.isBrittle(req.Service, now)
 	for _, u := range all {
 		if u.isLeaving(now) {
@@ -231,6 +237,10 @@
 		ofVersion++
 		switch {
 		case slices.Contains(req.Exclude, u.ID):
+		case req.isUnconfirmed(u):
+			if rest := max(u.doubt.rest(), minRetryAfter); unconfirmed == 0 || rest < unconfirmed {
+				unconfirmed = rest
+			}
 		case req.MaxInFlight != nil && u.inFlight() >= req.MaxInFlight(u):
 			full = true
 		case brittle && u.own.InFlight >= p.brittleShare(u):
@@ -263,6 +273,8 @@
 		return nil, &Refusal{Reason: AllLimited, RetryAfter: max(shortestWait, minRetryAfter), WarmUp: warmUp}
 	case len(unhealthy) > 0:
 		return unhealthy, nil
+	case unconfirmed > 0:
+		return nil, &Refusal{Reason: VersionUnconfirmed, RetryAfter: unconfirmed}
 	}
 	return nil, &Refusal{Reason: AllTried, RetryAfter: minRetryAfter}
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -56,6 +56,8 @@
 	lastChoice uint64
 	// probing is true while a request probes the upstream after its ejection.
 	probing bool
+	// doubt is nil while the process is known to run Version.
+	doubt *versionDoubt
 }
 
 // prefixState is the state of a prompt prefix at an upstream.
@@ -229,6 +231,9 @@
 func (p *Pool) Takes(a *Assignment, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if a.resumes && (a.doubt != nil || p.upstreams[a.ID] != a.Upstream) {
+		return false // it may have restarted with another software version, or has done so
+	}
 	return a.State == presence.Ready && !a.isLeaving(now) && !p.evacuation.excludes(a.Zone) && a.takesWhileCold(now)
 }
 
@@ -288,6 +293,8 @@
 	Misdirected
 	// Abandoned: the caller disconnected before the result was known.
 	Abandoned
+	// LinkLost: this host's own link broke, which does not affect the upstream's health.
+	LinkLost
 )
 
 // Observe updates the health of the assigned upstream with the outcome of a request.
@@ -303,11 +310,13 @@
 		p.observeConnection(u, false, now)
 	case Unreachable:
 		p.observeConnection(u, true, now)
+		u.doubtVersion(now)
 		u.ejectedUntil = now.Add(unreachableEjection)
 	case Misdirected:
 		u.ejectedUntil = now.Add(maxEjection)
 	case Failed:
 		p.observeConnection(u, true, now)
+		u.doubtVersion(now)
 		u.consecutiveFailures++
 		if u.consecutiveFailures >= ejectAfterFailures {
 			u.ejectedUntil = now.Add(min(minEjection<<min(u.ejections, 4), maxEjection))
@@ -318,6 +327,8 @@
 			u.setSaid()
 			u.extendWait(brittleWait, "", now)
 		}
+	case LinkLost:
+		u.doubtVersion(now)
 	case Abandoned:
 	}
 }
