--- a/internal/gateway/waitqueue_test.go
+++ b/internal/gateway/waitqueue_test.go
@@ -325,3 +325,23 @@
 		}
 	}
 }
+
+// BenchmarkGrant measures what a release costs while the queue is full and no place is free.
+func BenchmarkGrant(b *testing.B) {
+	q := newWaitQueue()
+	full := &placement.Refusal{Reason: placement.AllFull}
+	for i := range maxWaiting {
+		w := &waiter{
+			work: urgency.Work{Rank: i % 3, Objective: time.Hour, Left: 2 * time.Hour}, since: plainStart.Add(time.Duration(i*7%maxWaiting) * time.Millisecond),
+			choose: func(time.Time) (*placement.Assignment, *placement.Refusal) { return nil, full },
+		}
+		if d, _ := q.add(w, plainStart); d.refusal != mayWait {
+			b.Fatal(d.refusal)
+		}
+	}
+	for b.Loop() {
+		if decisions := q.grant(plainStart.Add(time.Second)); len(decisions) > 0 {
+			b.Fatal(decisions)
+		}
+	}
+}
--- a/internal/placement/admission_test.go
+++ b/internal/placement/admission_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -177,7 +178,7 @@
 func describe(o [3]loadOutcome) string {
 	text, all := "", loadOutcome{}
 	for i := range o {
-		text += fmt.Sprintf("rank %d: %.3f on time, %.3f late; ", i, o[i].onTimeShare(), float64(o[i].late)/o[i].total())
+		text += fmt.Sprintf("class %d: %.3f on time, %.3f late; ", i, o[i].onTimeShare(), float64(o[i].late)/o[i].total())
 		all.add(o[i])
 	}
 	return text + fmt.Sprintf("all %.3f on time, %.3f served", all.onTimeShare(), all.servedShare())
@@ -218,12 +219,16 @@
 // rank or the requests that need most work.
 func TestEngineAdmissionByValueUnderLoad(t *testing.T) {
 	reversed := []loadClass{{17_000, 600 * time.Millisecond, 197, 2}, {9000, 600 * time.Millisecond, 89, 1}, {1500, 400 * time.Millisecond, 315, 0}}
+	sameRank := slices.Clone(loadClasses)
+	for i := range sameRank {
+		sameRank[i].rank = 0
+	}
 	for _, mix := range []struct {
 		name    string
 		classes []loadClass
 		hosts   int
 		seeds   uint64
-	}{{"measured", loadClasses, 1, loadSeeds}, {"reversed ranks", reversed, 1, otherSeeds}, {"measured", loadClasses, loadHosts, otherSeeds}} {
+	}{{"measured", loadClasses, 1, loadSeeds}, {"reversed ranks", reversed, 1, otherSeeds}, {"one rank", sameRank, 1, otherSeeds}, {"measured", loadClasses, loadHosts, otherSeeds}} {
 		for _, load := range []float64{0.8, 1, 1.2, 1.5} {
 			t.Run(fmt.Sprintf("%s, %d hosts, load %.1f", mix.name, mix.hosts, load), func(t *testing.T) {
 				g := NewWithT(t)
