--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -49,6 +49,8 @@
 	WarmUp WarmUp `json:"warm_up"`
 	// Link holds what the host does while its link is congested.
 	Link Link `json:"link"`
+	// Admission holds what decides which requests are served when capacity is short.
+	Admission NodeAdmission `json:"admission"`
 	// Log holds the log settings.
 	Log Log `json:"log"`
 }
@@ -60,6 +62,23 @@
 	MaxDelay Duration `json:"max_delay"`
 }
 
+// NodeAdmission holds what decides which requests a gateway serves when capacity is short.
+type NodeAdmission struct {
+	// Order is the order in which requests are preferred. Default: OrderByRank.
+	Order AdmissionOrder `json:"order"`
+}
+
+// AdmissionOrder is an order in which requests are preferred when capacity is short.
+type AdmissionOrder string
+
+// The values of AdmissionOrder.
+const (
+	// OrderByRank prefers requests by rank. Requests that find no capacity are refused at once.
+	OrderByRank AdmissionOrder = "rank"
+	// OrderByValue prefers requests by rank, deadline and work. Those of plain services may wait.
+	OrderByValue AdmissionOrder = "value"
+)
+
 // NodeListen holds the addresses of a host of a gateway fleet as IP:port.
 type NodeListen struct {
 	// Callers is the address for callers. Required with NodeGateway.
@@ -115,6 +134,7 @@
 		StopTimeout: Duration{8 * time.Second},
 		Retries:     Retries{Ratio: 0.1, Slack: 20, Window: Duration{10 * time.Second}},
 		WarmUp:      WarmUp{Burst: 3},
+		Admission:   NodeAdmission{Order: OrderByRank},
 		Log:         Log{Level: "info"},
 	}
 }
@@ -179,6 +199,9 @@
 	if n.Link.MaxDelay.Duration != 0 {
 		c.checkDuration("link.max_delay", n.Link.MaxDelay, minLinkDelay, maxLinkDelay)
 	}
+	if o := n.Admission.Order; o != OrderByRank && o != OrderByValue {
+		c.addFault("admission.order", "%q is neither %q nor %q", o, OrderByRank, OrderByValue)
+	}
 	if !slices.Contains(logLevels, n.Log.Level) {
 		c.addFault("log.level", "%q is not one of %q", n.Log.Level, logLevels)
 	}
