--- a/internal/controlnode/evacuation.go
+++ b/internal/controlnode/evacuation.go
@@ -135,7 +135,7 @@
 // newestEvacuations returns the evacuated zones that this host's replica has applied or that the
 // leader has told it, whichever is newer. The caller holds n.mu.
 func (n *Node) newestEvacuations() *fleetstate.Evacuations {
-	newest := &n.relay.evacuations
+	newest := n.relay.evacuations
 	if m := n.machine.Load(); m != nil && m.Evacuations().Revision >= newest.Revision {
 		newest = m.Evacuations()
 	}
@@ -156,6 +156,6 @@
 // node.mu.
 func (r *relay) applyEvacuations(e *EvacuatedZones) {
 	if e != nil && e.Revision > r.evacuations.Revision {
-		r.evacuations = fleetstate.Evacuations{Revision: e.Revision, Zones: e.Zones}
+		r.evacuations = &fleetstate.Evacuations{Revision: e.Revision, Zones: e.Zones}
 	}
 }
--- a/internal/controlnode/relay.go
+++ b/internal/controlnode/relay.go
@@ -50,8 +50,9 @@
 	leader  string
 	loadsAt time.Time
 	crashes []crashcause.CrashReport
-	// evacuations is the latest set that a leader told this host, whose own replica may lag.
-	evacuations fleetstate.Evacuations
+	// evacuations is the latest set that a leader told this host, whose own replica may lag. It is
+	// replaced and never modified.
+	evacuations *fleetstate.Evacuations
 }
 
 // relayedCall is one call of a gateway host that awaits its result.
@@ -68,7 +69,10 @@
 }
 
 func newRelay(n *Node) *relay {
-	return &relay{node: n, queue: make(chan *relayedCall, maxBatchedReports), open: make(chan struct{}, maxOpenSubmits)}
+	return &relay{
+		node: n, queue: make(chan *relayedCall, maxBatchedReports), open: make(chan struct{}, maxOpenSubmits),
+		evacuations: &fleetstate.Evacuations{},
+	}
 }
 
 // run passes calls on until ctx ends.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -302,7 +302,7 @@
 	}
 	return &upstreamhttp.Request{
 		Method: a.Method, URI: a.URI, Host: a.Authority, Header: a.handler.Dialect.Encode(a.Call, metadata),
-		Body: a.Body, HasBody: a.HasBody,
+		Body: a.Body, HasBody: a.HasBody, ReportsWithdrawal: a.reservedTokens > 0,
 	}
 }
 
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -61,7 +61,8 @@
 		queue = newWaitQueue()
 		p.queues[service] = queue
 	}
-	if len(queue.waiting) == 0 {
+	p.grant(queue, w.since)
+	if !queue.blocks() {
 		decision = waitDecision{waiter: w}
 		decision.assignment, decision.unplaced = w.choose(w.since)
 		if decision.assignment != nil {
@@ -110,9 +111,10 @@
 	if !queue.remove(w) {
 		return waitDecision{}, false
 	}
-	d := waitDecision{waiter: w, refusal: refusedHopeless}
+	now := time.Now()
+	d := waitDecision{waiter: w, refusal: refusedHopeless, start: queue.predictedStart(w.at(now), now)}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		d = queue.refuse(d, time.Now())
+		d = queue.refuse(d, now)
 	}
 	return d, true
 }
--- a/internal/gateway/value.go
+++ b/internal/gateway/value.go
@@ -25,7 +25,7 @@
 	work := req.Work()
 	work.Bytes = int64(len(q.Body))
 	d := q.handler.places.acquire(q.ctx, service, &waiter{
-		work: work, since: time.Now(), picky: len(req.Exclude) > 0, decided: make(chan waitDecision, 1),
+		work: work, since: time.Now(), picky: len(req.Exclude) > 0 || req.Resumes, decided: make(chan waitDecision, 1),
 		choose: func(now time.Time) (*placement.Assignment, *placement.Refusal) {
 			return q.handler.Pool.Choose(req, now)
 		},
@@ -61,7 +61,7 @@
 	default:
 		e = errkind.New(errkind.Overloaded, "all upstreams of service %q are full, and the answer would be late", service)
 	}
-	return e.WithRetryAfter(jitter(max(d.work.RetryAfter(d.start), fullRetryAfter)))
+	return e.WithRetryAfter(jitter(max(d.work.RetryAfter(max(d.start, fullRetryAfter)), fullRetryAfter)))
 }
 
 // engineRefusal records how a request was valued that no engine may accept, and returns the time after
--- a/internal/gateway/waitqueue.go
+++ b/internal/gateway/waitqueue.go
@@ -13,9 +13,6 @@
 	// bodies: a gateway has 88 MB of memory.
 	maxWaiting      = 64
 	maxWaitingBytes = 1 << 20
-	// loadReportInterval is the interval at which hosts learn each other's loads in large fleets. A host
-	// without requests of its own at the upstreams waits for the next report.
-	loadReportInterval = 500 * time.Millisecond
 	// serviceTimeWeight is the weight of a new sample in the mean time to an answer, and
 	// initialServiceTime the time assumed until samples exist.
 	serviceTimeWeight  = 0.05
@@ -99,7 +96,7 @@
 		}
 	}
 	if q.inFlight == 0 {
-		return loadReportInterval
+		return 0 // other hosts hold the places, and nothing is known of when they become free
 	}
 	return time.Duration(before+1) * q.serviceTime / time.Duration(q.inFlight)
 }
@@ -145,6 +142,12 @@
 	return decision, displaced
 }
 
+// blocks reports whether a request waits that could use any free place, so that a new one must not get
+// ahead of it.
+func (q *waitQueue) blocks() bool {
+	return slices.ContainsFunc(q.waiting, func(w *waiter) bool { return !w.picky })
+}
+
 func (q *waitQueue) hasRoom(bytes int64) bool {
 	return len(q.waiting) < maxWaiting && q.bytes+bytes <= maxWaitingBytes
 }
@@ -173,7 +176,7 @@
 func (q *waitQueue) grant(now time.Time) (decisions []waitDecision) {
 	full := false
 	for _, v := range q.byUrgency(now) {
-		d := waitDecision{waiter: v.waiter, refusal: q.judge(v.Work, 0, now)}
+		d := waitDecision{waiter: v.waiter, refusal: q.judge(v.Work, 0, now), start: q.predictedStart(v.Work, now)}
 		if d.refusal == mayWait {
 			if full {
 				continue
--- a/internal/gateway/waitqueue_test.go
+++ b/internal/gateway/waitqueue_test.go
@@ -15,6 +15,9 @@
 	"github.com/godwitbend/godwitbend/internal/urgency"
 )
 
+// loadReportInterval is the interval at which hosts learn each other's loads in large fleets.
+const loadReportInterval = 500 * time.Millisecond
+
 // The tests below play the load of a plain service with and without the wait queue. Three upstreams have
 // six slots and a queue of two requests for each; a request occupies a slot for 30 ms. An upstream without
 // room turns a request away, which is then tried once at another one.
--- a/internal/hostsync/streamorigin.go
+++ b/internal/hostsync/streamorigin.go
@@ -29,9 +29,7 @@
 // hosts. The messages to them may be lost.
 func (c *Client) RecordStreamOrigin(r streamorigin.Record) {
 	now := time.Now()
-	if !c.origins.Keep(r, now) {
-		return
-	}
+	c.origins.Keep(r, now) // the others may have room although this host has none
 	c.begunStreams.Add(r, now)
 	c.sendStreamOrigins([]streamorigin.Record{r}, append(c.keepersOf(r), c.controlKeepers().of(r)...)...)
 }
--- a/internal/linkadmission/meter.go
+++ b/internal/linkadmission/meter.go
@@ -20,8 +20,9 @@
 	// quantileDivisor selects the median: a slow peer delays the connections to itself, a congested
 	// link delays all.
 	quantileDivisor = 2
-	// baselineInterval is the time for which the shortest set-up time is remembered at least.
-	baselineInterval = 10 * time.Second
+	// baselineInterval is the time for which the shortest set-up time is remembered at least. The queue
+	// of a link that is overloaded for that long is not drained, and would become the baseline.
+	baselineInterval = 5 * time.Minute
 )
 
 // Meter estimates the queueing delay of a host's link from the time that it takes to connect to
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -237,8 +237,8 @@
 func (p *Pool) Takes(a *Assignment, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if a.resumes && (a.doubt != nil || p.upstreams[a.ID] != a.Upstream) {
-		return false // it may have restarted with another software version, or has done so
+	if p.upstreams[a.ID] != a.Upstream || a.resumes && a.doubt != nil {
+		return false // it has restarted, perhaps cold, or may have with another software version
 	}
 	return a.State == presence.Ready && !a.isLeaving(now) && !p.evacuation.excludes(a.Zone) && a.takesWhileCold(now)
 }
--- a/internal/placement/versiondoubt.go
+++ b/internal/placement/versiondoubt.go
@@ -4,13 +4,15 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/presence"
 )
 
 const (
 	// confirmTime is the time with a reachable control group after which an upstream whose connection
-	// broke still runs the version that it reported. Upstreams send a heartbeat every 1.2 s, so that a
-	// process that started meanwhile would have become known.
-	confirmTime = 3 * time.Second
+	// broke still runs the version that it reported. A process that started meanwhile would have become
+	// known, and one that is still down is marked unresponsive within a second and a half of the time-out.
+	confirmTime = presence.HeartbeatTimeout + 1500*time.Millisecond
 	// maxSyncGap is the time between two replies of the control group up to which it counts as
 	// reachable in between. Gateway hosts call it each 250 to 500 ms, and a call takes up to 700 ms.
 	maxSyncGap = 1200 * time.Millisecond
--- a/internal/streamorigin/begun.go
+++ b/internal/streamorigin/begun.go
@@ -9,8 +9,9 @@
 // Begun holds the records of the streams that this host began, for hosts that come later. It is safe
 // for concurrent use, and has no clock: times are passed in.
 type Begun struct {
-	mu      sync.Mutex
-	records []begunRecord
+	mu       sync.Mutex
+	records  []begunRecord
+	purgedAt time.Time
 }
 
 type begunRecord struct {
@@ -22,7 +23,9 @@
 func (b *Begun) Add(r Record, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.purge(now)
+	if now.Sub(b.purgedAt) >= purgeInterval {
+		b.purge(now)
+	}
 	if len(b.records) >= maxRecords {
 		b.records = slices.Delete(b.records, 0, 1)
 	}
@@ -43,11 +46,8 @@
 	return list
 }
 
-// purge removes expired records from the front, which holds the oldest.
+// purge removes expired records. They are not in the order in which they expire.
 func (b *Begun) purge(now time.Time) {
-	expired := 0
-	for expired < len(b.records) && !now.Before(b.records[expired].expiresAt) {
-		expired++
-	}
-	b.records = slices.Delete(b.records, 0, expired)
+	b.purgedAt = now
+	b.records = slices.DeleteFunc(b.records, func(r begunRecord) bool { return !now.Before(r.expiresAt) })
 }
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -78,7 +78,7 @@
 	if now.Sub(t.purgedAt) >= purgeInterval {
 		t.purge(now)
 	}
-	if len(r.CallID) > MaxCallIDBytes || t.count >= maxRecords {
+	if len(r.CallID) > MaxCallIDBytes {
 		return false
 	}
 	list := t.records[r.Fingerprint]
@@ -89,6 +89,9 @@
 		}
 		return true
 	}
+	if t.count >= maxRecords {
+		return false
+	}
 	if len(list) >= maxRecordsPerRequest {
 		list = slices.Delete(list, 0, 1)
 		t.count--
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -34,6 +34,9 @@
 	Body   []byte
 	// HasBody is true if the caller sent a body, possibly an empty one.
 	HasBody bool
+	// ReportsWithdrawal asks for ErrNotBegun where it applies. A withdrawn exchange then takes up to
+	// withdrawTimeout longer.
+	ReportsWithdrawal bool
 }
 
 // Answer is the answer of an upstream. It must be closed.
@@ -87,7 +90,7 @@
 // Do connects, sends the request that prepare returns then, and reads the header of the answer. Its
 // errors are either an *UnreachableError or wrap ErrNoAnswer. If prepare returns nil nothing is sent, and
 // the error wraps ErrWithdrawn: connecting may take long. The exchange ends when ctx is done; if the
-// answer had not begun by then, the error also wraps ErrNotBegun.
+// answer had not begun by then, the error also wraps ErrNotBegun if the request asks for that.
 func (c *Client) Do(ctx context.Context, address string, prepare func() *Request) (*Answer, error) {
 	conn, err := c.dial(ctx, address)
 	if err != nil {
@@ -98,7 +101,7 @@
 		_ = conn.Close()
 		return nil, &UnreachableError{Cause: ErrWithdrawn}
 	}
-	withdrawal := &withdrawableConn{ReadWriteCloser: conn}
+	withdrawal := &withdrawableConn{ReadWriteCloser: conn, closesAtOnce: !r.ReportsWithdrawal}
 	stop := context.AfterFunc(ctx, withdrawal.withdraw)
 	answer, err := roundTrip(withdrawal, r)
 	withdrawn := !stop()
--- a/internal/upstreamhttp/withdraw.go
+++ b/internal/upstreamhttp/withdraw.go
@@ -24,13 +24,15 @@
 	io.ReadWriteCloser
 	// sent reports that the whole request was written, and received that a byte arrived.
 	sent, received bool
+	// closesAtOnce makes a withdrawal close the connection.
+	closesAtOnce bool
 }
 
 // withdraw ends the sending direction, and the connection after withdrawTimeout. A connection that
 // can't be half-closed is closed.
 func (c *withdrawableConn) withdraw() {
 	conn, ok := c.ReadWriteCloser.(halfCloser)
-	if !ok || conn.SetReadDeadline(time.Now().Add(withdrawTimeout)) != nil || conn.CloseWrite() != nil {
+	if c.closesAtOnce || !ok || conn.SetReadDeadline(time.Now().Add(withdrawTimeout)) != nil || conn.CloseWrite() != nil {
 		_ = c.Close()
 	}
 }
