--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -97,6 +97,7 @@
 	members         []string
 	controlHosts    controlHosts
 	callTimeout     *rto.Estimator
+	transferTimeout *rto.Estimator
 	documentVersion uint64
 	epoch           uint64
 	revision        uint64
@@ -145,19 +146,20 @@
 		return netconn.Dial(ctx, address, dialTimeout, unackedTimeout)
 	})
 	return &Client{
-		options:     o,
-		rpc:         client,
-		originAsker: streamorigin.NewAsker(client),
-		opening:     prepaid.SessionOpening{Host: o.Host, Session: session, BootTime: o.Clock(), WallTime: time.Now().UnixNano()},
-		allowance:   prepaid.NewAllowance(session),
-		witness:     prepaid.NewWitness(),
-		wake:        make(chan struct{}, 1),
-		callTimeout: rto.NewEstimator(minCallTimeout, maxCallTimeout),
-		sessionLost: make(chan struct{}),
-		syncDone:    make(chan struct{}),
-		unreachable: map[string]time.Time{},
-		traits:      crashcause.NewHost(),
-		origins:     streamorigin.NewTable(),
+		options:         o,
+		rpc:             client,
+		originAsker:     streamorigin.NewAsker(client),
+		opening:         prepaid.SessionOpening{Host: o.Host, Session: session, BootTime: o.Clock(), WallTime: time.Now().UnixNano()},
+		allowance:       prepaid.NewAllowance(session),
+		witness:         prepaid.NewWitness(),
+		wake:            make(chan struct{}, 1),
+		callTimeout:     rto.NewEstimator(minCallTimeout, maxCallTimeout),
+		transferTimeout: rto.NewEstimator(transferTimeout, maxTransferTimeout),
+		sessionLost:     make(chan struct{}),
+		syncDone:        make(chan struct{}),
+		unreachable:     map[string]time.Time{},
+		traits:          crashcause.NewHost(),
+		origins:         streamorigin.NewTable(),
 	}
 }
 
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -22,9 +23,11 @@
 
 const (
 	// transferTimeout bounds one request for tokens. The round trip between hosts takes a
-	// few milliseconds, and the sender may have to report first, for at most reportTimeout.
-	transferTimeout = 120 * time.Millisecond
-	reportTimeout   = 80 * time.Millisecond
+	// few milliseconds, and the sender may have to report first, for at most reportTimeout. On a
+	// congested link it takes longer, up to maxTransferTimeout.
+	transferTimeout    = 120 * time.Millisecond
+	maxTransferTimeout = 400 * time.Millisecond
+	reportTimeout      = 80 * time.Millisecond
 	// maxTransferHosts is the number of hosts that are asked for tokens for one request.
 	maxTransferHosts = prepaid.MaxDirectPeers
 	// maxReportingHosts is the number of those that are asked to report first if necessary.
@@ -212,9 +215,16 @@
 
 // fetchFrom asks one host for tokens. A failed call is logged and also returns an empty reply.
 func (c *Client) fetchFrom(ctx context.Context, peer controlnode.Peer, req *transferRequest) (*transferReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.transferTimeout.Timeout())
 	defer cancel()
+	started := time.Now()
 	reply, err := rpc.Call[transferRequest, transferReply](ctx, c.rpc, peer.Address, methodTransfer, req)
+	switch {
+	case err == nil:
+		c.transferTimeout.Succeeded(time.Since(started))
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		c.transferTimeout.TimedOut()
+	}
 	if err != nil {
 		klog.InfoS("request for tokens failed", "organisation", req.Organisation, "peer", peer.Address, "error", err.Error())
 		c.markUnreachable(peer.Address)
