--- a/internal/gateway/value.go
+++ b/internal/gateway/value.go
@@ -25,7 +25,7 @@
 	work := req.Work()
 	work.Bytes = int64(len(q.Body))
 	d := q.handler.places.acquire(q.ctx, service, &waiter{
-		work: work, since: time.Now(), picky: len(req.Exclude) > 0 || req.Resumes, decided: make(chan waitDecision, 1),
+		work: work, since: time.Now(), restricted: len(req.Exclude) > 0 || req.Resumes, decided: make(chan waitDecision, 1),
 		choose: func(now time.Time) (*placement.Assignment, *placement.Refusal) {
 			return q.handler.Pool.Choose(req, now)
 		},
--- a/internal/gateway/waitqueue.go
+++ b/internal/gateway/waitqueue.go
@@ -23,10 +23,10 @@
 type waiter struct {
 	work  urgency.Work
 	since time.Time
-	// choose assigns the request to an upstream if one has room. picky reports that it excludes
+	// choose assigns the request to an upstream if one has room. restricted reports that it excludes
 	// upstreams, so that others may find room where it does not.
-	choose func(now time.Time) (*placement.Assignment, *placement.Refusal)
-	picky  bool
+	choose     func(now time.Time) (*placement.Assignment, *placement.Refusal)
+	restricted bool
 	// starved reports that the request is valued like one of the highest rank.
 	starved bool
 	// decided receives the decision, at most once; its buffer holds it.
@@ -145,7 +145,7 @@
 // blocks reports whether a request waits that could use any free place, so that a new one must not get
 // ahead of it.
 func (q *waitQueue) blocks() bool {
-	return slices.ContainsFunc(q.waiting, func(w *waiter) bool { return !w.picky })
+	return slices.ContainsFunc(q.waiting, func(w *waiter) bool { return !w.restricted })
 }
 
 func (q *waitQueue) hasRoom(bytes int64) bool {
@@ -183,7 +183,7 @@
 			}
 			d.assignment, d.unplaced = v.choose(now)
 			if d.assignment == nil && d.unplaced.Reason == placement.AllFull {
-				full = full || !v.picky
+				full = full || !v.restricted
 				continue
 			}
 		}
--- a/internal/gateway/waitqueue_test.go
+++ b/internal/gateway/waitqueue_test.go
@@ -187,7 +187,7 @@
 		return
 	}
 	w := &waiter{
-		work: r.work(now), since: plainStart.Add(now), picky: len(r.exclude) > 0, decided: make(chan waitDecision, 1),
+		work: r.work(now), since: plainStart.Add(now), restricted: len(r.exclude) > 0, decided: make(chan waitDecision, 1),
 		choose: func(at time.Time) (*placement.Assignment, *placement.Refusal) {
 			return l.choose(h, r, at.Sub(plainStart))
 		},
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -229,7 +229,8 @@
 }
 
 // candidates returns the upstreams that may be chosen: the healthy ones or, if there are
-// none and no upstream is full or limited for another reason than that it is cold, those that are ejected or whose heartbeat is overdue.
+// none and no upstream is full or limited for another reason than that it is cold, those that are
+// ejected or whose heartbeat is overdue.
 func (p *Pool) candidates(req *Request, now time.Time) ([]*Upstream, *Refusal) {
 	all := p.services[req.Service]
 	if len(all) == 0 {
--- a/internal/placement/coldness.go
+++ b/internal/placement/coldness.go
@@ -57,9 +57,9 @@
 	}
 }
 
-// hear records that the control group does not miss reports of the process. As a cold time that moved
+// confirmHeartbeats records that the control group does not miss reports of the process. As a cold time that moved
 // would have reached this host, the latest report says the same as the known one.
-func (e *coldEvidence) hear(now time.Time) {
+func (e *coldEvidence) confirmHeartbeats(now time.Time) {
 	e.heardAt = now.Add(-presence.HeartbeatTimeout - maxReportDelay)
 	if !e.reported.Known() && e.regainedAt.IsZero() && e.heardAt.After(e.lostAt) {
 		e.regainedAt = now // reported through hosts that do not pass cold times on
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -278,7 +278,7 @@
 		return
 	}
 	if u.warmUp.reason.isInferred() && !u.heartbeatOverdue {
-		u.evidence.hear(now)
+		u.evidence.confirmHeartbeats(now)
 		p.reviewWarmUp(u, now)
 	}
 	if u.warmUp != nil {
