--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -191,7 +191,8 @@
 	n.recordAddresses(peersOf(r.Status()))
 	n.machine.Store(machine)
 	n.replica.Store(r)
-	klog.InfoS("replica started", "replica", id.ReplicaID, "applied", r.Status().Applied)
+	s := r.Status()
+	klog.InfoS("replica started", "replica", id.ReplicaID, "applied", s.Applied, "term", s.Term, "voters", voterAddresses(s))
 	return r, nil
 }
 
@@ -208,6 +209,7 @@
 func (n *Node) supervise(ctx, background context.Context, r *replica.Replica) error {
 	lastLeaderSeen, lastBudgetLog := time.Now(), time.Now()
 	times := newMemberTimes()
+	leaderless := leaderlessLog{since: time.Now()}
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
 	for {
@@ -222,6 +224,7 @@
 		}
 		n.recordAddresses(peersOf(s))
 		now := time.Now()
+		leaderless.update(s, now, func() []string { return n.silentVoters(s, now) })
 		switch {
 		case s.Role == replication.Leader:
 			lastLeaderSeen = now
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 // controlShutdownTimeout bounds the wait for calls of operators and upstreams in flight.
@@ -57,3 +59,14 @@
 	<-done
 	return <-failed
 }
+
+// updateControlGauges updates the gauges of a control host until ctx ends.
+func updateControlGauges(ctx context.Context, scope tally.Scope, control *controlnode.Node) {
+	zones, voters, silent := scope.Gauge("evacuated_zones"), scope.Gauge("control_voters"), scope.Gauge("control_voters_silent")
+	timing.Every(ctx, gaugeInterval, func() {
+		zones.Update(float64(len(control.Evacuations().Zones)))
+		total, unheard := control.VoterCounts()
+		voters.Update(float64(total))
+		silent.Update(float64(unheard))
+	})
+}
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -31,12 +31,6 @@
 	})
 }
 
-// updateControlGauges updates the gauge of evacuations on a control host until ctx ends.
-func updateControlGauges(ctx context.Context, scope tally.Scope, control *controlnode.Node) {
-	zones := scope.Gauge("evacuated_zones")
-	timing.Every(ctx, gaugeInterval, func() { zones.Update(float64(len(control.Evacuations().Zones))) })
-}
-
 // evacuationsHandler answers with the evacuated zones that the control host knows, in JSON.
 func evacuationsHandler(control *controlnode.Node) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
