Recovery soak: replaced control hosts, then a power loss with a disk

No test replaced control hosts of real processes and then lost a disk while all other hosts lost power.

tests/recovery runs gateway fleets as processes on loopback addresses.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 export GOFLAGS := -buildvcs=false
 
-.PHONY: all build demo test lint bench soak
+.PHONY: all build demo test lint bench soak recovery-soak
 
 all: build
 
@@ -30,3 +30,9 @@
 soak:
 	SEED=$(SEED) SCHEDULES=$(or $(SCHEDULES),2000) go test -count=1 -timeout 60m -run Soak -v ./internal/replication
 	SEED=$(SEED) go test -count=1 -timeout 60m -run Soak -v ./tests/fleet
+
+# Replaces control hosts of gateway fleets and loses disks, with N schedules from SEED on, PARALLEL at a time.
+# DAEMON is another program to test than that of the source tree.
+recovery-soak:
+	SEED=$(SEED) N=$(or $(N),50) DAEMON=$(DAEMON) \
+		go test -count=1 -timeout 60m -parallel $(or $(PARALLEL),3) -run '^TestRecoverySoak$$' -v ./tests/recovery
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -98,6 +98,16 @@
 	<-p.done
 }
 
+// KillAll sends SIGKILL to all processes before it waits until they have terminated.
+func KillAll(processes ...*Process) {
+	for _, p := range processes {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range processes {
+		<-p.done
+	}
+}
+
 // Freeze suspends the process with SIGSTOP until Continue.
 func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
 
