Test that no budget is overspent when all gateways lose power while cut off

A single gateway that loses power while cut off for 1 to 5 s is charged at least what it spent, also if one of the two wall clocks was set back 3 s.

--- /dev/null
+++ b/internal/prepaid/powerloss_test.go
@@ -0,0 +1,112 @@
+package prepaid
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// clocksAtStart are the clocks of a host's next process and of the control host that it calls.
+type clocksAtStart struct {
+	// rebooted says that the boot-time clock began anew.
+	rebooted bool
+	// hostSetBack and controlSetBack are the steps of the wall clocks while the host was down.
+	hostSetBack, controlSetBack time.Duration
+}
+
+// spendWhileCutOff returns what a host spent, and what it is charged, that serves from its reserve for some time,
+// ends and starts again. Its last report arrives reportDelay after it was made, without a reply.
+func spendWhileCutOff(g *WithT, cutOff, reportDelay time.Duration, clocks clocksAtStart) (spent, charged int64) {
+	b, h := openHostWithBudget(g)
+	h.witnesses = []uint64{2, 3, 4}
+	for range 12 {
+		h.sync()
+		spent += h.spendAll("north")
+		h.now += int64(250 * time.Millisecond)
+	}
+	report := h.allowance.Report(Instant{BootTime: h.now, WallTime: h.now}, h.witnesses, false)
+	arrival := h.now + int64(reportDelay)
+	for end := h.now + int64(cutOff); h.now < end; h.now += int64(50 * time.Millisecond) {
+		if o := h.allowance.DueReserveOpening(h.now); o != nil {
+			h.allowance.OpenReserve(o, h.witnesses)
+		}
+		spent += h.spendAll("north")
+	}
+	b.ApplyReport(h.name, report, arrival)
+	start := h.now + int64(500*time.Millisecond)
+	opening := SessionOpening{
+		Host: h.name, Session: 9, BootTime: start, WallTime: start - int64(clocks.hostSetBack), ArrivalTime: start - int64(clocks.controlSetBack),
+	}
+	if clocks.rebooted {
+		opening.BootTime = int64(time.Second)
+	}
+	return spent, b.OpenSession(opening).Charged
+}
+
+func expectSpendingCharged(t *testing.T, reportDelay time.Duration, clocks clocksAtStart) {
+	t.Helper()
+	for cutOff := max(reportDelay, time.Second); cutOff <= 5*time.Second; cutOff += 500 * time.Millisecond {
+		spent, charged := spendWhileCutOff(NewWithT(t), cutOff, reportDelay, clocks)
+		if charged < spent {
+			t.Errorf("cut off for %v, report delayed by %v, %+v: spent %d, charged %d", cutOff, reportDelay, clocks, spent, charged)
+		}
+	}
+}
+
+func TestLossOfPowerWhileCutOffHidesNoSpending(t *testing.T) {
+	for _, setBack := range []time.Duration{-3 * time.Second, 0, 3 * time.Second} {
+		expectSpendingCharged(t, 0, clocksAtStart{rebooted: true, hostSetBack: setBack})
+		expectSpendingCharged(t, 0, clocksAtStart{rebooted: true, controlSetBack: setBack})
+	}
+}
+
+// losePowerWhileCutOff plays a fleet whose hosts are all cut off from the control group, all lose power at the same
+// moment, up to three times, and then spend what is left.
+func losePowerWhileCutOff(seed uint64, kind fleetKind, disabled disabledParts) (overspend string) {
+	s := newSimulation(seed, kind, disabled)
+	s.calm = true
+	play := func(d time.Duration) {
+		for end := s.now + d; s.now < end && overspend == ""; overspend = s.overspent() {
+			s.step()
+		}
+	}
+	for range 1 + s.random.IntN(3) {
+		play(time.Second + time.Duration(s.random.Int64N(int64(3*time.Second))))
+		cutOff := time.Duration(s.random.Int64N(int64(8 * time.Second)))
+		healed := s.now + cutOff + time.Duration(s.random.Int64N(int64(3*time.Second)))
+		for _, h := range s.hosts {
+			h.partitionedUntil = healed
+		}
+		play(cutOff)
+		for _, h := range s.hosts {
+			if h.alive {
+				s.kill(h, time.Duration(s.random.Int64N(int64(3*time.Second))), true)
+			}
+		}
+	}
+	play(30 * time.Second)
+	return overspend
+}
+
+func TestNoOverspendWhenAllGatewaysLosePowerWhileCutOff(t *testing.T) {
+	for name, kind := range map[string]fleetKind{"small fleet": smallFleet, "large fleet": largeFleet} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(scheduleCount(t, 300)) {
+				if overspend := losePowerWhileCutOff(seed, kind, disabledParts{}); overspend != "" {
+					t.Fatalf("seed %d: %s", seed, overspend)
+				}
+			}
+		})
+	}
+}
+
+func TestSpendingWithoutEnvelopeOverspendsWhenAllGatewaysLosePower(t *testing.T) {
+	for seed := range uint64(3000) {
+		if losePowerWhileCutOff(seed, smallFleet, disabledParts{noEnvelope: true}) != "" {
+			return
+		}
+	}
+	t.Fatal("no schedule overspends")
+}
--- a/internal/prepaid/simulation_test.go
+++ b/internal/prepaid/simulation_test.go
@@ -83,6 +83,8 @@
 	grantedWhilePartitioned int // of those, on partitioned hosts
 	// controlClockSkew is the clock skew of the current leader.
 	controlClockSkew time.Duration
+	// calm means that only the failures of the test itself are played.
+	calm bool
 }
 
 // fleetKind is the kind of fleet that a simulation plays.
@@ -154,7 +156,9 @@
 
 func (s *simulation) step() {
 	s.now += simStep
-	s.injectFailure()
+	if !s.calm {
+		s.injectFailure()
+	}
 	for _, h := range s.hosts {
 		if !h.alive {
 			if s.now >= h.restartAt {
