Failing tests: clocks set back hide from the ledger what a gateway spent

An organisation can be served more than its prepaid (BUDGET). What a process may have spent after its last report is bounded by the gap to the next process. Book.maxGap takes the larger of two wall-clock differences: the gateway's own, from the making of the report, and that of the control hosts, from the report's arrival. With a report that arrives late (the first sending was lost, or the gateway was cut off) and a gateway whose wall clock was set back by 2 s both are too short, with and without a loss of power: the boot-time clock is not used where the wall clock disagrees. The same if both wall clocks were set back. Not fixed here.

--- a/internal/prepaid/powerloss_test.go
+++ b/internal/prepaid/powerloss_test.go
@@ -110,3 +110,18 @@
 	}
 	t.Fatal("no schedule overspends")
 }
+func TestLateReportAndClockSetBackHideNoSpending(t *testing.T) {
+	for _, delay := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		expectSpendingCharged(t, delay, clocksAtStart{})
+		expectSpendingCharged(t, delay, clocksAtStart{rebooted: true})
+		expectSpendingCharged(t, delay, clocksAtStart{hostSetBack: 2 * time.Second})
+		expectSpendingCharged(t, delay, clocksAtStart{rebooted: true, hostSetBack: 2 * time.Second})
+	}
+}
+
+func TestClocksOfHostAndControlGroupSetBackHideNoSpending(t *testing.T) {
+	for _, setBack := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		expectSpendingCharged(t, 0, clocksAtStart{hostSetBack: setBack, controlSetBack: setBack})
+		expectSpendingCharged(t, 0, clocksAtStart{rebooted: true, hostSetBack: setBack, controlSetBack: setBack})
+	}
+}
