Count the silence of control hosts on every host, and pass votes on sooner

Cause: the leader alone measured for how long a voter had been silent, and each new leader began the count anew and took every voter for active until an election timeout had passed. With 3 s until a silent voter yields, a host that was replaced kept its vote for 4 s and more after the leader was lost; two leaders replaced 4 s apart were both still voters when a third host lost its disk in a power loss, and two of five votes were left. In even groups a silent voter stayed for 3 s although the group could lose no other. Now every control host measures it, by the leader's messages and by the exchanges, which name the sender's replica, so that a change of the leader does not start the measurement again; a new leader still waits for an answer for one election timeout. A silent voter yields to a new replica after 1.5 s, or leaves an even group that bears no failure; a new replica votes at once in such a group, and 1 s after it caught up otherwise.

--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -151,9 +151,13 @@
 
 // newExchange returns a message of an exchange without records.
 func (n *Node) newExchange(direct directUpstreams) *UpstreamsMessage {
-	return &UpstreamsMessage{
+	msg := &UpstreamsMessage{
 		Sender: n.options.Address, Zone: n.options.Zone, SenderEpoch: n.epoch, Generation: direct.generation, Features: fleetstate.Features,
 	}
+	if s, running := n.Status(); running && s.Failure == nil {
+		msg.ReplicaID = s.ID
+	}
+	return msg
 }
 
 func (n *Node) acknowledge(address string, generation uint64) {
@@ -195,6 +199,7 @@
 	defer n.mu.Unlock()
 	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, epoch: msg.SenderEpoch, heardAt: now}
 	n.features[msg.Sender] = msg.Features
+	n.heardReplicas[msg.ReplicaID] = true
 	remote, known := n.remoteUpstreams[msg.Sender].after(msg)
 	if !known {
 		return &UpstreamsReply{}, nil
@@ -208,6 +213,15 @@
 	return &UpstreamsReply{Generation: remote.generation}, nil
 }
 
+// takeHeardReplicas returns the ids of the replicas whose hosts have sent an exchange since the latest call.
+func (n *Node) takeHeardReplicas() map[uint64]bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	heard := n.heardReplicas
+	n.heardReplicas = map[uint64]bool{}
+	return heard
+}
+
 // after returns the upstreams that report to the sender as of a message, and false if the message
 // states changes of others than r.
 func (r remoteUpstreams) after(msg *UpstreamsMessage) (remoteUpstreams, bool) {
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -208,7 +208,7 @@
 // ctx ends, and an error if the replica failed or was removed from the group.
 func (n *Node) supervise(ctx, background context.Context, r *replica.Replica) error {
 	lastLeaderSeen, lastBudgetLog := time.Now(), time.Now()
-	times := newMemberTimes()
+	tracker := newMemberTracker(time.Now())
 	leaderless := leaderlessLog{since: time.Now()}
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
@@ -225,17 +225,17 @@
 		n.recordAddresses(peersOf(s))
 		now := time.Now()
 		leaderless.update(s, now, func() []string { return n.silentVoters(s, now) })
+		tracker.update(s, n.takeHeardReplicas(), now)
 		switch {
 		case s.Role == replication.Leader:
 			lastLeaderSeen = now
-			n.superviseMembers(background, r, s, times, now)
+			n.superviseMembers(background, r, tracker)
 			if now.Sub(lastBudgetLog) > budgetLogInterval {
 				lastBudgetLog = now
 				n.logBudgets(background, r)
 			}
 		case s.Leader != replication.None && n.address(s.Leader) != "":
 			lastLeaderSeen = now
-			times.reset()
 		case s.Leader != replication.None || now.Sub(lastLeaderSeen) > leaderlessTimeout:
 			// A replica that was admitted but has no log yet knows no addresses, so it cannot
 			// answer the leader until it has requested the members again.
@@ -249,13 +249,13 @@
 
 // superviseMembers changes the membership as needed. A replacement is two changes, one right after the
 // other.
-func (n *Node) superviseMembers(ctx context.Context, r *replica.Replica, s replica.Status, times memberTimes, now time.Time) {
+func (n *Node) superviseMembers(ctx context.Context, r *replica.Replica, tracker *memberTracker) {
 	for range 2 {
-		change, m := nextMemberChange(times.states(s, now))
+		change, m := nextMemberChange(tracker.states())
 		if change == noChange || !n.changeMembership(ctx, r, change, m) {
 			return
 		}
-		s = r.Status()
+		tracker.update(r.Status(), nil, time.Now())
 	}
 }
 
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -323,6 +323,8 @@
 	Features int `cbor:"8,keyasint,omitempty"`
 	// SenderEpoch identifies the process of the sender.
 	SenderEpoch uint64 `cbor:"9,keyasint,omitempty"`
+	// ReplicaID is the id of the replica that the sender runs; 0 if it runs none, or in builds that do not state it.
+	ReplicaID uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // UpstreamsReply acknowledges an UpstreamsMessage.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -93,6 +93,9 @@
 	// log entries that it understands, by address. It outlives controlHosts, as a voter that is down
 	// counts too.
 	features map[string]int
+	// heardReplicas holds the ids of the replicas whose hosts have sent an exchange since the membership was
+	// last supervised.
+	heardReplicas map[uint64]bool
 	// generations holds the latest sets of upstreams that report to this host.
 	generations []directUpstreams
 	// origins holds the records of streams that gateway hosts sent to this host.
@@ -115,8 +118,8 @@
 		addresses: map[uint64]string{}, table: presence.NewTable(),
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
 		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
-		features: map[string]int{},
-		origins:  streamorigin.NewTable(),
+		features: map[string]int{}, heardReplicas: map[uint64]bool{},
+		origins: streamorigin.NewTable(),
 	}
 	n.upstreamFeed = newUpstreamFeed(n.table)
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/controlnode/voters.go
+++ b/internal/controlnode/voters.go
@@ -8,12 +8,15 @@
 )
 
 const (
-	// replacementTimeout is the time without contact after which a voter yields to a new host, or
-	// leaves a group with an even number of voters, which is no safer with it. It exceeds a restart.
-	replacementTimeout = 3 * time.Second
+	// replacementTimeout is the time without contact after which a voter yields to a new host, or leaves a
+	// group that bears no failure because of it.
+	replacementTimeout = 1500 * time.Millisecond
+	// evenRemovalTimeout is the time without contact after which a voter leaves a group with an even
+	// number of voters, which is no safer with it. It exceeds a restart.
+	evenRemovalTimeout = 3 * time.Second
 	// promotionDelay is the time between the first catching up of a new replica and its vote. It
 	// exceeds the election timeout, so that a voter that it replaces is known to be silent.
-	promotionDelay = 1500 * time.Millisecond
+	promotionDelay = time.Second
 	// removalTimeout is the time without contact after which a replica is removed in any case.
 	// Hosts may freeze or lose their network for up to 9 s and return with their disks intact.
 	removalTimeout = 20 * time.Second
@@ -26,44 +29,81 @@
 	replication.Peer
 	// silentFor is the time without contact; 0 if there was contact within the election timeout.
 	silentFor time.Duration
-	// readyFor is the time since a learner caught up for the first time; 0 if it lags now.
+	// undecided reports that the leader has led for less than the election timeout and has not yet
+	// heard from the replica, which may still answer.
+	undecided bool
+	// caughtUp reports whether a learner has the committed log, and readyFor the time for which it has had it.
+	caughtUp bool
 	readyFor time.Duration
 }
 
-// memberTimes holds since when the leader knows what it knows of the replicas, by id.
-type memberTimes struct{ lastActive, readySince map[uint64]time.Time }
-
-func newMemberTimes() memberTimes {
-	return memberTimes{lastActive: map[uint64]time.Time{}, readySince: map[uint64]time.Time{}}
+// memberTracker measures for how long each replica has been silent. Every control host does so, by the
+// exchanges of the others and by the leader's messages, so that a change of the leader does not start
+// the measurement again. Time in which this host is suspended does not count.
+type memberTracker struct {
+	updatedAt time.Time
+	members   map[uint64]*memberState
 }
 
-// reset forgets all times, as another host leads.
-func (t memberTimes) reset() {
-	clear(t.lastActive)
-	clear(t.readySince)
+func newMemberTracker(now time.Time) *memberTracker {
+	return &memberTracker{updatedAt: now, members: map[uint64]*memberState{}}
 }
 
-// states returns the state of each replica, by the status of the leader.
-func (t memberTimes) states(s replica.Status, now time.Time) []memberState {
-	members := make([]memberState, 0, len(s.Peers))
+// update records the status s of this host's replica and the ids of the replicas whose hosts have sent
+// an exchange since the latest update.
+func (t *memberTracker) update(s replica.Status, heard map[uint64]bool, now time.Time) {
+	elapsed := min(now.Sub(t.updatedAt), 2*superviseInterval)
+	t.updatedAt = now
+	known := t.members
+	t.members = make(map[uint64]*memberState, len(s.Peers))
 	for _, p := range s.Peers {
-		if p.Active || p.ID == s.ID || t.lastActive[p.ID].IsZero() {
-			t.lastActive[p.ID] = now
+		m := known[p.ID]
+		if m == nil {
+			m = &memberState{}
 		}
-		m := memberState{Peer: p.Peer, silentFor: now.Sub(t.lastActive[p.ID])}
-		since, known := t.readySince[p.ID]
-		caughtUp := p.Match >= s.Commit
-		switch {
-		case !p.Learner || !p.Active:
-			delete(t.readySince, p.ID)
-		case !known && caughtUp:
-			t.readySince[p.ID] = now
-		case known && caughtUp:
-			m.readyFor = now.Sub(since)
+		t.members[p.ID] = m
+		m.Peer = p.Peer
+		if s.Role != replication.Leader {
+			m.undecided, m.caughtUp, m.readyFor = false, false, 0
+			m.addSilence(elapsed, p.ID == s.ID || p.ID == s.Leader || heard[p.ID])
+			continue
 		}
-		members = append(members, m)
+		m.updateAsLeader(p, p.ID == s.ID, s.Commit, elapsed)
+	}
+}
+
+func (m *memberState) addSilence(elapsed time.Duration, contact bool) {
+	m.silentFor += elapsed
+	if contact {
+		m.silentFor = 0
 	}
-	return members
+}
+
+// updateAsLeader counts only answers to the leader as contact: a host whose disk hangs still sends exchanges.
+func (m *memberState) updateAsLeader(p replication.PeerStatus, self bool, commit uint64, elapsed time.Duration) {
+	m.undecided = p.Active && !p.Heard && !self
+	if p.Heard && !p.Active {
+		m.silentFor = time.Duration(p.SilentTicks) * tickInterval
+	} else {
+		m.addSilence(elapsed, self || p.Heard)
+	}
+	wasCaughtUp := m.caughtUp
+	m.caughtUp = p.Learner && p.Active && p.Match >= commit
+	switch {
+	case !p.Learner || !p.Active:
+		m.readyFor = 0
+	case wasCaughtUp || m.readyFor > 0:
+		m.readyFor += elapsed
+	}
+}
+
+// states returns the state of each replica as of the latest update.
+func (t *memberTracker) states() []memberState {
+	list := make([]memberState, 0, len(t.members))
+	for _, m := range t.members {
+		list = append(list, *m)
+	}
+	return list
 }
 
 // memberChange is a change of the membership.
@@ -86,41 +126,69 @@
 	return "none"
 }
 
-// nextMemberChange returns the next change of the membership, and the replica that it concerns.
-// A new replica takes the vote of one that is silent for good, so that a replacement does not
-// add a voter that counts against the others; while it is unclear whether the silent one returns
-// the new one waits.
-func nextMemberChange(members []memberState) (memberChange, memberState) {
-	var silentVoter, silentLearner, ready memberState
-	voters, activeVoters := 0, 0
+// memberSummary is what nextMemberChange decides on.
+type memberSummary struct {
+	voters, activeVoters int
+	// silentVoter and silentLearner have been silent for longest, and ready has been ready for longest; their
+	// ids are 0 if there is none.
+	silentVoter, silentLearner, ready memberState
+}
+
+func summarize(members []memberState) memberSummary {
+	var s memberSummary
 	for _, m := range members {
 		switch {
-		case m.Learner && m.silentFor > silentLearner.silentFor:
-			silentLearner = m
-		case m.Learner && m.readyFor >= promotionDelay:
-			ready = m
+		case m.Learner && m.silentFor > s.silentLearner.silentFor:
+			s.silentLearner = m
+		case m.Learner && m.silentFor == 0 && m.caughtUp && (s.ready.ID == 0 || m.readyFor > s.ready.readyFor):
+			s.ready = m
 		case m.Learner:
 		case m.silentFor == 0:
-			voters++
-			activeVoters++
+			s.voters++
+			s.activeVoters++
 		default:
-			voters++
-			if m.silentFor > silentVoter.silentFor {
-				silentVoter = m
+			s.voters++
+			if m.silentFor > s.silentVoter.silentFor {
+				s.silentVoter = m
 			}
 		}
 	}
-	removable := voters > minVoters && activeVoters >= voters/2+1 && activeVoters >= (voters-1)/2+1
-	replaceable := removable && silentVoter.silentFor >= replacementTimeout
+	return s
+}
+
+// spare returns the number of further voters that the group can lose without losing its quorum.
+func (s *memberSummary) spare() int { return s.activeVoters - (s.voters/2 + 1) }
+
+// silentLongerThan reports whether a voter has been silent for at least timeout and won't answer the leader.
+func (s *memberSummary) silentLongerThan(timeout time.Duration) bool {
+	return s.silentVoter.ID != 0 && !s.silentVoter.undecided && s.silentVoter.silentFor >= timeout
+}
+
+// removable reports whether the group keeps a quorum and enough voters without the silent one.
+func (s *memberSummary) removable() bool {
+	return s.voters > minVoters && s.spare() >= 0 && s.activeVoters >= (s.voters-1)/2+1
+}
+
+// nextMemberChange returns the next change of the membership, and the replica that it concerns.
+// A new replica takes the vote of one that is silent for good, so that a replacement does not
+// add a voter that counts against the others; while it is unclear whether the silent one returns
+// the new one waits, unless the group could lose no voter meanwhile.
+func nextMemberChange(members []memberState) (memberChange, memberState) {
+	s := summarize(members)
+	even := s.voters%2 == 0
+	replaceable := s.silentLongerThan(replacementTimeout)
+	ready := s.ready.ID != 0
 	switch {
-	case ready.ID != 0 && replaceable:
-		return remove, silentVoter
-	case ready.ID != 0 && (silentVoter.ID == 0 || silentVoter.silentFor >= replacementTimeout):
-		return promote, ready
-	case replaceable && (voters%2 == 0 || silentVoter.silentFor >= removalTimeout):
-		return remove, silentVoter
-	case silentLearner.silentFor >= removalTimeout:
-		return remove, silentLearner
+	case replaceable && s.removable() && (ready || even && s.spare() == 0):
+		return remove, s.silentVoter
+	case ready && (replaceable || even && s.spare() == 0):
+		return promote, s.ready
+	case ready && s.silentVoter.ID == 0 && (even || s.ready.readyFor >= promotionDelay):
+		return promote, s.ready
+	case s.removable() && (even && s.silentLongerThan(evenRemovalTimeout) || s.silentLongerThan(removalTimeout)):
+		return remove, s.silentVoter
+	case s.silentLearner.silentFor >= removalTimeout:
+		return remove, s.silentLearner
 	}
 	return noChange, memberState{}
 }
--- a/internal/replication/append.go
+++ b/internal/replication/append.go
@@ -108,7 +108,7 @@
 	}
 	switch {
 	case !m.EmptyLog:
-		pr.lastContact = n.ticks
+		pr.lastContact, pr.heard = n.ticks, true
 		pr.readRound = max(pr.readRound, m.ReadRound)
 	case pr.match > 0:
 		// The peer has lost its disk. It detects this itself from the membership
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -263,8 +263,13 @@
 	Peer
 	// Match is the match index: the last entry known to be synced on the peer.
 	Match uint64
-	// Active reports whether the peer sent a message within the election timeout.
+	// Active reports whether the peer sent a message within the election timeout, or the leader's
+	// term has not lasted that long.
 	Active bool
+	// Heard reports whether the peer has sent a message in the leader's term, and SilentTicks the
+	// number of ticks since its latest one.
+	Heard       bool
+	SilentTicks uint64
 }
 
 // Status is a snapshot of a node's state for monitoring.
@@ -299,6 +304,7 @@
 	if pr := n.progress[p.ID]; n.role == Leader && pr != nil {
 		s.Match = pr.match
 		s.Active = n.isActive(p.ID)
+		s.Heard, s.SilentTicks = pr.heard, n.ticks-pr.lastContact
 	}
 	return s
 }
--- a/internal/replication/progress.go
+++ b/internal/replication/progress.go
@@ -31,7 +31,8 @@
 	state           progressState
 	probeSent       bool     // probe sent, reply pending
 	inflight        []uint64 // last entry of each unacknowledged append
-	lastContact     uint64   // tick of the last message from the peer
+	lastContact     uint64   // tick of the last message from the peer, or of the start of the term
+	heard           bool     // the peer has sent a message in this term
 	readRound       uint64   // latest read round that the peer confirmed
 	pendingSnapshot uint64   // index of the snapshot being transferred
 	snapshotOffset  uint64   // offset of the next snapshot byte to send
