--- a/cmd/godwitbendd/main.go
+++ b/cmd/godwitbendd/main.go
@@ -20,6 +20,8 @@
 )
 
 func main() {
+	// The default action would terminate a host that has just started and is told to reload its settings.
+	signal.Ignore(syscall.SIGHUP)
 	app := kingpin.New("godwitbendd", "The daemon of a godwitbend host.")
 	path := app.Flag("settings", "JSON settings file of the host.").Required().String()
 	run := app.Command("run", "Serve until SIGTERM or SIGINT, then drain.").Default()
@@ -58,6 +60,7 @@
 
 // serve runs a host with the project's own caller interface and returns the exit code.
 func serve(s *settings.Settings) int {
+	signal.Reset(syscall.SIGHUP)
 	return runUntilSignal(os.Stderr, s.Log.Level, s.Host, func(ctx context.Context) error {
 		network, err := daemon.NewTCP(s)
 		if err != nil {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -22,12 +22,15 @@
 // file. Changes of other settings take effect at the next start.
 type watchedSettings struct {
 	*settings.Node
-	path  string
-	seeds atomic.Pointer[[]string]
+	path   string
+	seeds  atomic.Pointer[[]string]
+	hangup chan os.Signal
 }
 
+// newWatchedSettings catches SIGHUP from its return on.
 func newWatchedSettings(path string, s *settings.Node) *watchedSettings {
-	w := &watchedSettings{Node: s, path: path}
+	w := &watchedSettings{Node: s, path: path, hangup: make(chan os.Signal, 1)}
+	signal.Notify(w.hangup, syscall.SIGHUP)
 	seeds := seedAddresses(s)
 	w.seeds.Store(&seeds)
 	return w
@@ -40,15 +43,13 @@
 // stays caught afterwards, as its default action would terminate a process that is
 // still answering requests.
 func (w *watchedSettings) watch(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-w.hangup:
 			klog.InfoS("reload requested")
 		case <-ticker.C:
 		}
