Upstream connections of entry hosts carry one exchange

Callers were told "not run" of requests that an upstream had run, got the answer to another request, or had a call run at a second upstream. A faulty upstream had written an answer that it had given earlier on a connection once more, and the host took it for the answer to the next request.

Calls that may be repeated, queries for the state of a call and cancellations used kept connections. A refusal may come without an id, the state of a request never has one, and the retry of a call at the same upstream carries the id of the first try: no check of ids tells a late copy from the answer. net/http closes an idle connection on which something arrives, but what arrives after the next request was sent is its answer.

Each call and each query now uses a new connection, as calls that may not be repeated did.

Ruled out: believing refusals only on connections that are not reused, which would have made most true refusals of a full upstream unknown outcomes; not using a connection again after a refusal, which leaves states, answers and the ids of other requests.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -58,7 +58,7 @@
 	Router Router
 	// Metrics receives the counters; nil disables them.
 	Metrics tally.Scope
-	// HTTPClient sends requests to upstreams; nil means a client with the default dial and idle limits.
+	// HTTPClient sends requests to upstreams, each on a new connection; nil means a client with the default dial limit.
 	HTTPClient *http.Client
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
--- a/internal/entry/simulation_test.go
+++ b/internal/entry/simulation_test.go
@@ -132,7 +132,6 @@
 		control.terminated.Store(true)
 		s.net.kill(address)
 	}
-	s.t.Cleanup(func() { h.upstreams.unpooled.CloseIdleConnections() })
 	return h
 }
 
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -23,32 +23,24 @@
 	dialTimeout = time.Second
 	// queryTimeout bounds a query to an upstream other than the call itself.
 	queryTimeout = time.Second
-	// maxIdleConnections is the number of idle connections kept per upstream.
-	maxIdleConnections = 64
-	// idleConnectionTimeout is how long an idle connection is kept.
-	idleConnectionTimeout = 30 * time.Second
 	// maxStateBytes bounds the response to a query.
 	maxStateBytes = 16 << 20
 )
 
-// upstreamClient sends requests to upstreams.
+// upstreamClient sends requests to upstreams, each on a connection of its own: what arrives on a connection
+// belongs to no other request, and a failed dial proves that nothing was sent.
 type upstreamClient struct {
-	pooled *http.Client
-	// unpooled opens a connection per call, so that a failed dial proves that
-	// nothing was sent. It is used for calls that must not run twice.
-	unpooled *http.Client
+	http *http.Client
 }
 
 func newUpstreamClient(c *http.Client) *upstreamClient {
 	if c == nil {
 		c = &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleConnectionTimeout,
-			DisableCompression:  true,
+			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableCompression: true,
 		}}
 	}
-	return &upstreamClient{pooled: withoutRedirects(c), unpooled: withoutKeepAlive(withoutRedirects(c))}
+	return &upstreamClient{http: withoutKeepAlive(withoutRedirects(c))}
 }
 
 // withoutRedirects returns a copy of c that returns redirects as responses, because
@@ -89,11 +81,7 @@
 	}
 	req.Header.Set(announce.HeaderPriority, strconv.Itoa(x.identity.class.Worth))
 	x.setIdentityHeaders(req, t)
-	client := x.h.upstreams.pooled
-	if !x.repeatable {
-		client = x.h.upstreams.unpooled
-	}
-	resp, err := client.Do(req)
+	resp, err := x.h.upstreams.http.Do(req)
 	if err != nil && !connected.Load() {
 		t.entry.MarkUnreachable()
 		return nil, x.classifyTransportError(ctx, err, true)
@@ -186,7 +174,7 @@
 }
 
 func (c *upstreamClient) doJSON(req *http.Request, into any) error {
-	resp, err := c.pooled.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "query upstream")
 	}
@@ -205,7 +193,7 @@
 		return nil, &failure{reason: reasonNotSent, detail: err.Error()}
 	}
 	x.setIdentityHeaders(req, t)
-	resp, err := x.h.upstreams.pooled.Do(req)
+	resp, err := x.h.upstreams.http.Do(req)
 	if err != nil {
 		return nil, x.classifyTransportError(ctx, err, false)
 	}
