Refusals and states with the id of another request are not believed

A caller was told "not run" of a request that an upstream ran, and a call that may not be repeated ran at two upstreams, where the upstream's first answer on the connection was a refusal or a state that carried the id of another request.

A 409 of another incarnation was believed before its id was looked at, of several ids only the first was compared, and the id of a state was not. All ids of an answer are now compared first. Queries send the id, so that an upstream that labels all its answers labels these with it.

--- a/internal/entry/repeated_answers_test.go
+++ b/internal/entry/repeated_answers_test.go
@@ -26,6 +26,18 @@
 	return u.answerTruly(r), true
 }
 
+// callAtMostOnce is the kind of call that must not run twice.
+const callAtMostOnce = "plain, at most once"
+
+var callsOfAllKinds = map[string]func(s *simulation) answer{
+	"stream":       func(s *simulation) answer { return s.callStream() },
+	"not streamed": func(s *simulation) answer { return s.call(http.MethodPost, chatPath, nonStreamingBody) },
+	"plain":        func(s *simulation) answer { return s.call(http.MethodGet, "/services/numbers/series/a", "") },
+	callAtMostOnce: func(s *simulation) answer {
+		return s.callNextNumber(withIdempotencyKey("k"))
+	},
+}
+
 // Guards against telling "not run" of a request that an upstream ran after it had repeated its refusal of an
 // earlier try of the same request, or of another request.
 func TestRepeatedRefusalIsNotTakenForTheAnswer(t *testing.T) {
@@ -49,16 +61,8 @@
 			return append([]byte("HTTP/1.1 102 Processing\r\n\r\n"), refusal(http.StatusServiceUnavailable, id)...)
 		},
 	}
-	calls := map[string]func(s *simulation) answer{
-		"stream":       func(s *simulation) answer { return s.callStream() },
-		"not streamed": func(s *simulation) answer { return s.call(http.MethodPost, chatPath, nonStreamingBody) },
-		"plain":        func(s *simulation) answer { return s.call(http.MethodGet, "/services/numbers/series/a", "") },
-		"plain, at most once": func(s *simulation) answer {
-			return s.callNextNumber(withIdempotencyKey("k"))
-		},
-	}
 	for refusalName, refuse := range refusals {
-		for callName, call := range calls {
+		for callName, call := range callsOfAllKinds {
 			t.Run(refusalName+", "+callName, func(t *testing.T) {
 				inSimulation(t, 10_000, func(s *simulation) {
 					respond := func(u *repeatingUpstream, r *http.Request, first bool) ([]byte, bool) {
@@ -84,6 +88,42 @@
 	}
 }
 
+// Guards against believing, on a new connection, a refusal that carries the id of another request.
+func TestRefusalOfAnotherRequestIsNotBelieved(t *testing.T) {
+	const other = "another-request"
+	for name, refuse := range map[string]func(id string) []byte{
+		"another id": func(string) []byte { return refusal(http.StatusServiceUnavailable, other) },
+		"two ids":    func(id string) []byte { return refusal(http.StatusServiceUnavailable, id, other) },
+		"another start": func(string) []byte {
+			return rawAnswer(http.StatusConflict, nil, announce.HeaderIncarnation+": 7\r\n", other)
+		},
+	} {
+		for callName, call := range callsOfAllKinds {
+			t.Run(name+", "+callName, func(t *testing.T) {
+				inSimulation(t, 10_000, func(s *simulation) {
+					var upstreams []*repeatingUpstream
+					for i := range 2 {
+						upstreams = append(upstreams, s.addRepeatingUpstream(i, &repeatingUpstream{
+							respond: func(u *repeatingUpstream, r *http.Request, _ bool) ([]byte, bool) {
+								id, isQuery := requestIDOf(r)
+								if isQuery {
+									return append(rawAnswer(http.StatusOK, []byte(`{"state":"cancelled","incarnation":1}`), "", other), u.answerTruly(r)...), true
+								}
+								return append(refuse(id), u.answerTruly(r)...), true
+							},
+						}))
+					}
+					a := call(s)
+					s.expectTruth(a, upstreams)
+					if callName == callAtMostOnce {
+						s.Expect(totalRuns(a.header.Get(announce.HeaderRequestID), upstreams...)).To(BeNumerically("<=", 1))
+					}
+				})
+			})
+		}
+	}
+}
+
 // expectTruth expects that what a caller was told of its request is what became of it.
 func (s *simulation) expectTruth(a answer, upstreams []*repeatingUpstream) {
 	s.t.Helper()
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"os"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -89,10 +91,13 @@
 	if err != nil {
 		return nil, x.classifyTransportError(ctx, err, false)
 	}
+	if f := x.checkResponseID(resp); f != nil {
+		return nil, f
+	}
 	if f := x.refusedByOtherIncarnation(resp, t); f != nil {
 		return nil, f
 	}
-	return resp, x.checkResponseID(resp)
+	return resp, nil
 }
 
 // refusedByOtherIncarnation returns a failure if a different incarnation than t's refused the call.
@@ -115,12 +120,17 @@
 // checkResponseID rejects the answer to another request. Only an error response
 // (status 400 or higher) may come without a request id.
 func (x *exchange) checkResponseID(resp *http.Response) *failure {
-	got := resp.Header.Get(announce.HeaderRequestID)
-	if got == x.requestID || (got == "" && resp.StatusCode >= http.StatusBadRequest) {
+	ids := resp.Header.Values(announce.HeaderRequestID)
+	if !isForeign(ids, x.requestID) && (len(ids) > 0 || resp.StatusCode >= http.StatusBadRequest) {
 		return nil
 	}
 	_ = resp.Body.Close()
-	return &failure{reason: reasonForeign, detail: "the answer carries the request id " + strconv.Quote(got)}
+	return &failure{reason: reasonForeign, detail: fmt.Sprintf("the answer carries the request ids %q", ids)}
+}
+
+// isForeign reports whether ids, those that an answer carries, include another than that of the request.
+func isForeign(ids []string, requestID string) bool {
+	return slices.ContainsFunc(ids, func(id string) bool { return id != requestID })
 }
 
 // classifyTransportError classifies a connection error.
@@ -151,6 +161,7 @@
 	if err != nil {
 		return state, eris.Wrap(err, "query upstream")
 	}
+	req.Header.Set(announce.HeaderRequestID, requestID)
 	return state, c.doJSON(req, &state)
 }
 
@@ -179,6 +190,10 @@
 		return eris.Wrap(err, "query upstream")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	requestID, ids := req.Header.Get(announce.HeaderRequestID), resp.Header.Values(announce.HeaderRequestID)
+	if requestID != "" && isForeign(ids, requestID) {
+		return eris.Errorf("query upstream: the answer carries the request ids %q", ids)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("query upstream: status %d", resp.StatusCode)
 	}
