Orders to upstreams are sent on new connections

An order counted as done that the upstream had not carried out: it had written the acknowledgement of an earlier order once more, and the sender took that for the answer to the next order on the kept connection. Acknowledgements carry no id.

The client for upstreams, which the sender of orders shares with the entry host, now uses a new connection for each request. Orders are rare.

Before: TestAnswerToAnEarlierOrderIsNotTakenForThatToALaterOne (network_test.go:62) Expected <string>: order 0 to equal <string>: order 1

--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -10,12 +10,8 @@
 	"github.com/godwitbend/godwitbend/internal/settings"
 )
 
-const (
-	// upstreamDialTimeout bounds the time to connect to an upstream.
-	upstreamDialTimeout = time.Second
-	// upstreamIdleConns bounds the idle connections kept to one upstream.
-	upstreamIdleConns = 64
-)
+// upstreamDialTimeout bounds the time to connect to an upstream.
+const upstreamDialTimeout = time.Second
 
 // Network opens a host's listeners and connections.
 type Network interface {
@@ -25,7 +21,8 @@
 	DialHost(ctx context.Context, address string) (net.Conn, error)
 	// Listen listens for callers, upstreams and operators.
 	Listen(address string) (net.Listener, error)
-	// UpstreamClient returns the client for upstreams.
+	// UpstreamClient returns the client for upstreams, which uses a new connection for each request: on a kept
+	// one an upstream may write the answer to an earlier request once more.
 	UpstreamClient() *http.Client
 }
 
@@ -61,8 +58,8 @@
 func (tcpNetwork) UpstreamClient() *http.Client {
 	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: upstreamIdleConns,
-		DisableCompression:  true,
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}}
 }
--- a/internal/daemon/release.go
+++ b/internal/daemon/release.go
@@ -39,9 +39,6 @@
 	if d.replica != nil && d.replica.transport != nil {
 		d.replica.transport.Wait()
 	}
-	if d.upstreamHTTP != nil {
-		d.upstreamHTTP.CloseIdleConnections()
-	}
 	d.closeClients()
 	return err
 }
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -206,8 +206,12 @@
 	}}
 }
 
-// UpstreamClient returns an HTTP client that dials upstreams from this node.
-func (d *Node) UpstreamClient() *http.Client { return d.Client() }
+// UpstreamClient returns an HTTP client that dials upstreams from this node, for each request anew.
+func (d *Node) UpstreamClient() *http.Client {
+	c := d.Client()
+	c.Transport.(*http.Transport).DisableKeepAlives = true
+	return c
+}
 
 func (n *Network) newConn(c net.Conn, l link) *conn {
 	wrapped := &conn{Conn: c, net: n, link: l, closed: make(chan struct{})}
