Tests: gateways take no answer from a connection that another request used

An upstream may write an answer twice on a connection that it keeps, at once or when the next request has arrived. At gateways this was no fault: an attempt uses a new connection, also through another host. The tests fail if connections are kept: each answer must be the request's own.

The stand-in is shared with the test of orders.

--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -1,56 +1,33 @@
 package daemon
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/fake"
 )
 
-// serveRepeating serves connections on which the answer to a request, which is the request's body, comes after
-// the latest answer once more.
-func serveRepeating(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer func() { _ = conn.Close() }()
-			reader, latest := bufio.NewReader(conn), ""
-			for {
-				r, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				body, err := io.ReadAll(r.Body)
-				if err != nil {
-					return
-				}
-				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-				if _, err := io.WriteString(conn, latest+answer); err != nil {
-					return
-				}
-				latest = answer
-			}
-		}()
-	}
-}
-
 // Guards against taking the acknowledgement of an earlier order, which the upstream writes once more, for that of a later one.
 func TestAnswerToAnEarlierOrderIsNotTakenForThatToALaterOne(t *testing.T) {
 	g := NewWithT(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = l.Close() }()
-	go serveRepeating(l)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go fake.RepeatAnswers(conn)
+		}
+	}()
 	client := tcpNetwork{}.UpstreamClient()
 	for i := range 5 {
 		order := fmt.Appendf(nil, "order %d", i)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/tunnel"
+	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
 const known = "known"
@@ -105,6 +109,21 @@
 	h.g.Expect(errors.Is(err, io.EOF)).To(BeFalse())
 }
 
+// Guards against taking what an upstream writes after its answer for the answer to the next request through a host.
+func TestAnswersThroughTunnelsAreThoseOfTheirOwnRequests(t *testing.T) {
+	h := newTestHost(t, fake.RepeatAnswers)
+	client := upstreamhttp.NewClient(h.dial)
+	for i := range 50 {
+		r := &upstreamhttp.Request{
+			Method: "POST", URI: "/", Host: "a.example", Header: http.Header{}, Body: fmt.Appendf(nil, "request %d", i), HasBody: true,
+		}
+		answer, err := client.Do(t.Context(), known, func() *upstreamhttp.Request { return r })
+		h.g.Expect(err).NotTo(HaveOccurred())
+		h.g.Expect(answer.ReadBody(100)).To(Equal(r.Body))
+		answer.Close()
+	}
+}
+
 // Guards against upstreams that work on for callers who have left.
 func TestCloseReachesTheUpstream(t *testing.T) {
 	closed := make(chan struct{})
