A refusal is returned before the whole body was sent

A caller with a long body waited until its deadline and was told 504, outcome unknown, of a request that the upstream had refused at once. A gateway wrote the whole request before it read: an upstream that answers and reads no more held up the write, and one that answers and closes made it fail, so that the refusal was never read.

The answer is now read while the request is sent. The sending ends with the connection, which is closed after the answer, so that no other bytes follow where the rest of the body was due.

--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -1,6 +1,7 @@
 package tunnel_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -124,6 +125,22 @@
 	}
 }
 
+// Guards against waiting for an upstream that refused a request without reading its body.
+func TestRefusalBeforeTheBodyIsSentArrivesThroughTunnels(t *testing.T) {
+	h := newTestHost(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	answer, err := upstreamhttp.NewClient(h.dial).Do(ctx, known, func() *upstreamhttp.Request {
+		return &upstreamhttp.Request{Method: "POST", URI: "/", Host: "a.example", Header: http.Header{}, Body: make([]byte, 32<<20), HasBody: true}
+	})
+	h.g.Expect(err).NotTo(HaveOccurred())
+	defer answer.Close()
+	h.g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+}
+
 // Guards against upstreams that work on for callers who have left.
 func TestCloseReachesTheUpstream(t *testing.T) {
 	closed := make(chan struct{})
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -87,10 +87,10 @@
 // having sent a byte: it had not begun to answer.
 var ErrNotBegun = errors.New("the upstream had not begun to answer when the request was withdrawn")
 
-// Do connects, sends the request that prepare returns then, and reads the header of the answer. Its
-// errors are either an *UnreachableError or wrap ErrNoAnswer. If prepare returns nil nothing is sent, and
-// the error wraps ErrWithdrawn: connecting may take long. The exchange ends when ctx is done; if the
-// answer had not begun by then, the error also wraps ErrNotBegun if the request asks for that.
+// Do connects, sends the request that prepare returns then, and reads the header of the answer, which may come
+// before the whole body was sent. Its errors are either an *UnreachableError or wrap ErrNoAnswer. If prepare
+// returns nil nothing is sent, and the error wraps ErrWithdrawn: connecting may take long. The exchange ends when
+// ctx is done; if the answer had not begun by then, the error also wraps ErrNotBegun if the request asks for that.
 func (c *Client) Do(ctx context.Context, address string, prepare func() *Request) (*Answer, error) {
 	conn, err := c.dial(ctx, address)
 	if err != nil {
@@ -119,10 +119,10 @@
 	return answer, nil
 }
 
+// roundTrip reads the answer while it sends the request, as an upstream may answer before it has read the whole
+// body. The sending ends with the connection at the latest.
 func roundTrip(conn *withdrawableConn, r *Request) (*Answer, error) {
-	if err := conn.send(r.encode()); err != nil {
-		return nil, err
-	}
+	go conn.send(r.encode())
 	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
 	reader := bufio.NewReaderSize(limited, readBufferSize)
 	for {
--- a/internal/upstreamhttp/withdraw.go
+++ b/internal/upstreamhttp/withdraw.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,7 +24,8 @@
 type withdrawableConn struct {
 	io.ReadWriteCloser
 	// sent reports that the whole request was written, and received that a byte arrived.
-	sent, received bool
+	sent     atomic.Bool
+	received bool
 	// closesAtOnce makes a withdrawal close the connection.
 	closesAtOnce bool
 }
@@ -37,10 +39,9 @@
 	}
 }
 
-func (c *withdrawableConn) send(data []byte) error {
+func (c *withdrawableConn) send(data []byte) {
 	_, err := c.Write(data)
-	c.sent = err == nil
-	return err
+	c.sent.Store(err == nil)
 }
 
 // Read implements io.Reader.
@@ -54,5 +55,5 @@
 // connection before it sent anything. After a timeout or a close by this host that is not known.
 func (c *withdrawableConn) endedUnanswered(err error) bool {
 	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-	return c.sent && !c.received && ended
+	return c.sent.Load() && !c.received && ended
 }
