--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"os"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -23,32 +25,24 @@
 	dialTimeout = time.Second
 	// queryTimeout bounds a query to an upstream other than the call itself.
 	queryTimeout = time.Second
-	// maxIdleConnections is the number of idle connections kept per upstream.
-	maxIdleConnections = 64
-	// idleConnectionTimeout is how long an idle connection is kept.
-	idleConnectionTimeout = 30 * time.Second
 	// maxStateBytes bounds the response to a query.
 	maxStateBytes = 16 << 20
 )
 
-// upstreamClient sends requests to upstreams.
+// upstreamClient sends requests to upstreams, each on a connection of its own: what arrives on a connection
+// belongs to no other request, and a failed dial proves that nothing was sent.
 type upstreamClient struct {
-	pooled *http.Client
-	// unpooled opens a connection per call, so that a failed dial proves that
-	// nothing was sent. It is used for calls that must not run twice.
-	unpooled *http.Client
+	http *http.Client
 }
 
 func newUpstreamClient(c *http.Client) *upstreamClient {
 	if c == nil {
 		c = &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleConnectionTimeout,
-			DisableCompression:  true,
+			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableCompression: true,
 		}}
 	}
-	return &upstreamClient{pooled: withoutRedirects(c), unpooled: withoutKeepAlive(withoutRedirects(c))}
+	return &upstreamClient{http: withoutKeepAlive(withoutRedirects(c))}
 }
 
 // withoutRedirects returns a copy of c that returns redirects as responses, because
@@ -89,11 +83,7 @@
 	}
 	req.Header.Set(announce.HeaderPriority, strconv.Itoa(x.identity.class.Worth))
 	x.setIdentityHeaders(req, t)
-	client := x.h.upstreams.pooled
-	if !x.repeatable {
-		client = x.h.upstreams.unpooled
-	}
-	resp, err := client.Do(req)
+	resp, err := x.h.upstreams.http.Do(req)
 	if err != nil && !connected.Load() {
 		t.entry.MarkUnreachable()
 		return nil, x.classifyTransportError(ctx, err, true)
@@ -101,10 +91,13 @@
 	if err != nil {
 		return nil, x.classifyTransportError(ctx, err, false)
 	}
+	if f := x.checkResponseID(resp); f != nil {
+		return nil, f
+	}
 	if f := x.refusedByOtherIncarnation(resp, t); f != nil {
 		return nil, f
 	}
-	return resp, x.checkResponseID(resp)
+	return resp, nil
 }
 
 // refusedByOtherIncarnation returns a failure if a different incarnation than t's refused the call.
@@ -127,12 +120,17 @@
 // checkResponseID rejects the answer to another request. Only an error response
 // (status 400 or higher) may come without a request id.
 func (x *exchange) checkResponseID(resp *http.Response) *failure {
-	got := resp.Header.Get(announce.HeaderRequestID)
-	if got == x.requestID || (got == "" && resp.StatusCode >= http.StatusBadRequest) {
+	ids := resp.Header.Values(announce.HeaderRequestID)
+	if !isForeign(ids, x.requestID) && (len(ids) > 0 || resp.StatusCode >= http.StatusBadRequest) {
 		return nil
 	}
 	_ = resp.Body.Close()
-	return &failure{reason: reasonForeign, detail: "the answer carries the request id " + strconv.Quote(got)}
+	return &failure{reason: reasonForeign, detail: fmt.Sprintf("the answer carries the request ids %q", ids)}
+}
+
+// isForeign reports whether ids, those that an answer carries, include another than that of the request.
+func isForeign(ids []string, requestID string) bool {
+	return slices.ContainsFunc(ids, func(id string) bool { return id != requestID })
 }
 
 // classifyTransportError classifies a connection error.
@@ -163,6 +161,7 @@
 	if err != nil {
 		return state, eris.Wrap(err, "query upstream")
 	}
+	req.Header.Set(announce.HeaderRequestID, requestID)
 	return state, c.doJSON(req, &state)
 }
 
@@ -186,11 +185,15 @@
 }
 
 func (c *upstreamClient) doJSON(req *http.Request, into any) error {
-	resp, err := c.pooled.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "query upstream")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	requestID, ids := req.Header.Get(announce.HeaderRequestID), resp.Header.Values(announce.HeaderRequestID)
+	if requestID != "" && isForeign(ids, requestID) {
+		return eris.Errorf("query upstream: the answer carries the request ids %q", ids)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("query upstream: status %d", resp.StatusCode)
 	}
@@ -205,7 +208,7 @@
 		return nil, &failure{reason: reasonNotSent, detail: err.Error()}
 	}
 	x.setIdentityHeaders(req, t)
-	resp, err := x.h.upstreams.pooled.Do(req)
+	resp, err := x.h.upstreams.http.Do(req)
 	if err != nil {
 		return nil, x.classifyTransportError(ctx, err, false)
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -1,17 +1,22 @@
 package tunnel_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/tunnel"
+	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
 const known = "known"
@@ -105,6 +110,37 @@
 	h.g.Expect(errors.Is(err, io.EOF)).To(BeFalse())
 }
 
+// Guards against taking what an upstream writes after its answer for the answer to the next request through a host.
+func TestAnswersThroughTunnelsAreThoseOfTheirOwnRequests(t *testing.T) {
+	h := newTestHost(t, fake.RepeatAnswers)
+	client := upstreamhttp.NewClient(h.dial)
+	for i := range 50 {
+		r := &upstreamhttp.Request{
+			Method: "POST", URI: "/", Host: "a.example", Header: http.Header{}, Body: fmt.Appendf(nil, "request %d", i), HasBody: true,
+		}
+		answer, err := client.Do(t.Context(), known, func() *upstreamhttp.Request { return r })
+		h.g.Expect(err).NotTo(HaveOccurred())
+		h.g.Expect(answer.ReadBody(100)).To(Equal(r.Body))
+		answer.Close()
+	}
+}
+
+// Guards against waiting for an upstream that refused a request without reading its body.
+func TestRefusalBeforeTheBodyIsSentArrivesThroughTunnels(t *testing.T) {
+	h := newTestHost(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	answer, err := upstreamhttp.NewClient(h.dial).Do(ctx, known, func() *upstreamhttp.Request {
+		return &upstreamhttp.Request{Method: "POST", URI: "/", Host: "a.example", Header: http.Header{}, Body: make([]byte, 32<<20), HasBody: true}
+	})
+	h.g.Expect(err).NotTo(HaveOccurred())
+	defer answer.Close()
+	h.g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+}
+
 // Guards against upstreams that work on for callers who have left.
 func TestCloseReachesTheUpstream(t *testing.T) {
 	closed := make(chan struct{})
