A text that is not UTF-8 makes no message between hosts unreadable

What callers would see: another writer sends a heartbeat to Replicas.Heartbeat/%FF, whose id is then one byte that is not UTF-8. From then on no gateway follows the table of upstreams: a new upstream gets no request, a leaving one keeps getting them, and a new configuration that comes in the same reply is not applied either. If the entry reaches one control host only, its exchanges with the others and the gateways that call it stop in the same way.

Cause: codec.Marshal encodes any Go string, codec.Unmarshal refused a text that is not UTF-8, and with it the whole message. A record that one host accepted so made each later message unreadable that held it: forwarded reports (with all records in the batch), exchanges, and replies to gateways. The ids of calls (Attempt-Id, Resumes) are such texts too: one caller's made the queries and the records of other callers' streams that shared its message unreadable.

Change: Unmarshal decodes all that Marshal encodes.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -26,7 +26,11 @@
 }
 
 func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxCollectionElements, MaxMapPairs: maxCollectionElements}.DecMode()
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxCollectionElements, MaxMapPairs: maxCollectionElements,
+		// Marshal encodes any string, and texts of callers and upstreams may be in any message.
+		UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
