Bodies are forwarded under the largest limit that a configuration can set

Cause: the gateway reads one byte beyond the limit to tell a body that is too long, and limit+1 overflows to a negative length: nothing was read.

Change: the limit is at most 1 GiB whatever the configuration says, as the whole body is held in memory.

Before: --- FAIL: TestBodyIsForwardedUnderTheLargestLimit (2.24s) 0 bytes of 2000 After: passes.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -86,6 +86,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	limit = min(limit, maxBodyBytes)
 	if r.ContentLength > limit {
 		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
 	}
@@ -107,5 +108,9 @@
 	return nil
 }
 
-// defaultMaxBodyBytes bounds the body if the configuration sets no limit.
-const defaultMaxBodyBytes = 4 << 20
+const (
+	// defaultMaxBodyBytes bounds the body if the configuration sets no limit.
+	defaultMaxBodyBytes = 4 << 20
+	// maxBodyBytes bounds the body in any case, as all of it is held in memory.
+	maxBodyBytes = 1 << 30
+)
