Numbers of a configuration that overflow in use are refused

What callers would see (run on the code before): with two weights of 2^63-1, which were acknowledged, each request on the route ends with a closed connection: the sum overflows to -2, and drawing below it panics. With engine slots of 2^63-1 each request gets 503, "all upstreams are full", while none is. By the arithmetic, not run: with that many tokens per event a charge overflows to less than nothing.

Cause: Validate checked only for negative weights and totals.

Change: bounds for weights, slots, the size of the KV cache, tokens per event and prepaid totals. An operator gets 400 and the reason, and the version stays free.

Refused before, too: a million levels, an unknown field of 10,001 levels, 1e999, -1e300, 2^63, 2^64, other types, cut short; no process ended.

--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -6,6 +6,15 @@
 	"github.com/rotisserie/eris"
 )
 
+// Numbers above these bounds would overflow in sums and products.
+const (
+	maxWeight = 1 << 30
+	maxSlots  = 1 << 20
+	// maxEngineTokens bounds what an engine holds, and maxPrepaid the tokens of an organisation.
+	maxEngineTokens = 1 << 40
+	maxPrepaid      = 1 << 53
+)
+
 // Validate checks the document. It returns an error for the first fault that it finds.
 func (d *Document) Validate() error {
 	if d.Version == 0 {
@@ -24,6 +33,9 @@
 		if w := d.Services[i].WarmUp; w.Rate < 0 || w.Duration < 0 {
 			return eris.Errorf("the warm-up of service %q is negative", name)
 		}
+		if err := d.Services[i].Engine.validate(); err != nil {
+			return eris.Wrapf(err, "service %q", name)
+		}
 	}
 	if err := d.validateRoutes(services); err != nil {
 		return err
@@ -31,6 +43,20 @@
 	return d.validateOrganisations()
 }
 
+func (e *Engine) validate() error {
+	switch {
+	case e == nil:
+		return nil
+	case e.Slots < 0 || e.Slots > maxSlots:
+		return eris.Errorf("the number of slots is not between 0 and %d", maxSlots)
+	case e.KVCapacity < 0 || e.KVCapacity > maxEngineTokens:
+		return eris.Errorf("the size of the KV cache is not between 0 and %d tokens", maxEngineTokens)
+	case e.MaxTokensPerEvent < 0 || e.MaxTokensPerEvent > maxEngineTokens:
+		return eris.Errorf("an event is not of 0 to %d tokens", maxEngineTokens)
+	}
+	return nil
+}
+
 func (d *Document) validateRoutes(services map[string]bool) error {
 	routeNames := map[[2]string]string{}
 	for i := range d.Routes {
@@ -69,8 +95,8 @@
 		if !services[t.Service] {
 			return eris.Errorf("service %q is unknown", t.Service)
 		}
-		if t.Weight < 0 {
-			return eris.Errorf("the weight of service %q is negative", t.Service)
+		if t.Weight < 0 || t.Weight > maxWeight {
+			return eris.Errorf("the weight of service %q is not between 0 and %d", t.Service, maxWeight)
 		}
 		sum += t.Weight
 	}
@@ -91,8 +117,8 @@
 			return eris.Errorf("organisation %q is listed twice", o.Name)
 		}
 		names[o.Name] = true
-		if o.Prepaid != nil && *o.Prepaid < 0 {
-			return eris.Errorf("the prepaid total of organisation %q is negative", o.Name)
+		if o.Prepaid != nil && (*o.Prepaid < 0 || *o.Prepaid > maxPrepaid) {
+			return eris.Errorf("the prepaid total of organisation %q is not between 0 and %d", o.Name, maxPrepaid)
 		}
 		for _, key := range o.Keys {
 			if other, taken := keys[key]; taken && other != o.Name {
