An answer of another host without a value is an error of the call

What callers would see: a host of another build, or another program on the port, answers a call with an empty map. rpc.Call returned neither a value nor an error; each of its callers reads the value, so that the process that called would end, and again after its restart. Not seen in a run: no method of this build answers so.

Change: Call returns an error if it has no value.

Before: --- FAIL: TestAnswerWithoutAValueIsAnError Expected <bool>: false to be true After: passes.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -46,8 +46,8 @@
 }
 
 // Call makes a unary call. An error returned by the method is an *errkind.Error. Any
-// other error is a connection error, after which the call may or may not have been
-// served.
+// other error is a connection error or an invalid answer, after which the call may or may not
+// have been served. Without an error the value is not nil.
 func Call[Req, Resp any](ctx context.Context, c *Client, address, method string, req *Req) (*Resp, error) {
 	conn := c.pool.Get(ctx, address, c.connect)
 	defer func() { _ = conn.Close() }()
@@ -55,8 +55,11 @@
 	if err := conn.Invoke(ctx, method, codec.Encoding{}, req, &out); err != nil {
 		return nil, eris.Wrapf(err, "call %s on host %s", method, address)
 	}
-	if out.Err != nil {
+	switch {
+	case out.Err != nil:
 		return out.Value, out.Err
+	case out.Value == nil:
+		return nil, eris.Errorf("host %s answered the call %s with neither a value nor an error", address, method)
 	}
 	return out.Value, nil
 }
