Announcements with a port or a load out of range are refused

What callers would see: an announcement with port 0 or 65536 made an upstream that no connection can reach, and requests went there until its next refused connection.

Cause: of the address only the host was checked, and the loads only for being negative.

Change: one check of stated addresses, hostaddr.Check, for announcements and reports; loads of up to 2^30.

Before: --- FAIL: TestAnnouncementsThatNameNoUsableUpstreamAreRefused "http://127.0.0.1:0": no error --- FAIL: FuzzDecode/seed#1: accepted port 65536 After: both pass. 10,001 levels, 1e999, 2^64 and negative numbers were refused before.

--- a/internal/presence/validate.go
+++ b/internal/presence/validate.go
@@ -1,13 +1,14 @@
 package presence
 
 import (
-	"net/netip"
 	"strings"
 	"time"
 	"unicode"
 	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/godwitbend/godwitbend/internal/hostaddr"
 )
 
 const (
@@ -47,7 +48,7 @@
 	case u.Sequence < 0 || u.Sequence > maxSequence:
 		return eris.Errorf("the sequence %d is not between 0 and %d", u.Sequence, maxSequence)
 	}
-	return validateAddress(u.Address)
+	return hostaddr.Check(u.Address)
 }
 
 // isName reports whether text has 1 to maxNameBytes bytes and only printable characters.
@@ -55,21 +56,3 @@
 	return text != "" && len(text) <= maxNameBytes && utf8.ValidString(text) &&
 		!strings.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) })
 }
-
-var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
-
-// validateAddress requires the IP address of one host and a port.
-func validateAddress(text string) error {
-	address, err := netip.ParseAddrPort(text)
-	if err != nil {
-		return eris.Wrap(err, "parse the address")
-	}
-	ip := address.Addr().Unmap()
-	switch {
-	case address.Port() == 0:
-		return eris.Errorf("the address %s has no port", address)
-	case ip.IsUnspecified() || ip.IsMulticast() || ip == broadcast || ip.Zone() != "":
-		return eris.Errorf("the address %s is not that of one host", address)
-	}
-	return nil
-}
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/hostaddr"
 )
 
 // Limits on the size and values of an announcement.
@@ -19,6 +21,8 @@
 	maxNameBytes         = 128
 	maxServices          = 256
 	maxCapacity          = 100_000
+	// maxLoad bounds each of the announced loads, so that their sum doesn't overflow.
+	maxLoad = 1 << 30
 )
 
 // Handler serves POST announce.PathAnnounce.
@@ -96,8 +100,8 @@
 		return eris.Errorf("kind: unknown value %q", a.Kind)
 	case a.Capacity < 0 || a.Capacity > maxCapacity:
 		return eris.Errorf("capacity: must be between 0 and %d", maxCapacity)
-	case a.InFlight < 0 || a.Queued < 0:
-		return eris.New("in_flight, queued: must not be negative")
+	case a.InFlight < 0 || a.InFlight > maxLoad || a.Queued < 0 || a.Queued > maxLoad:
+		return eris.Errorf("in_flight, queued: must be between 0 and %d", maxLoad)
 	case len(a.Services) > maxServices:
 		return eris.Errorf("services: must have at most %d entries", maxServices)
 	}
@@ -109,14 +113,12 @@
 	return validateAddress(a.Address)
 }
 
-// validateAddress requires a base URL with an IP address as host.
+// validateAddress requires a base URL with the IP address of one host.
 func validateAddress(address string) error {
 	u, err := url.Parse(address)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
 		return eris.Errorf("address: %q is not an http or https URL", address)
 	}
-	if net.ParseIP(u.Hostname()) == nil {
-		return eris.Errorf("address: the host of %q is not an IP address", address)
-	}
-	return nil
+	port := map[string]string{"http": "80", "https": "443"}[u.Scheme]
+	return eris.Wrapf(hostaddr.Check(net.JoinHostPort(u.Hostname(), cmp.Or(u.Port(), port))), "address: %q", address)
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -169,11 +169,37 @@
 	g.Expect(post("{")).To(Equal(http.StatusBadRequest))
 }
 
+// Guards against announcements of upstreams that can't be connected to, or whose load overflows to none.
+func TestAnnouncementsThatNameNoUsableUpstreamAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	const valid = `{"id":"e","incarnation":1,"sequence":1,"address":"http://127.0.0.1:1","kind":"engine","in_flight":1,"queued":1,"state":"serving"}`
+	_, err := Decode(strings.NewReader(valid))
+	g.Expect(err).NotTo(HaveOccurred())
+	change := func(old, next string) string { return strings.Replace(valid, old, next, 1) }
+	nested := strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
+	for _, body := range []string{
+		change("127.0.0.1:1", "127.0.0.1:0"), change("127.0.0.1:1", "127.0.0.1:65536"), change("127.0.0.1:1", "127.0.0.1:-1"),
+		change("127.0.0.1:1", "0.0.0.0:1"), change("127.0.0.1:1", "224.0.0.1:1"), change("127.0.0.1:1", "[fe80::1%25eth0]:1"),
+		change(`"queued":1`, `"queued":9223372036854775807`), change(`"in_flight":1`, `"in_flight":9223372036854775807`),
+		change(`"queued":1`, `"queued":1e999`), change(`"sequence":1`, `"sequence":18446744073709551616`), change(`"sequence":1`, `"sequence":-1`),
+		change(`"kind"`, `"more":`+nested+`,"kind"`), nested,
+	} {
+		_, err := Decode(strings.NewReader(body))
+		g.Expect(err).To(HaveOccurred(), body[:min(len(body), 200)])
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(`{"id":"e","incarnation":1,"sequence":1,"address":"http://127.0.0.1:1","kind":"engine","state":"serving"}`)
+	f.Add(`{"id":"e","address":"http://127.0.0.1:65536","kind":"engine","state":"serving","in_flight":9223372036854775807,"queued":1}`)
 	f.Fuzz(func(t *testing.T, body string) {
 		a, err := Decode(strings.NewReader(body))
-		if err == nil && (a.ID == "" || a.Capacity < 0) {
+		if err != nil {
+			return
+		}
+		r := New(0)
+		r.Apply(a, start)
+		if entry := r.Snapshot().Entries[a.ID]; a.ID == "" || a.Capacity < 0 || entry.Load(1) < int64(a.InFlight) {
 			t.Fatalf("accepted %q", body)
 		}
 	})
