--- a/internal/hostsync/gossip.go
+++ b/internal/hostsync/gossip.go
@@ -124,17 +124,21 @@
 			}
 			return
 		}
-		var msg gossipMessage
-		if err := codec.Unmarshal(buffer[:n], &msg); err != nil {
-			klog.V(2).InfoS("invalid message of another host", "error", err.Error())
-			continue
-		}
-		for i := range msg.StreamOrigins {
-			c.origins.Keep(msg.StreamOrigins[i], time.Now())
-		}
-		if msg.Seq == 0 {
-			continue
-		}
-		c.options.Pool.ApplyPeerLoad(msg.Session, msg.Seq, msg.Loads, msg.RecentPrefixes, time.Now())
+		c.applyDatagram(buffer[:n], time.Now())
+	}
+}
+
+// applyDatagram applies a message of another host. One that can't be decoded is ignored.
+func (c *Client) applyDatagram(data []byte, now time.Time) {
+	var msg gossipMessage
+	if err := codec.Unmarshal(data, &msg); err != nil {
+		klog.V(2).InfoS("invalid message of another host", "error", err.Error())
+		return
+	}
+	for i := range msg.StreamOrigins {
+		c.origins.Keep(msg.StreamOrigins[i], now)
+	}
+	if msg.Seq > 0 {
+		c.options.Pool.ApplyPeerLoad(msg.Session, msg.Seq, msg.Loads, msg.RecentPrefixes, now)
 	}
 }
