An append that no leader can have sent ends no replica

A message of another build, or a damaged one, whose entries do not follow the stated index, ended the control host that received it: the log was cut at a position outside of it. A membership that can't be decoded did the same by a panic, on each follower and again after each restart.

Found by FuzzStep within a second. Such appends are ignored now, as lost ones are; nothing is acknowledged.

--- a/internal/replication/append.go
+++ b/internal/replication/append.go
@@ -68,7 +68,11 @@
 	}
 }
 
+// handleAppend ignores an append that no leader of this group can have sent.
 func (n *Node) handleAppend(m Message) {
+	if !m.appendsInOrder() {
+		return
+	}
 	if m.Index < n.log.committed {
 		n.sendAfterSync(Message{Kind: KindAppendReply, To: m.From, Index: n.log.committed})
 		return
@@ -78,27 +82,43 @@
 		n.sendAfterSync(Message{Kind: KindAppendReply, To: m.From, Reject: true, Index: m.Index, Hint: hint})
 		return
 	}
-	n.mergeEntries(m.Entries)
+	if !n.mergeEntries(m.Entries) {
+		return
+	}
 	last := m.Index + uint64(len(m.Entries))
 	n.commitTo(min(m.Commit, last))
 	n.sendAfterSync(Message{Kind: KindAppendReply, To: m.From, Index: last})
 }
 
-// mergeEntries appends the leader's entries and truncates conflicting local ones.
-func (n *Node) mergeEntries(entries []Entry) {
+// appendsInOrder reports whether the entries follow the one at Index without a gap.
+func (m *Message) appendsInOrder() bool {
+	for i, e := range m.Entries {
+		if e.Index == 0 || e.Index-1 != m.Index+uint64(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// mergeEntries appends the leader's entries and truncates conflicting local ones. It returns false,
+// and changes nothing, if they hold a membership that can't be decoded.
+func (n *Node) mergeEntries(entries []Entry) bool {
 	first := n.log.findConflict(entries)
 	if first == len(entries) {
-		return
+		return true
 	}
 	added := entries[first:]
+	memberships, err := decodeMemberships(added)
+	if err != nil {
+		return false
+	}
 	if added[0].Index <= n.log.lastIndex() {
 		n.log.truncate(added[0].Index - 1)
 		n.truncateMemberships(added[0].Index)
 	}
 	n.log.append(added...)
-	if err := n.recordMemberships(added); err != nil {
-		panic(err) // the leader encoded the entry, so this is a memory fault or a bug
-	}
+	n.memberships = append(n.memberships, memberships...)
+	return true
 }
 
 func (n *Node) handlePeerReply(m Message) {
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -149,19 +149,20 @@
 	return index, nil
 }
 
-// recordMemberships records the memberships in entries appended to the log.
-func (n *Node) recordMemberships(entries []Entry) error {
+// decodeMemberships returns the memberships in entries.
+func decodeMemberships(entries []Entry) ([]membershipEntry, error) {
+	var memberships []membershipEntry
 	for _, e := range entries {
 		if e.Kind != EntryMembership {
 			continue
 		}
 		var m Membership
 		if err := codec.Unmarshal(e.Data, &m); err != nil {
-			return eris.Wrapf(err, "membership entry %d", e.Index)
+			return nil, eris.Wrapf(err, "membership entry %d", e.Index)
 		}
-		n.memberships = append(n.memberships, membershipEntry{e.Index, m})
+		memberships = append(memberships, membershipEntry{e.Index, m})
 	}
-	return nil
+	return memberships, nil
 }
 
 // truncateMemberships drops the memberships of truncated entries, from index on.
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -123,7 +123,9 @@
 	if n.term < n.log.lastTerm() {
 		return eris.Errorf("recovered term %d is older than the log's last term %d", n.term, n.log.lastTerm())
 	}
-	return n.recordMemberships(entries)
+	memberships, err := decodeMemberships(entries)
+	n.memberships = append(n.memberships, memberships...)
+	return err
 }
 
 // Tick advances the logical clock by one tick.
