A gateway out of step does not take an earlier try for the stream

Callers that resume a stream without naming the call that began it saw events of two software versions. Their first try had begun at v1 and was recorded; its gateway was then cut off, the next try began at v2 through another gateway and broke, and the caller resumed at the first gateway. That knew only the record of the first try, no other host answered within 300 ms, and the stream went on at v1.

Cause: all answers had to agree, but the silence of hosts counted as agreement, and the gateway's own records as proof that there were no others. A gateway that was suspended or cut off is the one whose records are incomplete.

Change: without the name of the call an origin counts only if all but one of the gateways or of the control hosts that were asked have answered (verdict "unconfirmed" otherwise, reason origin_unconfirmed, 503, not run). Each record is on two or more of the hosts asked in either group, so one of each may be gone, and either group may be away. Callers that name the call are not affected.

TestAllAnswersMustAgreeOnACallWithoutName asserted the fault in its last line (one answer of eight, "no other host has answered in time": found). It now expects "unconfirmed", and TestSilentHostsDoNotAgree covers all numbers of answers.

--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -50,6 +50,8 @@
 	case streamorigin.Found:
 	case streamorigin.Ambiguous:
 		return q.notResumable(reasonAmbiguousOrigin, "streams with this request began at several software versions")
+	case streamorigin.Unconfirmed:
+		return q.notResumable(reasonUnconfirmedOrigin, "too few hosts answered to know that no stream with this request began at another software version")
 	default:
 		return q.notResumable(reasonUnknownOrigin, "the software version that began the stream is not known")
 	}
@@ -67,6 +69,7 @@
 const (
 	reasonUnknownOrigin      = "origin_unknown"
 	reasonAmbiguousOrigin    = "origin_ambiguous"
+	reasonUnconfirmedOrigin  = "origin_unconfirmed"
 	reasonRouteChanged       = "route_changed"
 	reasonNoneOfVersion      = "none_of_version"
 	reasonVersionUnconfirmed = "version_unconfirmed"
--- a/internal/hostsync/streamorigin.go
+++ b/internal/hostsync/streamorigin.go
@@ -106,13 +106,13 @@
 // control hosts that keep it. If callID is empty, any stream of the same request is meant.
 func (c *Client) StreamOrigin(ctx context.Context, fingerprint uint64, callID string) *streamorigin.Search {
 	query := &streamorigin.Query{Fingerprint: fingerprint, CallID: callID}
-	hosts := streamorigin.KeepersOf(fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Lookups)
-	hosts = append(hosts, streamorigin.KeepersOf(fingerprint, "", c.controlKeepers().members, streamorigin.Lookups)...)
-	search := streamorigin.NewSearch(query, 1+len(hosts))
+	gateways := streamorigin.KeepersOf(fingerprint, c.options.Address, c.peerAddresses(), streamorigin.Lookups)
+	controls := streamorigin.KeepersOf(fingerprint, "", c.controlKeepers().members, streamorigin.Lookups)
+	search := streamorigin.NewSearch(query, gateways, controls)
 	kept := c.KeptStreamOrigin(fingerprint, callID)
 	search.Add(c.options.Address, &kept)
 	if search.Verdict() == streamorigin.Undecided {
-		c.askStreamOrigin(ctx, query, hosts, search)
+		c.askStreamOrigin(ctx, query, slices.Concat(gateways, controls), search)
 	}
 	return search
 }
--- a/internal/streamorigin/losses_test.go
+++ b/internal/streamorigin/losses_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,13 +73,19 @@
 // resume searches for the origin of a stream at a random gateway. The answers arrive in any order, and
 // one of eight not at all.
 func (f *keeperFleet) resume(s openStream, callID string) *streamorigin.Search {
-	q := &streamorigin.Query{Fingerprint: s.record.Fingerprint, CallID: callID}
 	own := f.gateways[f.rnd.IntN(len(f.gateways))]
-	hosts := append([]string{own}, streamorigin.KeepersOf(q.Fingerprint, own, f.gateways, streamorigin.Lookups)...)
-	hosts = append(hosts, streamorigin.KeepersOf(q.Fingerprint, "", f.controls, streamorigin.Lookups)...)
-	search := streamorigin.NewSearch(q, len(hosts))
+	return f.resumeAt(own, s.record.Fingerprint, callID, func(string) bool { return f.rnd.IntN(8) == 0 })
+}
+
+// resumeAt searches for the origin of a stream at a gateway, which gets no answer of some hosts.
+func (f *keeperFleet) resumeAt(own string, fingerprint uint64, callID string, silent func(host string) bool) *streamorigin.Search {
+	q := &streamorigin.Query{Fingerprint: fingerprint, CallID: callID}
+	gateways := streamorigin.KeepersOf(q.Fingerprint, own, f.gateways, streamorigin.Lookups)
+	controls := streamorigin.KeepersOf(q.Fingerprint, "", f.controls, streamorigin.Lookups)
+	search := streamorigin.NewSearch(q, gateways, controls)
+	hosts := slices.Concat([]string{own}, gateways, controls)
 	for _, i := range f.rnd.Perm(len(hosts)) {
-		if f.rnd.IntN(8) == 0 {
+		if silent(hosts[i]) {
 			search.AddFailure(hosts[i], "no answer")
 			continue
 		}
--- a/internal/streamorigin/search.go
+++ b/internal/streamorigin/search.go
@@ -1,5 +1,11 @@
 package streamorigin
 
+import "slices"
+
+// maxUnanswered is the number of hosts of a group that need not answer where all answers must agree: a
+// record is on two or more of the hosts asked in each group, but for a group of one.
+const maxUnanswered = 1
+
 // Verdict is the state of a search for the origin of a stream.
 type Verdict uint8
 
@@ -13,6 +19,8 @@
 	Unknown
 	// Ambiguous: the hosts know different origins.
 	Ambiguous
+	// Unconfirmed: the hosts that answered know one origin, and those that did not may know another.
+	Unconfirmed
 )
 
 // String implements fmt.Stringer.
@@ -24,6 +32,8 @@
 		return "unknown"
 	case Ambiguous:
 		return "ambiguous"
+	case Unconfirmed:
+		return "unconfirmed"
 	}
 	return "undecided"
 }
@@ -34,6 +44,8 @@
 type Search struct {
 	// named states that the query names the call that began the stream.
 	named             bool
+	gateways          askedGroup
+	controls          askedGroup
 	asked, answered   int
 	answers           []string
 	origin            Origin
@@ -41,9 +53,29 @@
 	ended             bool
 }
 
-// NewSearch returns a search by a query that is sent to a number of hosts.
-func NewSearch(q *Query, hosts int) *Search {
-	return &Search{named: q.CallID != "", asked: hosts}
+// askedGroup are the hosts of one kind that are asked. Each record is on some of them.
+type askedGroup struct {
+	hosts    []string
+	answered int
+}
+
+func (g *askedGroup) add(host string) {
+	if slices.Contains(g.hosts, host) {
+		g.answered++
+	}
+}
+
+// complete reports whether so many hosts have answered that a record which none of them has does not exist.
+func (g *askedGroup) complete() bool {
+	return g.answered > 0 && len(g.hosts)-g.answered <= maxUnanswered
+}
+
+// NewSearch returns a search by a query that a host answers itself and sends to gateways and control hosts.
+func NewSearch(q *Query, gateways, controls []string) *Search {
+	return &Search{
+		named: q.CallID != "", asked: 1 + len(gateways) + len(controls),
+		gateways: askedGroup{hosts: gateways}, controls: askedGroup{hosts: controls},
+	}
 }
 
 // Add adds the answer of a host. An answer after the decision changes nothing.
@@ -52,6 +84,8 @@
 		return
 	}
 	s.answered++
+	s.gateways.add(host)
+	s.controls.add(host)
 	s.answers = append(s.answers, host+": "+r.String())
 	switch {
 	case r.Ambiguous, r.Known && s.known && r.Origin != s.origin:
@@ -73,7 +107,8 @@
 
 // Verdict returns the state of the search. The first host that knows a named call decides, because the
 // id of a call has one origin. Without a name all hosts must agree, because the records of equal
-// requests can't be told apart.
+// requests can't be told apart, and the hosts of one kind must have answered: the asking host itself may
+// have missed a later record while it was suspended or cut off.
 func (s *Search) Verdict() Verdict {
 	switch {
 	case s.conflicted:
@@ -82,8 +117,10 @@
 		return Found
 	case len(s.answers) < s.asked && !s.ended:
 		return Undecided
-	case s.known:
+	case s.known && (s.gateways.complete() || s.controls.complete()):
 		return Found
+	case s.known:
+		return Unconfirmed
 	}
 	return Unknown
 }
--- a/internal/streamorigin/search_test.go
+++ b/internal/streamorigin/search_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -10,8 +11,14 @@
 	"github.com/godwitbend/godwitbend/internal/streamorigin"
 )
 
+// search returns a search at host-0, which asks the other hosts, after the first of them have answered.
 func search(callID string, hosts int, replies ...streamorigin.Reply) *streamorigin.Search {
-	s := streamorigin.NewSearch(&streamorigin.Query{Fingerprint: 1, CallID: callID}, hosts)
+	var others []string
+	for i := 1; i < hosts; i++ {
+		others = append(others, fmt.Sprint("host-", i))
+	}
+	half := len(others) / 2
+	s := streamorigin.NewSearch(&streamorigin.Query{Fingerprint: 1, CallID: callID}, others[:half], others[half:])
 	for i := range replies {
 		s.Add(fmt.Sprint("host-", i), &replies[i])
 	}
@@ -67,7 +74,37 @@
 	s := search("", 8, found("v1"))
 	g.Expect(s.Verdict()).To(Equal(streamorigin.Undecided), "others may know another origin")
 	s.End()
-	g.Expect(s.Verdict()).To(Equal(streamorigin.Found), "no other host has answered in time")
+	g.Expect(s.Verdict()).To(Equal(streamorigin.Unconfirmed), "no other host has answered in time")
+}
+
+// Guards against taking the silence of hosts for an answer if the caller does not name the call: all but one
+// of the gateways or of the control hosts must have answered, or those that did not may know another origin.
+func TestSilentHostsDoNotAgree(t *testing.T) {
+	g := NewWithT(t)
+	const asked = 4
+	known, unknown := found("v1"), streamorigin.Reply{}
+	for gateways := range asked + 1 {
+		for controls := range asked + 1 {
+			var hosts [2][]string
+			for i := range asked {
+				hosts[0], hosts[1] = append(hosts[0], fmt.Sprint("gateway-", i)), append(hosts[1], fmt.Sprint("control-", i))
+			}
+			s := streamorigin.NewSearch(&streamorigin.Query{Fingerprint: 1}, hosts[0], hosts[1])
+			s.Add("own", &known)
+			for _, host := range slices.Concat(hosts[0][:gateways], hosts[1][:controls]) {
+				s.Add(host, &unknown)
+			}
+			s.End()
+			want := streamorigin.Unconfirmed
+			if max(gateways, controls) >= asked-1 {
+				want = streamorigin.Found
+			}
+			g.Expect(s.Verdict()).To(Equal(want), "%d gateways and %d control hosts answered", gateways, controls)
+		}
+	}
+	alone := streamorigin.NewSearch(&streamorigin.Query{Fingerprint: 1}, nil, nil)
+	alone.Add("own", &known)
+	g.Expect(alone.Verdict()).To(Equal(streamorigin.Unconfirmed), "other hosts may not be known yet")
 }
 
 // Guards against control hosts that lack the record because the group has changed between the beginning
