A gateway out of step gives upstreams of stale versions no resumed stream

Callers saw events of two software versions in one stream: during a release a gateway was suspended for 2.5 s, replicas that it took for v2 restarted under their ids with v3, a v2 stream of another gateway broke and was resumed at the suspended one in the moment after it was back, and went on at v3.

Cause: the version of an upstream counted as known unless a connection of this gateway to it had broken. A gateway that is suspended or cut off sees no break at upstreams that it has no connection to, and handles waiting requests before the first reply of the control group. The class: an absence of news is read as news, by a host that can't have any.

Change: a gateway gives an upstream a resumed stream only while its table is current. It is current for 1.2 s from the beginning of the latest call that the control group answered (the beginning: the reply may have waited in a socket meanwhile), or of a round in which most of up to 8 other gateways said that they know no more: otherwise streams would need the control group for what the gateways know. A resumed stream waits up to 0.5 s for that, and is refused as not run (version_unconfirmed) if it does not come. Checked at the choice and, once connected, before the request is sent. Replies from before a break no longer count against the doubt that it left either.

The pools of older tests are now told that the control group replied, which they took for granted.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -97,6 +97,9 @@
 		if refusal := q.checkQuarantine(); refusal != nil {
 			return q.finalError(refusal)
 		}
+		if q.goesOn() {
+			q.handler.Sync.AwaitCurrentTable(q.ctx) // the choice fails if it does not become current
+		}
 		assignment, refusal := q.chooseUpstream(service)
 		if refusal != nil {
 			return q.finalError(refusal)
@@ -187,7 +190,7 @@
 		return q.notResumable(reasonNoneOfVersion, fmt.Sprintf("service %q has no ready upstream of software version %q, which began the stream", service, q.streamVersion))
 	case placement.VersionUnconfirmed:
 		return q.notResumable(reasonVersionUnconfirmed, fmt.Sprintf("each upstream of software version %q in service %q may have "+
-			"restarted with another one", q.streamVersion, service)).WithRetryAfter(refused.RetryAfter)
+			"restarted with another one, as far as this host knows", q.streamVersion, service)).WithRetryAfter(refused.RetryAfter)
 	default:
 		return errkind.New(errkind.NoUpstream, "all upstreams of service %q were tried", service).WithRetryAfter(noUpstreamRetryAfter)
 	}
--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -77,6 +77,7 @@
 	origins      *streamorigin.Table
 	begunStreams streamorigin.Begun
 	originAsker  *streamorigin.Asker
+	tableCheck   tableCheck
 	// resending lets one transfer of records run at a time, and originKeepers are the control hosts that
 	// keep records; nil until the control group has named them.
 	resending       sync.Mutex
@@ -212,9 +213,11 @@
 	}
 }
 
-// Run calls the leader at intervals until ctx ends. It also opens the reserve when due.
+// Run calls the leader at intervals until ctx ends. It also opens the reserve when due, and asks other
+// gateway hosts what they know of the upstreams while the control group is away.
 func (c *Client) Run(ctx context.Context) {
 	go c.maintainReserve(ctx)
+	go c.keepTableCurrent(ctx)
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := c.syncWithLeader(ctx)
@@ -262,6 +265,7 @@
 			if address != c.servedBy {
 				req.TableDigests = c.options.Pool.TableDigests()
 			}
+			began := time.Now()
 			reply, err := c.call(ctx, address, req)
 			if err != nil {
 				lastErr = err
@@ -269,7 +273,7 @@
 			}
 			if !reply.NotLeader {
 				c.servedBy = address
-				return c.applyReply(req, reply)
+				return c.applyReply(req, reply, began)
 			}
 			c.applyNews(reply)
 			lastErr = eris.New("the leader of the control group is unknown")
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -27,8 +27,8 @@
 // session. The process must then exit; the next one opens a session of its own.
 func (c *Client) SessionLost() <-chan struct{} { return c.sessionLost }
 
-// applyReply applies the leader's reply to req.
-func (c *Client) applyReply(req *controlnode.SyncRequest, reply *controlnode.SyncReply) error {
+// applyReply applies the leader's reply to req, a call that began at a time.
+func (c *Client) applyReply(req *controlnode.SyncRequest, reply *controlnode.SyncReply, began time.Time) error {
 	if reply.Prepaid != nil {
 		if reply.Prepaid.UnknownSession && c.sessionOpened {
 			c.endSession()
@@ -53,7 +53,7 @@
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	c.peersEpoch, c.peersRevision = peersEpoch(reply), reply.PeersRevision
 	c.applyCrashes(reply, time.Now())
-	c.options.Pool.ControlSynced(time.Now())
+	c.options.Pool.ControlSynced(began)
 	return c.updateView(reply)
 }
 
--- a/internal/hostsync/transfer.go
+++ b/internal/hostsync/transfer.go
@@ -77,6 +77,7 @@
 func (c *Client) NewServer() *rpc.Server {
 	srv := rpc.NewServer()
 	c.registerWitness(srv)
+	c.registerTableAge(srv)
 	streamorigin.Register(srv, c.origins)
 	rpc.Handle(srv, methodTransfer, c.handleTransfer)
 	rpc.Handle(srv, methodReturn, c.handleReturn)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -114,8 +114,8 @@
 	AllLimited
 	// NoneOfVersion: no ready upstream has the software version of the stream to resume.
 	NoneOfVersion
-	// VersionUnconfirmed: a connection to each ready upstream of the version broke lately, so that it
-	// may have restarted with another one.
+	// VersionUnconfirmed: each ready upstream of the version may have restarted with another one, as a
+	// connection to it broke lately or this host does not know the latest upstreams.
 	VersionUnconfirmed
 )
 
@@ -251,8 +251,8 @@
 		ofVersion++
 		switch {
 		case slices.Contains(req.Exclude, u.ID):
-		case req.isUnconfirmed(u):
-			if rest := max(u.doubt.rest(), minRetryAfter); unconfirmed == 0 || rest < unconfirmed {
+		case req.Resumes && p.isUnconfirmed(u, now):
+			if rest := u.untilConfirmed(); unconfirmed == 0 || rest < unconfirmed {
 				unconfirmed = rest
 			}
 		case req.MaxInFlight != nil && u.inFlight() >= req.MaxInFlight(u):
--- a/internal/placement/evacuation_test.go
+++ b/internal/placement/evacuation_test.go
@@ -77,6 +77,7 @@
 			ID: fmt.Sprint("u", i), Service: "engine", Zone: zone, Version: version, State: presence.Ready, StartedMS: 1,
 		}}})
 	}
+	p.ControlSynced(startTime)
 	resume := &Request{Service: "engine", Resumes: true, Version: "v1"}
 	p.ApplyEvacuations(1, []string{"a"}, startTime)
 	for range 5 {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -104,6 +104,7 @@
 
 	mu        sync.Mutex
 	table     *presence.Table
+	currency  tableCurrency
 	upstreams map[string]*Upstream
 	services  map[string][]*Upstream
 	// peers holds the loads reported by other hosts, by session.
@@ -237,7 +238,7 @@
 func (p *Pool) Takes(a *Assignment, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.upstreams[a.ID] != a.Upstream || a.resumes && a.doubt != nil {
+	if p.upstreams[a.ID] != a.Upstream || a.resumes && p.isUnconfirmed(a.Upstream, now) {
 		return false // it has restarted, perhaps cold, or may have with another software version
 	}
 	return a.State == presence.Ready && !a.isLeaving(now) && !p.evacuation.excludes(a.Zone) && a.takesWhileCold(now)
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -10,10 +10,12 @@
 	"github.com/godwitbend/godwitbend/internal/presence"
 )
 
-// newVersionedPool returns a pool whose engines run the given software versions.
+// newVersionedPool returns a pool whose engines run the given software versions, as the control group said
+// at startTime.
 func newVersionedPool(versions ...string) *Pool {
 	p := NewPool("a")
 	p.Update(versionRecords(versions...))
+	p.ControlSynced(startTime)
 	return p
 }
 
--- a/internal/placement/versiondoubt.go
+++ b/internal/placement/versiondoubt.go
@@ -14,8 +14,8 @@
 	// known, and one that is still down is marked unresponsive within a second and a half of the time-out.
 	confirmTime = presence.HeartbeatTimeout + 1500*time.Millisecond
 	// maxSyncGap is the time between two replies of the control group up to which it counts as
-	// reachable in between. Gateway hosts call it each 250 to 500 ms, and a call takes up to 700 ms.
-	maxSyncGap = 1200 * time.Millisecond
+	// reachable in between.
+	maxSyncGap = MaxTableAge
 )
 
 // versionDoubt is the time since the latest broken connection to an upstream, as far as a process that
@@ -39,12 +39,16 @@
 	return next
 }
 
-// synced records a reply of the control group.
-func (d *versionDoubt) synced(now time.Time) {
-	if gap := now.Sub(d.syncedAt); gap <= maxSyncGap {
+// synced records a reply of the control group as of a time. One from before the break tells nothing.
+func (d *versionDoubt) synced(asOf time.Time) {
+	gap := asOf.Sub(d.syncedAt)
+	if gap < 0 {
+		return
+	}
+	if gap <= maxSyncGap {
 		d.reachable += gap
 	}
-	d.syncedAt = now
+	d.syncedAt = asOf
 }
 
 // rest returns the time for which the control group must be reachable yet; 0 if the doubt is over.
@@ -59,20 +63,24 @@
 	u.doubt = u.doubt.broken(now)
 }
 
-// ControlSynced records that the control group has just replied to this host. Doubts end at upstreams of
-// which no other process has become known meanwhile. One whose heartbeat is overdue may be down,
-// and restart later.
-func (p *Pool) ControlSynced(now time.Time) {
+// ControlSynced records that the control group has told this host of all changes as of a time, at which the
+// call began: a reply may have waited while this host was suspended. Doubts end at upstreams of which
+// no other process has become known meanwhile. One whose heartbeat is overdue may be down, and
+// restart later.
+func (p *Pool) ControlSynced(asOf time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if asOf.After(p.currency.syncedAsOf) {
+		p.currency.syncedAsOf = asOf
+	}
 	for _, u := range p.upstreams {
 		if u.doubt == nil {
 			continue
 		}
-		u.doubt.synced(now)
+		u.doubt.synced(asOf)
 		if u.doubt.rest() == 0 && !u.heartbeatOverdue {
 			klog.InfoS("upstream gets resumed streams again", "upstream", u.ID, "started_ms", u.StartedMS,
-				"software_version", u.Version, "after_ms", now.Sub(u.doubt.since).Milliseconds())
+				"software_version", u.Version, "after_ms", asOf.Sub(u.doubt.since).Milliseconds())
 			u.doubt = nil
 		}
 	}
@@ -80,4 +88,14 @@
 
 // isUnconfirmed reports whether the upstream may run another version than the one that the stream of the
 // request needs.
-func (r *Request) isUnconfirmed(u *Upstream) bool { return r.Resumes && u.doubt != nil }
+func (p *Pool) isUnconfirmed(u *Upstream, now time.Time) bool {
+	return u.doubt != nil || !p.currency.isCurrent(now)
+}
+
+// untilConfirmed returns the time after which the version of an upstream may be known again.
+func (u *Upstream) untilConfirmed() time.Duration {
+	if u.doubt == nil {
+		return minRetryAfter
+	}
+	return max(u.doubt.rest(), minRetryAfter)
+}
