--- a/internal/hostsync/fuzz_test.go
+++ b/internal/hostsync/fuzz_test.go
@@ -30,7 +30,7 @@
 		StartedMS: 1_700_000_000_000, Sequence: 1,
 	}
 	reply := &controlnode.SyncReply{Epoch: 77, Revision: 1, Upstreams: []controlnode.UpstreamRecord{{Upstream: sound}}}
-	if err := c.applyReply(c.buildRequest(), reply); err != nil {
+	if err := c.applyReply(c.buildRequest(), reply, time.Now()); err != nil {
 		t.Fatal(err)
 	}
 	request := &placement.Request{Service: sound.Service, TimeLeft: time.Minute, MaxInFlight: func(*placement.Upstream) int { return 8 }}
@@ -94,7 +94,7 @@
 		}
 		c := newFuzzClient()
 		for range 2 {
-			_ = c.applyReply(&controlnode.SyncRequest{}, &reply) // an error of one call
+			_ = c.applyReply(&controlnode.SyncRequest{}, &reply, time.Now()) // an error of one call
 			c.applyNews(&reply)
 		}
 		checkFollows(t, c)
