Let a learner forget a silent leader, so that its host joins again after its removal

A host whose replica the group had removed ran on without a vote, and passed calls on to a stale leader, until it was restarted. It asks the group whether it is still a member once it knows no leader for 4 s; but a replica that is a learner by its own log, as it missed its promotion or was cut off for 20 s, kept the last leader that it had heard for ever.

--- a/internal/controlnode/membership_faults_test.go
+++ b/internal/controlnode/membership_faults_test.go
@@ -403,6 +403,23 @@
 	NewWithT(t).Expect(failed).To(BeZero())
 }
 
+// Guards against a host that never joins again, as it takes a leader that has removed its learner for its own.
+func TestHostOfARemovedLearnerJoinsAgain(t *testing.T) {
+	g := newSimGroup(1, 5)
+	g.advance(5 * time.Second)
+	h := g.newHost()
+	g.start(h)
+	g.advance(time.Second)
+	first := h.id
+	NewWithT(t).Expect(first).NotTo(BeZero())
+	h.cut = true
+	g.advance(removalTimeout + 5*time.Second)
+	h.cut = false
+	g.advance(settleTime)
+	NewWithT(t).Expect(g.expectAllVote()).To(BeEmpty())
+	NewWithT(t).Expect(h.id).NotTo(Equal(first))
+}
+
 // A schedule of a seed is the same in every run.
 func TestSimulatedScheduleIsReproducible(t *testing.T) {
 	run := func() string {
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -138,7 +138,9 @@
 		n.electionElapsed = 0
 		if n.isVoter(n.id) {
 			n.startElection(false)
+			return
 		}
+		n.leader = None
 	}
 }
 
--- a/internal/replication/step_test.go
+++ b/internal/replication/step_test.go
@@ -221,3 +221,25 @@
 	n.Step(Message{Kind: KindHeartbeatReply, From: 2, To: 1, Term: n.term})
 	g.Expect(n.MostUpToDateVoter()).To(Equal(uint64(2)))
 }
+
+// Guards against a learner that takes a silent leader for its own for ever and so never finds out that it was removed.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	g := NewWithT(t)
+	n, err := New(Config{
+		ID: 4, ElectionTicks: 10, HeartbeatTicks: 2, Random: rand.New(rand.NewPCG(1, 1)), HardState: HardState{Term: 5},
+		Snapshot: SnapshotMeta{Index: 1, Term: 1, Membership: NewMembership([]Peer{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4, Learner: true}})},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	n.Step(Message{Kind: KindHeartbeat, From: 1, To: 4, Term: 5})
+	for range 9 {
+		n.Tick()
+	}
+	g.Expect(n.Status().Leader).To(Equal(uint64(1)))
+	for range 11 {
+		n.Tick()
+	}
+	g.Expect(n.Status().Leader).To(Equal(None))
+	g.Expect(n.Status().Role).To(Equal(Follower))
+	n.Step(Message{Kind: KindHeartbeat, From: 2, To: 4, Term: 5})
+	g.Expect(n.Status().Leader).To(Equal(uint64(2)))
+}
