Let a new leader remove no voter for a silence that others did not see

A follower counts a replica as silent whose host's exchanges don't reach it or don't name the replica, as those of builds before: 20 s and more while builds are mixed or a link is cut. If it then became the leader while that voter was down for longer than the election timeout, such as over a restart, it removed the voter at once, in an odd group too. Such silence now counts for 3 s at most, which is what replacements need; the rest the leader measures itself.

--- a/internal/controlnode/voters.go
+++ b/internal/controlnode/voters.go
@@ -68,6 +68,8 @@
 		if s.Role != replication.Leader {
 			m.undecided, m.caughtUp, m.readyFor = false, false, 0
 			m.addSilence(elapsed, p.ID == s.ID || p.ID == s.Leader || heard[p.ID])
+			// The silence may be that of the link to this host, or of an earlier build's exchanges.
+			m.silentFor = min(m.silentFor, evenRemovalTimeout)
 			continue
 		}
 		m.updateAsLeader(p, p.ID == s.ID, s.Commit, elapsed)
