Refuse to replace a replica that still answers when a host at its address asks to join

A request to join for an address at which the group has a replica means that its disk was lost: the replica is removed and another added. A request that was held up, or that the host sent twice, was executed like this after the host had joined: a live voter was removed, and the host found out 4 s later and joined once more. The leader now refuses while the replica has answered it within the election timeout. A host that has lost its disk tries again every 0.2 s, and its replica is silent by then.

--- a/internal/controlnode/group_test.go
+++ b/internal/controlnode/group_test.go
@@ -117,23 +117,25 @@
 
 // requestReplicaID requests a replica id on behalf of a host that is not running.
 func (gr *group) requestReplicaID(i int) uint64 {
+	var id uint64
+	gr.g.Eventually(func() uint64 { id = gr.requestReplicaIDOnce(i); return id }, eventuallyTimeout).ShouldNot(BeZero())
+	return id
+}
+
+// requestReplicaIDOnce asks each control host once for a replica id of host i; 0 if none gives one.
+func (gr *group) requestReplicaIDOnce(i int) uint64 {
 	client := rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	})
 	defer func() { gr.g.Expect(client.Close()).To(Succeed()) }()
-	ask := func() uint64 {
-		for member := range gr.members {
-			reply, err := rpc.Call[controlnode.JoinRequest, controlnode.JoinReply](context.Background(), client,
-				gr.address(member), controlnode.MethodJoin, &controlnode.JoinRequest{Address: gr.address(i)})
-			if err == nil && !reply.NotLeader {
-				return reply.ReplicaID
-			}
+	for member := range gr.members {
+		reply, err := rpc.Call[controlnode.JoinRequest, controlnode.JoinReply](context.Background(), client,
+			gr.address(member), controlnode.MethodJoin, &controlnode.JoinRequest{Address: gr.address(i)})
+		if err == nil && !reply.NotLeader {
+			return reply.ReplicaID
 		}
-		return 0
 	}
-	var id uint64
-	gr.g.Eventually(func() uint64 { id = ask(); return id }, eventuallyTimeout).ShouldNot(BeZero())
-	return id
+	return 0
 }
 
 func (gr *group) put(i int, version uint64, content string) uint64 {
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -38,6 +38,9 @@
 // errNotMember means that the group has removed this replica.
 var errNotMember = eris.New("the group has removed this replica")
 
+// errStillMember means that a replica at the address of a host that joins still answers the leader.
+var errStillMember = eris.New("the replica at this address still answers")
+
 // runReplicas runs this host's replica until ctx ends. A replica whose disk fails is started
 // again until the disk works; meanwhile the host serves what needs no replica.
 func (n *Node) runReplicas(ctx, background context.Context) error {
@@ -324,6 +327,10 @@
 		if p.Address != address {
 			continue
 		}
+		if p.Heard && p.Active {
+			// The request is an earlier one, or the old process has just ended. A host that joins tries again.
+			return errStillMember
+		}
 		if err := r.RemoveReplica(ctx, p.ID); err != nil {
 			return err
 		}
--- a/internal/controlnode/membership_sim_test.go
+++ b/internal/controlnode/membership_sim_test.go
@@ -388,6 +388,9 @@
 			g.startReplica(h)
 			return
 		}
+		if h.joinIndex == 0 && p.Heard && p.Active {
+			return
+		}
 		if h.joinIndex == 0 {
 			_, _ = leader.node.Remove(p.ID) // tried again
 			return
