Resumed streams wait up to 1 s for a current table of upstreams

On a busy machine (load average 38 on 8 cores) callers were refused with version_unconfirmed though their streams could go on: 4 of 12 went on at a gateway that was back from a suspension, and 20 of 24 while the control group was away (one of two runs of go test ./platform). The refusals came after 0.5 s, which was shorter than one call to the control group may take (0.7 s), and a check of the table waited for all hosts that were asked, those included that don't answer.

A resumed stream now waits up to 1 s, and a check ends with the first answers that suffice.

--- a/internal/hostsync/currency.go
+++ b/internal/hostsync/currency.go
@@ -17,11 +17,10 @@
 const methodTableAge = "/fleet/TableAge"
 
 const (
-	// tableAgeTimeout bounds the calls to the other gateway hosts.
-	tableAgeTimeout = 200 * time.Millisecond
-	// tableCheckTimeout bounds the time for which a resumed stream waits for a current table. A host that was
-	// suspended makes its next call to the control group within a quarter of a second.
-	tableCheckTimeout = 500 * time.Millisecond
+	// tableCheckTimeout bounds the calls to other gateway hosts, and the time for which a resumed stream waits
+	// for a current table. A host that was suspended makes its next call to the control group within a
+	// quarter of a second, and a call takes up to 700 ms.
+	tableCheckTimeout = time.Second
 	// tableCheckInterval is the interval at which the age of the table is looked at, and tableCheckLead the time
 	// before it is too old at which other hosts are asked.
 	tableCheckInterval = 300 * time.Millisecond
@@ -108,31 +107,34 @@
 	return c.tableCheck.done
 }
 
-// confirmTable asks other gateway hosts, and confirms the table if they know no more of the upstreams.
+// confirmTable asks other gateway hosts, and confirms the table once most have said that they know no more of
+// the upstreams.
 func (c *Client) confirmTable() {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), tableAgeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), tableCheckTimeout)
 	defer cancel()
 	hosts := c.OtherHosts()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	hosts = hosts[:min(len(hosts), maxTableAgeHosts)]
-	var mu sync.Mutex
-	var ages []time.Duration
-	var calls sync.WaitGroup
+	answers := make(chan *tableAgeReply, len(hosts))
 	for _, host := range hosts {
-		calls.Go(func() {
+		go func() {
 			reply, err := rpc.Call[tableAgeRequest, tableAgeReply](ctx, c.rpc, host, methodTableAge, &tableAgeRequest{})
 			if err != nil {
-				return // a host that does not answer confirms nothing
+				reply = nil // a host that does not answer confirms nothing
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			ages = append(ages, reply.Age)
-		})
+			answers <- reply
+		}()
 	}
-	calls.Wait()
-	if knowsNoLess(c.options.Pool.TableAge(time.Now()), ages, len(hosts)) {
-		c.options.Pool.ConfirmTable(began)
+	var ages []time.Duration
+	for range hosts {
+		if reply := <-answers; reply != nil {
+			ages = append(ages, reply.Age)
+		}
+		if knowsNoLess(c.options.Pool.TableAge(time.Now()), ages, len(hosts)) {
+			c.options.Pool.ConfirmTable(began)
+			return
+		}
 	}
 }
 
