A stream that begins before its upstream's first report has no version

Callers saw events of two software versions in one stream, with all gateways in step: a replica restarted under its id with v3, streams began there before its first report and were recorded as v2, the version of the process before. When they broke they went on at v2.

Cause: the version recorded with the first event was that of the upstream's last report. The doubts about processes that may have restarted were heeded where streams go on, and not where they begin.

Change: recorded is the version of the process that the connection led to. It is not known if the upstream accepted no connection lately or the gateway was out of step; that is recorded too, so that a caller that does not name the call is not given the version of an earlier try (before, nothing was recorded of upstreams without a version). If another process becomes known under the id while the stream goes on, hosts get a second record and refuse the stream. An exchange that merely broke leaves the version known: most of these are not those of a process that ends, and refusing the streams that begin at such an upstream would cost more of them than it protects.

What remains is the time from the first event until the gateway knows of the process, at a gateway that did not see it down.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -86,6 +86,7 @@
 	if a.handler.Paths.Reachable(context.Background(), a.target.Address) {
 		return
 	}
+	a.handler.Pool.ObserveDown(a.target, time.Now())
 	crash := crashcause.Crash{
 		Fingerprint: a.fingerprint(), Upstream: a.target.ID, StartedMS: a.target.StartedMS, SentAt: a.sentAt, CrashedAt: at,
 	}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -56,6 +56,7 @@
 		if a.eventsSent == 0 {
 			a.recordOrigin()
 		}
+		a.reviewOrigin()
 		a.writeHeader(w, answer)
 		if !a.writeEvent(w, event) {
 			return resultAnswered
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -77,6 +77,10 @@
 	sentAt          time.Time
 	// begun reports whether the upstream has begun to answer.
 	begun bool
+	// version is the software version of the process that the connection leads to; empty if it is unknown.
+	version string
+	// recorded reports that the upstream sent the first event of the stream, and that its version is recorded.
+	recorded bool
 }
 
 type bufferedAnswer struct {
@@ -293,6 +297,7 @@
 	if a.ctx.Err() != nil || !a.handler.Pool.Takes(a.target, time.Now()) {
 		return nil
 	}
+	a.version = a.handler.Pool.VersionAt(a.target, time.Now())
 	metadata := &UpstreamMetadata{
 		Upstream: a.target.ID, TimeRemaining: a.timeRemaining(), Rank: a.rank(), CacheSource: a.target.PrefixSource,
 		ResumeAfter: a.ResumeAfter, Resumes: a.Resumes,
@@ -334,6 +339,7 @@
 // ended the exchange, and if it has lost its link to the upstream that did, so that it does not count
 // as a failure of the upstream.
 func (a *attempt) exchangeBroken(failure string) attemptResult {
+	a.reviewOrigin()
 	a.lastFailure = failure
 	if errors.Is(a.ctx.Err(), context.Canceled) {
 		a.lastFailure = failureCallerDisconnected
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/streamorigin"
@@ -20,13 +22,33 @@
 // resumesStream reports whether the caller resumes a stream that it received in part.
 func (q *request) resumesStream() bool { return q.Resumes && q.route.Kind == catalog.Streaming }
 
-// recordOrigin records, with the first event of a stream, which software version began it.
+// recordOrigin records, with the first event of a stream, which software version began it. A version that is not
+// known is recorded too: an earlier stream with the same request must not be taken for this one.
 func (a *attempt) recordOrigin() {
 	if a.goesOn() {
 		return
 	}
-	a.streamVersion = a.target.Version
-	if a.streamVersion == "" || !a.route.Resumable {
+	a.streamVersion = a.version
+	a.recorded = true
+	a.sendOrigin()
+}
+
+// reviewOrigin makes the version that began the stream unknown once another process is known at the upstream:
+// that one may have sent the first event, as the upstream had restarted and not reported yet. Hosts with both
+// records refuse to resume the stream.
+func (a *attempt) reviewOrigin() {
+	if !a.recorded || a.streamVersion == "" || !a.handler.Pool.Replaced(a.target) {
+		return
+	}
+	klog.InfoS("version that began a stream is uncertain: the upstream has restarted",
+		append(a.logFields(), "target", a.target.ID, "stream_version", a.streamVersion)...)
+	a.streamVersion = ""
+	a.sendOrigin()
+}
+
+// sendOrigin sends the version that began the stream to the hosts that keep it.
+func (a *attempt) sendOrigin() {
+	if !a.route.Resumable {
 		return
 	}
 	timeout := a.CallerTimeout
@@ -56,6 +78,9 @@
 		return q.notResumable(reasonUnknownOrigin, "the software version that began the stream is not known")
 	}
 	origin := q.originSearch.Origin()
+	if origin.Version == "" {
+		return q.notResumable(reasonVersionUnrecorded, "the software version of the upstream that began the stream was not known")
+	}
 	if !slices.ContainsFunc(q.route.Targets, func(t catalog.Target) bool { return t.Service == origin.Service && t.Weight > 0 }) {
 		return q.notResumable(reasonRouteChanged, "the route no longer leads to the service that began the stream")
 	}
@@ -70,6 +95,7 @@
 	reasonUnknownOrigin      = "origin_unknown"
 	reasonAmbiguousOrigin    = "origin_ambiguous"
 	reasonUnconfirmedOrigin  = "origin_unconfirmed"
+	reasonVersionUnrecorded  = "version_unrecorded"
 	reasonRouteChanged       = "route_changed"
 	reasonNoneOfVersion      = "none_of_version"
 	reasonVersionUnconfirmed = "version_unconfirmed"
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -318,6 +318,7 @@
 	case Unreachable:
 		p.observeConnection(u, true, now)
 		u.doubtVersion(now)
+		u.doubt.down = true
 		u.ejectedUntil = now.Add(unreachableEjection)
 	case Misdirected:
 		u.ejectedUntil = now.Add(maxEjection)
--- a/internal/placement/versiondoubt.go
+++ b/internal/placement/versiondoubt.go
@@ -28,13 +28,16 @@
 	since, brokenAt, syncedAt time.Time
 	// reachable is the time since brokenAt with a reachable control group.
 	reachable time.Duration
+	// down reports that the upstream accepted no connection: the process, if one accepts them again, is
+	// most likely another one.
+	down bool
 }
 
 // broken returns the doubt after a connection broke; d may be nil.
 func (d *versionDoubt) broken(now time.Time) *versionDoubt {
 	next := &versionDoubt{since: now, brokenAt: now, syncedAt: now}
 	if d != nil {
-		next.since = d.since
+		next.since, next.down = d.since, d.down
 	}
 	return next
 }
@@ -99,3 +102,30 @@
 	}
 	return max(u.doubt.rest(), minRetryAfter)
 }
+
+// ObserveDown records that the assigned upstream accepts no connections after one to it broke.
+func (p *Pool) ObserveDown(a *Assignment, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a.Upstream.doubtVersion(now)
+	a.doubt.down = true
+}
+
+// VersionAt returns the software version of the process to which a connection to the assigned upstream was
+// established just now; empty if the upstream may have restarted with another one.
+func (p *Pool) VersionAt(a *Assignment, now time.Time) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.upstreams[a.ID] != a.Upstream || a.doubt != nil && a.doubt.down || !p.currency.isCurrent(now) {
+		return ""
+	}
+	return a.Version
+}
+
+// Replaced reports whether another process has become known under the id of the assigned upstream. An
+// answer that still arrives may be that one's.
+func (p *Pool) Replaced(a *Assignment) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstreams[a.ID] != a.Upstream
+}
--- a/internal/placement/versiondoubt_test.go
+++ b/internal/placement/versiondoubt_test.go
@@ -90,3 +90,28 @@
 	_, refused := p.Choose(resumedRequest(1, "v1"), startTime)
 	g.Expect(refused.Reason).To(Equal(NoneOfVersion))
 }
+
+// Guards against recording the version of the process before for a stream that begins at one that restarted.
+func TestVersionAtAnUpstreamThatWasDownIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	p := newVersionedPool("v1", "v1")
+	a := mustChoose(g, p, prefixRequest(1))
+	g.Expect(p.VersionAt(a, startTime)).To(Equal("v1"))
+	p.Observe(a, Failed, startTime)
+	g.Expect(p.VersionAt(a, startTime)).To(Equal("v1"), "most broken exchanges are not those of a process that ends")
+	p.ObserveDown(a, startTime)
+	p.Observe(a, Failed, startTime)
+	g.Expect(p.VersionAt(a, startTime)).To(BeEmpty())
+	confirm(p, startTime, confirmTime)
+	g.Expect(p.VersionAt(a, startTime.Add(confirmTime))).To(Equal("v1"))
+	p.Observe(a, Unreachable, startTime.Add(confirmTime))
+	g.Expect(p.VersionAt(a, startTime.Add(confirmTime))).To(BeEmpty())
+	g.Expect(p.Replaced(a)).To(BeFalse())
+	next := versionRecords("v2", "v1")
+	next[0].StartedMS, next[1].StartedMS = 2, 2
+	p.Update(next)
+	g.Expect(p.VersionAt(a, startTime.Add(confirmTime))).To(BeEmpty(), "the process at that id is another one")
+	g.Expect(p.Replaced(a)).To(BeTrue())
+	b := mustChoose(g, p, prefixRequest(2))
+	g.Expect(p.VersionAt(b, startTime.Add(time.Hour))).To(BeEmpty(), "this host is out of step")
+}
