--- a/internal/hostsync/client_test.go
+++ b/internal/hostsync/client_test.go
@@ -114,11 +114,17 @@
 }
 
 func (gr *controlGroup) gatewayInZone(i int, zone string) (*hostsync.Client, *placement.Pool) {
+	return gr.gatewayWith(i, zone, func(*hostsync.Client) {})
+}
+
+// gatewayWith starts a gateway client after configure was called with it.
+func (gr *controlGroup) gatewayWith(i int, zone string, configure func(*hostsync.Client)) (*hostsync.Client, *placement.Pool) {
 	pool := placement.NewPool(zone)
 	c := hostsync.New(hostsync.Options{
 		Host: fmt.Sprintf("gateway-%d", i), Address: gr.address(i), Zone: zone, Decode: decode, Pool: pool, Clock: clock,
 		Seeds: func() []string { return []string{gr.address(1)} },
 	})
+	configure(c)
 	ctx, cancel := context.WithCancel(context.Background())
 	listener, err := netconn.Listen(gr.address(i), time.Second)
 	gr.g.Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/internal/hostsync/export_test.go
@@ -0,0 +1,12 @@
+package hostsync
+
+import (
+	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/streamorigin"
+)
+
+// UseDialer makes the client connect to other hosts with dial. It must be called before Run.
+func (c *Client) UseDialer(dial rpc.Dialer) {
+	c.rpc = rpc.NewClient(dial)
+	c.originAsker = streamorigin.NewAsker(c.rpc)
+}
