--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -171,8 +171,11 @@
 	if err := codec.Unmarshal(data, &s); err != nil {
 		return eris.Wrap(err, "decode the snapshot of the fleet state")
 	}
-	if s.Book.Provisional == nil {
-		s.Book.Provisional = map[uint64]*prepaid.ProvisionalCharge{}
+	if s.Book == nil {
+		return eris.New("the snapshot of the fleet state has no ledger")
+	}
+	if err := s.Book.FinishDecoding(); err != nil {
+		return eris.Wrap(err, "decode the snapshot of the fleet state")
 	}
 	m.state = s
 	m.publish()
