--- a/internal/netconn/netconn_test.go
+++ b/internal/netconn/netconn_test.go
@@ -43,3 +43,15 @@
 		g.Expect(listener.Close()).To(Succeed())
 	}
 }
+
+// Guards against addresses of upstreams that end a gateway or hold a request up.
+func TestDialOfAnAddressThatIsNoneFailsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	for _, address := range []string{"", ":", "127.0.0.1", "127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:0", "[::1%none]:80", "\xff:80", "[[[:80"} {
+		started := time.Now()
+		conn, err := netconn.Dial(t.Context(), address, time.Minute, time.Minute)
+		g.Expect(err).To(HaveOccurred(), address)
+		g.Expect(conn).To(BeNil(), address)
+		g.Expect(time.Since(started)).To(BeNumerically("<", 10*time.Second), address)
+	}
+}
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -62,3 +63,20 @@
 	_, err := settings.LoadNode("/nonexistent/settings.json")
 	NewWithT(t).Expect(err).To(HaveOccurred())
 }
+
+func FuzzParseNode(f *testing.F) {
+	f.Add(gatewaySettings)
+	for _, odd := range []string{
+		strings.Repeat("[", 10_001), "1e999", "-1", "9223372036854775808", `"1e999s"`, `"99999999h"`, "null", "{}",
+	} {
+		for _, name := range []string{"memory_mb", "stop_timeout", "seeds", "listen", "retries"} {
+			f.Add(strings.Replace(gatewaySettings, `"host"`, fmt.Sprintf("%q: %s, %q", name, odd, "host"), 1))
+		}
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		n, err := settings.ParseNode([]byte(text))
+		if err == nil && (n.MemoryMB <= 0 || n.StopTimeout.Duration <= 0 || n.Retries.Window.Duration <= 0) {
+			t.Fatalf("accepted %q", text)
+		}
+	})
+}
--- a/internal/upstreamhttp/exchange_test.go
+++ b/internal/upstreamhttp/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -221,6 +222,38 @@
 	g.Expect(event.ID).To(Equal(int64(7)))
 }
 
+// answerConn is the connection to an upstream that answers with given bytes.
+type answerConn struct{ io.Reader }
+
+func (answerConn) Write(p []byte) (int, error) { return len(p), nil }
+func (answerConn) Close() error                { return nil }
+
+// FuzzAnswer reads arbitrary bytes as the answer of an upstream.
+func FuzzAnswer(f *testing.F) {
+	const limit = 1 << 10
+	for _, head := range []string{
+		"Content-Length: 5", "Content-Length: 9223372036854775807", "Content-Length: 9223372036854775808", "Content-Length: -1",
+		"Content-Length: 1\r\nContent-Length: 2", "Keep-Alive: timeout=1e999", "Transfer-Encoding: chunked", "Transfer-Encoding: x, chunked",
+	} {
+		f.Add([]byte("HTTP/1.1 200 OK\r\n" + head + "\r\n\r\nhello"))
+	}
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 99999 X\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nhello"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		client := upstreamhttp.NewClient(func(context.Context, string) (io.ReadWriteCloser, error) {
+			return answerConn{bytes.NewReader(answer)}, nil
+		})
+		a, err := client.Do(t.Context(), "10.0.0.1:99999", func() *upstreamhttp.Request { return &upstreamhttp.Request{Method: http.MethodGet, URI: "/"} })
+		if err != nil {
+			return
+		}
+		defer a.Close()
+		if body, err := a.ReadBody(limit); err == nil && len(body) > min(limit, len(answer)) {
+			t.Fatalf("%d bytes of %d", len(body), len(answer))
+		}
+	})
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
 	f.Add("\n\n\r\nid:x\n")
