An upstream of a service that no configuration names replaces nobody

What callers would see: an entry of another writer with an unknown service names the address of a sound upstream and a later start. The sound one is marked as terminated, which is final for a process, and gets no request until it restarts: 503 for all requests on the test fleet.

Cause: the latest process at an address replaces the earlier ones, as an address is assigned again after an upstream has crashed. That the entry names no upstream to use was not asked.

Change: only an upstream whose service the document in force names replaces others. Control hosts decode the names of the services when an address has more than one holder, once for each version. A process of a service that is not configured yet at an address of a crashed one leaves it to the heartbeat timeout.

--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
 	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
@@ -61,6 +62,8 @@
 	Bootstrap bool
 	// Seeds returns the configured addresses of control hosts.
 	Seeds func() []string
+	// Decode decodes the content of a document; nil if the host needs not know the services.
+	Decode func(content []byte) (*catalog.Document, error)
 }
 
 // Node is a running control host.
@@ -81,6 +84,7 @@
 	mu        sync.Mutex
 	addresses map[uint64]string // by replica id; also of removed replicas
 	table     *presence.Table
+	services  knownServices
 	// directReports holds the time of each upstream's latest report to this host itself.
 	directReports map[string]time.Time
 	// remoteUpstreams holds the latest exchange with records of each control host, and
@@ -118,6 +122,9 @@
 		features: map[string]int{},
 		origins:  streamorigin.NewTable(),
 	}
+	if o.Decode != nil {
+		n.table.RestrictReplacement(n.isService)
+	}
 	n.upstreamFeed = newUpstreamFeed(n.table)
 	n.rpc = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		return netconn.Dial(ctx, address, dialTimeout, unacknowledgedTimeout)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -19,6 +19,7 @@
 func runControl(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics) error {
 	control := controlnode.New(controlnode.Options{
 		Host: s.Host, Address: s.Listen.Hosts, Zone: s.Zone, Directory: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.hostSeeds,
+		Decode: adapter.DecodeDocument,
 	})
 	ready := func() error {
 		if _, running := control.Status(); !running {
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -89,6 +89,8 @@
 	changes []*Record
 	// digests holds the sums of the digests of the records in each bucket.
 	digests [digestBuckets]uint32
+	// isService reports whether a service exists; nil if all do.
+	isService func(name string) bool
 }
 
 // NewTable returns an empty table.
@@ -96,6 +98,9 @@
 	return &Table{records: map[string]*Record{}, byAddress: map[string][]string{}}
 }
 
+// RestrictReplacement lets only upstreams of existing services replace others at their addresses.
+func (t *Table) RestrictReplacement(isService func(name string) bool) { t.isService = isService }
+
 // Len returns the number of records.
 func (t *Table) Len() int { return len(t.records) }
 
@@ -215,6 +220,9 @@
 	for _, id := range slices.Clone(t.byAddress[u.Address]) {
 		r := t.records[id]
 		if id != u.ID && r.State != Terminated && r.StartedMS < u.StartedMS {
+			if t.isService != nil && !t.isService(u.Service) {
+				return
+			}
 			next := *r
 			next.State = Terminated
 			t.store(&next)
--- a/internal/presence/table_test.go
+++ b/internal/presence/table_test.go
@@ -73,6 +73,20 @@
 	g.Expect(table.Record("new").State).To(Equal(presence.Ready))
 }
 
+// Guards against an entry of another writer that ends an upstream by naming its address.
+func TestUpstreamOfNoServiceReplacesNobody(t *testing.T) {
+	g := NewWithT(t)
+	table := presence.NewTable()
+	table.RestrictReplacement(func(name string) bool { return name == "s" })
+	table.Apply(report("sound", "a:1", 10, 5, presence.Ready), now)
+	other := report("other", "a:1", 20, 1, presence.Ready)
+	other.Service = "none"
+	table.Apply(other, now)
+	g.Expect(table.Record("sound").State).To(Equal(presence.Ready))
+	table.Apply(report("new", "a:1", 30, 1, presence.Ready), now)
+	g.Expect(table.Record("sound").State).To(Equal(presence.Terminated))
+}
+
 func TestOverdueUpstreamsAreMarkedUnresponsive(t *testing.T) {
 	g := NewWithT(t)
 	table := presence.NewTable()
