--- a/internal/controlnode/voters.go
+++ b/internal/controlnode/voters.go
@@ -1,6 +1,8 @@
 package controlnode
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/replica"
@@ -66,6 +68,8 @@
 		if s.Role != replication.Leader {
 			m.undecided, m.caughtUp, m.readyFor = false, false, 0
 			m.addSilence(elapsed, p.ID == s.ID || p.ID == s.Leader || heard[p.ID])
+			// The silence may be that of the link to this host, or of an earlier build's exchanges.
+			m.silentFor = min(m.silentFor, evenRemovalTimeout)
 			continue
 		}
 		m.updateAsLeader(p, p.ID == s.ID, s.Commit, elapsed)
@@ -97,11 +101,11 @@
 	}
 }
 
-// states returns the state of each replica as of the latest update.
+// states returns the state of each replica as of the latest update, ordered by id.
 func (t *memberTracker) states() []memberState {
 	list := make([]memberState, 0, len(t.members))
-	for _, m := range t.members {
-		list = append(list, *m)
+	for _, id := range slices.Sorted(maps.Keys(t.members)) {
+		list = append(list, *t.members[id])
 	}
 	return list
 }
