--- a/internal/controlnode/membership_faults_test.go
+++ b/internal/controlnode/membership_faults_test.go
@@ -420,6 +420,27 @@
 	NewWithT(t).Expect(h.id).NotTo(Equal(first))
 }
 
+// Guards against three hosts that keep the vote of a replaced one until the next loss.
+func TestThreeHostsBearALossAfterAPlannedReplacement(t *testing.T) {
+	failed := 0
+	for seed := range uint64(20) {
+		g := newSimGroup(seed, 3)
+		g.advance(5 * time.Second)
+		replaced, successorStarted := g.target(), g.now
+		g.start(g.newHost())
+		g.advance(catchUpTime - time.Second)
+		g.terminate(replaced)
+		replaced.removed = true
+		g.advance(successorStarted + catchUpTime - g.now)
+		g.losePower()
+		g.advance(recoveryTime)
+		if !g.leads() {
+			failed++
+		}
+	}
+	NewWithT(t).Expect(failed).To(BeZero())
+}
+
 // A schedule of a seed is the same in every run.
 func TestSimulatedScheduleIsReproducible(t *testing.T) {
 	run := func() string {
