Measure the time since a gateway's last report without wall clocks

Organisations could spend more than they paid after all gateways lost power, or one process ended, if clocks were set back or a last report arrived late.

Cause: the ledger bounds what an ended process spent by the time from its last report to the next start. After a reboot, or when the gateway's two clocks disagreed, that time came from wall clocks, and from the arrival of the report instead of its making.

Now the leader stamps reports and openings with its boot-time clock. A report is made only after the one before it was acknowledged, so that the arrival of that one, plus the time that the gateway measured since, bounds its making from below however late it arrives. Gateways that ran through a change of the leader relate the clocks of the two by their own. The gateway's boot-time clock alone counts only if a reboot is excluded. If nothing measures the time, all that was held is charged; it is refunded when the change of the leader is measured later.

--- a/internal/fleetstate/machine_test.go
+++ b/internal/fleetstate/machine_test.go
@@ -81,3 +81,43 @@
 	_, err = fleetstate.Decompress(compressed[:len(compressed)/2])
 	g.Expect(err).To(HaveOccurred())
 }
+
+// A charge waits for the measurement of a change of the leader across a snapshot, and is refunded to the tokens that the
+// rebooted gateway can have spent.
+func TestChargeIsReducedOnceTheChangeOfTheLeaderIsMeasured(t *testing.T) {
+	g := NewWithT(t)
+	const second = int64(1e9)
+	m := fleetstate.New()
+	apply(g, m, document(5, "five"))
+	seq := map[uint64]uint64{}
+	report := func(host string, session, leader uint64, at int64, use prepaid.Use) *fleetstate.Result {
+		seq[session]++
+		r := prepaid.Report{
+			Session: session, Seq: seq[session], BootTime: at, WallTime: at, Uses: []prepaid.Use{use},
+			Arrival: prepaid.ClockReading{Clock: leader, Time: at + int64(leader)*1000*second},
+		}
+		return apply(g, m, &fleetstate.Command{Reports: []fleetstate.HostReport{{Host: host, Report: r}}})
+	}
+	open := func(host string, session, leader uint64, at int64) *fleetstate.Result {
+		return apply(g, m, &fleetstate.Command{Openings: []prepaid.SessionOpening{{
+			Host: host, Session: session, BootTime: 1, Arrival: prepaid.ClockReading{Clock: leader, Time: at + int64(leader)*1000*second},
+		}}})
+	}
+	open("running", 1, 1, second)
+	open("rebooted", 2, 1, second)
+	north := prepaid.Use{Organisation: "north", Used: 100, Want: 800}
+	for _, at := range []int64{2 * second, 3 * second} {
+		report("running", 1, 1, at, prepaid.Use{Organisation: "south"})
+		report("rebooted", 2, 1, at, north)
+	}
+	settled := open("rebooted", 3, 2, 4*second).Settlements
+	g.Expect(settled).To(HaveLen(1))
+	g.Expect(settled[0].WrittenOff).To(BeNumerically(">=", 800))
+	data, err := m.Snapshot()
+	g.Expect(err).NotTo(HaveOccurred())
+	m = fleetstate.New()
+	g.Expect(m.Restore(data)).To(Succeed())
+	g.Expect(report("running", 1, 2, 5*second, prepaid.Use{Organisation: "south"}).Recovered).To(BeZero())
+	g.Expect(report("running", 1, 2, 6*second, prepaid.Use{Organisation: "south"}).Recovered).To(Equal(settled[0].WrittenOff))
+	g.Expect(m.Book().Accounts["north"].Charged).To(BeEquivalentTo(100))
+}
--- a/internal/prepaid/simulation_test.go
+++ b/internal/prepaid/simulation_test.go
@@ -81,7 +81,10 @@
 	spent                   map[string]int64
 	granted                 int // requests whose tokens were reserved
 	grantedWhilePartitioned int // of those, on partitioned hosts
-	// controlClockSkew is the clock skew of the current leader.
+	// leader identifies the current leader, leaderBootOffset shifts its boot-time clock and
+	// controlClockSkew its wall clock.
+	leader           uint64
+	leaderBootOffset time.Duration
 	controlClockSkew time.Duration
 	// calm means that only the failures of the test itself are played.
 	calm bool
@@ -96,7 +99,7 @@
 func newSimulation(seed uint64, kind fleetKind, disabled disabledParts) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), disabled: disabled, book: NewBook(),
-		prepaid: map[string]int64{}, spent: map[string]int64{},
+		prepaid: map[string]int64{}, spent: map[string]int64{}, leader: 1,
 	}
 	for _, name := range simOrganisations {
 		s.prepaid[name] = 200_000 + s.random.Int64N(400_000)
@@ -205,7 +208,7 @@
 		// The wall clock of one host is stepped; the leader runs on another machine.
 		h.wallOffset = time.Duration(s.random.Int64N(int64(4*time.Second))) - 2*time.Second
 	case 8:
-		s.controlClockSkew = time.Duration(s.random.Int64N(int64(100 * time.Millisecond)))
+		s.changeLeader(time.Duration(s.random.Int64N(int64(100 * time.Millisecond))))
 	case 9, 10:
 		if h.alive && (!s.mixedBuilds || h.allowance.Concentrated()) {
 			s.changeFleet(h)
@@ -353,14 +356,17 @@
 	}
 	if !h.sessionOpen {
 		opening := h.opening
-		opening.Age, opening.ArrivalTime = h.bootTime(s.now)-h.opening.BootTime, s.arrivalTime()
+		opening.Age, opening.ArrivalTime, opening.Arrival = h.bootTime(s.now)-h.opening.BootTime, s.arrivalTime(), s.leaderClock()
 		s.book.OpenSession(opening)
 	}
 	for _, answer := range h.answers {
 		s.book.ApplyCeilingAnswer(answer)
 	}
 	queries := s.book.CeilingQueries(h.opening.Session)
-	reply := s.book.ApplyReport(h.name, report, s.arrivalTime())
+	received := *report
+	received.Arrival = s.leaderClock()
+	reply := s.book.ApplyReport(h.name, &received, s.arrivalTime())
+	s.book.SettleUnmeasured()
 	if s.random.IntN(12) == 0 {
 		return
 	}
--- a/internal/prepaid/witness.go
+++ b/internal/prepaid/witness.go
@@ -56,9 +56,7 @@
 	}
 	for name := range p.ReserveTokens {
 		tokens := p.unspent(name)
-		a := b.account(name)
-		a.Charged -= tokens
-		a.WrittenOff -= tokens
+		b.refund(name, tokens)
 		refunded += tokens
 	}
 	delete(b.Provisional, answer.Session)
