--- a/internal/controlnode/batch.go
+++ b/internal/controlnode/batch.go
@@ -35,10 +35,8 @@
 // submission is one host's call in a batch.
 type submission struct {
 	req *SyncRequest
-	// arrivalTime is the wall clock when the call arrived, in Unix ns, and arrival the boot-time
-	// clock when it arrived at the leader.
+	// arrivalTime is the wall clock when the call arrived, in Unix ns.
 	arrivalTime int64
-	arrival     prepaid.ClockReading
 	done        chan submitResult
 }
 
@@ -57,13 +55,12 @@
 // waits for all results. An error means that some may not be committed.
 func (b *reportBatcher) submit(ctx context.Context, calls ...*SyncRequest) ([]submitResult, error) {
 	now := time.Now().UnixNano()
-	arrival := prepaid.ClockReading{Clock: b.node.epoch, Time: timing.BootTime()}
 	submissions := make([]*submission, len(calls))
 	for i, req := range calls {
 		if req.Opening == nil && req.Report == nil {
 			continue
 		}
-		s := &submission{req: req, arrivalTime: cmp.Or(req.ArrivalTime, now), arrival: arrival, done: make(chan submitResult, 1)}
+		s := &submission{req: req, arrivalTime: cmp.Or(req.ArrivalTime, now), done: make(chan submitResult, 1)}
 		select {
 		case b.queue <- s:
 		case <-ctx.Done():
@@ -127,7 +124,7 @@
 	for _, s := range batch {
 		if s.req.Opening != nil {
 			opening := *s.req.Opening
-			opening.ArrivalTime, opening.Arrival = s.arrivalTime, s.arrival
+			opening.ArrivalTime = s.arrivalTime
 			command.Openings = append(command.Openings, opening)
 		}
 		for _, answer := range s.req.CeilingAnswers {
@@ -135,9 +132,9 @@
 			command.CeilingAnswers = append(command.CeilingAnswers, answer)
 		}
 		if s.req.Report != nil {
-			report := *s.req.Report
-			report.Arrival = s.arrival
-			command.Reports = append(command.Reports, fleetstate.HostReport{Host: s.req.Host, Report: report, ArrivalTime: s.arrivalTime})
+			command.Reports = append(command.Reports, fleetstate.HostReport{
+				Host: s.req.Host, Report: *s.req.Report, ArrivalTime: s.arrivalTime,
+			})
 		}
 	}
 	r := b.node.replica.Load()
@@ -171,7 +168,7 @@
 
 func logSettlements(result *fleetstate.Result) {
 	if result.Recovered > 0 {
-		klog.InfoS("tokens of terminated processes recovered", "tokens", result.Recovered)
+		klog.InfoS("tokens of a terminated process recovered: its witnesses recorded lower ceilings", "tokens", result.Recovered)
 	}
 	for _, settlement := range result.Settlements {
 		klog.InfoS("session of a terminated process settled", "gateway", settlement.Host, "gap_ms", settlement.Gap.Milliseconds(),
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -60,8 +60,7 @@
 	// CeilingQueries holds the queries for each reporting host as a witness, in the order of
 	// Replies.
 	CeilingQueries [][]prepaid.CeilingQuery
-	// Recovered is the number of tokens of terminated sessions that were freed: by CeilingAnswers,
-	// or as the time between last report and end of the process became known.
+	// Recovered is the number of tokens of terminated sessions that the CeilingAnswers freed.
 	Recovered int64
 	// Evacuation is the result of the Evacuation.
 	Evacuation EvacuationResult
@@ -135,7 +134,6 @@
 		result.CeilingQueries = append(result.CeilingQueries, m.state.Book.CeilingQueries(r.Report.Session))
 		result.Replies = append(result.Replies, m.state.Book.ApplyReport(r.Host, &r.Report, r.ArrivalTime))
 	}
-	result.Recovered += m.state.Book.SettleUnmeasured()
 	for _, closing := range c.Closings {
 		m.state.Book.CloseSession(closing.Host, closing.Session)
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -20,7 +20,6 @@
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/settings"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
-	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/tunnel"
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 	"github.com/godwitbend/godwitbend/internal/upstreampath"
@@ -52,7 +51,7 @@
 		pool.OrderByValue()
 	}
 	client := hostsync.New(hostsync.Options{
-		Host: s.Host, Address: s.Listen.Hosts, Zone: s.Zone, Seeds: s.hostSeeds, Decode: adapter.DecodeDocument, Pool: pool, Clock: timing.BootTime,
+		Host: s.Host, Address: s.Listen.Hosts, Zone: s.Zone, Seeds: s.hostSeeds, Decode: adapter.DecodeDocument, Pool: pool, Clock: bootTime,
 	})
 	meter := &linkadmission.Meter{}
 	paths := upstreampath.NewDialer(upstreampath.Options{
@@ -62,7 +61,7 @@
 	limit := retrylimit.Settings{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration}
 	handler := gateway.NewHandler(gateway.Options{
 		Dialect: adapter.Dialect, Sync: client, Pool: pool, Retries: retrylimit.New(limit, time.Now()),
-		Paths: paths, Scope: metrics.Scope, Clock: timing.BootTime,
+		Paths: paths, Scope: metrics.Scope, Clock: bootTime,
 		OrderByValue: orderByValue,
 	})
 	ready := func() error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/catalog"
@@ -90,6 +91,15 @@
 	return addresses
 }
 
+// bootTime returns the time since boot in nanoseconds, including suspended time.
+func bootTime() int64 {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(err) // available since Linux 2.6.39
+	}
+	return ts.Nano()
+}
+
 // serve starts srv on address; it runs until it is shut down.
 func serve(address string, srv *http.Server) error {
 	listener, err := netconn.Listen(address, unackedTimeout)
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -63,8 +63,6 @@
 	unacked *Report
 	// acked is the last acknowledged report, or nil.
 	acked *Report
-	// ackedAt is the time of the latest acknowledgement.
-	ackedAt int64
 	// reserveOpen reports whether the witnesses have recorded the opening of the reserve
 	// since the last report.
 	reserveOpen bool
@@ -312,9 +310,6 @@
 	a.seq++
 	now := at.BootTime
 	r := &Report{Session: a.session, Seq: a.seq, BootTime: now, WallTime: at.WallTime, Witnesses: witnesses}
-	if a.acked != nil {
-		r.AckAge = now - a.ackedAt
-	}
 	brief = brief && a.acked != nil && time.Duration(now-a.acked.BootTime) <= ReserveOpenDelay && !a.sealed
 	for name, t := range a.allotments {
 		if t.unchanged() || brief && t.shortfall == 0 {
@@ -380,7 +375,7 @@
 		}
 	}
 	at := a.unacked.BootTime
-	a.unacked, a.acked, a.ackedAt = nil, a.unacked, now
+	a.unacked, a.acked = nil, a.unacked
 	a.closeReserve()
 	for _, g := range reply.Grants {
 		t := a.allotment(g.Organisation)
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -14,6 +14,12 @@
 	// returnSlackDivisor adds slack (1 in N) to the target, so that hosts do not return and
 	// request small amounts in turn.
 	returnSlackDivisor = 8
+	// clockTolerance is the difference between the advance of a host's boot-time clock and
+	// that of its wall clock up to which the two count as consistent.
+	clockTolerance = 500 * time.Millisecond
+	// clockUncertainty is added to a duration measured by the wall clocks of two control
+	// hosts. Within a region these clocks agree within 100 ms.
+	clockUncertainty = 150 * time.Millisecond
 	// fullReplyEvery is the number of reports of which one receives a full reply.
 	fullReplyEvery = 4
 	// maxHolders is the number of holders listed in a grant.
@@ -28,11 +34,6 @@
 	// Provisional holds the charges to terminated sessions that the answers of witnesses may
 	// reduce, by session.
 	Provisional map[uint64]*ProvisionalCharge `cbor:"3,keyasint,omitempty"`
-	// Unmeasured holds the charge to each host's latest terminated session whose gap is not
-	// known yet, by host name.
-	Unmeasured map[string]*TerminatedCharge `cbor:"4,keyasint,omitempty"`
-	// ClockChanges relates the clocks of successive leaders, the latest ones last.
-	ClockChanges []ClockChange `cbor:"5,keyasint,omitempty"`
 
 	// totals caches the sums over the open sessions by organisation. It is derived from
 	// Sessions and recomputed if nil.
@@ -102,19 +103,11 @@
 	BootTime int64               `cbor:"3,keyasint"`
 	Holdings map[string]*Holding `cbor:"4,keyasint"`
 	// WallTime is the host's wall-clock time at its latest report, and ArrivalTime the wall
-	// clock of the control host that received it, both in Unix ns. ArrivalTime is read by
-	// older builds only.
+	// clock of the control host that received it, both in Unix ns.
 	WallTime    int64 `cbor:"5,keyasint,omitempty"`
 	ArrivalTime int64 `cbor:"6,keyasint,omitempty"`
 	// Witnesses are the sessions named as witnesses by the latest report.
 	Witnesses []uint64 `cbor:"7,keyasint,omitempty"`
-	// Arrived is the leader's clock when the latest report arrived. Made is a reading of a
-	// leader's clock that is not after the making of that report.
-	Arrived ClockReading `cbor:"8,keyasint,omitzero"`
-	Made    ClockReading `cbor:"9,keyasint,omitzero"`
-	// BeforeChange is the last report to the leader before the present one, until the host has
-	// related the clocks of the two.
-	BeforeChange *ReportTimes `cbor:"10,keyasint,omitempty"`
 }
 
 // Holding is the part of one organisation in a session.
@@ -191,30 +184,52 @@
 	if old != nil {
 		b.removeFromTotals(old)
 	}
-	b.Sessions[o.Host] = newSession(o, old)
+	b.Sessions[o.Host] = &Session{ID: o.Session, BootTime: o.BootTime, WallTime: o.WallTime, ArrivalTime: o.ArrivalTime, Holdings: map[string]*Holding{}}
 	if old == nil {
 		return nil
 	}
 	settlement := &SessionSettlement{Host: o.Host}
-	charge := old.terminate(o)
-	for name, part := range charge.Parts {
-		b.charge(name, part.Held, old.Holdings[name].Used, settlement)
-		settlement.Provisional += part.Held - part.Base
-	}
 	var known bool
-	settlement.Gap, known = b.maxGap(old, o)
+	settlement.Gap, known = old.maxGap(o)
 	settlement.Bounded = known && settlement.Gap <= FullReserveDelay
-	if known {
-		refunded := b.limitCharge(charge, settlement.Gap)
-		settlement.Charged -= refunded
-		settlement.WrittenOff -= refunded
-		settlement.Provisional -= refunded
-	} else {
-		b.awaitMeasurement(o.Host, charge)
+	provisional := &ProvisionalCharge{
+		Seq: old.Seq, Witnesses: old.Witnesses, ReserveTokens: map[string]int64{}, BaseCeilings: map[string]int64{},
+	}
+	for name, h := range old.Holdings {
+		base := min(h.held(), h.Used+h.Reserved+h.Burst+h.receivedSinceReport())
+		charged := h.held()
+		if settlement.Bounded {
+			charged = min(charged, base+h.maxReserveSpend(settlement.Gap))
+		}
+		b.charge(name, charged, h.Used, settlement)
+		provisional.ReserveTokens[name] = charged - base
+		provisional.BaseCeilings[name] = base + h.sentTotal() - max(h.Credited, h.Received)
+		settlement.Provisional += charged - base
+	}
+	if known && settlement.Gap <= UnwitnessedReserveDelay && settlement.Provisional > 0 && len(old.Witnesses) > 0 {
+		b.Provisional[old.ID] = provisional
 	}
 	return settlement
 }
 
+// maxGap returns the longest time that can have passed between the session's last report
+// and the end of its process, and whether it is known. The host's boot-time clock measures
+// it exactly unless the machine was rebooted, which shows as a different advance of its
+// wall clock. After a reboot the gap is the larger of two wall-clock measurements, by the
+// host and by the control group, plus clockUncertainty: a single clock that was stepped
+// back would yield a gap that is too short.
+func (s *Session) maxGap(o SessionOpening) (time.Duration, bool) {
+	boot, wall := time.Duration(o.BootTime-s.BootTime), time.Duration(o.WallTime-s.WallTime)
+	if boot >= 0 && (boot-wall).Abs() <= clockTolerance {
+		return boot, true
+	}
+	if wall < 0 {
+		return wall, false
+	}
+	control := time.Duration(o.ArrivalTime - s.ArrivalTime - o.Age)
+	return max(wall, control) + clockUncertainty, true
+}
+
 // CloseSession ends the session of a host that stops, after its last report. The host
 // spends nothing after requesting this.
 func (b *Book) CloseSession(host string, session uint64) {
@@ -238,6 +253,12 @@
 	settlement.WrittenOff += tokens - used
 }
 
+// maxReserveSpend returns the most that the host commits beyond its burst within d after
+// the report if it opens its reserve.
+func (u *Use) maxReserveSpend(d time.Duration) int64 {
+	return int64(float64(u.Rate) * max(d-ReserveOpenDelay, 0).Seconds())
+}
+
 // ApplyReport applies a report and grants what the balances allow. arrival is the wall
 // clock of the control host when the report arrived, in Unix ns.
 func (b *Book) ApplyReport(host string, r *Report, arrival int64) Reply {
@@ -246,8 +267,7 @@
 		return Reply{Seq: r.Seq, UnknownSession: true}
 	}
 	if r.Seq > s.Seq {
-		s.Seq, s.ArrivalTime, s.Witnesses = r.Seq, arrival, r.Witnesses
-		b.recordReportTimes(s, r)
+		s.Seq, s.BootTime, s.WallTime, s.ArrivalTime, s.Witnesses = r.Seq, r.BootTime, r.WallTime, arrival, r.Witnesses
 		for _, u := range r.Uses {
 			h := s.holding(u.Organisation)
 			b.applyTransfers(u.Organisation, &h.Use, &u)
--- a/internal/prepaid/messages.go
+++ b/internal/prepaid/messages.go
@@ -101,19 +101,6 @@
 	// Witnesses are the sessions of the hosts that must record the opening of this host's
 	// reserve.
 	Witnesses []uint64 `cbor:"6,keyasint,omitempty"`
-	// AckAge is the time from the acknowledgement of the previous report until this one was
-	// made, in ns.
-	AckAge int64 `cbor:"7,keyasint,omitempty"`
-	// Arrival is set by the leader when the report arrives.
-	Arrival ClockReading `cbor:"8,keyasint,omitzero"`
-}
-
-// ClockReading is a reading of the boot-time clock of a control host, in ns.
-type ClockReading struct {
-	// Clock identifies the process that read its clock. Readings of different processes are
-	// not comparable. It is 0 if there is no reading.
-	Clock uint64 `cbor:"1,keyasint"`
-	Time  int64  `cbor:"2,keyasint"`
 }
 
 // Ceiling bounds what a session commits of one organisation's tokens while its reserve is
@@ -186,6 +173,4 @@
 	Age int64 `cbor:"5,keyasint,omitempty"`
 	// ArrivalTime is the wall clock of the control host when this arrived, in Unix ns.
 	ArrivalTime int64 `cbor:"6,keyasint,omitempty"`
-	// Arrival is set by the leader when this arrives.
-	Arrival ClockReading `cbor:"7,keyasint,omitzero"`
 }
--- a/internal/prepaid/witness.go
+++ b/internal/prepaid/witness.go
@@ -56,7 +56,9 @@
 	}
 	for name := range p.ReserveTokens {
 		tokens := p.unspent(name)
-		b.refund(name, tokens)
+		a := b.account(name)
+		a.Charged -= tokens
+		a.WrittenOff -= tokens
 		refunded += tokens
 	}
 	delete(b.Provisional, answer.Session)
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -1,22 +1,11 @@
-// Package timing provides sleeps and periodic calls that end with a context, and the boot-time clock.
+// Package timing provides sleeps and periodic calls that end with a context.
 package timing
 
 import (
 	"context"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// BootTime returns the time since boot in nanoseconds, including suspended time.
-func BootTime() int64 {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic(err) // available since Linux 2.6.39
-	}
-	return ts.Nano()
-}
-
 // Sleep waits for d or until ctx is done and reports whether ctx is not done. It returns
 // immediately if ctx is done or d is not positive.
 func Sleep(ctx context.Context, d time.Duration) bool {
