Take the vote of a control host that stops in order without waiting for its silence

Cause: a host that stops for good looked like one that may return at any moment. A host now tells the others that its replica has stopped.

--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -192,14 +192,17 @@
 	for i := range msg.Records {
 		n.applyReport(msg.Records[i].Upstream, msg.Records[i].Coldness(now), now.Add(-msg.Records[i].Age), now)
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if msg.StoppedReplicaID != 0 {
+		n.replicaSigns.stopped[msg.StoppedReplicaID] = true
+	}
 	if msg.Sender == "" {
 		return &UpstreamsReply{}, nil
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, epoch: msg.SenderEpoch, heardAt: now}
 	n.features[msg.Sender] = msg.Features
-	n.heardReplicas[msg.ReplicaID] = true
+	n.replicaSigns.heard[msg.ReplicaID] = true
 	remote, known := n.remoteUpstreams[msg.Sender].after(msg)
 	if !known {
 		return &UpstreamsReply{}, nil
@@ -213,13 +216,13 @@
 	return &UpstreamsReply{Generation: remote.generation}, nil
 }
 
-// takeHeardReplicas returns the ids of the replicas whose hosts have sent an exchange since the latest call.
-func (n *Node) takeHeardReplicas() map[uint64]bool {
+// takeReplicaSigns returns what was heard of other replicas since the latest call.
+func (n *Node) takeReplicaSigns() replicaSigns {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	heard := n.heardReplicas
-	n.heardReplicas = map[uint64]bool{}
-	return heard
+	signs := n.replicaSigns
+	n.replicaSigns = newReplicaSigns()
+	return signs
 }
 
 // after returns the upstreams that report to the sender as of a message, and false if the message
--- a/internal/controlnode/group_test.go
+++ b/internal/controlnode/group_test.go
@@ -247,6 +247,20 @@
 	gr.expectRead("2 two")
 }
 
+// Guards against a host that stops in order and keeps its vote in a group that could lose no other voter then.
+func TestHostThatStopsYieldsItsVoteAtOnce(t *testing.T) {
+	gr := newGroup(t)
+	for i := 1; i <= 3; i++ {
+		gr.start(i, true)
+	}
+	gr.start(4, false)
+	gr.awaitVoters(1, 2, 3, 4)
+	const waitForAHostThatCrashed = 1500 * time.Millisecond
+	limit := time.Now().Add(waitForAHostThatCrashed)
+	gr.stop(4)
+	gr.g.Eventually(gr.voters, time.Until(limit), "20ms").Should(HaveLen(3))
+}
+
 func TestMinorityRefusesReadsAndWrites(t *testing.T) {
 	gr := newGroup(t)
 	gr.startAll(true)
--- a/internal/controlnode/membership_sim_test.go
+++ b/internal/controlnode/membership_sim_test.go
@@ -172,6 +172,11 @@
 		}
 	}
 	g.kill(h)
+	for _, other := range g.hosts {
+		if id := h.id; other != h && other.started >= 0 && !other.removed && g.reaches(h, other) {
+			g.deliver(h, other, true, func() { other.supervisor.hearStop(id) })
+		}
+	}
 }
 
 // wipe erases the disk of h.
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -325,6 +325,8 @@
 	SenderEpoch uint64 `cbor:"9,keyasint,omitempty"`
 	// ReplicaID is the id of the replica that the sender runs; 0 if it runs none, or in builds that do not state it.
 	ReplicaID uint64 `cbor:"10,keyasint,omitempty"`
+	// StoppedReplicaID is the id of the sender's replica if it has stopped because the host stops in order.
+	StoppedReplicaID uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // UpstreamsReply acknowledges an UpstreamsMessage.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -97,9 +97,8 @@
 	// log entries that it understands, by address. It outlives controlHosts, as a voter that is down
 	// counts too.
 	features map[string]int
-	// heardReplicas holds the ids of the replicas whose hosts have sent an exchange since the membership was
-	// last supervised.
-	heardReplicas map[uint64]bool
+	// replicaSigns holds what was heard of other replicas since the membership was last supervised.
+	replicaSigns replicaSigns
 	// generations holds the latest sets of upstreams that report to this host.
 	generations []directUpstreams
 	// origins holds the records of streams that gateway hosts sent to this host.
@@ -122,7 +121,7 @@
 		addresses: map[uint64]string{}, table: presence.NewTable(),
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
 		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
-		features: map[string]int{}, heardReplicas: map[uint64]bool{},
+		features: map[string]int{}, replicaSigns: newReplicaSigns(),
 		origins: streamorigin.NewTable(),
 	}
 	if o.Decode != nil {
@@ -201,6 +200,7 @@
 	if r == nil {
 		return
 	}
+	others := n.otherControlHosts()
 	if r.Status().Role == replication.Leader {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -214,6 +214,17 @@
 	if err := r.Stop(); err != nil {
 		klog.ErrorS(err, "replica stopped with an error")
 	}
+	n.announceStop(r.Status().ID, others)
+}
+
+// announceStop tells other control hosts that this host's replica has stopped, so that the group need not wait to
+// find out whether it is silent for good.
+func (n *Node) announceStop(id uint64, others []string) {
+	var wg sync.WaitGroup
+	for _, address := range others {
+		wg.Go(func() { n.sendUpstreams(n.ctx, address, &UpstreamsMessage{StoppedReplicaID: id}) })
+	}
+	wg.Wait()
 }
 
 // awaitSuccessor waits until r is no longer the leader or ctx ends.
--- a/internal/controlnode/replacements_test.go
+++ b/internal/controlnode/replacements_test.go
@@ -23,18 +23,20 @@
 // simSupervisor is the part of Node.supervise that decides on the membership.
 type simSupervisor struct {
 	tracker *memberTracker
-	heard   map[uint64]bool
+	signs   replicaSigns
 }
 
 func newSimSupervisor(now time.Duration) *simSupervisor {
-	return &simSupervisor{newMemberTracker(time.Unix(0, 0).Add(now)), map[uint64]bool{}}
+	return &simSupervisor{newMemberTracker(time.Unix(0, 0).Add(now)), newReplicaSigns()}
 }
 
-func (s *simSupervisor) hear(id uint64) { s.heard[id] = true }
+func (s *simSupervisor) hear(id uint64) { s.signs.heard[id] = true }
+
+func (s *simSupervisor) hearStop(id uint64) { s.signs.stopped[id] = true }
 
 func (s *simSupervisor) update(st replica.Status, now time.Duration) {
-	s.tracker.update(st, s.heard, time.Unix(0, 0).Add(now))
-	s.heard = map[uint64]bool{}
+	s.tracker.update(st, s.signs, time.Unix(0, 0).Add(now))
+	s.signs = newReplicaSigns()
 }
 
 func (s *simSupervisor) next() (memberChange, memberState) {
--- a/internal/controlnode/voters.go
+++ b/internal/controlnode/voters.go
@@ -19,6 +19,9 @@
 	// promotionDelay is the time between the first catching up of a new replica and its vote. It
 	// exceeds the election timeout, so that a voter that it replaces is known to be silent.
 	promotionDelay = time.Second
+	// stopConfirmation is the time without an answer after which a leader believes that a replica has
+	// stopped in order. It exceeds the interval between heartbeats: the statement may be of an earlier stop.
+	stopConfirmation = 3 * heartbeatTicks * tickInterval
 	// removalTimeout is the time without contact after which a replica is removed in any case.
 	// Hosts may freeze or lose their network for up to 9 s and return with their disks intact.
 	removalTimeout = 20 * time.Second
@@ -34,6 +37,9 @@
 	// undecided reports that the leader has led for less than the election timeout and has not yet
 	// heard from the replica, which may still answer.
 	undecided bool
+	// stopped reports that the replica said that it stops, stoppedFor ago, and has not been heard from since.
+	stopped    bool
+	stoppedFor time.Duration
 	// caughtUp reports whether a learner has the committed log, and readyFor the time for which it has had it.
 	caughtUp bool
 	readyFor time.Duration
@@ -51,9 +57,16 @@
 	return &memberTracker{updatedAt: now, members: map[uint64]*memberState{}}
 }
 
-// update records the status s of this host's replica and the ids of the replicas whose hosts have sent
-// an exchange since the latest update.
-func (t *memberTracker) update(s replica.Status, heard map[uint64]bool, now time.Time) {
+// replicaSigns are the ids of the replicas whose hosts have sent an exchange, and of those that have said that
+// they stop.
+type replicaSigns struct{ heard, stopped map[uint64]bool }
+
+func newReplicaSigns() replicaSigns {
+	return replicaSigns{heard: map[uint64]bool{}, stopped: map[uint64]bool{}}
+}
+
+// update records the status s of this host's replica and the signs of others since the latest update.
+func (t *memberTracker) update(s replica.Status, signs replicaSigns, now time.Time) {
 	elapsed := min(now.Sub(t.updatedAt), 2*superviseInterval)
 	t.updatedAt = now
 	known := t.members
@@ -65,9 +78,14 @@
 		}
 		t.members[p.ID] = m
 		m.Peer = p.Peer
+		m.stoppedFor += elapsed
+		if signs.stopped[p.ID] {
+			m.stopped, m.stoppedFor = true, 0
+		}
 		if s.Role != replication.Leader {
 			m.undecided, m.caughtUp, m.readyFor = false, false, 0
-			m.addSilence(elapsed, p.ID == s.ID || p.ID == s.Leader || heard[p.ID])
+			m.addSilence(elapsed, p.ID == s.ID || p.ID == s.Leader || signs.heard[p.ID])
+			m.stopped = m.stopped && m.silentFor > 0
 			// The silence may be that of the link to this host, or of an earlier build's exchanges.
 			m.silentFor = min(m.silentFor, evenRemovalTimeout)
 			continue
@@ -91,6 +109,7 @@
 	} else {
 		m.addSilence(elapsed, self || p.Heard)
 	}
+	m.updateStopped(p)
 	wasCaughtUp := m.caughtUp
 	m.caughtUp = p.Learner && p.Active && p.Match >= commit
 	switch {
@@ -101,6 +120,18 @@
 	}
 }
 
+// updateStopped counts a replica that stopped in order as silent for long enough to be replaced.
+func (m *memberState) updateStopped(p replication.PeerStatus) {
+	answered := p.Heard && time.Duration(p.SilentTicks)*tickInterval < stopConfirmation
+	switch {
+	case !m.stopped || m.undecided:
+	case !answered:
+		m.silentFor = max(m.silentFor, replacementTimeout)
+	case m.stoppedFor > replacementTimeout:
+		m.stopped = false
+	}
+}
+
 // states returns the state of each replica as of the latest update, ordered by id.
 func (t *memberTracker) states() []memberState {
 	list := make([]memberState, 0, len(t.members))
