Count the time for which a machine was suspended in the age of its table of upstreams

The age now includes the time for which the machine was suspended, the difference between the boot-time clock and the steady one; suspensions of less than 50 ms do not count, as the two are not read at once. TestTableIsNotCurrentAfterTheMachineWasSuspended fails with that part left out. internal/placement, internal/hostsync and internal/gateway pass; not played on a machine that is suspended.

--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -24,6 +24,7 @@
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/rto"
 	"github.com/godwitbend/godwitbend/internal/streamorigin"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -265,7 +266,7 @@
 			if address != c.servedBy {
 				req.TableDigests = c.options.Pool.TableDigests()
 			}
-			began := time.Now()
+			began, suspended := time.Now(), timing.Suspended()
 			reply, err := c.call(ctx, address, req)
 			if err != nil {
 				lastErr = err
@@ -273,7 +274,7 @@
 			}
 			if !reply.NotLeader {
 				c.servedBy = address
-				return c.applyReply(req, reply, began)
+				return c.applyReply(req, reply, began.Add(suspended-timing.Suspended()))
 			}
 			c.applyNews(reply)
 			lastErr = eris.New("the leader of the control group is unknown")
--- a/internal/hostsync/currency.go
+++ b/internal/hostsync/currency.go
@@ -110,7 +110,7 @@
 // confirmTable asks other gateway hosts, and confirms the table once most have said that they know no more of
 // the upstreams.
 func (c *Client) confirmTable() {
-	began := time.Now()
+	began, suspended := time.Now(), timing.Suspended()
 	ctx, cancel := context.WithTimeout(context.Background(), tableCheckTimeout)
 	defer cancel()
 	hosts := c.OtherHosts()
@@ -132,7 +132,7 @@
 			ages = append(ages, reply.Age)
 		}
 		if knowsNoLess(c.options.Pool.TableAge(time.Now()), ages, len(hosts)) {
-			c.options.Pool.ConfirmTable(began)
+			c.options.Pool.ConfirmTable(began.Add(suspended - timing.Suspended()))
 			return
 		}
 	}
--- a/internal/placement/currency.go
+++ b/internal/placement/currency.go
@@ -9,21 +9,49 @@
 // may differ. Gateway hosts call the control group each 250 to 500 ms, and a call takes up to 700 ms.
 const MaxTableAge = 1200 * time.Millisecond
 
+// minSuspension is the least time for which a machine counts as suspended. It exceeds the time between the readings of
+// two clocks.
+const minSuspension = 50 * time.Millisecond
+
 // tableCurrency tells as of which time this host knows the upstreams. A host that was suspended or cut off
 // does not know of processes that restarted meanwhile with another software version.
 type tableCurrency struct {
-	// syncedAsOf is the time as of which the control group has told this host of all changes, and
-	// confirmedAsOf that at which other hosts knew no more than this one.
-	syncedAsOf, confirmedAsOf time.Time
+	// suspended returns the time for which the machine has been suspended since its boot.
+	suspended func() time.Duration
+	// synced is the time as of which the control group has told this host of all changes, and
+	// confirmed that at which other hosts knew no more than this one.
+	synced, confirmed moment
+}
+
+// moment is a time, and the time for which the machine had been suspended by then.
+type moment struct {
+	time.Time
+	suspended time.Duration
+}
+
+// advance moves m to a later time.
+func (c *tableCurrency) advance(m *moment, asOf time.Time) {
+	if asOf.After(m.Time) {
+		*m = moment{asOf, c.suspended()}
+	}
+}
+
+// age returns the time since m, including that for which the machine was suspended; the maximum duration if
+// m is zero.
+func (c *tableCurrency) age(m moment, now time.Time) time.Duration {
+	if m.IsZero() {
+		return math.MaxInt64
+	}
+	suspended := c.suspended() - m.suspended
+	if suspended < minSuspension {
+		suspended = 0
+	}
+	return max(now.Sub(m.Time)+suspended, 0)
 }
 
 // isCurrent reports whether no other host is known to know more.
 func (c *tableCurrency) isCurrent(now time.Time) bool {
-	asOf := c.syncedAsOf
-	if c.confirmedAsOf.After(asOf) {
-		asOf = c.confirmedAsOf
-	}
-	return now.Sub(asOf) <= MaxTableAge
+	return min(c.age(c.synced, now), c.age(c.confirmed, now)) <= MaxTableAge
 }
 
 // TableAge returns the time since the control group told this host of all changes of upstreams; the maximum
@@ -31,10 +59,7 @@
 func (p *Pool) TableAge(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.currency.syncedAsOf.IsZero() {
-		return math.MaxInt64
-	}
-	return max(now.Sub(p.currency.syncedAsOf), 0)
+	return p.currency.age(p.currency.synced, now)
 }
 
 // TableCurrent reports whether this host knows the upstreams as well as others do. While it does not, resumed
@@ -50,7 +75,5 @@
 func (p *Pool) ConfirmTable(asOf time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if asOf.After(p.currency.confirmedAsOf) {
-		p.currency.confirmedAsOf = asOf
-	}
+	p.currency.advance(&p.currency.confirmed, asOf)
 }
--- a/internal/placement/currency_test.go
+++ b/internal/placement/currency_test.go
@@ -139,3 +139,23 @@
 	confirm(p, broken, confirmTime)
 	g.Expect(resumes(p, "v1", broken.Add(confirmTime))).To(BeTrue())
 }
+
+// Guards against a stream that is resumed at an upstream which restarted while this machine was suspended: the
+// steady clock does not count that time.
+func TestTableIsNotCurrentAfterTheMachineWasSuspended(t *testing.T) {
+	g := NewWithT(t)
+	p := newVersionedPool("v1")
+	suspended := time.Duration(0)
+	p.currency.suspended = func() time.Duration { return suspended }
+	p.ControlSynced(startTime.Add(time.Second))
+	now := startTime.Add(time.Second + 100*time.Millisecond)
+	g.Expect(resumes(p, "v1", now)).To(BeTrue())
+	suspended = 2500 * time.Millisecond
+	g.Expect(p.TableCurrent(now)).To(BeFalse())
+	g.Expect(p.TableAge(now)).To(Equal(2600 * time.Millisecond))
+	_, refused := p.Choose(resumedRequest(1, "v1"), now)
+	g.Expect(refused).NotTo(BeNil())
+	g.Expect(refused.Reason).To(Equal(VersionUnconfirmed))
+	p.ControlSynced(now.Add(100 * time.Millisecond))
+	g.Expect(resumes(p, "v1", now.Add(200*time.Millisecond))).To(BeTrue())
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/presence"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -150,7 +151,7 @@
 		zone: zone, table: presence.NewTable(),
 		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
 		peers: map[uint64]*peerLoad{}, stats: map[string]*prefillStats{}, noticeReports: map[string]*observedNotice{}, loadChanged: make(chan struct{}, 1), loadsReported: make(chan struct{}, 1),
-		brittle: map[string]*brittleness{}, brittleShares: map[string]int{},
+		brittle: map[string]*brittleness{}, brittleShares: map[string]int{}, currency: tableCurrency{suspended: timing.Suspended},
 		clock: time.Now, warmUpOptions: WarmUpOptions{Burst: DefaultWarmUpBurst},
 	}
 }
--- a/internal/placement/versiondoubt.go
+++ b/internal/placement/versiondoubt.go
@@ -67,15 +67,13 @@
 }
 
 // ControlSynced records that the control group has told this host of all changes as of a time, at which the
-// call began: a reply may have waited while this host was suspended. Doubts end at upstreams of which
+// call began, less the time for which the machine was suspended since: a reply may have waited meanwhile. Doubts end at upstreams of which
 // no other process has become known meanwhile. One whose heartbeat is overdue may be down, and
 // restart later.
 func (p *Pool) ControlSynced(asOf time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if asOf.After(p.currency.syncedAsOf) {
-		p.currency.syncedAsOf = asOf
-	}
+	p.currency.advance(&p.currency.synced, asOf)
 	for _, u := range p.upstreams {
 		if u.doubt == nil {
 			continue
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -1,11 +1,28 @@
-// Package timing provides sleeps and periodic calls that end with a context.
+// Package timing provides sleeps and periodic calls that end with a context, and the time for which the machine
+// was suspended.
 package timing
 
 import (
 	"context"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// Suspended returns the time for which the machine has been suspended since its boot, which the
+// differences between values of time.Now do not include.
+func Suspended() time.Duration {
+	return clock(unix.CLOCK_BOOTTIME) - clock(unix.CLOCK_MONOTONIC)
+}
+
+func clock(id int32) time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(id, &ts); err != nil {
+		panic(err) // both are available since Linux 2.6.39
+	}
+	return time.Duration(ts.Nano())
+}
+
 // Sleep waits for d or until ctx is done and reports whether ctx is not done. It returns
 // immediately if ctx is done or d is not positive.
 func Sleep(ctx context.Context, d time.Duration) bool {
