--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -195,14 +195,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if msg.StoppedReplicaID != 0 {
-		n.replicaSigns.stopped[msg.StoppedReplicaID] = true
+		n.replicaReports.stopped[msg.StoppedReplicaID] = true
 	}
 	if msg.Sender == "" {
 		return &UpstreamsReply{}, nil
 	}
 	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, epoch: msg.SenderEpoch, heardAt: now}
 	n.features[msg.Sender] = msg.Features
-	n.replicaSigns.heard[msg.ReplicaID] = true
+	n.replicaReports.heard[msg.ReplicaID] = true
 	remote, known := n.remoteUpstreams[msg.Sender].after(msg)
 	if !known {
 		return &UpstreamsReply{}, nil
@@ -216,13 +216,13 @@
 	return &UpstreamsReply{Generation: remote.generation}, nil
 }
 
-// takeReplicaSigns returns what was heard of other replicas since the latest call.
-func (n *Node) takeReplicaSigns() replicaSigns {
+// takeReplicaReports returns what was heard of other replicas since the latest call.
+func (n *Node) takeReplicaReports() replicaReports {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	signs := n.replicaSigns
-	n.replicaSigns = newReplicaSigns()
-	return signs
+	reports := n.replicaReports
+	n.replicaReports = newReplicaReports()
+	return reports
 }
 
 // after returns the upstreams that report to the sender as of a message, and false if the message
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -228,7 +228,7 @@
 		n.recordAddresses(peersOf(s))
 		now := time.Now()
 		leaderless.update(s, now, func() []string { return n.silentVoters(s, now) })
-		tracker.update(s, n.takeReplicaSigns(), now)
+		tracker.update(s, n.takeReplicaReports(), now)
 		switch {
 		case s.Role == replication.Leader:
 			lastLeaderSeen = now
@@ -258,7 +258,7 @@
 		if change == noChange || !n.changeMembership(ctx, r, change, m) {
 			return
 		}
-		tracker.update(r.Status(), replicaSigns{}, time.Now())
+		tracker.update(r.Status(), replicaReports{}, time.Now())
 	}
 }
 
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -97,8 +97,8 @@
 	// log entries that it understands, by address. It outlives controlHosts, as a voter that is down
 	// counts too.
 	features map[string]int
-	// replicaSigns holds what was heard of other replicas since the membership was last supervised.
-	replicaSigns replicaSigns
+	// replicaReports holds what was heard of other replicas since the membership was last supervised.
+	replicaReports replicaReports
 	// generations holds the latest sets of upstreams that report to this host.
 	generations []directUpstreams
 	// origins holds the records of streams that gateway hosts sent to this host.
@@ -121,7 +121,7 @@
 		addresses: map[uint64]string{}, table: presence.NewTable(),
 		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
 		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
-		features: map[string]int{}, replicaSigns: newReplicaSigns(),
+		features: map[string]int{}, replicaReports: newReplicaReports(),
 		origins: streamorigin.NewTable(),
 	}
 	if o.Decode != nil {
--- a/internal/controlnode/replacements_test.go
+++ b/internal/controlnode/replacements_test.go
@@ -23,20 +23,20 @@
 // simSupervisor is the part of Node.supervise that decides on the membership.
 type simSupervisor struct {
 	tracker *memberTracker
-	signs   replicaSigns
+	reports replicaReports
 }
 
 func newSimSupervisor(now time.Duration) *simSupervisor {
-	return &simSupervisor{newMemberTracker(time.Unix(0, 0).Add(now)), newReplicaSigns()}
+	return &simSupervisor{newMemberTracker(time.Unix(0, 0).Add(now)), newReplicaReports()}
 }
 
-func (s *simSupervisor) hear(id uint64) { s.signs.heard[id] = true }
+func (s *simSupervisor) hear(id uint64) { s.reports.heard[id] = true }
 
-func (s *simSupervisor) hearStop(id uint64) { s.signs.stopped[id] = true }
+func (s *simSupervisor) hearStop(id uint64) { s.reports.stopped[id] = true }
 
 func (s *simSupervisor) update(st replica.Status, now time.Duration) {
-	s.tracker.update(st, s.signs, time.Unix(0, 0).Add(now))
-	s.signs = newReplicaSigns()
+	s.tracker.update(st, s.reports, time.Unix(0, 0).Add(now))
+	s.reports = newReplicaReports()
 }
 
 func (s *simSupervisor) next() (memberChange, memberState) {
--- a/internal/controlnode/silence_test.go
+++ b/internal/controlnode/silence_test.go
@@ -30,12 +30,12 @@
 	}
 	for range 4 * removalTimeout / superviseInterval {
 		now = now.Add(superviseInterval)
-		tracker.update(status(replication.Follower, 2, false), replicaSigns{}, now)
+		tracker.update(status(replication.Follower, 2, false), replicaReports{}, now)
 	}
 	// Voter 5 restarts while the leader changes.
 	for led := time.Duration(0); led < removalTimeout/2; led += superviseInterval {
 		now = now.Add(superviseInterval)
-		tracker.update(status(replication.Leader, 1, led < electionTicks*tickInterval), replicaSigns{}, now)
+		tracker.update(status(replication.Leader, 1, led < electionTicks*tickInterval), replicaReports{}, now)
 		change, m := nextMemberChange(tracker.states())
 		g.Expect(change).To(Equal(noChange), "replica %d, after %s", m.ID, led)
 	}
@@ -65,7 +65,7 @@
 	}
 	for range d / superviseInterval {
 		g.now = g.now.Add(superviseInterval)
-		g.update(g.status, replicaSigns{heard: ids}, g.now)
+		g.update(g.status, replicaReports{heard: ids}, g.now)
 	}
 }
 
@@ -149,11 +149,11 @@
 		status.Peers = append(status.Peers, replication.PeerStatus{Peer: replication.Peer{ID: id}, Active: true, Heard: id > 1, SilentTicks: heartbeatTicks})
 	}
 	status.Peers = append(status.Peers, replication.PeerStatus{Peer: replication.Peer{ID: 5, Learner: true}, Active: true, Heard: true, Match: 10})
-	signs := replicaSigns{stopped: map[uint64]bool{4: true}}
+	reports := replicaReports{stopped: map[uint64]bool{4: true}}
 	for range 20 {
 		now = now.Add(superviseInterval)
-		tracker.update(status, signs, now)
-		signs = replicaSigns{}
+		tracker.update(status, reports, now)
+		reports = replicaReports{}
 		g.Expect(tracker.members[4].silentFor).To(BeZero())
 	}
 	g.Expect(tracker.members[4].stopped).To(BeFalse())
--- a/internal/controlnode/voters.go
+++ b/internal/controlnode/voters.go
@@ -57,16 +57,16 @@
 	return &memberTracker{updatedAt: now, members: map[uint64]*memberState{}}
 }
 
-// replicaSigns are the ids of the replicas whose hosts have sent an exchange, and of those that have said that
+// replicaReports are the ids of the replicas whose hosts have sent an exchange, and of those that have said that
 // they stop.
-type replicaSigns struct{ heard, stopped map[uint64]bool }
+type replicaReports struct{ heard, stopped map[uint64]bool }
 
-func newReplicaSigns() replicaSigns {
-	return replicaSigns{heard: map[uint64]bool{}, stopped: map[uint64]bool{}}
+func newReplicaReports() replicaReports {
+	return replicaReports{heard: map[uint64]bool{}, stopped: map[uint64]bool{}}
 }
 
-// update records the status s of this host's replica and the signs of others since the latest update.
-func (t *memberTracker) update(s replica.Status, signs replicaSigns, now time.Time) {
+// update records the status s of this host's replica and the reports of others since the latest update.
+func (t *memberTracker) update(s replica.Status, reports replicaReports, now time.Time) {
 	elapsed := min(now.Sub(t.updatedAt), 2*superviseInterval)
 	t.updatedAt = now
 	known := t.members
@@ -79,12 +79,12 @@
 		t.members[p.ID] = m
 		m.Peer = p.Peer
 		m.stoppedFor += elapsed
-		if signs.stopped[p.ID] {
+		if reports.stopped[p.ID] {
 			m.stopped, m.stoppedFor = true, 0
 		}
 		if s.Role != replication.Leader {
 			m.undecided, m.caughtUp, m.readyFor = false, false, 0
-			m.addSilence(elapsed, p.ID == s.ID || p.ID == s.Leader || signs.heard[p.ID])
+			m.addSilence(elapsed, p.ID == s.ID || p.ID == s.Leader || reports.heard[p.ID])
 			m.stopped = m.stopped && m.silentFor > 0
 			// The silence may be that of the link to this host, or of an earlier build's exchanges.
 			m.silentFor = min(m.silentFor, evenRemovalTimeout)
