A host whose replica the group removed never founds a group again

Cause: when the group removes a replica, its host deletes the files and creates a new identity. Bootstrap holds for the life of the process, so that a founder founded the group anew, as the replica that it had been first. One such host only waited, and was lost to the group. Two of three founders elected a leader, took changes and answered reads: a second group. Quick replacement made it likely, but the code is as old as the removal.

Ruled out: unconfirmed reads (the read index was confirmed in each case), lost entries (the first group kept them all): the log lines of 'document read' show the founders as voters, term and index of the second.

Change: the identity on disk is marked as removed, synced, before the files are deleted; a host with such an identity deletes what a crash left of them and joins. It holds over restarts, whatever bootstrap says.

--- a/internal/controlnode/group_test.go
+++ b/internal/controlnode/group_test.go
@@ -220,6 +220,22 @@
 	gr.expectRead("7 seven")
 }
 
+// Guards against a second group, founded by a host whose process starts again after the group removed its replica.
+func TestFounderWhoseReplicaWasRemovedJoins(t *testing.T) {
+	gr := newGroup(t)
+	gr.start(2, true)
+	gr.start(3, true)
+	gr.put(2, 7, "seven")
+	gr.g.Expect(os.MkdirAll(filepath.Join(gr.directory(1), "log"), 0o750)).To(Succeed())
+	removed, leftover := filepath.Join(gr.directory(1), "identity.json"), filepath.Join(gr.directory(1), "log", "00000000000000000001.wal")
+	gr.g.Expect(os.WriteFile(removed, []byte(`{"replica_id":1,"removed":true}`), 0o600)).To(Succeed())
+	gr.g.Expect(os.WriteFile(leftover, []byte("part of a log"), 0o600)).To(Succeed())
+	gr.start(1, true)
+	gr.g.Eventually(func() uint64 { return gr.replicaID(1) }, eventuallyTimeout).Should(BeNumerically(">", 3))
+	gr.awaitVoters(1, 2, 3)
+	gr.expectRead("7 seven")
+}
+
 // A host with an empty disk at an address that is not among the seeds must become a voter.
 func TestNewHostBecomesVoter(t *testing.T) {
 	gr := newGroup(t)
--- a/internal/controlnode/identity.go
+++ b/internal/controlnode/identity.go
@@ -22,6 +22,8 @@
 	// Founders is the initial membership of a new group. It is set until the replica has
 	// written its initial state to disk.
 	Founders []replication.Peer `json:"founders,omitempty"`
+	// Removed is set once the group has removed the replica. The host never founds a group again.
+	Removed bool `json:"removed,omitempty"`
 }
 
 // loadIdentity reads the identity, or returns nil if the data directory holds no replica.
@@ -48,14 +50,12 @@
 	return eris.Wrap(wal.WriteFileAtomic(files, filepath.Join(directory, identityFile), data), "save the replica's identity")
 }
 
-// removeReplicaFiles deletes a replica's files so that the host can join under a new id. The
-// identity is deleted first, because the other files are never read without it.
-func removeReplicaFiles(files wal.FS, directory string) error {
-	if err := files.Remove(filepath.Join(directory, identityFile)); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return eris.Wrap(err, "remove the replica's identity")
-	}
-	if err := files.SyncDir(directory); err != nil {
-		return eris.Wrap(err, "sync the data directory")
+// removeReplica deletes the files of a replica that the group has removed, so that the host can join
+// under a new id. The identity is marked first, so that nobody reads the files if a crash leaves some.
+func (id *identity) removeReplica(files wal.FS, directory string) error {
+	removed := &identity{ReplicaID: id.ReplicaID, Removed: true}
+	if err := removed.save(files, directory); err != nil {
+		return err
 	}
 	for _, name := range []string{"log", "snapshots"} {
 		if err := removeFiles(files, filepath.Join(directory, name)); err != nil {
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -91,37 +91,49 @@
 		return err
 	}
 	klog.InfoS("replica was removed from the group; joining under a new id", "replica", id.ReplicaID)
-	return removeReplicaFiles(n.options.FS, n.options.Directory)
+	return id.removeReplica(n.options.FS, n.options.Directory)
 }
 
-// loadOrCreateIdentity returns the identity on disk. Without one it founds the group, if
-// this host is a founder, or joins it, and saves the new identity.
+// loadOrCreateIdentity returns the identity on disk, or creates one and saves it.
 func (n *Node) loadOrCreateIdentity(ctx context.Context) (*identity, error) {
 	id, err := loadIdentity(n.options.FS, n.options.Directory)
-	if err != nil || id != nil {
+	if err != nil || id != nil && !id.Removed {
 		return id, err
 	}
-	if founders := n.founders(); founders != nil {
-		own := slices.IndexFunc(founders, func(p replication.Peer) bool { return p.Address == n.options.Address })
-		id = &identity{ReplicaID: founders[own].ID, Founders: founders}
-	} else if id, err = n.requestMembership(ctx, 0); err != nil {
+	if id, err = n.newIdentity(ctx, id); err != nil {
 		return nil, err
 	}
 	return id, id.save(n.options.FS, n.options.Directory)
 }
 
-// founders returns the initial membership if this host is one of the founders of the
-// group, and nil otherwise.
-func (n *Node) founders() []replication.Peer {
+// newIdentity founds the group, if this host is a founder, or joins it. removed is the identity of a
+// replica that the group has removed, or nil: after it the host joins in any case.
+func (n *Node) newIdentity(ctx context.Context, removed *identity) (*identity, error) {
+	if removed == nil {
+		if founder := n.founder(); founder != nil {
+			return founder, nil
+		}
+	} else if err := removed.removeReplica(n.options.FS, n.options.Directory); err != nil {
+		return nil, err // the removal may have been interrupted
+	}
+	return n.requestMembership(ctx, 0)
+}
+
+// founder returns the identity of a host that founds the group, and nil if this is none.
+func (n *Node) founder() *identity {
 	seeds := n.options.Seeds()
 	if !n.options.Bootstrap || !slices.Contains(seeds, n.options.Address) {
 		return nil
 	}
-	var peers []replication.Peer
+	id := &identity{}
 	for i, address := range seeds {
-		peers = append(peers, replication.Peer{ID: uint64(i + 1), Address: address})
+		p := replication.Peer{ID: uint64(i + 1), Address: address}
+		id.Founders = append(id.Founders, p)
+		if address == n.options.Address {
+			id.ReplicaID = p.ID
+		}
 	}
-	return peers
+	return id
 }
 
 // requestMembership asks the leader for a replica id until it receives one. If id is not
