--- a/internal/controlnode/document.go
+++ b/internal/controlnode/document.go
@@ -9,7 +9,6 @@
 
 	"github.com/godwitbend/godwitbend/internal/codec"
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
-	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -27,7 +26,7 @@
 var ErrUnavailable = eris.New("the control group is not available")
 
 // propose commits a command to the replicated log and returns its result.
-func propose(ctx context.Context, r *replica.Replica, c *fleetstate.Command) (*fleetstate.Result, error) {
+func propose(ctx context.Context, r *localReplica, c *fleetstate.Command) (*fleetstate.Result, error) {
 	data, err := codec.Marshal(c)
 	if err != nil {
 		return nil, err
@@ -73,7 +72,7 @@
 		return &GetReply{LeaderRedirect: redirect}, err
 	}
 	return &GetReply{
-		Document: *n.machine.Load().Document(), Confirmed: LogPosition{Replica: r.Status().ID, Term: point.Term, Index: point.Index},
+		Document: *r.machine.Document(), Confirmed: LogPosition{Replica: r.Status().ID, Term: point.Term, Index: point.Index},
 	}, nil
 }
 
--- a/internal/controlnode/evacuation.go
+++ b/internal/controlnode/evacuation.go
@@ -8,7 +8,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
-	"github.com/godwitbend/godwitbend/internal/replica"
 )
 
 // Errors of Evacuate. The command had no effect.
@@ -65,9 +64,9 @@
 	if _, err := r.Barrier(ctx); err != nil {
 		return n.evacuationFailure(req, err)
 	}
-	voters, old := n.votersByFeature(r.Status(), fleetstate.FeatureEvacuations)
+	voters, old := n.votersByFeature(r, fleetstate.FeatureEvacuations)
 	if len(old) > 0 {
-		logEvacuation(req, evacuationOldVoters, n.machine.Load().Evacuations().Revision, "voters", old)
+		logEvacuation(req, evacuationOldVoters, r.machine.Evacuations().Revision, "voters", old)
 		return &EvacuateReply{OldVoters: old}, nil
 	}
 	result, err := propose(ctx, r, &fleetstate.Command{Evacuation: &fleetstate.Evacuation{Zone: req.Zone, End: req.End, Voters: voters}})
@@ -107,8 +106,8 @@
 // votersByFeature returns the ids of the voters, and the addresses of those that are not known to
 // understand the log entries of a feature. A voter that this process has not heard from is known to
 // understand them if the log says so of its replica, which keeps its id with its disk.
-func (n *Node) votersByFeature(s replica.Status, feature int) (ids []uint64, old []string) {
-	recorded := n.machine.Load().Evacuations().Voters
+func (n *Node) votersByFeature(r *localReplica, feature int) (ids []uint64, old []string) {
+	s, recorded := r.Status(), r.machine.Evacuations().Voters
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, p := range s.Peers {
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -180,10 +180,10 @@
 	return nil, eris.New("the leader is unknown")
 }
 
-func (n *Node) startReplica(id *identity) (*replica.Replica, error) {
+func (n *Node) startReplica(id *identity) (*localReplica, error) {
 	machine := fleetstate.New()
 	n.recordAddresses(id.Founders)
-	r, err := replica.Start(replica.Options{
+	started, err := replica.Start(replica.Options{
 		ID: id.ReplicaID, Peers: id.Founders, Bootstrap: len(id.Founders) > 0,
 		Directory: n.options.Directory, FS: n.options.FS, Machine: machine, Transport: n.transport,
 		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, FastInitialElection: true,
@@ -204,6 +204,7 @@
 			return nil, err
 		}
 	}
+	r := &localReplica{started, machine}
 	n.recordAddresses(peersOf(r.Status()))
 	n.machine.Store(machine)
 	n.replica.Store(r)
@@ -222,7 +223,7 @@
 
 // supervise monitors the replica and, on the leader, the membership. It returns nil when
 // ctx ends, and an error if the replica failed or was removed from the group.
-func (n *Node) supervise(ctx, background context.Context, r *replica.Replica) error {
+func (n *Node) supervise(ctx, background context.Context, r *localReplica) error {
 	lastLeaderSeen, lastBudgetLog := time.Now(), time.Now()
 	tracker := newMemberTracker(time.Now())
 	leaderless := leaderlessLog{since: time.Now()}
@@ -265,7 +266,7 @@
 
 // superviseMembers changes the membership as needed. A replacement is two changes, one right after the
 // other.
-func (n *Node) superviseMembers(ctx context.Context, r *replica.Replica, tracker *memberTracker) {
+func (n *Node) superviseMembers(ctx context.Context, r *localReplica, tracker *memberTracker) {
 	for range 2 {
 		change, m := nextMemberChange(tracker.states())
 		if change == noChange || !n.changeMembership(ctx, r, change, m) {
@@ -276,7 +277,7 @@
 }
 
 // changeMembership makes a membership change, logs the result and reports whether it succeeded.
-func (n *Node) changeMembership(ctx context.Context, r *replica.Replica, change memberChange, m memberState) bool {
+func (n *Node) changeMembership(ctx context.Context, r *localReplica, change memberChange, m memberState) bool {
 	ctx, cancel := context.WithTimeout(ctx, membershipChangeTimeout)
 	defer cancel()
 	apply := r.PromoteReplica
@@ -317,7 +318,7 @@
 
 // confirmMembership sets the reply's ReplicaID if a quorum confirms that the replica is a
 // member of the group.
-func (n *Node) confirmMembership(ctx context.Context, r *replica.Replica, id uint64, reply *JoinReply) error {
+func (n *Node) confirmMembership(ctx context.Context, r *localReplica, id uint64, reply *JoinReply) error {
 	if _, err := r.Barrier(ctx); err != nil {
 		return err
 	}
@@ -330,7 +331,7 @@
 
 // addLearner adds a host with an empty disk as a learner under a new id. An existing
 // replica at the same address has lost its disk and is removed first.
-func (n *Node) addLearner(ctx context.Context, r *replica.Replica, address string, reply *JoinReply) error {
+func (n *Node) addLearner(ctx context.Context, r *localReplica, address string, reply *JoinReply) error {
 	if _, err := r.Barrier(ctx); err != nil {
 		return err
 	}
@@ -365,11 +366,11 @@
 }
 
 // logBudgets logs the state of each budget.
-func (n *Node) logBudgets(ctx context.Context, r *replica.Replica) {
+func (n *Node) logBudgets(ctx context.Context, r *localReplica) {
 	ctx, cancel := context.WithTimeout(ctx, membershipChangeTimeout)
 	defer cancel()
 	var list []prepaid.Summary
-	if err := r.LocalRead(ctx, func() { list = n.machine.Load().Book().Summaries() }); err != nil {
+	if err := r.LocalRead(ctx, func() { list = r.machine.Book().Summaries() }); err != nil {
 		klog.InfoS("reading the budgets failed", "error", err.Error())
 		return
 	}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -86,6 +86,12 @@
 	return netconn.Dial(ctx, address, dialTimeout, unacknowledgedTimeout)
 }
 
+// localReplica is a replica that this host runs, and the state machine that it applies its log to.
+type localReplica struct {
+	*replica.Replica
+	machine *fleetstate.Machine
+}
+
 // Node is a running control host.
 type Node struct {
 	options   Options
@@ -98,7 +104,8 @@
 	epoch uint64
 
 	// replica is nil until the host has joined the group.
-	replica atomic.Pointer[replica.Replica]
+	replica atomic.Pointer[localReplica]
+	// machine is the state machine of the latest replica. It outlives the replica.
 	machine atomic.Pointer[fleetstate.Machine]
 
 	mu        sync.Mutex
@@ -252,7 +259,7 @@
 }
 
 // awaitSuccessor waits until r is no longer the leader or ctx ends.
-func (n *Node) awaitSuccessor(ctx context.Context, r *replica.Replica) {
+func (n *Node) awaitSuccessor(ctx context.Context, r *localReplica) {
 	for ctx.Err() == nil && r.Status().Role == replication.Leader {
 		time.Sleep(tickInterval / 2)
 	}
@@ -310,7 +317,7 @@
 }
 
 // leaderOrRedirect returns the replica if it is the leader, and otherwise a redirect.
-func (n *Node) leaderOrRedirect() (*replica.Replica, LeaderRedirect) {
+func (n *Node) leaderOrRedirect() (*localReplica, LeaderRedirect) {
 	r := n.replica.Load()
 	if r == nil {
 		return nil, LeaderRedirect{NotLeader: true}
--- a/internal/controlnode/submit.go
+++ b/internal/controlnode/submit.go
@@ -25,7 +25,7 @@
 		redirect, err := n.redirectFor(err)
 		return &SubmitReply{LeaderRedirect: redirect}, err
 	}
-	reply := &SubmitReply{Version: n.machine.Load().Document().Version, Epoch: n.epoch}
+	reply := &SubmitReply{Version: r.machine.Document().Version, Epoch: n.epoch}
 	for _, result := range results {
 		reply.Results = append(reply.Results, SubmitResult{Prepaid: result.reply, CeilingQueries: result.ceilingQueries})
 	}
--- a/internal/controlnode/sync.go
+++ b/internal/controlnode/sync.go
@@ -11,7 +11,6 @@
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/notice"
 	"github.com/godwitbend/godwitbend/internal/placement"
-	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 )
 
@@ -58,7 +57,7 @@
 
 // confirmCalls commits what the calls report and returns the results. A quorum has confirmed that
 // this host leads after the calls arrived, even if they report nothing.
-func (n *Node) confirmCalls(ctx context.Context, r *replica.Replica, calls ...*SyncRequest) ([]submitResult, error) {
+func (n *Node) confirmCalls(ctx context.Context, r *localReplica, calls ...*SyncRequest) ([]submitResult, error) {
 	reporting := slices.ContainsFunc(calls, func(c *SyncRequest) bool { return c.Opening != nil || c.Report != nil })
 	if !reporting {
 		if _, err := r.Barrier(ctx); err != nil {
