Founders number their replicas by address, not by the order of their seeds

The replica id of a founder was its place in its own list of seeds. With lists in another order two founders take the same id, and each counts the other's votes and acknowledgements as its own or drops them. The users' lists have one order, so that it was not seen there. The test starts three founders whose lists are rotated: all had id 1, and no read was confirmed; now the ids differ and each host reads. Ids of groups that exist are on disk and stay.

--- /dev/null
+++ b/internal/controlnode/founding_test.go
@@ -0,0 +1,51 @@
+package controlnode
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/fake/disk"
+	"github.com/godwitbend/godwitbend/internal/memnet"
+)
+
+// Guards against two founders with the same replica id, which would vote and acknowledge for each other.
+func TestFoundersAgreeOnTheirIDsWhateverTheOrderOfTheirSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := memnet.New()
+		addresses := []string{"control-1:7040", "control-2:7040", "control-3:7040"}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, len(addresses))
+		var nodes []*Node
+		for i, address := range addresses {
+			seeds := append(append([]string{}, addresses[i:]...), addresses[:i]...)
+			name := fmt.Sprintf("control-%d", i+1)
+			n := New(Options{
+				Host: name, Address: address, Zone: "a", Directory: "data", FS: disk.New(), Bootstrap: true,
+				Network: network.Node(name), Seeds: func() []string { return seeds },
+			})
+			nodes = append(nodes, n)
+			go func() { ended <- n.Run(ctx) }()
+		}
+		time.Sleep(5 * time.Second)
+		ids := map[uint64]bool{}
+		var readErrors []error
+		for _, n := range nodes {
+			s, _ := n.Status()
+			ids[s.ID] = true
+			_, err := n.NewestDocument(ctx)
+			readErrors = append(readErrors, err)
+		}
+		cancel()
+		for range nodes {
+			g.Expect(<-ended).To(Succeed())
+		}
+		g.Expect(ids).To(HaveLen(len(nodes)))
+		g.Expect(readErrors).To(HaveEach(BeNil()))
+	})
+}
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -121,12 +121,14 @@
 
 // founder returns the identity of a host that founds the group, and nil if this is none.
 func (n *Node) founder() *identity {
-	seeds := n.options.Seeds()
+	seeds := slices.Clone(n.options.Seeds())
 	if !n.options.Bootstrap || !slices.Contains(seeds, n.options.Address) {
 		return nil
 	}
 	id := &identity{}
-	for i, address := range seeds {
+	// All founders must number the replicas alike, whatever the order of their seeds.
+	slices.Sort(seeds)
+	for i, address := range slices.Compact(seeds) {
 		p := replication.Peer{ID: uint64(i + 1), Address: address}
 		id.Founders = append(id.Founders, p)
 		if address == n.options.Address {
