A replica is a member of the group until its removal is committed

A host that asks whether its replica is still a member deletes its disk if not, and the leader answered by the membership that it had appended. If that leader then fails, the removal is undone, and a voter's disk is gone without a fault: the group bears one loss less. TestStatusNamesTheCommittedMembership and TestReplicaIsAMemberUntilItsRemovalIsCommitted state it; neither the status nor the check existed before.

--- a/internal/controlnode/founding_test.go
+++ b/internal/controlnode/founding_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/godwitbend/godwitbend/internal/fake/disk"
 	"github.com/godwitbend/godwitbend/internal/memnet"
+	"github.com/godwitbend/godwitbend/internal/replica"
+	"github.com/godwitbend/godwitbend/internal/replication"
 )
 
 // Guards against two founders with the same replica id, which would vote and acknowledge for each other.
@@ -49,3 +51,15 @@
 		g.Expect(readErrors).To(HaveEach(BeNil()))
 	})
 }
+
+// Guards against a host that deletes its disk because of a removal that a change of the leader undoes.
+func TestReplicaIsAMemberUntilItsRemovalIsCommitted(t *testing.T) {
+	g := NewWithT(t)
+	one, two := replication.Peer{ID: 1}, replication.Peer{ID: 2}
+	s := replica.Status{Peers: []replication.PeerStatus{{Peer: one}}, Committed: []replication.Peer{one, two}}
+	g.Expect(isMember(s, 2)).To(BeTrue(), "the removal is not committed")
+	s.Committed = []replication.Peer{one}
+	g.Expect(isMember(s, 2)).To(BeFalse())
+	s.Peers = append(s.Peers, replication.PeerStatus{Peer: two})
+	g.Expect(isMember(s, 2)).To(BeTrue(), "the addition is not committed")
+}
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -324,13 +324,21 @@
 	if _, err := r.Barrier(ctx); err != nil {
 		return err
 	}
-	reply.Members = peersOf(r.Status())
-	if slices.ContainsFunc(reply.Members, func(p replication.Peer) bool { return p.ID == id }) {
+	s := r.Status()
+	reply.Members = peersOf(s)
+	if isMember(s, id) {
 		reply.ReplicaID = id
 	}
 	return nil
 }
 
+// isMember reports whether a replica is a member of the group. One whose removal is not committed is: the
+// removal may be undone, and the host of a replica that is removed deletes its disk.
+func isMember(s replica.Status, id uint64) bool {
+	matches := func(p replication.Peer) bool { return p.ID == id }
+	return slices.ContainsFunc(s.Committed, matches) || slices.ContainsFunc(peersOf(s), matches)
+}
+
 // addLearner adds a host with an empty disk as a learner under a new id. An existing
 // replica at the same address has lost its disk and is removed first.
 func (n *Node) addLearner(ctx context.Context, r *localReplica, address string, reply *JoinReply) error {
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -19,6 +19,8 @@
 	Snapshot uint64
 	// Peers is the membership. Match and Active are known on the leader only.
 	Peers []replication.PeerStatus
+	// Committed is the latest membership that is known to be committed. It must not be modified.
+	Committed []replication.Peer
 	// Failure is nil, or the *StorageError that took the replica out of service.
 	Failure error
 	// CanLose is the number of further voters that may fail without loss of the
@@ -41,7 +43,7 @@
 	n := r.node.Status()
 	s := Status{
 		ID: n.ID, Leader: n.Leader, Term: n.Term, Role: n.Role, Applied: n.Applied, Commit: n.Commit,
-		Snapshot: r.snapshotIndex, Peers: n.Peers, Failure: r.failure, CanLose: n.CanLose, Syncs: r.store.log.Syncs(),
+		Snapshot: r.snapshotIndex, Peers: n.Peers, Committed: n.Committed, Failure: r.failure, CanLose: n.CanLose, Syncs: r.store.log.Syncs(),
 	}
 	if r.failure != nil {
 		s.Leader, s.Role, s.CanLose = replication.None, replication.Follower, -1
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -282,6 +282,8 @@
 	Role                                       Role
 	Commit, Applied, LastIndex, CompactedIndex uint64
 	Peers                                      []PeerStatus
+	// Committed is the latest membership that is known to be committed. Peers may be ahead of it.
+	Committed []Peer
 	// CanLose is the failure tolerance: the number of further voters that may fail
 	// without loss of the quorum. It is known on the leader only, and -1 elsewhere.
 	CanLose int
@@ -292,7 +294,7 @@
 	s := Status{
 		ID: n.id, Term: n.term, Leader: n.leader, Role: n.role,
 		Commit: n.log.committed, Applied: n.log.applied, LastIndex: n.log.lastIndex(), CompactedIndex: n.log.compactedIndex,
-		CanLose: -1,
+		CanLose: -1, Committed: n.membershipAt(n.log.committed).Peers,
 	}
 	for _, p := range n.membership().Peers {
 		s.Peers = append(s.Peers, n.peerStatus(p))
--- a/internal/replication/step_test.go
+++ b/internal/replication/step_test.go
@@ -139,6 +139,20 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
+// TestStatusNamesTheCommittedMembership guards against hosts that delete their disk for a removal that may be undone.
+func TestStatusNamesTheCommittedMembership(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestLeader(g, HardState{Term: 3, Commit: 1})
+	n.Step(Message{Kind: KindAppendReply, From: 2, To: 1, Term: 4, Index: 2})
+	index, err := n.Remove(3)
+	g.Expect(err).NotTo(HaveOccurred())
+	n.Advance(n.Ready())
+	g.Expect(n.Status().Peers).To(HaveLen(2))
+	g.Expect(n.Status().Committed).To(HaveLen(3))
+	n.Step(Message{Kind: KindAppendReply, From: 2, To: 1, Term: 4, Index: index})
+	g.Expect(n.Status().Committed).To(HaveLen(2))
+}
+
 // TestTruncationRestoresMembership truncates an uncommitted membership change. The
 // preceding membership must be in effect again.
 func TestTruncationRestoresMembership(t *testing.T) {
