A request to join removes no replica that a new leader has yet to hear from

A request to join at the address of a replica removes that replica, unless it has answered the leader lately. A leader that had just been elected had heard from nobody, and removed a live voter at once for a request that was held up.

--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -351,8 +351,9 @@
 		if p.Address != address {
 			continue
 		}
-		if p.Heard && p.Active {
-			// The request is an earlier one, or the old process has just ended. A host that joins tries again.
+		if p.Active {
+			// The request is an earlier one, the old process has just ended, or the leader is new and may hear from it
+			// yet. A host that joins tries again.
 			return errStillMember
 		}
 		if err := r.RemoveReplica(ctx, p.ID); err != nil {
--- a/internal/controlnode/simulated_fleet_test.go
+++ b/internal/controlnode/simulated_fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/godwitbend/godwitbend/internal/fake/disk"
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/memnet"
+	"github.com/godwitbend/godwitbend/internal/replication"
 )
 
 const (
@@ -78,6 +79,30 @@
 	f.events = append(f.events, fmt.Sprintf("%7.3f ", time.Since(f.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// leads reports whether the replica of a running host takes itself for the leader.
+func (h *simulatedHost) leads() bool {
+	s, ok := h.process.node.Status()
+	return ok && s.Role == replication.Leader
+}
+
+// leader returns a host other than one that leads, or nil.
+func (f *simulatedFleet) leader(other *simulatedHost) *simulatedHost {
+	hosts := f.snapshotHosts()
+	if at := slices.IndexFunc(hosts, func(h *simulatedHost) bool { return h != other && h.leads() }); at >= 0 {
+		return hosts[at]
+	}
+	return nil
+}
+
+// startFounding starts all hosts, which found a group.
+func (f *simulatedFleet) startFounding() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hosts {
+		f.start(h, true)
+	}
+}
+
 // start starts the process of h. The caller holds f.mu.
 func (f *simulatedFleet) start(h *simulatedHost, bootstrap bool) {
 	if h.process != nil || h.gone || f.ctx.Err() != nil {
@@ -238,10 +263,8 @@
 		return nil
 	}
 	if f.random.IntN(2) == 0 {
-		for _, h := range running {
-			if s, ok := h.process.node.Status(); ok && s.Role.String() == "leader" {
-				return h
-			}
+		if at := slices.IndexFunc(running, (*simulatedHost).leads); at >= 0 {
+			return running[at]
 		}
 	}
 	return running[f.random.IntN(len(running))]
@@ -449,3 +472,31 @@
 	}
 	return false
 }
+
+// stop ends all processes and operators.
+func (f *simulatedFleet) stop(cancel context.CancelFunc) {
+	cancel()
+	f.network.HealAll()
+	for _, h := range f.snapshotHosts() {
+		f.terminate(h)
+	}
+	f.wg.Wait()
+}
+
+// leaderVoters returns the addresses of the voters according to each host that leads.
+func (f *simulatedFleet) leaderVoters() map[string][]string {
+	voters := map[string][]string{}
+	for _, h := range f.snapshotHosts() {
+		if !h.leads() {
+			continue
+		}
+		s, _ := h.process.node.Status()
+		for _, p := range s.Peers {
+			if !p.Learner {
+				voters[h.name] = append(voters[h.name], p.Address)
+			}
+		}
+		slices.Sort(voters[h.name])
+	}
+	return voters
+}
--- a/internal/controlnode/stale_reads_test.go
+++ b/internal/controlnode/stale_reads_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -22,11 +21,7 @@
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f = newSimulatedFleet(ctx, seed, 3+2*int(min(seed%4, 1)))
-		f.mu.Lock()
-		for _, h := range f.hosts {
-			f.start(h, true)
-		}
-		f.mu.Unlock()
+		f.startFounding()
 		for i := range writers {
 			random := rand.New(rand.NewPCG(seed, uint64(100+i)))
 			f.wg.Go(func() { f.keepChanging(ctx, random) })
@@ -59,45 +54,13 @@
 	}
 }
 
-// stop ends all processes and operators.
-func (f *simulatedFleet) stop(cancel context.CancelFunc) {
-	cancel()
-	f.network.HealAll()
-	for _, h := range f.snapshotHosts() {
-		f.terminate(h)
-	}
-	f.wg.Wait()
-}
-
-// leaderVoters returns the addresses of the voters according to each host that leads.
-func (f *simulatedFleet) leaderVoters() map[string][]string {
-	voters := map[string][]string{}
-	for _, h := range f.snapshotHosts() {
-		s, ok := h.process.node.Status()
-		if !ok || s.Role.String() != "leader" {
-			continue
-		}
-		for _, p := range s.Peers {
-			if !p.Learner {
-				voters[h.name] = append(voters[h.name], p.Address)
-			}
-		}
-		slices.Sort(voters[h.name])
-	}
-	return voters
-}
-
 // Guards against a second group, founded by founders that the group removed while they were cut off.
 func TestRemovedFoundersJoinTheGroupInsteadOfFoundingAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		f := newSimulatedFleet(ctx, 1, 5)
-		f.mu.Lock()
-		for _, h := range f.hosts {
-			f.start(h, true)
-		}
-		f.mu.Unlock()
+		f.startFounding()
 		f.wg.Go(func() { f.keepChanging(ctx, rand.New(rand.NewPCG(1, 1))) })
 		time.Sleep(5 * time.Second)
 		cutOff := f.hosts[:2] // two of the three founders
