A stopping gateway answers all that it took before its connections are closed

Cause: new requests are refused 2.5 s after SIGTERM, but only when their head arrives. One whose body came later was passed on all the same; and whatever was in flight when the timeout ended was cut. Change: a request whose body arrives after that is refused as not run, and 0.2 s before the end each request in flight is answered: 503 if no upstream got it, 504 if its outcome is unknown; begun streams are broken off as before.

TestStoppingGatewayAnswersEachRequestThatItTook, before: 504 for a late body that had been passed on, and no answer for a call that may not be repeated, one that may, a stream and a body that never ends; now 503 and 504 for all five. Tests of gateway, node and the drain of streams pass.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -92,9 +92,14 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(q.deadline) // if unsupported, the body may arrive late; the request's deadline still applies
+	stopReading := context.AfterFunc(q.handler.stopped, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	stopReading()
 	_ = control.SetReadDeadline(time.Time{})
 	switch {
+	case err != nil && q.hostStopped():
+		w.Header().Set("Connection", "close")
+		return errDraining()
 	case err != nil && r.Context().Err() != nil:
 		return errkind.New(errkind.InvalidRequest, "the caller disconnected before the body was read")
 	case err != nil:
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -47,6 +47,7 @@
 	failureMismatched         = "foreign_answer"
 	failureBroken             = "broken_answer"
 	failureCallerDisconnected = "caller_left"
+	failureHostStopped        = "host_stopped"
 	failureStatus             = "failure"
 )
 
@@ -341,7 +342,11 @@
 func (a *attempt) exchangeBroken(failure string) attemptResult {
 	a.reviewOrigin()
 	a.lastFailure = failure
-	if errors.Is(a.ctx.Err(), context.Canceled) {
+	switch {
+	case !errors.Is(a.ctx.Err(), context.Canceled):
+	case a.hostStopped():
+		a.lastFailure = failureHostStopped
+	default:
 		a.lastFailure = failureCallerDisconnected
 	}
 	switch {
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -18,6 +18,8 @@
 // refusal is the reason why none was chosen, or nil if the deadline has passed.
 func (q *request) finalError(refusal *errkind.Error) *errkind.Error {
 	switch {
+	case q.hostStopped() && !q.mayHaveRun:
+		return errDraining()
 	case q.mayHaveRun && refusal != nil:
 		return errkind.New(errkind.OutcomeUnknown, "no further upstream was tried: %s", refusal.Message)
 	case q.mayHaveRun:
@@ -43,6 +45,8 @@
 		}
 	}
 	switch {
+	case a.lastFailure == failureHostStopped:
+		return errkind.New(errkind.OutcomeUnknown, "the host stopped before an answer arrived")
 	case a.lastFailure == failureCallerDisconnected:
 		return errkind.New(errkind.OutcomeUnknown, "the caller disconnected before the answer was complete")
 	case a.timeRemaining() < minAttemptTime:
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -50,7 +50,10 @@
 	// startupDeadline is the time until which requests wait for the first configuration.
 	startupDeadline time.Time
 	// draining is set during a shutdown, when new requests are refused.
-	draining         atomic.Bool
+	draining atomic.Bool
+	// stopped ends when the requests in flight have to be answered without their upstreams.
+	stopped          context.Context
+	endRequests      context.CancelFunc
 	served           tally.Counter
 	uncharged        tally.Counter
 	upstreamCrashes  tally.Counter
@@ -64,7 +67,9 @@
 
 // NewHandler returns a handler that serves requests with the given dependencies.
 func NewHandler(o Options) *Handler {
+	stopped, endRequests := context.WithCancel(context.Background())
 	h := &Handler{
+		stopped: stopped, endRequests: endRequests,
 		Options:          o,
 		upstreams:        upstreamhttp.NewClient(o.Paths.Dial),
 		startupDeadline:  time.Now().Add(startupTimeout),
@@ -82,9 +87,13 @@
 	return h
 }
 
-// Close makes the handler refuse new requests with the error kind Draining.
+// Close makes the handler refuse new requests, and those whose body has yet to arrive, with the error kind
+// Draining.
 func (h *Handler) Close() { h.draining.Store(true) }
 
+// EndRequests answers all requests in flight at once, without their upstreams. It follows Close.
+func (h *Handler) EndRequests() { h.endRequests() }
+
 // Ready returns nil if the host can accept new connections, or an error that states why not.
 func (h *Handler) Ready() error {
 	if h.draining.Load() {
@@ -187,18 +196,38 @@
 	if refusal := q.identify(); refusal != nil {
 		return refusal
 	}
-	if q.handler.draining.Load() {
-		w.Header().Set("Connection", "close")
-		return errkind.New(errkind.Draining, "the host is stopping").WithRetryAfter(drainingRetryAfter)
+	if refusal := q.checkDraining(w); refusal != nil {
+		return refusal
 	}
 	q.setDeadline()
 	q.setService(q.pickService())
 	if refusal := q.readBody(w, r); refusal != nil {
 		return refusal
 	}
+	if refusal := q.checkDraining(w); refusal != nil {
+		return refusal
+	}
 	return q.checkQuarantine()
 }
 
+// checkDraining refuses the request if the host is stopping.
+func (q *request) checkDraining(w http.ResponseWriter) *errkind.Error {
+	if !q.handler.draining.Load() {
+		return nil
+	}
+	w.Header().Set("Connection", "close")
+	return errDraining()
+}
+
+func errDraining() *errkind.Error {
+	return errkind.New(errkind.Draining, "the host is stopping").WithRetryAfter(drainingRetryAfter)
+}
+
+// hostStopped reports whether the request has to be answered because the host stops.
+func (q *request) hostStopped() bool {
+	return q.handler.stopped != nil && q.handler.stopped.Err() != nil
+}
+
 func (q *request) setService(name string) {
 	q.serviceName, q.service = name, q.view.Index.Service(name)
 }
@@ -207,6 +236,7 @@
 func (q *request) serve(w http.ResponseWriter, r *http.Request) *errkind.Error {
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	defer context.AfterFunc(q.handler.stopped, cancel)()
 	q.ctx = ctx
 	if refusal := q.findOrigin(); refusal != nil {
 		return refusal
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -172,12 +172,15 @@
 }
 
 // stopGateway waits until the load balancer directs callers to other hosts, then
-// refuses new requests and waits for those in flight.
+// refuses new requests and waits for those in flight. What is in flight shortly before the stop
+// timeout is answered without its upstream, as the connections are closed then.
 func stopGateway(s *watchedSettings, handler *gateway.Handler, callers *http.Server) {
 	stopBy := time.Now().Add(s.StopTimeout.Duration - exitMargin - sessionCloseTime)
 	klog.InfoS("draining")
 	time.Sleep(min(drainDelay, s.StopTimeout.Duration/3))
 	handler.Close()
+	lastAnswers := time.AfterFunc(time.Until(stopBy)-lastAnswersTime, handler.EndRequests)
+	defer lastAnswers.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), stopBy)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
@@ -185,6 +188,9 @@
 	}
 }
 
+// lastAnswersTime is the part of the stop timeout in which the requests that are still in flight are answered.
+const lastAnswersTime = 200 * time.Millisecond
+
 // sessionCloseTime is the part of the stop timeout reserved for the final report to the
 // control group.
 const sessionCloseTime = 500 * time.Millisecond
