A founder asks the others whether the group exists before it founds one

A founder whose disk was lost and whose settings still had bootstrap (the users set it to false, others need not) founded the group again under its old replica id. As a voter that has forgotten its votes and acknowledgements it elected leaders without committed entries: reads returned older versions.

Founders now ask each other. A host that was a member, or whose replica has seen an election, says that the group exists, and the asker joins; it founds once all founders are about to found the same group, or after 1 s a majority of them. Hosts of earlier builds don't answer and count as about to found.

--- a/internal/controlnode/group_test.go
+++ b/internal/controlnode/group_test.go
@@ -236,6 +236,22 @@
 	gr.expectRead("7 seven")
 }
 
+// Guards against a founder that forgets its votes and acknowledgements with its disk, and keeps its replica id.
+func TestFounderThatLostItsDiskJoins(t *testing.T) {
+	gr := newGroup(t)
+	gr.startAll(true)
+	gr.awaitVoters(1, 2, 3, 4, 5)
+	gr.put(4, 7, "seven")
+	before := gr.replicaID(2)
+	gr.stop(2)
+	gr.g.Expect(os.RemoveAll(gr.directory(2))).To(Succeed())
+	gr.start(2, true)
+	gr.g.Eventually(func() uint64 { return gr.replicaID(2) }, eventuallyTimeout).ShouldNot(BeZero())
+	gr.g.Expect(gr.replicaID(2)).NotTo(Equal(before))
+	gr.awaitVoters(1, 2, 3, 4, 5)
+	gr.expectRead("7 seven")
+}
+
 // A host with an empty disk at an address that is not among the seeds must become a voter.
 func TestNewHostBecomesVoter(t *testing.T) {
 	gr := newGroup(t)
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -97,6 +97,9 @@
 // loadOrCreateIdentity returns the identity on disk, or creates one and saves it.
 func (n *Node) loadOrCreateIdentity(ctx context.Context) (*identity, error) {
 	id, err := loadIdentity(n.options.FS, n.options.Directory)
+	if id != nil && len(id.Founders) == 0 {
+		n.wasMember.Store(true)
+	}
 	if err != nil || id != nil && !id.Removed {
 		return id, err
 	}
@@ -111,7 +114,10 @@
 func (n *Node) newIdentity(ctx context.Context, removed *identity) (*identity, error) {
 	if removed == nil {
 		if founder := n.founder(); founder != nil {
-			return founder, nil
+			founds, err := n.confirmFounding(ctx, founder)
+			if err != nil || founds {
+				return founder, err
+			}
 		}
 	} else if err := removed.removeReplica(n.options.FS, n.options.Directory); err != nil {
 		return nil, err // the removal may have been interrupted
@@ -119,25 +125,6 @@
 	return n.requestMembership(ctx, 0)
 }
 
-// founder returns the identity of a host that founds the group, and nil if this is none.
-func (n *Node) founder() *identity {
-	seeds := slices.Clone(n.options.Seeds())
-	if !n.options.Bootstrap || !slices.Contains(seeds, n.options.Address) {
-		return nil
-	}
-	id := &identity{}
-	// All founders must number the replicas alike, whatever the order of their seeds.
-	slices.Sort(seeds)
-	for i, address := range slices.Compact(seeds) {
-		p := replication.Peer{ID: uint64(i + 1), Address: address}
-		id.Founders = append(id.Founders, p)
-		if address == n.options.Address {
-			id.ReplicaID = p.ID
-		}
-	}
-	return id
-}
-
 // requestMembership asks the leader for a replica id until it receives one. If id is not
 // 0, it instead asks whether that replica is still a member, and returns errNotMember if
 // it was removed.
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -23,6 +23,7 @@
 	MethodUpstreams = "/fleet/Upstreams"
 	MethodSubmit    = "/fleet/Submit"
 	MethodEvacuate  = "/fleet/Evacuate"
+	MethodFounding  = "/fleet/Founding"
 )
 
 // LeaderRedirect is the part of a reply that redirects the caller to the leader.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -108,6 +108,11 @@
 	// machine is the state machine of the latest replica. It outlives the replica.
 	machine atomic.Pointer[fleetstate.Machine]
 
+	// wasMember is set if this host had a replica of the group when it started, or had one removed.
+	wasMember atomic.Bool
+	// founds is the identity with which this host is about to found the group, or has founded it.
+	founds atomic.Pointer[identity]
+
 	mu        sync.Mutex
 	addresses map[uint64]string // by replica id; also of removed replicas
 	table     *presence.Table
@@ -172,6 +177,7 @@
 	srv := rpc.NewServer()
 	controlgroup.RegisterDeliver(srv, n.deliver)
 	rpc.Handle(srv, MethodJoin, n.join)
+	rpc.Handle(srv, MethodFounding, n.founding)
 	rpc.Handle(srv, MethodPut, n.putDocument)
 	rpc.Handle(srv, MethodGet, n.getDocument)
 	rpc.Handle(srv, MethodSync, n.sync)
--- a/internal/controlnode/stale_reads_test.go
+++ b/internal/controlnode/stale_reads_test.go
@@ -21,6 +21,7 @@
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f = newSimulatedFleet(ctx, seed, 3+2*int(min(seed%4, 1)))
+		f.keepsBootstrap = seed%2 == 0
 		f.startFounding()
 		for i := range writers {
 			random := rand.New(rand.NewPCG(seed, uint64(100+i)))
