Recovery soak: cut links between control hosts, reads at hosts that are frozen, cut off or removed

Connections between hosts now pass through proxies of the test, which know the calling process by its socket; control hosts accept them at the new setting listen.hosts_bind. New steps: cut off, split. Every 150 ms all hosts are read, and answers are awaited past the longest freeze.

--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -3,6 +3,7 @@
 package controlnode
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -51,6 +52,8 @@
 	Host string
 	// Address is the IP:port at which other hosts reach this one.
 	Address string
+	// ListenAddress is the IP:port to listen on; empty means Address.
+	ListenAddress string
 	// Zone is the host's availability zone.
 	Zone string
 	// Directory holds the replica's files.
@@ -191,7 +194,7 @@
 
 // Run serves until ctx ends. It then transfers its leadership, if any, and stops.
 func (n *Node) Run(ctx context.Context) error {
-	listener, err := n.options.Network.ListenHosts(n.options.Address)
+	listener, err := n.options.Network.ListenHosts(cmp.Or(n.options.ListenAddress, n.options.Address))
 	if err != nil {
 		return err
 	}
--- a/internal/harness/nodefleet.go
+++ b/internal/harness/nodefleet.go
@@ -18,6 +18,7 @@
 	nodeReadinessPort = 7102
 	nodeControlPort   = 7103
 	nodeHostsPort     = 7104
+	nodeHostsBindPort = 7105
 	nodeMetricsPort   = 9464
 	// lastNodeOctet is the last octet of the last address of a fleet's subnet.
 	lastNodeOctet = 254
@@ -41,6 +42,9 @@
 	Dir string
 	// Subnet is the first three octets of all addresses.
 	Subnet string
+	// ProxiedControl lets control hosts accept the connections of other hosts at another address than these
+	// connect to, for proxies in between.
+	ProxiedControl bool
 }
 
 // NodeFleet is a gateway fleet: gateways and control hosts that run as processes on loopback
@@ -80,6 +84,9 @@
 	if role == settings.NodeControl {
 		s.DataDir = filepath.Join(f.opts.Dir, name)
 		s.Listen.Control = address(nodeControlPort)
+		if f.opts.ProxiedControl {
+			s.Listen.HostsBind = address(nodeHostsBindPort)
+		}
 	} else {
 		s.Listen.Callers, s.Listen.Readiness = address(nodeCallersPort), address(nodeReadinessPort)
 	}
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -58,6 +58,9 @@
 // Done returns a channel that is closed when the process has terminated.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Running reports whether the process has not terminated.
 func (p *Process) Running() bool {
 	select {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -20,7 +20,7 @@
 // runControl runs a control host until ctx ends.
 func runControl(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics) error {
 	control := controlnode.New(controlnode.Options{
-		Host: s.Host, Address: s.Listen.Hosts, Zone: s.Zone, Directory: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.hostSeeds,
+		Host: s.Host, Address: s.Listen.Hosts, ListenAddress: s.Listen.HostsBind, Zone: s.Zone, Directory: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.hostSeeds,
 		Decode: adapter.DecodeDocument,
 	})
 	ready := func() error {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -92,6 +92,9 @@
 	// Hosts is the address for other hosts; its port must be the same on all hosts.
 	// Required.
 	Hosts string `json:"hosts"`
+	// HostsBind is the address at which a control host accepts connections to Hosts, if a proxy stands in
+	// between. Default: Hosts.
+	HostsBind string `json:"hosts_bind,omitempty"`
 	// Metrics is the address for metrics and health checks. Default: none.
 	Metrics string `json:"metrics,omitempty"`
 }
@@ -181,6 +184,9 @@
 		c.addFault("role", "%q is neither %q nor %q", n.Role, NodeGateway, NodeControl)
 	}
 	c.checkAddress("listen.hosts", n.Listen.Hosts)
+	if n.Listen.HostsBind != "" {
+		c.checkAddress("listen.hosts_bind", n.Listen.HostsBind)
+	}
 	if n.Listen.Metrics != "" {
 		c.checkAddress("listen.metrics", n.Listen.Metrics)
 	}
--- a/tests/recovery/fleet_test.go
+++ b/tests/recovery/fleet_test.go
@@ -46,6 +46,7 @@
 
 	mu       sync.Mutex
 	nodes    *harness.NodeFleet
+	links    *links
 	random   *rand.Rand
 	control  []*controlHost
 	gateways []*harness.Node
@@ -62,7 +63,8 @@
 	f := &fleet{
 		history: newHistory(), began: time.Now(), random: rand.New(rand.NewPCG(s.Seed, 1)), ending: map[*harness.Process]bool{},
 		started: map[*harness.Process]time.Time{},
-		nodes:   harness.NewNodeFleet(harness.NodeFleetOptions{Daemon: daemon, Dir: dir, Subnet: subnet}),
+		nodes:   harness.NewNodeFleet(harness.NodeFleetOptions{Daemon: daemon, Dir: dir, Subnet: subnet, ProxiedControl: true}),
+		links:   newLinks(),
 	}
 	for i := range s.Control {
 		if _, err := f.addControl(harness.ZoneName(i, s.Zones)); err != nil {
@@ -91,6 +93,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := f.links.serve(n.Settings.Host, n.Settings.Listen.Hosts, n.Settings.Listen.HostsBind); err != nil {
+		return nil, err
+	}
 	h := &controlHost{Node: n, diskSince: time.Now()}
 	f.control = append(f.control, h)
 	f.listed = append(f.listed, presence{address: n.Settings.Listen.Control, from: time.Now()})
@@ -125,6 +130,7 @@
 		return err
 	}
 	f.started[n.Process] = time.Now()
+	f.links.recordProcess(n.PID(), n.Settings.Host)
 	go f.watch(n, n.Process)
 	return nil
 }
@@ -267,4 +273,5 @@
 	defer f.mu.Unlock()
 	f.stopped = true
 	f.kill(f.nodes.Nodes...)
+	f.links.close()
 }
--- a/tests/recovery/generator_test.go
+++ b/tests/recovery/generator_test.go
@@ -29,7 +29,7 @@
 		for _, step := range s.Steps {
 			g.Expect(step.Gap).To(And(BeNumerically(">=", 0), BeNumerically("<=", maxLargeGap)), "%s", step)
 			g.Expect(step.Down).To(And(BeNumerically(">=", 0), BeNumerically("<=", maxFreeze)), "%s", step)
-			g.Expect(step.Target == "").To(Equal(step.Kind == restartAll || !step.Kind.losesControlHost()), "%s", step)
+			g.Expect(step.Target == "").To(Equal(step.Kind == restartAll || step.Kind == split || !step.Kind.losesControlHost()), "%s", step)
 			if step.Kind == restartAll {
 				g.Expect(step.Down).To(BeNumerically("<", time.Second), "%s", step)
 			}
@@ -62,7 +62,7 @@
 		replacedAtTheEnd += count(before.Kind.replaces() && s.End.Gap <= maxSmallGap)
 	}
 	for _, kind := range []stepKind{
-		replaceKilled, replacePlanned, restartKilled, restartTerminated, freeze, loseDisk, restartAll, changeSeeds, killGateway, freezeGateway,
+		replaceKilled, replacePlanned, restartKilled, restartTerminated, freeze, cutOff, split, loseDisk, restartAll, changeSeeds, killGateway, freezeGateway,
 	} {
 		g.Expect(kinds[kind]).To(BeNumerically(">", generatedSeeds/10), string(kind))
 	}
--- a/tests/recovery/main_test.go
+++ b/tests/recovery/main_test.go
@@ -1,7 +1,9 @@
-// Package recovery_test replaces control hosts of gateway fleets, which run as real processes, loses
-// disks while all hosts lose power, and checks that acknowledged configurations are read back.
+// Package recovery_test replaces control hosts of gateway fleets, which run as real processes, cuts their links,
+// loses disks while all hosts lose power, and checks that no read is older than what was acknowledged, also at hosts
+// that are frozen, cut off or removed from the group.
 //
-// DAEMON is the path of another godwitbendd to test than that of the source tree.
+// DAEMON is the path of another godwitbendd to test than that of the source tree. It must know the setting
+// listen.hosts_bind.
 package recovery_test
 
 import (
--- a/tests/recovery/operator_test.go
+++ b/tests/recovery/operator_test.go
@@ -28,6 +28,8 @@
 	viewTimeout  = 400 * time.Millisecond
 	viewInterval = 300 * time.Millisecond
 	readInterval = 150 * time.Millisecond
+	// patience exceeds the longest freeze: a host that is frozen while a read arrives answers after it.
+	patience = maxFreeze + 2*time.Second
 	// minPause and maxPause bound the time between two changes of one operator.
 	minPause       = 30 * time.Millisecond
 	maxPause       = 500 * time.Millisecond
@@ -128,8 +130,12 @@
 
 // get reads the configuration once at a control host and records the answer.
 func (o *operator) get(ctx context.Context) (uint64, error) {
-	address, sentAt := o.anyAddress(), time.Now()
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	return o.getAt(ctx, o.anyAddress(), tryTimeout)
+}
+
+func (o *operator) getAt(ctx context.Context, address string, timeout time.Duration) (uint64, error) {
+	sentAt := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := onLeader(ctx, o, address, controlnode.MethodGet, &controlnode.GetRequest{},
 		func(r *controlnode.GetReply) controlnode.LeaderRedirect { return r.LeaderRedirect })
@@ -153,6 +159,17 @@
 	}
 }
 
+// keepReadingAll reads at all hosts, also those that are frozen, cut off or no longer members, and waits for late answers.
+func (o *operator) keepReadingAll(ctx context.Context) {
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	for sleep(ctx, readInterval) {
+		for _, address := range o.fleet.controlAddresses() {
+			reads.Go(func() { _, _ = o.getAt(ctx, address, patience) }) // checked by the history
+		}
+	}
+}
+
 func (o *operator) keepReading(ctx context.Context) {
 	for sleep(ctx, readInterval) {
 		_, _ = o.get(ctx) // checked by the history
--- a/tests/recovery/schedule_test.go
+++ b/tests/recovery/schedule_test.go
@@ -47,6 +47,10 @@
 	restartTerminated stepKind = "restart, terminated"
 	freeze            stepKind = "freeze"
 	loseDisk          stepKind = "restart with an empty disk"
+	// cutOff cuts the links of a control host to all others.
+	cutOff stepKind = "cut off"
+	// split cuts the links between two halves of the control hosts.
+	split stepKind = "split"
 	// restartAll kills all control hosts at the same moment. They keep their disks.
 	restartAll    stepKind = "restart all control hosts"
 	changeSeeds   stepKind = "change the seeds of all hosts"
@@ -216,7 +220,7 @@
 		return g.replacement()
 	}
 	s := step{
-		Kind:   pick(g, restartKilled, restartTerminated, freeze, freeze, loseDisk, restartAll, changeSeeds, changeSeeds, killGateway, freezeGateway),
+		Kind:   pick(g, restartKilled, restartTerminated, freeze, freeze, cutOff, cutOff, split, loseDisk, restartAll, changeSeeds, changeSeeds, killGateway, freezeGateway),
 		Target: g.target(), Gap: g.gap(), LaggedSeeds: g.chance(0.2), RefreshSeeds: g.chance(0.5), Hangup: g.chance(0.5),
 	}
 	s.Down = g.downFor(s.Kind)
@@ -224,7 +228,7 @@
 	case s.Kind == loseDisk:
 		s.RefreshSeeds = false
 		s.Fault = g.successorFault()
-	case s.Kind == restartAll:
+	case s.Kind == restartAll || s.Kind == split:
 		s.Target = ""
 	case !s.Kind.losesControlHost():
 		s.Target, s.RefreshSeeds = "", false
@@ -257,7 +261,7 @@
 	switch k {
 	case replaceKilled:
 		return g.between(0, maxSuccessorDelay)
-	case freeze, freezeGateway:
+	case freeze, freezeGateway, cutOff, split:
 		return g.between(minFreeze, maxFreeze)
 	case restartAll:
 		return g.between(0, maxRestartOfAll)
--- a/tests/recovery/soak_test.go
+++ b/tests/recovery/soak_test.go
@@ -99,6 +99,7 @@
 	running.Go(func() { r.operator.keepChanging(operators) })
 	running.Go(func() { r.operator.keepChanging(operators) })
 	running.Go(func() { r.operator.keepReading(operators) })
+	running.Go(func() { r.operator.keepReadingAll(operators) })
 	running.Go(func() { r.operator.keepViewing(operators) })
 	restarted, err := r.takeSteps(ctx, s, func() {
 		stop()
--- a/tests/recovery/steps_test.go
+++ b/tests/recovery/steps_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/harness"
@@ -22,8 +23,11 @@
 
 // lose takes a step that loses a control host, and returns when that host or its successor is back.
 func (r *runner) lose(ctx context.Context, s step) error {
-	if s.Kind == restartAll {
+	switch s.Kind {
+	case restartAll:
 		return r.restartAll(s)
+	case split:
+		return r.split(ctx, s)
 	}
 	h := r.resolve(ctx, r.operator, s.Target)
 	r.losses.begin(time.Now())
@@ -53,6 +57,10 @@
 		r.freezeFor(ctx, s.Down, h.Node, &h.frozen)
 		r.losses.end(time.Now())
 		return h, nil
+	case cutOff:
+		r.cutFor(ctx, s.Down, []*controlHost{h}, r.othersThan(h))
+		r.losses.end(time.Now())
+		return h, nil
 	case restartTerminated:
 		r.terminate(h.Node)
 	default:
@@ -116,6 +124,41 @@
 	return successor, r.locked(func() error { return r.remove(h) })
 }
 
+// split cuts the control hosts into two halves for a time.
+func (r *runner) split(ctx context.Context, s step) error {
+	r.losses.begin(time.Now())
+	began := time.Now()
+	r.mu.Lock()
+	hosts := slices.Clone(r.control)
+	r.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	r.mu.Unlock()
+	r.event("%s", s.Kind)
+	r.cutFor(ctx, s.Down, hosts[:len(hosts)/2], hosts[len(hosts)/2:])
+	r.losses.end(time.Now())
+	r.untolerated = append(r.untolerated, span{began, time.Now()})
+	return nil
+}
+
+func (r *runner) othersThan(h *controlHost) []*controlHost {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(r.control), func(other *controlHost) bool { return other == h })
+}
+
+// cutFor cuts the links between two sets of hosts for d.
+func (r *runner) cutFor(ctx context.Context, d time.Duration, left, right []*controlHost) {
+	names := func(hosts []*controlHost) (list []string) {
+		for _, h := range hosts {
+			list = append(list, h.Settings.Host)
+		}
+		return list
+	}
+	r.links.cut(names(left), names(right))
+	sleep(ctx, d)
+	r.links.heal(names(left), names(right))
+	r.event("the links of %v to %v are whole again", names(left), names(right))
+}
+
 // restartAll kills all control hosts at the same moment and starts them again.
 func (r *runner) restartAll(s step) error {
 	r.losses.begin(time.Now())
