A founder that restarts while it founds the group still counts as one

Found by reading the diff: a founder whose process ends between the saving of its identity and its first state loads that identity and starts at once, but told the others that it knew of no founding. With one of three founders down the third waited for it, and it for the vote of the third. TestFounderThatRestartsStillFounds: the answer had no founders before.

--- a/internal/controlnode/founding_test.go
+++ b/internal/controlnode/founding_test.go
@@ -63,3 +63,18 @@
 	s.Peers = append(s.Peers, replication.PeerStatus{Peer: two})
 	g.Expect(isMember(s, 2)).To(BeTrue(), "the addition is not committed")
 }
+
+// Guards against founders that wait for one whose process ended while it founded the group.
+func TestFounderThatRestartsStillFounds(t *testing.T) {
+	g := NewWithT(t)
+	files := disk.New()
+	id := &identity{ReplicaID: 1, Founders: []replication.Peer{{ID: 1, Address: "10.0.0.1:7040"}, {ID: 2, Address: "10.0.0.2:7040"}}}
+	g.Expect(id.save(files, "data")).To(Succeed())
+	n := New(Options{Address: "10.0.0.1:7040", Directory: "data", FS: files, Bootstrap: true, Seeds: func() []string { return nil }})
+	loaded, err := n.loadOrCreateIdentity(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(loaded).To(Equal(id))
+	reply, err := n.founding(t.Context(), &FoundingRequest{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply).To(Equal(&FoundingReply{Founders: id.Founders}))
+}
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -97,11 +97,16 @@
 // loadOrCreateIdentity returns the identity on disk, or creates one and saves it.
 func (n *Node) loadOrCreateIdentity(ctx context.Context) (*identity, error) {
 	id, err := loadIdentity(n.options.FS, n.options.Directory)
-	if id != nil && len(id.Founders) == 0 {
+	switch {
+	case err != nil:
+		return nil, err
+	case id != nil && len(id.Founders) > 0:
+		n.founds.Store(id)
+	case id != nil:
 		n.wasMember.Store(true)
 	}
-	if err != nil || id != nil && !id.Removed {
-		return id, err
+	if id != nil && !id.Removed {
+		return id, nil
 	}
 	if id, err = n.newIdentity(ctx, id); err != nil {
 		return nil, err
