Recovery soak: cheap look-up of the process behind a connection; founders wait 1 s for an answer

Traced: a step of theirs that sleeps 1.15 s took 210 s, as the test's process was busy; each new connection read /proc/net/tcp (11 ms of processor time here), and reads that wait for frozen hosts opened many. The socket is now asked for by netlink, and four such reads wait for a host at most. A question between founders may now take 1 s, 0.3 s before: with slower answers no group would be founded at all.

--- a/internal/controlnode/founding.go
+++ b/internal/controlnode/founding.go
@@ -15,7 +15,7 @@
 
 const (
 	// foundingCallTimeout limits one question to another founder.
-	foundingCallTimeout = 300 * time.Millisecond
+	foundingCallTimeout = time.Second
 	// foundingRetryInterval is the delay between two rounds of questions.
 	foundingRetryInterval = 50 * time.Millisecond
 	// founderWait is the time for which a founder waits for the answers of all others. One that starts later
--- a/tests/recovery/links_test.go
+++ b/tests/recovery/links_test.go
@@ -1,17 +1,17 @@
 package recovery_test
 
 import (
-	"bufio"
+	"encoding/binary"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -147,16 +147,19 @@
 
 // callerOf returns the host whose process opened a connection to a proxy, or "" if it is none of them.
 func (l *links) callerOf(conn *net.TCPConn) string {
-	socket := socketOf(conn.RemoteAddr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.TCPAddr).Port)
-	if socket == "" {
+	inode, err := inodeOf(conn.RemoteAddr().(*net.TCPAddr), conn.LocalAddr().(*net.TCPAddr))
+	if err != nil {
 		return ""
 	}
+	socket := fmt.Sprintf("socket:[%d]", inode)
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for pid, host := range l.processes {
-		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	processes := maps.Clone(l.processes)
+	l.mu.Unlock()
+	for pid, host := range processes {
+		directory := fmt.Sprintf("/proc/%d/fd", pid)
+		files, _ := os.ReadDir(directory) // fails if the process has ended
 		for _, file := range files {
-			if name, err := os.Readlink(file); err == nil && name == socket {
+			if name, err := os.Readlink(filepath.Join(directory, file.Name())); err == nil && name == socket {
 				return host
 			}
 		}
@@ -164,24 +167,47 @@
 	return ""
 }
 
-// socketOf returns the name of the local socket with the given ports, as the files of a process name it.
-func socketOf(localPort, remotePort int) string {
-	table, err := os.Open("/proc/net/tcp")
+// Sizes and offsets of the messages of NETLINK_SOCK_DIAG, as in linux/inet_diag.h.
+const (
+	sockDiagByFamily = 20
+	netlinkHeader    = 16
+	diagRequestBytes = 56
+	diagPortsOffset  = 8
+	diagSourceOffset = 12
+	diagTargetOffset = 28
+	diagCookieOffset = 48
+	diagInodeOffset  = 68
+)
+
+// inodeOf returns the inode of the local socket with the given addresses.
+func inodeOf(local, remote *net.TCPAddr) (uint32, error) {
+	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
-		return ""
+		return 0, eris.Wrap(err, "open a netlink socket")
 	}
-	defer func() { _ = table.Close() }()
-	port := func(address string) int {
-		_, text, _ := strings.Cut(address, ":")
-		n, _ := strconv.ParseInt(text, 16, 32)
-		return int(n)
+	defer func() { _ = unix.Close(fd) }()
+	request := make([]byte, netlinkHeader+diagRequestBytes)
+	binary.NativeEndian.PutUint32(request, uint32(len(request)))
+	binary.NativeEndian.PutUint16(request[4:], sockDiagByFamily)
+	binary.NativeEndian.PutUint16(request[6:], unix.NLM_F_REQUEST)
+	body := request[netlinkHeader:]
+	body[0], body[1] = unix.AF_INET, unix.IPPROTO_TCP
+	binary.NativeEndian.PutUint32(body[4:], ^uint32(0)) // sockets in any state
+	binary.BigEndian.PutUint16(body[diagPortsOffset:], uint16(local.Port))
+	binary.BigEndian.PutUint16(body[diagPortsOffset+2:], uint16(remote.Port))
+	copy(body[diagSourceOffset:], local.IP.To4())
+	copy(body[diagTargetOffset:], remote.IP.To4())
+	binary.NativeEndian.PutUint64(body[diagCookieOffset:], ^uint64(0)) // no cookie
+	if err := unix.Sendto(fd, request, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
+		return 0, eris.Wrap(err, "look a socket up")
 	}
-	const localField, remoteField, inodeField = 1, 2, 9
-	for lines := bufio.NewScanner(table); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeField && port(fields[localField]) == localPort && port(fields[remoteField]) == remotePort {
-			return "socket:[" + fields[inodeField] + "]"
-		}
+	reply := make([]byte, linkBuffer)
+	n, _, err := unix.Recvfrom(fd, reply, 0)
+	if err != nil {
+		return 0, eris.Wrap(err, "look a socket up")
 	}
-	return ""
+	if n < netlinkHeader+diagInodeOffset+4 || binary.NativeEndian.Uint16(reply[4:]) != sockDiagByFamily {
+		return 0, eris.New("no such socket")
+	}
+	return binary.NativeEndian.Uint32(reply[netlinkHeader+diagInodeOffset:]), nil
 }
--- a/tests/recovery/operator_test.go
+++ b/tests/recovery/operator_test.go
@@ -30,6 +30,8 @@
 	readInterval = 150 * time.Millisecond
 	// patience exceeds the longest freeze: a host that is frozen while a read arrives answers after it.
 	patience = maxFreeze + 2*time.Second
+	// maxOpenReads is the number of such reads that wait for one host.
+	maxOpenReads = 4
 	// minPause and maxPause bound the time between two changes of one operator.
 	minPause       = 30 * time.Millisecond
 	maxPause       = 500 * time.Millisecond
@@ -163,9 +165,23 @@
 func (o *operator) keepReadingAll(ctx context.Context) {
 	var reads sync.WaitGroup
 	defer reads.Wait()
+	open := map[string]chan struct{}{}
 	for sleep(ctx, readInterval) {
 		for _, address := range o.fleet.controlAddresses() {
-			reads.Go(func() { _, _ = o.getAt(ctx, address, patience) }) // checked by the history
+			places := open[address]
+			if places == nil {
+				places = make(chan struct{}, maxOpenReads)
+				open[address] = places
+			}
+			select {
+			case places <- struct{}{}:
+			default:
+				continue
+			}
+			reads.Go(func() {
+				defer func() { <-places }()
+				_, _ = o.getAt(ctx, address, patience) // checked by the history
+			})
 		}
 	}
 }
