--- a/internal/controlnode/simulated_fleet_test.go
+++ b/internal/controlnode/simulated_fleet_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/controlnode"
@@ -16,15 +15,8 @@
 	"github.com/godwitbend/godwitbend/internal/replication"
 )
 
-const (
-	// faultyFor is the time of a schedule in which faults happen, and settleTime the time after it within which
-	// the newest change must be read at all hosts.
-	faultyFor  = 60 * time.Second
-	settleTime = 20 * time.Second
-	// diskLossInterval is the least time between the return of a host and the next loss of a disk.
-	diskLossInterval = 5 * time.Second
-	writers          = 3
-)
+// simulatedWriters is the number of operators that change the configuration at the same time.
+const simulatedWriters = 3
 
 // simulatedHost is a control host on a simulated network and disk. Its process is nil while it is down.
 type simulatedHost struct {
@@ -216,26 +208,6 @@
 	return slices.DeleteFunc(slices.Clone(f.hosts), func(h *simulatedHost) bool { return h.process == nil })
 }
 
-// losePower ends the process of h without another message, and discards what its disk has not synced.
-func (f *simulatedFleet) losePower(h *simulatedHost) {
-	f.mu.Lock()
-	p := h.process
-	if p == nil {
-		f.mu.Unlock()
-		return
-	}
-	cut := f.cutFrom(h, f.others(h))
-	f.network.Reset(h.name)
-	h.disk.Crash(func(_ string, length int) int { return f.random.IntN(length + 1) })
-	f.mu.Unlock()
-	f.end(h, p)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, other := range cut {
-		f.network.Heal(h.name, other.name)
-	}
-}
-
 func (f *simulatedFleet) terminate(h *simulatedHost) {
 	f.mu.Lock()
 	p := h.process
@@ -308,191 +280,6 @@
 	f.logf(format, args...)
 }
 
-// restartAfter starts a host again that is down.
-func (f *simulatedFleet) restartAfter(h *simulatedHost, d time.Duration, emptyDisk bool) {
-	sleep(f.ctx, d)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if emptyDisk && h.process == nil {
-		h.disk = disk.New()
-	}
-	f.logf("%s starts, empty disk %t", h.name, emptyDisk)
-	f.start(h, false)
-}
-
-// playFaults plays random faults until faultyFor has passed.
-func (f *simulatedFleet) playFaults() {
-	var faults sync.WaitGroup
-	var lossMu sync.Mutex
-	lossAllowed := f.began.Add(3 * time.Second)
-	losing := false
-	tryLoss := func() bool {
-		lossMu.Lock()
-		defer lossMu.Unlock()
-		if losing || time.Now().Before(lossAllowed) || f.keepsBootstrap && !f.allVote() {
-			return false
-		}
-		losing = true
-		return true
-	}
-	lossOver := func() {
-		lossMu.Lock()
-		defer lossMu.Unlock()
-		losing, lossAllowed = false, time.Now().Add(diskLossInterval)
-	}
-	for time.Since(f.began) < faultyFor {
-		time.Sleep(f.between(50*time.Millisecond, 1500*time.Millisecond))
-		h := f.pick()
-		if h == nil {
-			continue
-		}
-		down := f.between(0, 2*time.Second)
-		long := f.between(300*time.Millisecond, 7*time.Second)
-		f.mu.Lock()
-		draw := f.random.IntN(100)
-		f.mu.Unlock()
-		switch {
-		case draw < 20: // isolate a host
-			f.event("%s is cut off for %s", h.name, long)
-			faults.Go(func() { f.cutFor(h, long, 1) })
-		case draw < 30: // cut one link or some of them
-			f.event("%s is cut off from some for %s", h.name, long)
-			faults.Go(func() { f.cutFor(h, long, 2) })
-		case draw < 40:
-			f.event("split for %s", long)
-			faults.Go(func() { f.split(long) })
-		case draw < 48:
-			f.event("%s loses power for %s", h.name, down)
-			faults.Go(func() { f.losePower(h); f.restartAfter(h, down, false) })
-		case draw < 53:
-			f.event("%s is terminated, back after %s", h.name, down)
-			faults.Go(func() { f.terminate(h); f.restartAfter(h, down, false) })
-		case draw < 57:
-			f.event("all lose power")
-			for _, one := range f.snapshotHosts() {
-				faults.Go(func() { f.losePower(one); f.restartAfter(one, down, false) })
-			}
-		case draw < 66:
-			if tryLoss() {
-				f.event("%s loses its disk, back after %s", h.name, down)
-				faults.Go(func() { f.losePower(h); f.restartAfter(h, down, true); lossOver() })
-			}
-		case draw < 78:
-			if tryLoss() {
-				planned := f.chance(40)
-				f.event("%s is replaced after %s, planned %t", h.name, down, planned)
-				faults.Go(func() { f.replace(h, down, planned); lossOver() })
-			}
-		case draw < 88:
-			f.event("the disk of %s hangs for %s", h.name, long)
-			faults.Go(func() { release := h.disk.BlockSync(); sleep(f.ctx, long); release() })
-		case draw < 92:
-			f.event("the disk of %s fails for %s", h.name, down)
-			d := h.disk
-			d.FailSync(syscall.EIO)
-			faults.Go(func() { sleep(f.ctx, down); d.FailSync(nil) })
-		case draw < 96:
-			f.event("connections of %s are reset", h.name)
-			f.network.Reset(h.name)
-		default:
-			f.event("all links heal")
-			f.network.HealAll()
-		}
-	}
-	faults.Wait()
-}
-
-func (f *simulatedFleet) snapshotHosts() []*simulatedHost {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.running()
-}
-
-// cutFor cuts h from one in n of the others.
-func (f *simulatedFleet) cutFor(h *simulatedHost, d time.Duration, n int) {
-	f.mu.Lock()
-	others := slices.DeleteFunc(f.others(h), func(*simulatedHost) bool { return f.random.IntN(n) != 0 })
-	f.cutFrom(h, others)
-	reset := f.random.IntN(2) == 0
-	f.mu.Unlock()
-	if reset {
-		sleep(f.ctx, min(d/2, 1500*time.Millisecond))
-		f.network.Reset(h.name)
-	}
-	sleep(f.ctx, d)
-	for _, other := range others {
-		f.network.Heal(h.name, other.name)
-	}
-}
-
-func (f *simulatedFleet) split(d time.Duration) {
-	f.mu.Lock()
-	var left, right []string
-	for _, h := range f.hosts {
-		if f.random.IntN(2) == 0 {
-			left = append(left, h.name)
-		} else {
-			right = append(right, h.name)
-		}
-	}
-	f.mu.Unlock()
-	f.network.Partition(left, right)
-	sleep(f.ctx, d)
-	for _, a := range left {
-		for _, b := range right {
-			f.network.Heal(a, b)
-		}
-	}
-}
-
-func (f *simulatedFleet) replace(h *simulatedHost, down time.Duration, planned bool) {
-	startSuccessor := func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		next := f.addHost()
-		f.logf("%s starts in the place of %s", next.name, h.name)
-		f.start(next, false)
-	}
-	if planned {
-		startSuccessor()
-		sleep(f.ctx, 2*time.Second)
-		f.terminate(h)
-	} else {
-		f.losePower(h)
-	}
-	f.mu.Lock()
-	h.gone = true
-	f.mu.Unlock()
-	if !planned {
-		sleep(f.ctx, down)
-		startSuccessor()
-	}
-}
-
-// settle ends all faults, and reports whether all hosts read the newest change in time.
-func (f *simulatedFleet) settle() bool {
-	f.network.HealAll()
-	f.mu.Lock()
-	for _, h := range f.hosts {
-		h.disk.FailSync(nil)
-		f.start(h, false)
-	}
-	f.mu.Unlock()
-	for limit := time.Now().Add(settleTime); time.Now().Before(limit); time.Sleep(100 * time.Millisecond) {
-		f.mu.Lock()
-		hosts, floor := f.running(), f.acked
-		f.mu.Unlock()
-		behind := slices.ContainsFunc(hosts, func(h *simulatedHost) bool {
-			d, err := h.process.node.NewestDocument(f.ctx)
-			return err != nil || d.Version < floor
-		})
-		if !behind {
-			return true
-		}
-	}
-	return false
-}
-
 // stop ends all processes and operators.
 func (f *simulatedFleet) stop(cancel context.CancelFunc) {
 	cancel()
--- a/internal/controlnode/stale_reads_test.go
+++ b/internal/controlnode/stale_reads_test.go
@@ -23,7 +23,7 @@
 		f = newSimulatedFleet(ctx, seed, 3+2*int(min(seed%4, 1)))
 		f.keepsBootstrap = seed%2 == 0
 		f.startFounding()
-		for i := range writers {
+		for i := range simulatedWriters {
 			random := rand.New(rand.NewPCG(seed, uint64(100+i)))
 			f.wg.Go(func() { f.keepChanging(ctx, random) })
 		}
