--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,7 +51,7 @@
 	startupDeadline time.Time
 	// draining is set during a shutdown, when new requests are refused.
 	draining atomic.Bool
-	// stopped ends when the requests in flight have to be answered without their upstreams.
+	// stopped is done once the requests in flight must be answered without waiting for their upstreams.
 	stopped          context.Context
 	endRequests      context.CancelFunc
 	served           tally.Counter
