A stopping gateway says when a request came, was read, was sent and was last answered

Logs could not tell why a stop ended a request without a whole answer: the lines of requests had no times in the stop, and nothing was counted. Lines of requests that end in a stop now have them, and how long the caller took to accept a part of the answer; "draining", "refusing new requests" and "drained" have numbers, also as counters; and "draining" says for how long the process may not have run before it learned of the signal.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -109,7 +109,7 @@
 		w.Header().Set("Connection", "close")
 		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
 	}
-	q.Body = body
+	q.Body, q.bodyReadAt = body, time.Now()
 	return nil
 }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -21,10 +21,11 @@
 	w.WriteHeader(buffered.status)
 	a.recordFirstEvent()
 	a.recordStart()
-	if _, err := w.Write(buffered.body); err != nil {
+	if err := a.timeWrite(func() error { _, err := w.Write(buffered.body); return err }); err != nil {
 		klog.InfoS("write to the caller failed", append(a.logFields(), "error", err.Error())...)
 		return
 	}
+	a.outcome = gotAnswer
 	a.handler.served.Inc(1)
 	klog.InfoS("request answered", append(a.logFields(), "status", buffered.status)...)
 }
@@ -42,6 +43,7 @@
 			a.reportOutcome(placement.Served)
 			a.recordComplete()
 			a.writeHeader(w, answer)
+			a.outcome = gotAnswer
 			a.handler.served.Inc(1)
 			klog.InfoS("request answered", append(a.logFields(), "status", answer.StatusCode, "events", a.eventsSent)...)
 			return resultAnswered
@@ -93,10 +95,12 @@
 	if event.HasID {
 		a.lastEventID = event.ID
 	}
-	_, err := w.Write(event.Raw)
-	if err == nil {
-		err = http.NewResponseController(w).Flush()
-	}
+	err := a.timeWrite(func() error {
+		if _, err := w.Write(event.Raw); err != nil {
+			return err
+		}
+		return http.NewResponseController(w).Flush()
+	})
 	if err != nil {
 		a.reportOutcome(placement.Abandoned)
 		klog.InfoS("caller disconnected", append(a.logFields(), "events", a.eventsSent, "error", err.Error())...)
@@ -104,3 +108,11 @@
 	}
 	return true
 }
+
+// timeWrite calls write, which sends a part of the answer to the caller, and records how long it took.
+func (q *request) timeWrite(write func() error) error {
+	started := time.Now()
+	err := write()
+	q.longestWrite = max(q.longestWrite, time.Since(started))
+	return err
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -262,6 +262,7 @@
 	a.excludedUpstreams = append(a.excludedUpstreams, a.target.ID)
 	a.backlog, a.prefillRate = a.target.Backlog, a.target.PrefillRate
 	a.sentAt = time.Now()
+	a.lastSentAt = a.sentAt
 	answer, err := a.handler.upstreams.Do(a.ctx, a.target.Address, a.prepareRequest)
 	if errors.Is(err, upstreamhttp.ErrWithdrawn) {
 		a.lastFailure = failureWithdrawn
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -54,6 +54,7 @@
 	// stopped is done once the requests in flight must be answered without waiting for their upstreams.
 	stopped          context.Context
 	endRequests      context.CancelFunc
+	stop             *stop
 	served           tally.Counter
 	uncharged        tally.Counter
 	upstreamCrashes  tally.Counter
@@ -70,6 +71,7 @@
 	stopped, endRequests := context.WithCancel(context.Background())
 	h := &Handler{
 		stopped: stopped, endRequests: endRequests,
+		stop:             newStop(o.Scope),
 		Options:          o,
 		upstreams:        upstreamhttp.NewClient(o.Paths.Dial),
 		startupDeadline:  time.Now().Add(startupTimeout),
@@ -116,6 +118,9 @@
 	service      *catalog.Service
 	organisation *catalog.Organisation
 	arrived      time.Time
+	// bodyReadAt is when the body was read, and lastSentAt when the request was last sent to an upstream.
+	bodyReadAt time.Time
+	lastSentAt time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 	ctx      context.Context
@@ -148,6 +153,10 @@
 	timeToFirstEvent time.Duration
 	longestGap       time.Duration
 	lastEventAt      time.Time
+	// longestWrite is the longest time that the caller took to accept a part of the answer, and outcome what the
+	// caller got.
+	longestWrite time.Duration
+	outcome      callerOutcome
 	// attempts is the number of upstreams that the request was sent to, upstreamID the
 	// id of the latest of them, and excludedUpstreams the ids of all that were tried,
 	// unreachable ones included.
@@ -169,6 +178,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{handler: h, arrived: time.Now()}
+	h.stop.inFlight.Add(1)
+	defer h.stop.inFlight.Add(-1)
+	defer q.countStopped()
 	refusal := q.admit(w, r)
 	if refusal == nil {
 		refusal = q.serve(w, r)
@@ -257,6 +269,7 @@
 	klog.InfoS("request refused", append(fields, "kind", string(e.Kind), "reason", e.Message,
 		"retry_after_ms", e.RetryAfterMS, "ran", q.mayHaveRun, "begun", q.mayHaveBegun)...)
 	h.Dialect.Refuse(w, q.Call, e)
+	q.outcome = gotRefusal
 }
 
 func (q *request) logFields() []any {
@@ -298,5 +311,5 @@
 	if q.lastFailure != "" {
 		fields = append(fields, "last_failure", q.lastFailure)
 	}
-	return fields
+	return append(fields, q.stopLogFields()...)
 }
--- /dev/null
+++ b/internal/gateway/stopping.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// stop is the record of a shutdown.
+type stop struct {
+	// began is when it began; nil before.
+	began    atomic.Pointer[time.Time]
+	inFlight atomic.Int64
+	answered stopCounter
+	refused  stopCounter
+	// brokenOff counts requests whose answer did not reach the caller whole.
+	brokenOff stopCounter
+}
+
+// stopCounter counts requests that ended during the shutdown.
+type stopCounter struct {
+	n       atomic.Int64
+	counter tally.Counter
+}
+
+func (c *stopCounter) inc() {
+	c.n.Add(1)
+	c.counter.Inc(1)
+}
+
+func newStop(scope tally.Scope) *stop {
+	return &stop{
+		answered:  stopCounter{counter: scope.Counter("stop_answered")},
+		refused:   stopCounter{counter: scope.Counter("stop_refused")},
+		brokenOff: stopCounter{counter: scope.Counter("stop_broken_off")},
+	}
+}
+
+// BeginStop records that the host stops since began. Requests that end from now on are counted and logged with
+// their times.
+func (h *Handler) BeginStop(began time.Time) { h.stop.began.Store(&began) }
+
+// InFlight returns the number of requests being served.
+func (h *Handler) InFlight() int64 { return h.stop.inFlight.Load() }
+
+// StopLogFields returns the numbers of requests that ended since the host stops, and of those being served.
+func (h *Handler) StopLogFields() []any {
+	return []any{
+		"answered", h.stop.answered.n.Load(), "refused", h.stop.refused.n.Load(),
+		"broken_off", h.stop.brokenOff.n.Load(), "in_flight", h.InFlight(),
+	}
+}
+
+// callerOutcome is what the caller got of an answer.
+type callerOutcome uint8
+
+const (
+	gotNothing callerOutcome = iota
+	gotAnswer
+	gotRefusal
+)
+
+// countStopped counts a request that ended, if the host stops.
+func (q *request) countStopped() {
+	s := q.handler.stop
+	if s.began.Load() == nil {
+		return
+	}
+	switch q.outcome {
+	case gotAnswer:
+		s.answered.inc()
+	case gotRefusal:
+		s.refused.inc()
+	default:
+		s.brokenOff.inc()
+	}
+}
+
+// stopLogFields returns the times of the request in milliseconds after the stop began, negative if before; none
+// unless the host stops.
+func (q *request) stopLogFields() []any {
+	if q.handler.stop == nil {
+		return nil
+	}
+	began := q.handler.stop.began.Load()
+	if began == nil {
+		return nil
+	}
+	fields := []any{"stopping_ms", time.Since(*began).Milliseconds(), "longest_write_ms", q.longestWrite.Milliseconds()}
+	for _, step := range []struct {
+		name string
+		at   time.Time
+	}{{"head_at_ms", q.arrived}, {"body_at_ms", q.bodyReadAt}, {"sent_at_ms", q.lastSentAt}, {"last_event_at_ms", q.lastEventAt}} {
+		if !step.at.IsZero() {
+			fields = append(fields, step.name, step.at.Sub(*began).Milliseconds())
+		}
+	}
+	return fields
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -32,10 +32,6 @@
 	// callerHeaderTimeout and callerHeaderBytes bound the reading of a request's header.
 	callerHeaderTimeout = 15 * time.Second
 	callerHeaderBytes   = 64 << 10
-	// drainDelay is the time for which a stopping host still accepts requests, while
-	// the load balancer detects that it is not ready and directs new connections to
-	// other hosts.
-	drainDelay = 2500 * time.Millisecond
 	// tunnelDialTimeout bounds the connection to another host that carries one to an upstream, and
 	// tunnelUnackedTimeout is how long bytes sent on it may stay unacknowledged.
 	tunnelDialTimeout    = 120 * time.Millisecond
@@ -70,10 +66,7 @@
 		}
 		return handler.Ready()
 	}
-	callers := &http.Server{
-		Handler: handler, IdleTimeout: callerIdleTimeout,
-		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerHeaderBytes,
-	}
+	callers := newCallerServer(handler)
 	readiness := &http.Server{Handler: adapter.Ready(ready), ReadHeaderTimeout: time.Second}
 	if err := serveMetrics(s.Node, metrics, ready, nil); err != nil {
 		return err
@@ -83,7 +76,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := serveCallers(background, s, callers, meter, metrics.Scope); err != nil {
+	if err := serveCallers(background, s, callers.Server, meter, metrics.Scope); err != nil {
 		return err
 	}
 	hosts, err := netconn.Listen(s.Listen.Hosts, unackedTimeout)
@@ -102,6 +95,8 @@
 			klog.ErrorS(err, "exchange of upstream loads with other hosts failed")
 		}
 	}()
+	pulse := newPulse()
+	go pulse.run(background)
 	go updateGatewayGauges(background, metrics.Scope, pool)
 	done := make(chan struct{})
 	go func() {
@@ -115,7 +110,7 @@
 	case <-client.SessionLost():
 		failure = eris.New("another process has opened a session for this host")
 	}
-	stopGateway(s, handler, callers)
+	callers.stop(s.StopTimeout.Duration, pulse)
 	stop()
 	<-done
 	if err := client.Close(); err != nil {
@@ -170,27 +165,3 @@
 		return tunnel.Dial(ctx, client, via, address, timeout)
 	}
 }
-
-// stopGateway waits until the load balancer directs callers to other hosts, then
-// refuses new requests and waits for those in flight. What is in flight shortly before the stop
-// timeout is answered without its upstream, as the connections are closed then.
-func stopGateway(s *watchedSettings, handler *gateway.Handler, callers *http.Server) {
-	stopBy := time.Now().Add(s.StopTimeout.Duration - exitMargin - sessionCloseTime)
-	klog.InfoS("draining")
-	time.Sleep(min(drainDelay, s.StopTimeout.Duration/3))
-	handler.Close()
-	lastAnswers := time.AfterFunc(time.Until(stopBy)-lastAnswersTime, handler.EndRequests)
-	defer lastAnswers.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), stopBy)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
-	}
-}
-
-// lastAnswersTime is the part of the stop timeout in which the requests that are still in flight are answered.
-const lastAnswersTime = 200 * time.Millisecond
-
-// sessionCloseTime is the part of the stop timeout reserved for the final report to the
-// control group.
-const sessionCloseTime = 500 * time.Millisecond
