A stopping gateway carries the tunnels of other hosts to their end

Cause: a stopping gateway ended its RPC server when its own callers were done, 2.5 s after SIGTERM, and cut the tunnels that it carried for others; until then it took new ones. Change: from SIGTERM on it refuses new tunnels, so that others choose another host at once, and waits for open ones until the end of its stop timeout.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -90,9 +90,10 @@
 	if err != nil {
 		return err
 	}
+	tunnels := &tunnel.Server{Dial: paths.DialForOther, Serves: pool.ServesAt}
 	go func() {
 		srv := client.NewServer()
-		(&tunnel.Server{Dial: paths.DialForOther, Serves: pool.ServesAt}).Register(srv)
+		tunnels.Register(srv)
 		if err := srv.Serve(background, hosts); err != nil {
 			klog.ErrorS(err, "RPC server for hosts failed")
 		}
@@ -115,7 +116,11 @@
 	case <-client.SessionLost():
 		failure = eris.New("another process has opened a session for this host")
 	}
+	tunnels.Stop()
+	stopping, cancel := context.WithTimeout(background, s.StopTimeout.Duration-exitMargin-sessionCloseTime)
+	defer cancel()
 	stopGateway(s, handler, callers)
+	tunnels.Drain(stopping)
 	stop()
 	<-done
 	if err := client.Close(); err != nil {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -18,6 +19,8 @@
 	maxDialTimeout = time.Second
 	// readBufferBytes fits typical events of a stream.
 	readBufferBytes = 4 << 10
+	// drainPollInterval is the interval at which Drain looks for open tunnels.
+	drainPollInterval = 10 * time.Millisecond
 )
 
 // ErrUnavailable is wrapped by errors of Server.Dial that tell nothing of the upstream.
@@ -30,24 +33,31 @@
 	// Serves reports whether an upstream is known at an address. Others are not connected to.
 	Serves func(address string) bool
 
-	tunnels atomic.Int64
+	stopping atomic.Bool
+	tunnels  atomic.Int64
 }
 
 // Register registers the method that opens tunnels.
 func (s *Server) Register(srv *rpc.Server) { rpc.HandleDuplex(srv, method, s.serve) }
 
+// Stop refuses new tunnels, so that other hosts choose another way at once. Open ones go on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Drain waits until all tunnels have ended, or ctx has. It follows Stop.
+func (s *Server) Drain(ctx context.Context) {
+	for s.tunnels.Load() > 0 && timing.Sleep(ctx, drainPollInterval) {
+	}
+}
+
 func (s *Server) serve(stream *rpc.Stream) error {
 	var req openRequest
 	if err := stream.Receive(&req); err != nil {
 		return err
 	}
-	if s.tunnels.Add(1) > maxTunnels {
-		s.tunnels.Add(-1)
-		return stream.Send(&openReply{statusUnavailable, "too many tunnels"})
-	}
+	open := s.tunnels.Add(1)
 	defer s.tunnels.Add(-1)
-	if !s.Serves(req.Address) {
-		return stream.Send(&openReply{statusUnavailable, "no upstream is known at the address"})
+	if reason := s.refusal(open, req.Address); reason != "" {
+		return stream.Send(&openReply{statusUnavailable, reason})
 	}
 	ctx, cancel := context.WithTimeout(stream.Context(), min(max(req.Timeout, 0), maxDialTimeout))
 	upstream, err := s.Dial(ctx, req.Address)
@@ -66,6 +76,19 @@
 	return forwardFromUpstream(stream, upstream)
 }
 
+// refusal returns why no tunnel to address is opened, or "". The number of open ones includes it.
+func (s *Server) refusal(open int64, address string) string {
+	switch {
+	case s.stopping.Load():
+		return "the host is stopping"
+	case open > maxTunnels:
+		return "too many tunnels"
+	case !s.Serves(address):
+		return "no upstream is known at the address"
+	}
+	return ""
+}
+
 // forwardToUpstream forwards data until the other host closes the tunnel, and then closes the
 // connection to the upstream. An upstream that reads no more may still answer.
 func forwardToUpstream(stream *rpc.Stream, upstream io.WriteCloser) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -25,6 +25,7 @@
 type testHost struct {
 	g       *WithT
 	client  *rpc.Client
+	server  *tunnel.Server
 	address string
 	dialErr error
 }
@@ -44,7 +45,7 @@
 		}
 	}()
 	srv := rpc.NewServer()
-	(&tunnel.Server{
+	h.server = &tunnel.Server{
 		Dial: func(ctx context.Context, _ string) (io.ReadWriteCloser, error) {
 			if h.dialErr != nil {
 				return nil, h.dialErr
@@ -52,7 +53,8 @@
 			return new(net.Dialer).DialContext(ctx, "tcp4", upstream.Addr().String())
 		},
 		Serves: func(address string) bool { return address == known },
-	}).Register(srv)
+	}
+	h.server.Register(srv)
 	hosts, err := net.Listen("tcp4", "127.0.0.1:0")
 	h.g.Expect(err).NotTo(HaveOccurred())
 	go func() { _ = srv.Serve(t.Context(), hosts) }()
@@ -152,6 +154,32 @@
 	h.g.Eventually(closed, "500ms").Should(BeClosed())
 }
 
+// Guards against a stopping host that cuts the connections which it carries for others.
+func TestStoppingHostRefusesTunnelsAndWaitsForOpenOnes(t *testing.T) {
+	h := newTestHost(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	conn := h.mustDial(t)
+	h.server.Stop()
+	var unavailable *tunnel.UnavailableError
+	_, err := h.dial(t.Context(), known)
+	h.g.Expect(errors.As(err, &unavailable)).To(BeTrue(), "a new tunnel")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		h.server.Drain(ctx)
+	}()
+	h.g.Consistently(drained, "100ms").ShouldNot(BeClosed())
+	_, err = io.WriteString(conn, "data")
+	h.g.Expect(err).NotTo(HaveOccurred())
+	received := make([]byte, 4)
+	_, err = io.ReadFull(conn, received)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(string(received)).To(Equal("data"))
+	h.g.Expect(conn.Close()).To(Succeed())
+	h.g.Eventually(drained).Should(BeClosed())
+}
+
 func TestErrorsTellUpstreamsFromHosts(t *testing.T) {
 	h := newTestHost(t, func(net.Conn) {})
 	_, err := h.dial(t.Context(), "other")
