A stop whose signal is handled late is timed from the signal, not from its handling

What callers saw (shown here): streams of a stopping gateway cut with 200, and connections closed as the platform killed the gateway. Cause: the 2.5 s until new requests are refused, and the stop timeout, counted from when the process learned of SIGTERM. Where it has no processor time that is later than the signal: past 0.5 s requests sent over 3 s after SIGTERM were taken, and cut at the end; past 0.8 s the end came after the platform's kill, so that nothing in flight was answered. Change: the process notes every 50 ms that it runs, and times a stop from the last time that it ran before a hold-up. It refuses that much earlier, and ends before it may be killed.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -26,6 +26,8 @@
 	sessionCloseTime = 500 * time.Millisecond
 	// pulseInterval is the interval at which a process notes that it runs.
 	pulseInterval = 50 * time.Millisecond
+	// catchUpTime is the time in which a process that runs again learns of the signals that were sent while it did not.
+	catchUpTime = 500 * time.Millisecond
 )
 
 // callerServer is the server for callers of a gateway.
@@ -53,48 +55,76 @@
 	}
 }
 
+// stopPlan holds the times of the steps of a stop.
+type stopPlan struct {
+	// refuse is when new requests are refused, answer when those in flight are answered without their upstreams, and
+	// end when their connections are closed.
+	refuse, answer, end time.Time
+}
+
+// planStop returns the plan of a stop whose signal was learned of now, and sent after sentAfter. The process is killed
+// timeout after it was sent.
+func planStop(sentAfter, now time.Time, timeout time.Duration) stopPlan {
+	end := now.Add(timeout - exitMargin - sessionCloseTime)
+	if latest := sentAfter.Add(timeout - exitMargin); latest.Before(end) {
+		end = latest
+	}
+	return stopPlan{refuse: sentAfter.Add(min(drainDelay, timeout/3)), answer: end.Add(-lastAnswersTime), end: end}
+}
+
 // stop waits until the load balancer directs callers to other hosts, then
 // refuses new requests and waits for those in flight. What is in flight shortly before the stop
 // timeout is answered without its upstream, as the connections are closed then.
 func (s *callerServer) stop(timeout time.Duration, pulse *pulse) {
-	began := time.Now()
-	s.handler.BeginStop(began)
-	klog.InfoS("draining", "in_flight", s.handler.InFlight(), "connections", s.connections.Load(),
-		"not_run_ms", began.Sub(pulse.ranAt()).Milliseconds())
-	stopBy := began.Add(timeout - exitMargin - sessionCloseTime)
-	time.Sleep(min(drainDelay, timeout/3))
-	klog.InfoS("refusing new requests", append(s.handler.StopLogFields(), "connections", s.connections.Load(), "after_ms", time.Since(began).Milliseconds())...)
+	now, sentAfter := time.Now(), pulse.signalSentAfter()
+	plan := planStop(sentAfter, now, timeout)
+	s.handler.BeginStop(sentAfter)
+	klog.InfoS("draining", "in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "not_run_ms", now.Sub(sentAfter).Milliseconds())
+	time.Sleep(time.Until(plan.refuse))
+	s.logProgress("refusing new requests", sentAfter)
 	s.handler.Close()
-	lastAnswers := time.AfterFunc(time.Until(stopBy)-lastAnswersTime, s.handler.EndRequests)
+	lastAnswers := time.AfterFunc(time.Until(plan.answer), s.handler.EndRequests)
 	defer lastAnswers.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), stopBy)
+	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
 		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
 	}
-	klog.InfoS("drained", append(s.handler.StopLogFields(), "connections", s.connections.Load(), "after_ms", time.Since(began).Milliseconds())...)
+	s.logProgress("drained", sentAfter)
+}
+
+func (s *callerServer) logProgress(message string, began time.Time) {
+	klog.InfoS(message, append(s.handler.StopLogFields(), "connections", s.connections.Load(), "stopping_ms", time.Since(began).Milliseconds())...)
 }
 
 // pulse notes when the process runs, to tell how late it may have learned of a signal.
 type pulse struct {
-	mu           sync.Mutex
-	last, before time.Time
+	mu   sync.Mutex
+	last time.Time
+	// heldUpFrom and heldUpTo are the bounds of the last time in which the process did not run.
+	heldUpFrom, heldUpTo time.Time
 }
 
-func newPulse() *pulse { return &pulse{last: time.Now(), before: time.Now()} }
+func newPulse() *pulse { return &pulse{last: time.Now()} }
 
 func (p *pulse) run(ctx context.Context) { timing.Every(ctx, pulseInterval, p.beat) }
 
 func (p *pulse) beat() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.before, p.last = p.last, time.Now()
+	now := time.Now()
+	if now.Sub(p.last) > 2*pulseInterval {
+		p.heldUpFrom, p.heldUpTo = p.last, now
+	}
+	p.last = now
 }
 
-// ranAt returns a time at which the process ran and had no signal that it learns of now. The latest beat may come
-// after that signal, if both waited until the process ran again.
-func (p *pulse) ranAt() time.Time {
+// signalSentAfter returns the time after which a signal was sent that the process learns of now.
+func (p *pulse) signalSentAfter() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.before
+	if time.Since(p.heldUpTo) < catchUpTime {
+		return p.heldUpFrom
+	}
+	return p.last
 }
