A stopping gateway asks callers to leave their connections and answers on those that are idle

Cause: answers after SIGTERM kept the connection, and the shutdown of the server closed all idle ones at the moment at which new requests are refused. Change: answers that begin after SIGTERM have "Connection: close"; idle connections stay open until no request has been served for 0.5 s, so that a request on one of them is answered: refused as not run. Hold-ups of the process are kept for the second in which it may still learn of a signal, as several may follow each other.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -98,7 +98,6 @@
 	_ = control.SetReadDeadline(time.Time{})
 	switch {
 	case err != nil && q.hostStopped():
-		w.Header().Set("Connection", "close")
 		return errDraining()
 	case err != nil && r.Context().Err() != nil:
 		return errkind.New(errkind.InvalidRequest, "the caller disconnected before the body was read")
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -18,6 +18,7 @@
 func (a *attempt) writeAnswer(w http.ResponseWriter, buffered *bufferedAnswer) {
 	maps.Copy(w.Header(), buffered.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	a.handler.closeIfStopping(w)
 	w.WriteHeader(buffered.status)
 	a.recordFirstEvent()
 	a.recordStart()
@@ -73,6 +74,7 @@
 	}
 	maps.Copy(w.Header(), a.handler.Dialect.AnswerHeader(answer.Header))
 	w.Header().Del("Content-Length")
+	a.handler.closeIfStopping(w)
 	w.WriteHeader(answer.StatusCode)
 	a.recordFirstEvent()
 	a.recordStart()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -208,7 +208,7 @@
 	if refusal := q.identify(); refusal != nil {
 		return refusal
 	}
-	if refusal := q.checkDraining(w); refusal != nil {
+	if refusal := q.checkDraining(); refusal != nil {
 		return refusal
 	}
 	q.setDeadline()
@@ -216,18 +216,17 @@
 	if refusal := q.readBody(w, r); refusal != nil {
 		return refusal
 	}
-	if refusal := q.checkDraining(w); refusal != nil {
+	if refusal := q.checkDraining(); refusal != nil {
 		return refusal
 	}
 	return q.checkQuarantine()
 }
 
 // checkDraining refuses the request if the host is stopping.
-func (q *request) checkDraining(w http.ResponseWriter) *errkind.Error {
+func (q *request) checkDraining() *errkind.Error {
 	if !q.handler.draining.Load() {
 		return nil
 	}
-	w.Header().Set("Connection", "close")
 	return errDraining()
 }
 
@@ -268,6 +267,7 @@
 	fields := append(q.logFields(), q.countNotResumed(e)...)
 	klog.InfoS("request refused", append(fields, "kind", string(e.Kind), "reason", e.Message,
 		"retry_after_ms", e.RetryAfterMS, "ran", q.mayHaveRun, "begun", q.mayHaveBegun)...)
+	h.closeIfStopping(w)
 	h.Dialect.Refuse(w, q.Call, e)
 	q.outcome = gotRefusal
 }
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -1,12 +1,19 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
+// stopPollInterval is the interval at which a stop looks for requests being served.
+const stopPollInterval = 20 * time.Millisecond
+
 // stop is the record of a shutdown.
 type stop struct {
 	// began is when it began; nil before.
@@ -37,10 +44,28 @@
 	}
 }
 
-// BeginStop records that the host stops since began. Requests that end from now on are counted and logged with
-// their times.
+// BeginStop records that the host stops since began. Answers that begin from now on ask callers to leave their
+// connections, and requests that end are counted and logged with their times.
 func (h *Handler) BeginStop(began time.Time) { h.stop.began.Store(&began) }
 
+// closeIfStopping asks the caller to send no other request on its connection, if the host stops.
+func (h *Handler) closeIfStopping(w http.ResponseWriter) {
+	if h.stop.began.Load() != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// AwaitRequests waits until no request has been served for a time, or ctx is done.
+func (h *Handler) AwaitRequests(ctx context.Context, quiet time.Duration) {
+	last := time.Now()
+	timing.EveryUntil(ctx, stopPollInterval, func() bool {
+		if h.InFlight() > 0 {
+			last = time.Now()
+		}
+		return time.Since(last) < quiet
+	})
+}
+
 // InFlight returns the number of requests being served.
 func (h *Handler) InFlight() int64 { return h.stop.inFlight.Load() }
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,10 +25,13 @@
 	// sessionCloseTime is the part of the stop timeout reserved for the final report to the
 	// control group.
 	sessionCloseTime = 500 * time.Millisecond
+	// quietTime is the time without requests after which a stopping host closes idle connections. Requests on them
+	// may have been sent and not read yet.
+	quietTime = 500 * time.Millisecond
 	// pulseInterval is the interval at which a process notes that it runs.
 	pulseInterval = 50 * time.Millisecond
 	// catchUpTime is the time in which a process that runs again learns of the signals that were sent while it did not.
-	catchUpTime = 500 * time.Millisecond
+	catchUpTime = time.Second
 )
 
 // callerServer is the server for callers of a gateway.
@@ -74,7 +78,8 @@
 
 // stop waits until the load balancer directs callers to other hosts, then
 // refuses new requests and waits for those in flight. What is in flight shortly before the stop
-// timeout is answered without its upstream, as the connections are closed then.
+// timeout is answered without its upstream, as the connections are closed then. Answers ask callers to leave their
+// connections; those that are idle stay open until the others are done, so that requests on them are answered too.
 func (s *callerServer) stop(timeout time.Duration, pulse *pulse) {
 	now, sentAfter := time.Now(), pulse.signalSentAfter()
 	plan := planStop(sentAfter, now, timeout)
@@ -87,6 +92,7 @@
 	defer lastAnswers.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
+	s.handler.AwaitRequests(ctx, quietTime)
 	if err := s.Shutdown(ctx); err != nil {
 		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
 	}
@@ -101,10 +107,13 @@
 type pulse struct {
 	mu   sync.Mutex
 	last time.Time
-	// heldUpFrom and heldUpTo are the bounds of the last time in which the process did not run.
-	heldUpFrom, heldUpTo time.Time
+	// holdUps are those that ended within catchUpTime.
+	holdUps []holdUp
 }
 
+// holdUp is a time in which the process did not run.
+type holdUp struct{ from, to time.Time }
+
 func newPulse() *pulse { return &pulse{last: time.Now()} }
 
 func (p *pulse) run(ctx context.Context) { timing.Every(ctx, pulseInterval, p.beat) }
@@ -113,8 +122,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.forget(now)
 	if now.Sub(p.last) > 2*pulseInterval {
-		p.heldUpFrom, p.heldUpTo = p.last, now
+		p.holdUps = append(p.holdUps, holdUp{from: p.last, to: now})
 	}
 	p.last = now
 }
@@ -123,8 +133,14 @@
 func (p *pulse) signalSentAfter() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if time.Since(p.heldUpTo) < catchUpTime {
-		return p.heldUpFrom
+	p.forget(time.Now())
+	if len(p.holdUps) > 0 {
+		return p.holdUps[0].from
 	}
 	return p.last
 }
+
+// forget removes the hold-ups after which the process has had the time to learn of all signals. The caller holds p.mu.
+func (p *pulse) forget(now time.Time) {
+	p.holdUps = slices.DeleteFunc(p.holdUps, func(h holdUp) bool { return now.Sub(h.to) >= catchUpTime })
+}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -40,7 +40,11 @@
 		time.Sleep(pulseInterval / 4)
 		p.beat()
 		g.Expect(p.signalSentAfter()).To(Equal(ran))
+		time.Sleep(3 * pulseInterval)
+		p.beat()
+		g.Expect(p.signalSentAfter()).To(Equal(ran), "another hold-up follows")
 		time.Sleep(catchUpTime)
-		g.Expect(p.signalSentAfter()).To(BeTemporally("~", time.Now(), catchUpTime+pulseInterval), "it has learned of its signals since")
+		p.beat()
+		g.Expect(p.signalSentAfter()).To(BeTemporally(">", ran.Add(time.Second)), "it has learned of all signals since")
 	})
 }
