What a stopping control host acknowledges reaches the others before it ends

Cause: at SIGTERM the control host left the group and ended the forwarding of reports at once, while its HTTP server answered what was in flight for up to 1 s. Change: the calls in flight are answered first; then it hands over, forwards what is queued, for at most 0.6 s, and ends. After 1 s connections with unfinished calls are closed, so that nothing is acknowledged any more.

--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -145,8 +145,10 @@
 	crashes       crashcause.Tracker
 	notices       notice.Table
 	forwardQueues map[string]chan UpstreamRecord
-	wg            sync.WaitGroup
-	ctx           context.Context
+	// unforwarded counts the reports that are queued or on their way to other control hosts.
+	unforwarded atomic.Int64
+	wg          sync.WaitGroup
+	ctx         context.Context
 }
 
 // New returns a control host that is not started.
@@ -192,7 +194,7 @@
 	return srv
 }
 
-// Run serves until ctx ends. It then transfers its leadership, if any, and stops.
+// Run serves until ctx ends. It then transfers its leadership, if any, forwards the reports that it has, and stops.
 func (n *Node) Run(ctx context.Context) error {
 	listener, err := n.options.Network.ListenHosts(cmp.Or(n.options.ListenAddress, n.options.Address))
 	if err != nil {
@@ -218,6 +220,7 @@
 	n.goRun(func() { n.maintainUpstreams(background) })
 	err = n.runReplicas(ctx, background)
 	n.stopReplica()
+	n.awaitForwards()
 	stop()
 	n.transport.Wait()
 	n.wg.Wait()
--- a/internal/controlnode/upstreams.go
+++ b/internal/controlnode/upstreams.go
@@ -10,6 +10,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/presence"
 	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
 const (
@@ -17,6 +18,8 @@
 	forwardTimeout = 600 * time.Millisecond
 	// maxForwardQueue is the maximum number of reports queued for one control host.
 	maxForwardQueue = 1024
+	// forwardPollInterval is the interval at which awaitForwards looks for reports.
+	forwardPollInterval = 5 * time.Millisecond
 )
 
 // Report applies a report that an upstream sent to this host. A report that changes the
@@ -38,9 +41,11 @@
 	}
 	record := newUpstreamRecord(&presence.Record{Upstream: u, Cold: cold, ReceivedAt: now}, now)
 	for _, address := range n.otherControlHosts() {
+		n.unforwarded.Add(1)
 		select {
 		case n.forwardQueueTo(address) <- record:
 		default:
+			n.unforwarded.Add(-1)
 			klog.InfoS("upstream report not forwarded: queue full", "upstream", u.ID, "control_host", address)
 		}
 	}
@@ -92,11 +97,21 @@
 		case <-ctx.Done():
 			return
 		case first := <-q:
-			n.sendUpstreams(ctx, address, &UpstreamsMessage{Records: collectRecords(first, q)})
+			records := collectRecords(first, q)
+			n.sendUpstreams(ctx, address, &UpstreamsMessage{Records: records})
+			n.unforwarded.Add(-int64(len(records)))
 		}
 	}
 }
 
+// awaitForwards waits until the queued reports are forwarded, for at most forwardTimeout.
+func (n *Node) awaitForwards() {
+	ctx, cancel := context.WithTimeout(n.ctx, forwardTimeout)
+	defer cancel()
+	for n.unforwarded.Load() > 0 && timing.Sleep(ctx, forwardPollInterval) {
+	}
+}
+
 func collectRecords(first UpstreamRecord, q chan UpstreamRecord) []UpstreamRecord {
 	records := []UpstreamRecord{first}
 	for {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -17,7 +17,8 @@
 // controlShutdownTimeout bounds the wait for calls of operators and upstreams in flight.
 const controlShutdownTimeout = time.Second
 
-// runControl runs a control host until ctx ends.
+// runControl runs a control host until ctx ends. Calls in flight are then answered before it leaves the control
+// group, as what it acknowledges has to reach the others.
 func runControl(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics) error {
 	control := controlnode.New(controlnode.Options{
 		Host: s.Host, Address: s.Listen.Hosts, ListenAddress: s.Listen.HostsBind, Zone: s.Zone, Directory: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.hostSeeds,
@@ -35,7 +36,7 @@
 	}
 	failed := make(chan error, 1)
 	done := make(chan struct{})
-	runCtx, stop := context.WithCancel(ctx)
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go func() {
 		defer close(done)
@@ -55,6 +56,7 @@
 	defer cancel()
 	if err := callers.Shutdown(shutdownCtx); err != nil {
 		klog.InfoS("shutdown timed out with calls in flight", "error", err.Error())
+		_ = callers.Close() // so that nothing is acknowledged from now on
 	}
 	stop()
 	<-done
