A stop that is learned of late leaves requests in flight five sixths of the stop timeout

A process can't know when in a hold-up the signal came. Requests in flight now have five sixths of the timeout from when it is learned of, and new ones are refused between 2.5 s after that and 2.9 s after the earliest time of the signal, whichever is first.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -20,6 +20,10 @@
 	// the load balancer detects that it is not ready and directs new connections to
 	// other hosts.
 	drainDelay = 2500 * time.Millisecond
+	// drainSlack is how much later than drainDelay after its signal a process that learns of it late refuses requests.
+	drainSlack = 400 * time.Millisecond
+	// lastParts is the number of parts of the stop timeout of which the last may not be left to requests in flight.
+	lastParts = 6
 	// lastAnswersTime is the part of the stop timeout in which the requests that are still in flight are answered.
 	lastAnswersTime = 200 * time.Millisecond
 	// sessionCloseTime is the part of the stop timeout reserved for the final report to the
@@ -67,13 +71,29 @@
 }
 
 // planStop returns the plan of a stop whose signal was learned of now, and sent after sentAfter. The process is killed
-// timeout after it was sent.
+// timeout after it was sent, which it forestalls unless requests in flight had less than their part of the timeout then.
 func planStop(sentAfter, now time.Time, timeout time.Duration) stopPlan {
-	end := now.Add(timeout - exitMargin - sessionCloseTime)
-	if latest := sentAfter.Add(timeout - exitMargin); latest.Before(end) {
-		end = latest
+	delay := min(drainDelay, timeout/3)
+	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), sentAfter.Add(timeout-exitMargin))
+	answer := later(end.Add(-lastAnswersTime), now.Add(timeout-timeout/lastParts))
+	return stopPlan{
+		refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)),
+		answer: answer, end: answer.Add(lastAnswersTime),
 	}
-	return stopPlan{refuse: sentAfter.Add(min(drainDelay, timeout/3)), answer: end.Add(-lastAnswersTime), end: end}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // stop waits until the load balancer directs callers to other hosts, then
