--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 export GOFLAGS := -buildvcs=false
 
-.PHONY: all build demo test lint bench soak recovery-soak
+.PHONY: all build demo test lint bench soak recovery-soak stop-soak
 
 all: build
 
@@ -36,3 +36,9 @@
 recovery-soak:
 	SEED=$(SEED) N=$(or $(N),50) DAEMON=$(DAEMON) \
 		go test -count=1 -timeout 60m -parallel $(or $(PARALLEL),3) -run '^TestRecoverySoak$$' -v ./tests/recovery
+
+# Stops gateways under load, N times from SEED on, PARALLEL at a time, and counts lost requests. SCENARIO is one of those
+# in tests/stops/scenario_test.go instead of all in turn, DAEMON another program to test than that of the source tree.
+stop-soak:
+	SEED=$(SEED) N=$(or $(N),50) SCENARIO=$(SCENARIO) DAEMON=$(DAEMON) \
+		go test -count=1 -timeout 60m -parallel $(or $(PARALLEL),3) -run '^TestStopSoak$$' -v ./tests/stops
--- /dev/null
+++ b/tests/stops/fleet_test.go
@@ -0,0 +1,250 @@
+package stops_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitbend/godwitbend/internal/harness"
+	"github.com/godwitbend/godwitbend/internal/settings"
+)
+
+const (
+	controlHosts  = 3
+	upstreamCount = 4
+	startTimeout  = 20 * time.Second
+	probeInterval = time.Second
+	// missedProbes is the number of missed probes in a row that takes a gateway out.
+	missedProbes = 2
+)
+
+// fleet is a gateway fleet with stand-ins for upstreams.
+type fleet struct {
+	scenario  *scenario
+	judge     *judge
+	nodes     *harness.NodeFleet
+	control   []*harness.Node
+	gateways  []*harness.Node
+	upstreams []*upstream
+	balancer  *balancer
+
+	mu      sync.Mutex
+	version int
+	started map[*harness.Node]time.Time
+}
+
+func newFleet(dir, subnet string, s *scenario) (*fleet, error) {
+	f := &fleet{
+		scenario: s, judge: newJudge(), started: map[*harness.Node]time.Time{},
+		nodes: harness.NewNodeFleet(harness.NodeFleetOptions{Daemon: daemon, Dir: dir, Subnet: subnet}),
+	}
+	var seeds []string
+	for i := range controlHosts {
+		n, err := f.nodes.Add(fmt.Sprintf("control-%d", i+1), "z1", settings.NodeControl)
+		if err != nil {
+			return nil, err
+		}
+		f.control, seeds = append(f.control, n), append(seeds, n.Settings.Listen.Control)
+	}
+	for i := range s.gateways {
+		n, err := f.nodes.Add(fmt.Sprintf("gateway-%d", i+1), "z1", settings.NodeGateway)
+		if err != nil {
+			return nil, err
+		}
+		n.Settings.Link.MaxDelay.Duration = 0 // the loopback has no link, and looks congested on a busy machine
+		f.gateways = append(f.gateways, n)
+	}
+	for _, n := range f.nodes.Nodes {
+		n.Settings.Seeds, n.Settings.Bootstrap = seeds, true
+	}
+	for i := range upstreamCount {
+		service := "llm"
+		if i == upstreamCount-1 {
+			service = "app"
+		}
+		u, err := startUpstream(f.judge, fmt.Sprintf("i-%d", i+1), service, fmt.Sprintf("%s.%d", subnet, 200+i), seeds)
+		if err != nil {
+			return nil, err
+		}
+		f.upstreams = append(f.upstreams, u)
+	}
+	f.balancer = newBalancer(f.gateways)
+	return f, nil
+}
+
+// start starts all hosts and returns when the gateways are ready and know the configuration and the upstreams.
+func (f *fleet) start(ctx context.Context) error {
+	for _, n := range f.nodes.Nodes {
+		if err := n.Start(); err != nil {
+			return err
+		}
+		n.Settings.Bootstrap = false // from the next start on
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := harness.Await(ctx, "the configuration is acknowledged", func(context.Context) error { return f.configure() }); err != nil {
+		return err
+	}
+	for _, n := range f.gateways {
+		if err := f.awaitServing(ctx, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) awaitServing(ctx context.Context, n *harness.Node) error {
+	return harness.Await(ctx, n.Settings.Host+" is ready", func(context.Context) error {
+		if !isReady(n) {
+			return eris.New("not ready")
+		}
+		for _, path := range []string{"/read/x", "/chat/x"} {
+			if err := f.warmUp(n, path); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// warmUp sends a request, and returns an error unless it is answered.
+func (f *fleet) warmUp(n *harness.Node, path string) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.Settings.Listen.Callers+path, nil)
+	if err != nil {
+		return err
+	}
+	req.Host = "a.example"
+	for name, value := range map[string]string{
+		"Attempt-Id": fmt.Sprintf("warm-%d", time.Now().UnixNano()), "Authorization": "Token key-1", headerPlan: plan{events: 1}.String(),
+		"Model": "m", "Token-Counts": "1,1",
+	} {
+		req.Header.Set(name, value)
+	}
+	resp, err := prober.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func (f *fleet) stop() {
+	f.nodes.Kill()
+	for _, u := range f.upstreams {
+		u.stop()
+	}
+}
+
+// configure sends the next version of the configuration to a control host.
+func (f *fleet) configure() error {
+	f.mu.Lock()
+	f.version++
+	version := f.version
+	f.mu.Unlock()
+	data, err := json.Marshal(configuration(version, f.scenario.timeout))
+	if err != nil {
+		return err
+	}
+	control := f.control[version%len(f.control)].Settings.Listen.Control
+	resp, err := http.Post("http://"+control+"/godwitbend/Config.Put", "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func configuration(version int, timeout time.Duration) map[string]any {
+	route := func(name, kind, service string) map[string]any {
+		return map[string]any{
+			"name": name, "hostname": "a.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout.Milliseconds(),
+			"target_latency_ms": 4000, "target_gap_ms": 400, "priority": 0, "service": service, "max_attempts": 1,
+			"anonymous": false, "session_affinity": false, "resumable": false,
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"routes":  []any{route("read", "idempotent", "app"), route("book", "non_idempotent", "app"), route("chat", "streaming", "llm")},
+		"services": []any{
+			map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 1000},
+			map[string]any{"name": "llm", "health_path": "/healthz", "max_connections": 1000, "engine": map[string]any{
+				"slots": upstreamSlots, "kv_capacity_tokens": 1_000_000, "stride": 2, "moves": true,
+			}},
+		},
+		"limits": map[string]any{
+			"max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+		},
+		"tenants": []any{map[string]any{"name": "north", "api_keys": []string{"key-1"}, "priority": 1, "prepaid": 1_000_000_000}},
+	}
+}
+
+// balancer directs new connections to the gateways that are ready by its probes.
+type balancer struct {
+	gateways []*harness.Node
+	mu       sync.Mutex
+	missed   []int
+}
+
+func newBalancer(gateways []*harness.Node) *balancer {
+	return &balancer{gateways: gateways, missed: make([]int, len(gateways))}
+}
+
+func (b *balancer) probe(ctx context.Context) {
+	var probes sync.WaitGroup
+	for i, n := range b.gateways {
+		probes.Go(func() {
+			for ctx.Err() == nil {
+				next := time.Now().Add(probeInterval)
+				ready := isReady(n)
+				b.mu.Lock()
+				b.missed[i]++
+				if ready {
+					b.missed[i] = 0
+				}
+				b.mu.Unlock()
+				sleep(ctx, time.Until(next))
+			}
+		})
+	}
+	probes.Wait()
+}
+
+// pick returns the address of a gateway, or "" if none is in.
+func (b *balancer) pick(random *rand.Rand) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var in []string
+	for i, n := range b.gateways {
+		if b.missed[i] < missedProbes {
+			in = append(in, n.Settings.Listen.Callers)
+		}
+	}
+	if len(in) == 0 {
+		return ""
+	}
+	return in[random.IntN(len(in))]
+}
+
+var prober = &http.Client{Timeout: probeInterval, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func isReady(n *harness.Node) bool {
+	resp, err := prober.Get("http://" + n.Settings.Listen.Readiness + "/godwitbend/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/tests/stops/upstream_test.go
@@ -0,0 +1,133 @@
+package stops_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	headerPlan        = "Work-Plan"
+	heartbeatInterval = 300 * time.Millisecond
+	upstreamSlots     = 64
+)
+
+// plan is the work that a request asks an upstream for: a number of events and the time before each, or one
+// answer after a time if it is no stream.
+type plan struct {
+	events     int
+	gap        time.Duration
+	eventBytes int
+}
+
+func (p plan) String() string {
+	return fmt.Sprintf("%d %d %d", p.events, p.gap.Milliseconds(), p.eventBytes)
+}
+
+func parsePlan(text string) (p plan) {
+	ms := 0
+	_, _ = fmt.Sscanf(text, "%d %d %d", &p.events, &ms, &p.eventBytes)
+	p.gap = time.Duration(ms) * time.Millisecond
+	return p
+}
+
+// upstream is a stand-in for an upstream that does the work that requests ask for, and never fails.
+type upstream struct {
+	id, service string
+	born        time.Time
+	judge       *judge
+	listener    net.Listener
+	server      *http.Server
+	done        chan struct{}
+}
+
+func startUpstream(j *judge, id, service, ip string, controls []string) (*upstream, error) {
+	listener, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	u := &upstream{id: id, service: service, born: time.Now(), judge: j, listener: listener, done: make(chan struct{})}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: time.Minute}
+	go func() { _ = u.server.Serve(listener) }()
+	go u.keepReporting(controls)
+	return u, nil
+}
+
+func (u *upstream) stop() {
+	close(u.done)
+	_ = u.server.Close()
+}
+
+func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Expect-Replica") != u.id {
+		w.Header().Set("Replica-Id", u.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set("Replica-Seal", "seal-"+u.id)
+	work := u.judge.received(r.Header.Get("Attempt-Id"))
+	finished := u.answer(w, r, parsePlan(r.Header.Get(headerPlan)))
+	u.judge.workEnded(work, finished)
+	if !finished {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// answer makes the planned answer and reports whether nobody broke it off.
+func (u *upstream) answer(w http.ResponseWriter, r *http.Request, p plan) bool {
+	if u.service == "app" {
+		if !pause(r, p.gap) {
+			return false
+		}
+		_, err := io.WriteString(w, "answer of "+u.id)
+		return err == nil
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := 1; i <= p.events; i++ {
+		if !pause(r, p.gap) {
+			return false
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, bytes.Repeat([]byte("x"), p.eventBytes)); err != nil {
+			return false
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func pause(r *http.Request, d time.Duration) bool {
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (u *upstream) keepReporting(controls []string) {
+	for i := 1; ; i++ {
+		body, _ := json.Marshal(map[string]any{
+			"service": u.service, "address": u.listener.Addr().String(), "zone": "z1", "version": "v1", "slots": upstreamSlots,
+			"state": "ready", "cold_left_ms": 0, "sequence": i, "born": u.born.UnixMilli(),
+		})
+		resp, err := http.Post("http://"+controls[i%len(controls)]+"/godwitbend/Replicas.Heartbeat/"+u.id, "application/json", bytes.NewReader(body))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		select {
+		case <-u.done:
+			return
+		case <-time.After(heartbeatInterval):
+		}
+	}
+}
