A stopping host of the entry fleet answers what outlasts its drain

A class may state a deadline of up to an hour.

Cause: the wait for requests in flight ended, and the process with it. Change: 10 s before, all requests in flight are answered: 503 as not run if no upstream got them or their body never ended, 504 if the outcome is unknown; begun streams end with an error event and are charged. A call that must not run twice is left to its upstream; a retry with its key at another host gets its answer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,9 @@
 const (
 	// drainTimeout bounds the wait for requests in flight during a shutdown.
 	drainTimeout = 10 * time.Minute
+	// lastAnswersTime is the part of drainTimeout in which the requests that are still in flight are answered
+	// without their upstreams.
+	lastAnswersTime = 10 * time.Second
 	// recordsPollInterval is the interval at which a shutdown checks for open records of requests.
 	recordsPollInterval = 10 * time.Millisecond
 	// shutdownStepTimeout bounds each of the final steps of a shutdown.
@@ -130,6 +133,8 @@
 	d.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
+	lastAnswers := time.AfterFunc(drainTimeout-lastAnswersTime, d.handler.EndRequests)
+	defer lastAnswers.Stop()
 	err := shutdownServer(ctx, d.callers)
 	err = errors.Join(err, d.awaitRecords(ctx))
 	d.endSession()
--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -72,10 +72,14 @@
 	controlRetryAfter = time.Second
 )
 
+func errDraining() *errkind.Error {
+	return errkind.New(errkind.Draining, "the host is draining").WithRetryAfter(drainRetryAfter)
+}
+
 // checkAcceptingWork returns an error while the host must not accept new requests.
 func (h *Handler) checkAcceptingWork() error {
 	if h.Draining != nil && h.Draining() {
-		return errkind.New(errkind.Draining, "the host is draining").WithRetryAfter(drainRetryAfter)
+		return errDraining()
 	}
 	if h.Session() == "" {
 		return errkind.New(errkind.SessionExpired, "the host has no session").WithRetryAfter(leaseRetryAfter)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -131,9 +131,10 @@
 	return f
 }
 
-// reportResult reports the result of the dispatch to the router. Disconnected callers and refusals don't count.
+// reportResult reports the result of the dispatch to the router. Disconnected callers, refusals and the end of the
+// host don't count.
 func (x *exchange) reportResult(f *failure, t target) {
-	if f != nil && (f.callerDisconnected || f.reason == reasonRefused) {
+	if f != nil && (f.callerDisconnected || f.reason == reasonRefused || f.reason == reasonStopped) {
 		return
 	}
 	failed := x.aborted || f != nil && f.finalError == nil
@@ -166,6 +167,10 @@
 	if f.finalError != nil {
 		return f.finalError
 	}
+	if f.reason == reasonStopped {
+		x.cancelInBackground(f, t)
+		return errHostStopped()
+	}
 	x.failedUpstreams[t.entry.ID] = true
 	var err error
 	switch {
@@ -182,6 +187,12 @@
 	return err
 }
 
+// errHostStopped returns the error for a call that an upstream may be running when the host stops.
+func errHostStopped() *errkind.Error {
+	return errkind.New(errkind.OutcomeUnknown, "the host stopped before the answer arrived; retry with the same key").
+		WithRetryAfter(upstreamRetryAfter)
+}
+
 // recordRunState records whether t may have run the call.
 func (x *exchange) recordRunState(f *failure, t target) {
 	instance := controlapi.Instance{Upstream: t.entry.ID, Incarnation: t.incarnation}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -57,7 +57,7 @@
 	filter config.Filter
 	// ctx is cancelled when the caller disconnects.
 	ctx context.Context
-	// workCtx is ctx, but for a non-repeatable call it outlives the caller.
+	// workCtx is ctx, but for a non-repeatable call it outlives the caller. Both end with the handler's requests.
 	workCtx context.Context
 	// requestID is the id of the current record.
 	requestID string
@@ -173,7 +173,8 @@
 		return h.resolveOutcome(r.Context(), w, in.idempotencyKey, c.repeatable, err)
 	}
 	defer release()
-	x := h.newExchange(w, r, in, c)
+	x, end := h.newExchange(w, r, in, c)
+	defer end()
 	removeInFlight, ok := h.inFlight.add(x.requestID)
 	if !ok {
 		return errkind.New(errkind.InProgress, "this host is already serving the request").WithRetryAfter(inProgressRetryAfter)
@@ -183,23 +184,46 @@
 	if err == nil {
 		return nil
 	}
+	if x.hostStopped() && !x.mayHaveRun {
+		err = errDraining()
+	}
 	x.releaseWithGrace()
 	return x.resolveOutcome(errkind.From(err))
 }
 
-func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, in *incoming, c call) *exchange {
+// newExchange returns the exchange of a call, and a function that must be called when it has ended.
+func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, in *incoming, c call) (*exchange, context.CancelFunc) {
+	ctx, end := h.untilStopped(r.Context())
 	x := &exchange{
-		h: h, w: w, identity: in.identity, call: c, session: h.Session(), ctx: r.Context(), workCtx: r.Context(), idempotencyKey: in.idempotencyKey,
+		h: h, w: w, identity: in.identity, call: c, session: h.Session(), ctx: ctx, workCtx: ctx, idempotencyKey: in.idempotencyKey,
 		requestID: w.Header().Get(announce.HeaderRequestID),
 		deadline:  h.Now().Add(in.deadline()), failedUpstreams: map[string]bool{}, fencedUpstreams: map[string]bool{},
 	}
 	x.filter, _ = in.policyFilter(c.service)
-	if !c.repeatable {
-		x.workCtx = context.WithoutCancel(r.Context())
+	if c.repeatable {
+		return x, end
+	}
+	var endWork context.CancelFunc
+	x.workCtx, endWork = h.untilStopped(context.WithoutCancel(ctx))
+	return x, func() {
+		end()
+		endWork()
+	}
+}
+
+// untilStopped returns a context that ends with parent or by EndRequests.
+func (h *Handler) untilStopped(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	stop := context.AfterFunc(h.stopped, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
 	}
-	return x
 }
 
+// hostStopped reports whether the call has to be answered because the host stops.
+func (x *exchange) hostStopped() bool { return x.h.stopped.Err() != nil }
+
 func (h *Handler) callerLimit(id *identity) int {
 	if id.caller.MaxConcurrent > 0 {
 		return id.caller.MaxConcurrent
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -19,6 +19,7 @@
 	reasonResume    retryReason = "resume"
 	reasonTakeover  retryReason = "takeover"
 	reasonSuspect   retryReason = "suspect"
+	reasonStopped   retryReason = "host_stopped"
 )
 
 // failure describes a failed dispatch.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -86,6 +86,9 @@
 	retryBudgets  *retryBudgets
 	counters      *counters
 	crashReporter *crashReporter
+	// stopped ends when the requests in flight have to be answered without their upstreams.
+	stopped     context.Context
+	endRequests context.CancelFunc
 	// backgroundTasks counts tasks that may outlive the request that started them.
 	backgroundTasks atomic.Int64
 	// beginSequence is the number of the latest Begin command of this process.
@@ -110,8 +113,10 @@
 		o.Random = globalRandom{}
 	}
 	o.Limits = o.Limits.withDefaults()
+	stopped, endRequests := context.WithCancel(context.Background())
 	h := &Handler{
-		Options:       o,
+		Options: o,
+		stopped: stopped, endRequests: endRequests,
 		mux:           http.NewServeMux(),
 		upstreams:     newUpstreamClient(o.HTTPClient),
 		callerLimiter: newCallerLimiter(),
@@ -134,6 +139,9 @@
 // before they take over a request whose session has not ended.
 func (h *Handler) Serving(requestID string) bool { return h.inFlight.contains(requestID) }
 
+// EndRequests answers all requests in flight at once, without their upstreams. The host must be draining.
+func (h *Handler) EndRequests() { h.endRequests() }
+
 // InFlightRequests returns the number of requests being served plus the number
 // of background tasks, such as closing a record. A draining host waits until it is 0.
 func (h *Handler) InFlightRequests() int { return h.inFlight.count() + int(h.backgroundTasks.Load()) }
@@ -146,7 +154,7 @@
 		err := serve(w, r)
 		switch {
 		case err == nil:
-		case r.Context().Err() != nil:
+		case r.Context().Err() != nil && h.stopped.Err() == nil:
 			h.counters.event("callers_gone")
 		default:
 			h.refuse(w, err)
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/errkind"
@@ -36,7 +38,13 @@
 	if refusal != nil {
 		return nil, h.resolveOutcome(r.Context(), w, key, true, refusal)
 	}
+	control := http.NewResponseController(w)
+	stopReading := context.AfterFunc(h.stopped, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := h.Limits.readBody(w, r)
+	stopReading()
+	if err != nil && h.stopped.Err() != nil {
+		return nil, h.resolveOutcome(context.WithoutCancel(r.Context()), w, key, true, errDraining())
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -136,6 +136,8 @@
 // classifyTransportError classifies a connection error.
 func (x *exchange) classifyTransportError(ctx context.Context, err error, notSent bool) *failure {
 	switch {
+	case x.hostStopped():
+		return &failure{reason: reasonStopped, notRun: notSent, detail: "the host stopped"}
 	case x.workCtx.Err() != nil:
 		return &failure{reason: reasonBroken, notRun: notSent, callerDisconnected: true, detail: "the caller has disconnected"}
 	case notSent:
--- a/tests/fleet/site_test.go
+++ b/tests/fleet/site_test.go
@@ -73,6 +73,8 @@
 	hosts, control int
 	adjust         func(*settings.Settings)
 	engine         fake.EngineOptions
+	// plainTime is the time that a call of the plain service takes; 0 means 5 ms.
+	plainTime time.Duration
 	// paidIn is the initial top-up in tokens; 0 means one million.
 	paidIn int64
 	// idleEngines is the number of engines that serve a model no test uses.
@@ -92,7 +94,7 @@
 		for _, h := range s.hosts {
 			s.start(h)
 		}
-		s.startUpstreams(o.engine)
+		s.startUpstreams(o.engine, cmp.Or(o.plainTime, 5*time.Millisecond))
 		s.startIdleEngines(o.idleEngines)
 		time.Sleep(settleTime)
 		s.configure(cmp.Or(o.paidIn, 1_000_000))
@@ -166,7 +168,7 @@
 
 // startUpstreams starts one engine and one plain service, each announcing itself to all
 // hosts.
-func (s *site) startUpstreams(o fake.EngineOptions) {
+func (s *site) startUpstreams(o fake.EngineOptions, plainTime time.Duration) {
 	o.CommonOptions = fake.CommonOptions{ID: "engine-1", Zone: "zone-1", Address: "http://127.0.0.100:80"}
 	o.Models = []announce.ServiceOffer{{Name: modelName}}
 	if o.TokenTime == 0 {
@@ -176,7 +178,7 @@
 	s.serveUpstream(s.engine, s.engine, "engine-1", "127.0.0.100:80")
 	s.plain = fake.NewService(fake.ServiceOptions{
 		CommonOptions: fake.CommonOptions{ID: "service-1", Zone: "zone-1", Address: "http://127.0.0.101:80"},
-		Names:         []string{plainName}, Capacity: 8, QueueLimit: 64, WorkTime: 5 * time.Millisecond,
+		Names:         []string{plainName}, Capacity: 8, QueueLimit: 64, WorkTime: plainTime,
 	})
 	s.serveUpstream(s.plain, s.plain, "service-1", "127.0.0.101:80")
 }
