--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -42,6 +42,9 @@
 	tunnelUnackedTimeout = 2 * time.Second
 )
 
+// errSessionLost means that this process has to stop, as its successor has started.
+var errSessionLost = eris.New("another process has opened a session for this host")
+
 // runGateway serves callers until ctx ends.
 func runGateway(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics) error {
 	pool := placement.NewPool(s.Zone)
@@ -65,10 +68,14 @@
 		OrderByValue: orderByValue,
 	})
 	ready := func() error {
-		if err := ctx.Err(); err != nil {
-			return err
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-client.SessionLost():
+			return errSessionLost
+		default:
+			return handler.Ready()
 		}
-		return handler.Ready()
 	}
 	callers := &http.Server{
 		Handler: handler, IdleTimeout: callerIdleTimeout,
@@ -114,7 +121,7 @@
 	select {
 	case <-ctx.Done():
 	case <-client.SessionLost():
-		failure = eris.New("another process has opened a session for this host")
+		failure = errSessionLost
 	}
 	tunnels.Stop()
 	stopping, cancel := context.WithTimeout(background, s.StopTimeout.Duration-exitMargin-sessionCloseTime)
