A stopping gateway repeats its last report until a leader takes it

Cause: the last report and the end of the session were tried once, and given up when no leader was known.

--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -38,8 +38,10 @@
 	// dialTimeout and unackedTimeout bound the time lost on an unreachable host.
 	dialTimeout    = 120 * time.Millisecond
 	unackedTimeout = time.Second
-	// closeTimeout bounds the time taken to report the last use and close the session.
-	closeTimeout = 800 * time.Millisecond
+	// minCloseTime is the least time taken to report the last use and close the session, and closeRetryInterval the
+	// delay before that is tried again.
+	minCloseTime       = 800 * time.Millisecond
+	closeRetryInterval = 50 * time.Millisecond
 )
 
 // Options are the settings of a Client.
@@ -355,12 +357,32 @@
 	return req
 }
 
-// Close reports the final use and closes the session, so that no tokens are written off.
+// Close reports the final use and closes the session, so that no tokens are written off. While no leader answers it
+// tries again until the given time, but for minCloseTime in any case.
 // It must be called after Run has returned and the last request has ended.
-func (c *Client) Close() error {
+func (c *Client) Close(until time.Time) error {
 	c.allowance.Seal()
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(until), minCloseTime))
 	defer cancel()
+	for {
+		err := c.closeSession(ctx)
+		if err == nil || c.sessionEnded() || !timing.Sleep(ctx, closeRetryInterval) {
+			return err
+		}
+	}
+}
+
+// sessionEnded reports whether there is no session to close.
+func (c *Client) sessionEnded() bool {
+	select {
+	case <-c.sessionLost:
+		return true
+	default:
+		return !c.sessionOpened
+	}
+}
+
+func (c *Client) closeSession(ctx context.Context) error {
 	// The first call may have to resend an unacknowledged report; the second one sends the
 	// use since that report.
 	for range 2 {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -124,13 +124,14 @@
 		failure = errSessionLost
 	}
 	tunnels.Stop()
-	stopping, cancel := context.WithTimeout(background, s.StopTimeout.Duration-exitMargin-sessionCloseTime)
+	exitBy := time.Now().Add(s.StopTimeout.Duration - exitMargin)
+	stopping, cancel := context.WithDeadline(background, exitBy.Add(-sessionCloseTime))
 	defer cancel()
 	stopGateway(s, handler, callers)
 	tunnels.Drain(stopping)
 	stop()
 	<-done
-	if err := client.Close(); err != nil {
+	if err := client.Close(exitBy); err != nil {
 		klog.InfoS("session not closed", "error", err.Error())
 	}
 	return failure
