--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -38,6 +38,9 @@
 	tunnelUnackedTimeout = 2 * time.Second
 )
 
+// errSessionLost means that this process has to stop, as its successor has started.
+var errSessionLost = eris.New("another process has opened a session for this host")
+
 // runGateway serves callers until ctx ends.
 func runGateway(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics) error {
 	pool := placement.NewPool(s.Zone)
@@ -61,10 +64,14 @@
 		OrderByValue: orderByValue,
 	})
 	ready := func() error {
-		if err := ctx.Err(); err != nil {
-			return err
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-client.SessionLost():
+			return errSessionLost
+		default:
+			return handler.Ready()
 		}
-		return handler.Ready()
 	}
 	callers := newCallerServer(handler)
 	readiness := &http.Server{Handler: adapter.Ready(ready), ReadHeaderTimeout: time.Second}
@@ -109,16 +116,17 @@
 	select {
 	case <-ctx.Done():
 	case <-client.SessionLost():
-		failure = eris.New("another process has opened a session for this host")
+		failure = errSessionLost
 	}
 	tunnels.Stop()
-	stopping, cancel := context.WithTimeout(background, s.StopTimeout.Duration-exitMargin-sessionCloseTime)
+	exitBy := time.Now().Add(s.StopTimeout.Duration - exitMargin)
+	stopping, cancel := context.WithDeadline(background, exitBy.Add(-sessionCloseTime))
 	defer cancel()
 	callers.stop(s.StopTimeout.Duration, pulse)
 	tunnels.Drain(stopping)
 	stop()
 	<-done
-	if err := client.Close(); err != nil {
+	if err := client.Close(exitBy); err != nil {
 		klog.InfoS("session not closed", "error", err.Error())
 	}
 	return failure
