A stopping gateway carries connections of other hosts to their end and takes no new ones

Cause: a stopping host still connected to upstreams for others, and closed all such connections once its own requests were done, which may be 2.5 s after SIGTERM. Change: from SIGTERM on it says that it has no path, so that the other host asks the next; connections that it carries have until the end of the stop.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -83,9 +83,10 @@
 	if err != nil {
 		return err
 	}
+	relay := &relay{dial: paths.DialForOther, stopping: func() bool { return ctx.Err() != nil }}
 	go func() {
 		srv := client.NewServer()
-		(&tunnel.Server{Dial: paths.DialForOther, Serves: pool.ServesAt}).Register(srv)
+		(&tunnel.Server{Dial: relay.Dial, Serves: pool.ServesAt}).Register(srv)
 		if err := srv.Serve(background, hosts); err != nil {
 			klog.ErrorS(err, "RPC server for hosts failed")
 		}
@@ -110,7 +111,7 @@
 	case <-client.SessionLost():
 		failure = eris.New("another process has opened a session for this host")
 	}
-	callers.stop(s.StopTimeout.Duration, pulse)
+	callers.stop(s.StopTimeout.Duration, pulse, relay)
 	stop()
 	<-done
 	if err := client.Close(); err != nil {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -32,6 +32,8 @@
 	// quietTime is the time without requests after which a stopping host closes idle connections. Requests on them
 	// may have been sent and not read yet.
 	quietTime = 500 * time.Millisecond
+	// relayPollInterval is the interval at which a stop looks for connections that it carries for other hosts.
+	relayPollInterval = 20 * time.Millisecond
 	// pulseInterval is the interval at which a process notes that it runs.
 	pulseInterval = 50 * time.Millisecond
 	// catchUpTime is the time in which a process that runs again learns of the signals that were sent while it did not.
@@ -100,7 +102,8 @@
 // refuses new requests and waits for those in flight. What is in flight shortly before the stop
 // timeout is answered without its upstream, as the connections are closed then. Answers ask callers to leave their
 // connections; those that are idle stay open until the others are done, so that requests on them are answered too.
-func (s *callerServer) stop(timeout time.Duration, pulse *pulse) {
+// Connections to upstreams that the host carries for others have until the end as well.
+func (s *callerServer) stop(timeout time.Duration, pulse *pulse, relay *relay) {
 	now, sentAfter := time.Now(), pulse.signalSentAfter()
 	plan := planStop(sentAfter, now, timeout)
 	s.handler.BeginStop(sentAfter)
@@ -116,11 +119,13 @@
 	if err := s.Shutdown(ctx); err != nil {
 		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
 	}
-	s.logProgress("drained", sentAfter)
+	timing.EveryUntil(ctx, relayPollInterval, func() bool { return relay.Open() > 0 })
+	s.logProgress("drained", sentAfter, "carried_for_others", relay.Open())
 }
 
-func (s *callerServer) logProgress(message string, began time.Time) {
-	klog.InfoS(message, append(s.handler.StopLogFields(), "connections", s.connections.Load(), "stopping_ms", time.Since(began).Milliseconds())...)
+func (s *callerServer) logProgress(message string, began time.Time, more ...any) {
+	fields := append(s.handler.StopLogFields(), "connections", s.connections.Load(), "stopping_ms", time.Since(began).Milliseconds())
+	klog.InfoS(message, append(fields, more...)...)
 }
 
 // pulse notes when the process runs, to tell how late it may have learned of a signal.
