Callers may take a minute, not 5 s, to make room for the rest of an answer

Cause: connections of callers fail after 5 s of unacknowledged bytes. Linux counts bytes as such that wait for room in the window of a caller that is alive and reads slowly. Change: a minute for callers. Connections to hosts and upstreams keep their limits.

TestCallerThatPausesReadingGetsItsWholeAnswer failed before with a reset.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -32,6 +32,9 @@
 	// callerHeaderTimeout and callerHeaderBytes bound the reading of a request's header.
 	callerHeaderTimeout = 15 * time.Second
 	callerHeaderBytes   = 64 << 10
+	// callerUnackedTimeout is how long bytes sent to a caller may stay unacknowledged, or wait for room at a caller
+	// that reads slowly. It exceeds the time of most requests.
+	callerUnackedTimeout = time.Minute
 	// tunnelDialTimeout bounds the connection to another host that carries one to an upstream, and
 	// tunnelUnackedTimeout is how long bytes sent on it may stay unacknowledged.
 	tunnelDialTimeout    = 120 * time.Millisecond
@@ -135,12 +138,18 @@
 // serveCallers starts the server for callers. If the settings say so, it refuses their connections
 // while the link of this host is congested.
 func serveCallers(ctx context.Context, s *watchedSettings, callers *http.Server, meter *linkadmission.Meter, scope tally.Scope) error {
+	listen := func() (net.Listener, error) { return netconn.Listen(s.Listen.Callers, callerUnackedTimeout) }
 	if s.Link.MaxDelay.Duration == 0 {
-		return serve(s.Listen.Callers, callers)
+		listener, err := listen()
+		if err != nil {
+			return err
+		}
+		serveOn(listener, callers)
+		return nil
 	}
 	listener, err := linkadmission.NewListener(linkadmission.Options{
 		MaxDelay: s.Link.MaxDelay.Duration, Meter: meter, Scope: scope,
-		Listen: func() (net.Listener, error) { return netconn.Listen(s.Listen.Callers, unackedTimeout) },
+		Listen: listen,
 	})
 	if err != nil {
 		return err
