A stopping gateway refuses requests by the clock, not once its timer has fired

Cause: new requests are refused once a timer has fired and a line is logged. The process was held up in between for 1.3 s, so that requests were taken until 4.4 s after the earliest time of the signal. Change: each request compares the time with that of the stop's plan.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -49,8 +48,6 @@
 	upstreams *upstreamhttp.Client
 	// startupDeadline is the time until which requests wait for the first configuration.
 	startupDeadline time.Time
-	// draining is set during a shutdown, when new requests are refused.
-	draining atomic.Bool
 	// stopped is done once the requests in flight must be answered without waiting for their upstreams.
 	stopped          context.Context
 	endRequests      context.CancelFunc
@@ -89,16 +86,12 @@
 	return h
 }
 
-// Close makes the handler refuse new requests, and those whose body has yet to arrive, with the error kind
-// Draining.
-func (h *Handler) Close() { h.draining.Store(true) }
-
-// EndRequests answers all requests in flight at once, without their upstreams. It follows Close.
+// EndRequests answers all requests in flight at once, without their upstreams.
 func (h *Handler) EndRequests() { h.endRequests() }
 
 // Ready returns nil if the host can accept new connections, or an error that states why not.
 func (h *Handler) Ready() error {
-	if h.draining.Load() {
+	if h.stop.refuses() {
 		return errkind.New(errkind.Draining, "the host is stopping")
 	}
 	if h.Sync.View() == nil {
@@ -224,7 +217,7 @@
 
 // checkDraining refuses the request if the host is stopping.
 func (q *request) checkDraining() *errkind.Error {
-	if !q.handler.draining.Load() {
+	if !q.handler.stop.refuses() {
 		return nil
 	}
 	return errDraining()
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -14,10 +14,20 @@
 // stopPollInterval is the interval at which a stop looks for requests being served.
 const stopPollInterval = 20 * time.Millisecond
 
+// StopPlan holds the times of a shutdown.
+type StopPlan struct {
+	// Began is when the host was told to stop, at the earliest.
+	Began time.Time
+	// Refuse is when new requests are refused, and those whose body has yet to arrive, with the error kind Draining.
+	Refuse time.Time
+	// Answer is when those in flight are answered without their upstreams.
+	Answer time.Time
+}
+
 // stop is the record of a shutdown.
 type stop struct {
-	// began is when it began; nil before.
-	began    atomic.Pointer[time.Time]
+	// plan is nil until it begins.
+	plan     atomic.Pointer[StopPlan]
 	inFlight atomic.Int64
 	answered stopCounter
 	refused  stopCounter
@@ -44,13 +54,20 @@
 	}
 }
 
-// BeginStop records that the host stops since began. Answers that begin from now on ask callers to leave their
+// BeginStop makes the handler follow the plan. Answers that begin from now on ask callers to leave their
 // connections, and requests that end are counted and logged with their times.
-func (h *Handler) BeginStop(began time.Time) { h.stop.began.Store(&began) }
+func (h *Handler) BeginStop(plan StopPlan) { h.stop.plan.Store(&plan) }
+
+// refuses reports whether new requests are refused. It goes by the clock, as a timer of a process that is held up may
+// fire after requests that are too late.
+func (s *stop) refuses() bool {
+	plan := s.plan.Load()
+	return plan != nil && !time.Now().Before(plan.Refuse)
+}
 
 // closeIfStopping asks the caller to send no other request on its connection, if the host stops.
 func (h *Handler) closeIfStopping(w http.ResponseWriter) {
-	if h.stop.began.Load() != nil {
+	if h.stop.plan.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -89,7 +106,7 @@
 // countStopped counts a request that ended, if the host stops.
 func (q *request) countStopped() {
 	s := q.handler.stop
-	if s.began.Load() == nil {
+	if s.plan.Load() == nil {
 		return
 	}
 	switch q.outcome {
@@ -108,17 +125,17 @@
 	if q.handler.stop == nil {
 		return nil
 	}
-	began := q.handler.stop.began.Load()
-	if began == nil {
+	plan := q.handler.stop.plan.Load()
+	if plan == nil {
 		return nil
 	}
-	fields := []any{"stopping_ms", time.Since(*began).Milliseconds(), "longest_write_ms", q.longestWrite.Milliseconds()}
+	fields := []any{"stopping_ms", time.Since(plan.Began).Milliseconds(), "longest_write_ms", q.longestWrite.Milliseconds()}
 	for _, step := range []struct {
 		name string
 		at   time.Time
 	}{{"head_at_ms", q.arrived}, {"body_at_ms", q.bodyReadAt}, {"sent_at_ms", q.lastSentAt}, {"last_event_at_ms", q.lastEventAt}} {
 		if !step.at.IsZero() {
-			fields = append(fields, step.name, step.at.Sub(*began).Milliseconds())
+			fields = append(fields, step.name, step.at.Sub(plan.Began).Milliseconds())
 		}
 	}
 	return fields
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -67,9 +67,9 @@
 
 // stopPlan holds the times of the steps of a stop.
 type stopPlan struct {
-	// refuse is when new requests are refused, answer when those in flight are answered without their upstreams, and
-	// end when their connections are closed.
-	refuse, answer, end time.Time
+	gateway.StopPlan
+	// end is when all connections are closed.
+	end time.Time
 }
 
 // planStop returns the plan of a stop whose signal was learned of now, and sent after sentAfter. The process is killed
@@ -79,8 +79,8 @@
 	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), sentAfter.Add(timeout-exitMargin))
 	answer := later(end.Add(-lastAnswersTime), now.Add(timeout-timeout/lastParts))
 	return stopPlan{
-		refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)),
-		answer: answer, end: answer.Add(lastAnswersTime),
+		StopPlan: gateway.StopPlan{Began: sentAfter, Refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)), Answer: answer},
+		end:      answer.Add(lastAnswersTime),
 	}
 }
 
@@ -106,12 +106,11 @@
 func (s *callerServer) stop(timeout time.Duration, pulse *pulse, relay *relay) {
 	now, sentAfter := time.Now(), pulse.signalSentAfter()
 	plan := planStop(sentAfter, now, timeout)
-	s.handler.BeginStop(sentAfter)
+	s.handler.BeginStop(plan.StopPlan)
 	klog.InfoS("draining", "in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "not_run_ms", now.Sub(sentAfter).Milliseconds())
-	time.Sleep(time.Until(plan.refuse))
+	time.Sleep(time.Until(plan.Refuse))
 	s.logProgress("refusing new requests", sentAfter)
-	s.handler.Close()
-	lastAnswers := time.AfterFunc(time.Until(plan.answer), s.handler.EndRequests)
+	lastAnswers := time.AfterFunc(time.Until(plan.Answer), s.handler.EndRequests)
 	defer lastAnswers.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/godwitbend/godwitbend/internal/gateway"
 )
 
 // Guards against requests that are taken too late, and cut by a kill, where the process learns of its stop late.
@@ -22,7 +24,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			NewWithT(t).Expect(planStop(now.Add(-test.late), now, timeout)).To(Equal(stopPlan{
-				refuse: now.Add(test.refuse), answer: now.Add(test.answer), end: now.Add(test.end),
+				StopPlan: gateway.StopPlan{Began: now.Add(-test.late), Refuse: now.Add(test.refuse), Answer: now.Add(test.answer)},
+				end:      now.Add(test.end),
 			}))
 		})
 	}
