--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -40,7 +40,7 @@
 	unackedTimeout = time.Second
 	// minCloseTime is the least time taken to report the last use and close the session, and closeRetryInterval the
 	// delay before that is tried again.
-	minCloseTime       = 800 * time.Millisecond
+	minCloseTime       = 500 * time.Millisecond
 	closeRetryInterval = 50 * time.Millisecond
 )
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/gateway"
 	"github.com/godwitbend/godwitbend/internal/timing"
+	"github.com/godwitbend/godwitbend/internal/tunnel"
 )
 
 const (
@@ -65,9 +66,9 @@
 
 // stopPlan holds the times of the steps of a stop.
 type stopPlan struct {
-	// refuse is when new requests are refused, answer when those in flight are answered without their upstreams, and
-	// end when their connections are closed.
-	refuse, answer, end time.Time
+	gateway.StopPlan
+	// end is when all connections are closed.
+	end time.Time
 }
 
 // planStop returns the plan of a stop whose signal was learned of now, and sent after sentAfter. The process is killed
@@ -77,8 +78,8 @@
 	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), sentAfter.Add(timeout-exitMargin))
 	answer := later(end.Add(-lastAnswersTime), now.Add(timeout-timeout/lastParts))
 	return stopPlan{
-		refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)),
-		answer: answer, end: answer.Add(lastAnswersTime),
+		StopPlan: gateway.StopPlan{Began: sentAfter, Refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)), Answer: answer},
+		end:      answer.Add(lastAnswersTime),
 	}
 }
 
@@ -100,27 +101,34 @@
 // refuses new requests and waits for those in flight. What is in flight shortly before the stop
 // timeout is answered without its upstream, as the connections are closed then. Answers ask callers to leave their
 // connections; those that are idle stay open until the others are done, so that requests on them are answered too.
-func (s *callerServer) stop(timeout time.Duration, pulse *pulse) {
+// Connections to upstreams that the host carries for others have until the end as well. It returns the time by which
+// the process must have exited.
+func (s *callerServer) stop(timeout time.Duration, pulse *pulse, tunnels *tunnel.Server) (exitBy time.Time) {
 	now, sentAfter := time.Now(), pulse.signalSentAfter()
 	plan := planStop(sentAfter, now, timeout)
-	s.handler.BeginStop(sentAfter)
+	tunnels.Stop()
+	s.handler.BeginStop(plan.StopPlan)
 	klog.InfoS("draining", "in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "not_run_ms", now.Sub(sentAfter).Milliseconds())
-	time.Sleep(time.Until(plan.refuse))
+	time.Sleep(time.Until(plan.Refuse))
 	s.logProgress("refusing new requests", sentAfter)
-	s.handler.Close()
-	lastAnswers := time.AfterFunc(time.Until(plan.answer), s.handler.EndRequests)
+	lastAnswers := time.AfterFunc(time.Until(plan.Answer), s.handler.EndRequests)
 	defer lastAnswers.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
-	s.handler.AwaitRequests(ctx, quietTime)
+	answered, cancelAnswered := context.WithDeadline(ctx, plan.Answer)
+	defer cancelAnswered()
+	s.handler.AwaitRequests(answered, quietTime)
 	if err := s.Shutdown(ctx); err != nil {
 		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
 	}
-	s.logProgress("drained", sentAfter)
+	tunnels.Drain(ctx)
+	s.logProgress("drained", sentAfter, "carried_for_others", tunnels.Open())
+	return later(sentAfter.Add(timeout-exitMargin), plan.end)
 }
 
-func (s *callerServer) logProgress(message string, began time.Time) {
-	klog.InfoS(message, append(s.handler.StopLogFields(), "connections", s.connections.Load(), "stopping_ms", time.Since(began).Milliseconds())...)
+func (s *callerServer) logProgress(message string, began time.Time, more ...any) {
+	fields := append(s.handler.StopLogFields(), "connections", s.connections.Load(), "stopping_ms", time.Since(began).Milliseconds())
+	klog.InfoS(message, append(fields, more...)...)
 }
 
 // pulse notes when the process runs, to tell how late it may have learned of a signal.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -43,6 +43,9 @@
 // Stop refuses new tunnels, so that other hosts choose another way at once. Open ones go on.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Open returns the number of open tunnels.
+func (s *Server) Open() int64 { return s.tunnels.Load() }
+
 // Drain waits until all tunnels have ended, or ctx has. It follows Stop.
 func (s *Server) Drain(ctx context.Context) {
 	for s.tunnels.Load() > 0 && timing.Sleep(ctx, drainPollInterval) {
