A stopping gateway refuses requests whose answers it would probably cut

Cause: what was taken in the 2.5 s after SIGTERM was begun however long it would take. Change: a request that comes while the host stops is refused as not run if more than an eighth of the route's last 64 answers, scaled to the output tokens that the request states, took longer than is left. Routes with fewer than 16 answers and answers that are short are served as before.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -52,6 +52,7 @@
 	stopped          context.Context
 	endRequests      context.CancelFunc
 	stop             *stop
+	workTimes        workTimes
 	served           tally.Counter
 	uncharged        tally.Counter
 	upstreamCrashes  tally.Counter
@@ -174,6 +175,7 @@
 	h.stop.inFlight.Add(1)
 	defer h.stop.inFlight.Add(-1)
 	defer q.countStopped()
+	defer q.recordWorkTime()
 	refusal := q.admit(w, r)
 	if refusal == nil {
 		refusal = q.serve(w, r)
@@ -212,6 +214,9 @@
 	if refusal := q.checkDraining(); refusal != nil {
 		return refusal
 	}
+	if refusal := q.checkStopTime(); refusal != nil {
+		return refusal
+	}
 	return q.checkQuarantine()
 }
 
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
@@ -65,6 +66,28 @@
 	return plan != nil && !time.Now().Before(plan.Refuse)
 }
 
+// maxOverrunShare is the share of recent answers that would take longer than a stop lasts, above which a request is
+// refused: another host answers it whole, and its answer would be cut.
+const maxOverrunShare = 0.125
+
+// checkStopTime refuses the request if the host stops, probably before the answer ends.
+func (q *request) checkStopTime() *errkind.Error {
+	plan := q.handler.stop.plan.Load()
+	if plan == nil || q.handler.workTimes.overrunShare(q.route.Name, q.OutputTokens, time.Until(plan.Answer)) <= maxOverrunShare {
+		return nil
+	}
+	return errkind.New(errkind.Draining, "the host is stopping, and may end before the answer").WithRetryAfter(drainingRetryAfter)
+}
+
+// recordWorkTime records how long the answer took once the body was read.
+func (q *request) recordWorkTime() {
+	if q.outcome != gotAnswer {
+		return
+	}
+	start := q.timeToFirstEvent - q.bodyReadAt.Sub(q.arrived)
+	q.handler.workTimes.add(q.route.Name, newWorkTime(start, time.Since(q.bodyReadAt), q.OutputTokens))
+}
+
 // closeIfStopping asks the caller to send no other request on its connection, if the host stops.
 func (h *Handler) closeIfStopping(w http.ResponseWriter) {
 	if h.stop.plan.Load() != nil {
