Founders count themselves under the lock of the other answers

Cause: askFounders counted its own host while goroutines already counted the answers of others, so that an answer could be lost and the founding wait for another round.

--- a/internal/controlnode/founding.go
+++ b/internal/controlnode/founding.go
@@ -100,7 +100,9 @@
 	var calls sync.WaitGroup
 	for _, p := range founders {
 		if p.Address == n.options.Address {
+			mu.Lock()
 			founding++
+			mu.Unlock()
 			continue
 		}
 		calls.Go(func() {
