A file that doesn't fit on a disk leaves no temporary file

Cause: WriteFileAtomic left what it had written of a file that didn't fit, for instance of a segment of the log that is written anew at each start of a replica. The next attempt truncated it only if it wrote the same file; a segment that had been followed by another meanwhile kept its temporary file, of up to 1 MiB, for good. Now it is removed at once.

TestFileThatDoesNotFitLeavesNothing fails without the change.

--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -110,9 +110,11 @@
 const TemporarySuffix = ".tmp"
 
 // WriteFileAtomic replaces the content of the named file. A crash leaves either the
-// old or the new content; after a return without error the new one is durable.
+// old or the new content; after a return without error the new one is durable. What
+// it could write of a file that doesn't fit is removed, as it would keep the disk full.
 func WriteFileAtomic(fs FS, name string, data []byte) error {
 	if err := writeTemporary(fs, name+TemporarySuffix, data); err != nil {
+		_ = fs.Remove(name + TemporarySuffix)
 		return err
 	}
 	if err := fs.Rename(name+TemporarySuffix, name); err != nil {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -235,3 +235,18 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Entries[len(r.Entries)-1].Index).To(Equal(uint64(21)))
 }
+
+// Guards against temporary files that keep a disk full.
+func TestFileThatDoesNotFitLeavesNothing(t *testing.T) {
+	g := NewWithT(t)
+	d := disk.New()
+	g.Expect(wal.WriteFileAtomic(d, dir+"/file", []byte("first"))).To(Succeed())
+	for free := range 4 {
+		d.SetFreeBytes(free)
+		g.Expect(wal.WriteFileAtomic(d, dir+"/file", []byte("second"))).To(MatchError(syscall.ENOSPC))
+		g.Expect(d.Files(dir)).To(ConsistOf(dir + "/file"))
+	}
+	content, err := d.ReadFile(dir + "/file")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(content).To(BeEquivalentTo("first"))
+}
