Exchanges name only contacts that aren't members; one write of the contacts at a time

Members know each other by the membership, so that exchanges of a group at rest don't grow. The periodic save and the one before a request to join could write the same temporary file.

The simulation remembers the status of the replica that had committed most: with all disks of voters lost no host knows a membership at the end.

--- a/internal/controlnode/contacts.go
+++ b/internal/controlnode/contacts.go
@@ -109,11 +109,13 @@
 	return list[:end]
 }
 
-// list returns the contacts for another host.
-func (c *contacts) list(now time.Time) []Contact {
-	list := make([]Contact, 0, len(c.heardAt))
+// list returns the contacts other than the members, which all members know.
+func (c *contacts) list(members []string, now time.Time) []Contact {
+	var list []Contact
 	for _, address := range c.byRecency() {
-		list = append(list, Contact{Address: address, Age: now.Sub(c.heardAt[address])})
+		if !slices.Contains(members, address) {
+			list = append(list, Contact{Address: address, Age: now.Sub(c.heardAt[address])})
+		}
 	}
 	return list
 }
@@ -243,5 +245,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the control hosts")
 	}
+	n.contactsFileMu.Lock()
+	defer n.contactsFileMu.Unlock()
 	return wal.WriteFileAtomic(n.options.FS, filepath.Join(n.options.Directory, contactsFile), data)
 }
--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -160,7 +160,7 @@
 func (n *Node) newExchange(direct directUpstreams) *UpstreamsMessage {
 	msg := &UpstreamsMessage{
 		Sender: n.options.Address, Zone: n.options.Zone, SenderEpoch: n.epoch, Generation: direct.generation, Features: fleetstate.Features,
-		Contacts: n.contacts.list(time.Now()),
+		Contacts: n.contacts.list(n.Members(), time.Now()),
 	}
 	if s, running := n.Status(); running && s.Failure == nil {
 		msg.ReplicaID = s.ID
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -336,7 +336,7 @@
 	ReplicaID uint64 `cbor:"10,keyasint,omitempty"`
 	// StoppedReplicaID is the id of the sender's replica if it has stopped because the host stops in order.
 	StoppedReplicaID uint64 `cbor:"11,keyasint,omitempty"`
-	// Contacts are control hosts that the sender has known, in an exchange.
+	// Contacts are control hosts that the sender has known and that aren't members, in an exchange.
 	Contacts []Contact `cbor:"12,keyasint,omitempty"`
 }
 
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -118,6 +118,8 @@
 	// admitted is the identity with which the group has admitted this host; nil once it is saved. Only the
 	// goroutine that runs the replicas uses it.
 	admitted *identity
+	// contactsFileMu is held while the contacts are written to disk.
+	contactsFileMu sync.Mutex
 
 	mu        sync.Mutex
 	addresses map[uint64]string // by replica id; also of removed replicas
--- a/internal/controlnode/simulated_fleet_test.go
+++ b/internal/controlnode/simulated_fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/godwitbend/godwitbend/internal/fake/disk"
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
 	"github.com/godwitbend/godwitbend/internal/memnet"
+	"github.com/godwitbend/godwitbend/internal/replica"
 	"github.com/godwitbend/godwitbend/internal/replication"
 )
 
@@ -53,6 +54,8 @@
 	acks       int
 	events     []string
 	violations []string
+	// newest is the status of the replica that had committed most.
+	newest replica.Status
 	// lostReplicas are the ids of the replicas whose disks are lost.
 	lostReplicas map[uint64]bool
 }
@@ -160,7 +163,11 @@
 		floor := f.acked
 		f.mu.Unlock()
 		d, err := node.NewestDocument(ctx)
+		s, _ := node.Status()
 		f.mu.Lock()
+		if s.Commit > 0 && s.Commit >= f.newest.Commit {
+			f.newest = s
+		}
 		if err == nil {
 			f.reads++
 			if d.Version < floor {
