A replica whose identity isn't saved is stopped

Cause: a founder whose disk had room for the replica's first state but not for its identity went on with the replica that it had started and, 0.5 s later, started a second one on the same disk, under the same id.

TestReplicaWhoseIdentityIsNotSavedIsStopped fails without the change. A limit of file sizes (EFBIG) counts as a full disk.

--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -63,9 +63,9 @@
 }
 
 // temporaryDiskError reports whether err comes from a disk that is full, read-only or fails
-// to read or write, as opposed to damaged files.
+// to read or write, or from a limit of file sizes, as opposed to damaged files.
 func temporaryDiskError(err error) bool {
-	return slices.ContainsFunc([]error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EROFS}, func(cause error) bool {
+	return slices.ContainsFunc([]error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG, syscall.EIO, syscall.EROFS}, func(cause error) bool {
 		return eris.Is(err, cause)
 	})
 }
@@ -231,6 +231,9 @@
 		// a replica that loses this state cannot found the group a second time.
 		founded := &identity{ReplicaID: id.ReplicaID}
 		if err := founded.save(n.options.FS, n.options.Directory); err != nil {
+			if stopErr := started.Stop(); stopErr != nil {
+				klog.ErrorS(stopErr, "replica stopped with an error")
+			}
 			return nil, err
 		}
 	}
