Recovery schedules with full disks of real control hosts

RLIMIT_FSIZE of a running process, set to 0 with prlimit, makes each write that a file would grow by fail with EFBIG, one host at a time, one after another, the leader often, with restarts, lost disks and replacements in between. After the last disk has room, each control host must acknowledge a change and read it back within 12 s, besides the checks of all schedules.

Lines that a host logs while its disk is full are lost, as its log is a file as well.

--- a/tests/recovery/operator_test.go
+++ b/tests/recovery/operator_test.go
@@ -107,25 +107,31 @@
 	return nil, eris.New("the leader is unknown")
 }
 
-// put sends a new version until it is acknowledged or ctx ends.
+// put sends a new version to any control hosts until it is acknowledged or ctx ends.
 func (o *operator) put(ctx context.Context) error {
+	_, err := o.putAt(ctx, o.anyAddress)
+	return err
+}
+
+// putAt sends a new version to the control hosts at the addresses that address returns, until it is acknowledged or ctx ends.
+func (o *operator) putAt(ctx context.Context, address func() string) (uint64, error) {
 	version, content := o.newChange()
 	compressed, err := fleetstate.Compress([]byte(content))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	req := &controlnode.PutRequest{Document: fleetstate.Document{Version: version, Content: compressed}}
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		try, cancel := context.WithTimeout(ctx, tryTimeout)
-		_, err := onLeader(try, o, o.anyAddress(), controlnode.MethodPut, req,
+		_, err := onLeader(try, o, address(), controlnode.MethodPut, req,
 			func(r *controlnode.PutReply) controlnode.LeaderRedirect { return r.LeaderRedirect })
 		cancel()
 		if err == nil {
 			o.fleet.history.recordAck(version, time.Now())
-			return nil
+			return version, nil
 		}
 		if !sleep(ctx, o.pause(backoff/2, backoff)) {
-			return eris.Wrapf(err, "version %d was not acknowledged", version)
+			return 0, eris.Wrapf(err, "version %d was not acknowledged", version)
 		}
 	}
 }
--- a/tests/recovery/schedule_test.go
+++ b/tests/recovery/schedule_test.go
@@ -51,6 +51,8 @@
 	cutOff stepKind = "cut off"
 	// split cuts the links between two halves of the control hosts.
 	split stepKind = "split"
+	// fillDisks fills the disks of control hosts one after another, never two at once.
+	fillDisks stepKind = "full disks"
 	// restartAll kills all control hosts at the same moment. They keep their disks.
 	restartAll    stepKind = "restart all control hosts"
 	changeSeeds   stepKind = "change the seeds of all hosts"
@@ -101,6 +103,14 @@
 	// Hangup sends SIGHUP after a change of seeds.
 	Hangup bool
 	Fault  successorFault
+	// Fills are the disks that a step of the kind fillDisks fills.
+	Fills []fill
+}
+
+// fill is a disk that is full for a time, and the time until the next one is.
+type fill struct {
+	Target     target
+	For, Pause time.Duration
 }
 
 // String implements fmt.Stringer.
@@ -121,6 +131,9 @@
 			fmt.Fprintf(&b, ", %s", option.text)
 		}
 	}
+	for _, f := range s.Fills {
+		fmt.Fprintf(&b, "; %s for %s, pause %s", f.Target, f.For, f.Pause)
+	}
 	if s.Fault.Kind != "" {
 		fmt.Fprintf(&b, "; successor after %s: %s, %s", s.Fault.After, s.Fault.Kind, s.Fault.Down)
 	}
@@ -133,6 +146,9 @@
 		return 0
 	}
 	down := s.Down
+	for _, f := range s.Fills {
+		down += f.For + f.Pause
+	}
 	if s.Fault.Kind != "" {
 		down += s.Fault.After + s.Fault.Down
 	}
--- a/tests/recovery/soak_test.go
+++ b/tests/recovery/soak_test.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// TestFullDiskSoak runs N schedules with full disks from SEED on.
+func TestFullDiskSoak(t *testing.T) {
+	first, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+	if err != nil {
+		t.Skip("SEED is not set")
+	}
+	n, err := strconv.ParseUint(os.Getenv("N"), 10, 64)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), "N")
+	for seed := first; seed < first+n; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { runSchedule(t, newFullDiskSchedule(seed, soakLength)) })
+	}
+}
+
 // runSchedule runs a schedule in parallel to others, and keeps the logs of one that fails.
 func runSchedule(t *testing.T, s schedule) {
 	t.Parallel()
--- a/tests/recovery/steps_test.go
+++ b/tests/recovery/steps_test.go
@@ -28,6 +28,8 @@
 		return r.restartAll(s)
 	case split:
 		return r.split(ctx, s)
+	case fillDisks:
+		return r.fillDisks(ctx, s)
 	}
 	h := r.resolve(ctx, r.operator, s.Target)
 	r.losses.begin(time.Now())
