--- a/cmd/godwitbendd/main.go
+++ b/cmd/godwitbendd/main.go
@@ -22,8 +22,6 @@
 func main() {
 	// The default action would terminate a host that has just started and is told to reload its settings.
 	signal.Ignore(syscall.SIGHUP)
-	// The write that exceeds a limit of file sizes fails. The host treats that as a full disk.
-	signal.Ignore(syscall.SIGXFSZ)
 	app := kingpin.New("godwitbendd", "The daemon of a godwitbend host.")
 	path := app.Flag("settings", "JSON settings file of the host.").Required().String()
 	run := app.Command("run", "Serve until SIGTERM or SIGINT, then drain.").Default()
