Writes of the contacts wait for each other without a mutex

A mutex that is held while a disk hangs keeps the simulated time from going on: a schedule of TestNoHostReadsAnOlderConfigurationThanWasAcknowledged stood still for good. The fake disk reports a rename of a file that is missing.

--- a/internal/controlnode/contacts.go
+++ b/internal/controlnode/contacts.go
@@ -245,7 +245,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the control hosts")
 	}
-	n.contactsFileMu.Lock()
-	defer n.contactsFileMu.Unlock()
+	n.contactsWrites <- struct{}{}
+	defer func() { <-n.contactsWrites }()
 	return wal.WriteFileAtomic(n.options.FS, filepath.Join(n.options.Directory, contactsFile), data)
 }
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -118,8 +118,8 @@
 	// admitted is the identity with which the group has admitted this host; nil once it is saved. Only the
 	// goroutine that runs the replicas uses it.
 	admitted *identity
-	// contactsFileMu is held while the contacts are written to disk.
-	contactsFileMu sync.Mutex
+	// contactsWrites has a place for one write of the contacts to disk.
+	contactsWrites chan struct{}
 
 	mu        sync.Mutex
 	addresses map[uint64]string // by replica id; also of removed replicas
@@ -170,6 +170,7 @@
 		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
 		features: map[string]int{}, replicaReports: newReplicaReports(),
 		origins: streamorigin.NewTable(), contacts: contacts{heardAt: map[string]time.Time{}},
+		contactsWrites: make(chan struct{}, 1),
 	}
 	if o.Decode != nil {
 		n.table.RestrictReplacement(n.isService)
--- a/internal/fake/disk/disk.go
+++ b/internal/fake/disk/disk.go
@@ -180,6 +180,9 @@
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.files[from] == nil {
+		return eris.Wrap(syscall.ENOENT, from)
+	}
 	d.files[to] = d.files[from]
 	delete(d.files, from)
 	return nil
