--- a/internal/controlnode/full_disks_test.go
+++ b/internal/controlnode/full_disks_test.go
@@ -137,7 +137,7 @@
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f = newSimulatedFleet(ctx, seed, 3+2*int(min(seed%4, 1)))
-		f.keepsBootstrap = seed%2 == 0
+		f.keepsBootstrap, f.keepsSeeds = seed%2 == 0, seed%2 == 1
 		f.startFounding()
 		writing, stopWriting := context.WithCancel(ctx)
 		var writers sync.WaitGroup
--- a/internal/controlnode/simulated_fleet_test.go
+++ b/internal/controlnode/simulated_fleet_test.go
@@ -24,6 +24,8 @@
 	name, address string
 	disk          *disk.Disk
 	process       *simulatedProcess
+	// seeds are those of the latest start.
+	seeds []string
 	// gone is set when the host is removed for good.
 	gone bool
 }
@@ -45,6 +47,8 @@
 	// keepsBootstrap is set if the settings of the founders allow them to found a group at each start. Founders that
 	// have lost a majority of their disks can't be told from new ones then, so that one is lost at a time.
 	keepsBootstrap bool
+	// keepsSeeds is set if hosts restart with the seeds that they had.
+	keepsSeeds bool
 
 	mu         sync.Mutex
 	hosts      []*simulatedHost
@@ -123,13 +127,16 @@
 		return
 	}
 	seeds := []string{f.hosts[0].address, f.hosts[1].address, f.hosts[2].address}
-	if !bootstrap {
+	if f.keepsSeeds && h.seeds != nil {
+		seeds = h.seeds
+	} else if !bootstrap {
 		founder := slices.Contains(seeds, h.address)
 		seeds = f.drawSeeds(h)
 		if f.keepsBootstrap && founder {
 			bootstrap, seeds = true, append(seeds[:min(len(seeds), 2)], h.address)
 		}
 	}
+	h.seeds = seeds
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &simulatedProcess{cancel: cancel, ended: make(chan struct{})}
 	p.node = controlnode.New(controlnode.Options{
