--- a/internal/controlnode/contacts.go
+++ b/internal/controlnode/contacts.go
@@ -124,13 +124,16 @@
 func (n *Node) hear(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.contacts.hear(address, time.Now())
+	if address != n.options.Address {
+		n.contacts.hear(address, time.Now())
+	}
 }
 
-// hearOf records what another control host knows. The caller holds n.mu.
+// hearOf records what another control host knows. One that knows no leader may name hosts that the others have
+// forgotten. The caller holds n.mu.
 func (n *Node) hearOf(list []Contact, now time.Time) {
 	for _, c := range list[:min(len(list), maxContacts)] {
-		if c.Age >= 0 && c.Address != n.options.Address {
+		if c.Age >= 0 && c.Age < contactRetention && c.Address != n.options.Address {
 			n.contacts.hear(c.Address, now.Add(-c.Age))
 		}
 	}
--- a/internal/controlnode/contacts_test.go
+++ b/internal/controlnode/contacts_test.go
@@ -70,7 +70,8 @@
 	n.contacts.hear("10.0.0.3:7040", now.Add(-time.Minute))
 	list := n.contacts.list(nil, now)
 	n.hearOf(list, now.Add(time.Second))
-	n.hearOf([]Contact{{Address: "10.0.0.3:7040", Age: 2 * time.Minute}, {Address: n.options.Address}}, now)
+	n.hearOf([]Contact{{Address: "10.0.0.3:7040", Age: 2 * time.Minute}, {Address: n.options.Address}, {Address: "10.0.0.4:7040", Age: contactRetention}}, now)
+	n.hear(n.options.Address)
 	g.Expect(n.contacts.heardSince(now.Add(-50 * time.Second))).To(BeEmpty())
 	g.Expect(n.contacts.byRecency()).To(ConsistOf("10.0.0.3:7040"))
 }
