What upstreams have made five sixths into a stop has 0.2 s to reach the caller

Cause: where the process may have learned of the signal late, requests in flight are answered five sixths into the stop timeout, and one that runs 14 of each 100 ms had not yet passed on the last events. Change: 0.2 s more in that case; where SIGTERM was learned of at once it is 0.33 s as before.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -26,6 +26,8 @@
 	lastParts = 6
 	// lastAnswersTime is the part of the stop timeout in which the requests that are still in flight are answered.
 	lastAnswersTime = 200 * time.Millisecond
+	// passOnTime is the time for what upstreams have made to reach callers.
+	passOnTime = 200 * time.Millisecond
 	// sessionCloseTime is the part of the stop timeout reserved for the final report to the
 	// control group.
 	sessionCloseTime = 500 * time.Millisecond
@@ -77,7 +79,7 @@
 func planStop(sentAfter, now time.Time, timeout time.Duration) stopPlan {
 	delay := min(drainDelay, timeout/3)
 	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), sentAfter.Add(timeout-exitMargin))
-	answer := later(end.Add(-lastAnswersTime), now.Add(timeout-timeout/lastParts))
+	answer := later(end.Add(-lastAnswersTime), now.Add(timeout-timeout/lastParts+passOnTime))
 	return stopPlan{
 		StopPlan: gateway.StopPlan{Began: sentAfter, Refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)), Answer: answer},
 		end:      answer.Add(lastAnswersTime),
