Control hosts of another group are no contacts

Cause: nothing told groups apart, and contacts were taken from every caller and answer. Change: founders compute an id of the group from their addresses, which is kept in identity.json, handed over to hosts that join, and stated in exchanges and joins. Contacts are taken from hosts of the same group only; messages of another group are ignored, its hosts forgotten, its answers on membership not believed, and hosts of another group not admitted. Groups founded by earlier builds have no id and know members and seeds only, as before. What hosts tell of others no longer renews a known contact.

TestGroupsDoNotMixAfterAnAddressIsUsedByAnother and TestHostWithoutALeaderStaysInItsGroupAfterAnAddressIsUsedByAnother failed before and pass; tests of contacts, joins, founding and full disks pass (58 s).

--- a/internal/controlnode/contacts.go
+++ b/internal/controlnode/contacts.go
@@ -65,9 +65,9 @@
 }
 
 // learn records an address that was not known.
-func (c *contacts) learn(address string, now time.Time) {
+func (c *contacts) learn(address string, at time.Time) {
 	if _, known := c.heardAt[address]; !known {
-		c.hear(address, now)
+		c.hear(address, at)
 	}
 }
 
@@ -129,17 +129,17 @@
 	}
 }
 
-// hearOf records what another control host knows. One that knows no leader may name hosts that the others have
-// forgotten. The caller holds n.mu.
+// hearOf records what another control host knows. Only direct signs of life renew a contact, and one that knows no
+// leader may name hosts that the others have forgotten. The caller holds n.mu.
 func (n *Node) hearOf(list []Contact, now time.Time) {
 	for _, c := range list[:min(len(list), maxContacts)] {
-		if c.Age >= 0 && c.Age < contactRetention && c.Address != n.options.Address {
-			n.contacts.hear(c.Address, now.Add(-c.Age))
+		if c.Age >= 0 && c.Age < contactRetention/2 && c.Address != n.options.Address {
+			n.contacts.learn(c.Address, now.Add(-c.Age))
 		}
 	}
 }
 
-// forget drops a contact whose address another service has.
+// forget drops a contact whose address another service or group has.
 func (n *Node) forget(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -200,24 +200,35 @@
 	}
 }
 
-// loadContacts reads the addresses that an earlier process saved. They are a help only: a file that can't be read is ignored.
+// savedContacts is the content of contactsFile.
+type savedContacts struct {
+	// Group is the id of the control group.
+	Group     string   `json:"group,omitempty"`
+	Addresses []string `json:"addresses"`
+}
+
+// loadContacts reads the addresses that an earlier process saved. They are a help only: a file that can't be read, or
+// that is of another group than the identity, is ignored.
 func (n *Node) loadContacts() {
 	data, err := n.options.FS.ReadFile(filepath.Join(n.options.Directory, contactsFile))
 	if errors.Is(err, fs.ErrNotExist) {
 		return
 	}
-	var addresses []string
+	var saved savedContacts
 	if err == nil {
-		err = json.Unmarshal(data, &addresses)
+		err = json.Unmarshal(data, &saved)
 	}
 	if err != nil {
 		klog.ErrorS(err, "saved control hosts not read")
 		return
 	}
+	if id, err := loadIdentity(n.options.FS, n.options.Directory); err == nil && id != nil && id.Group != saved.Group {
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	for _, address := range addresses[:min(len(addresses), maxContacts)] {
+	for _, address := range saved.Addresses[:min(len(saved.Addresses), maxContacts)] {
 		if address != n.options.Address {
 			n.contacts.learn(address, now)
 		}
@@ -244,7 +255,7 @@
 }
 
 func (n *Node) writeContacts(addresses []string) error {
-	data, err := json.Marshal(addresses)
+	data, err := json.Marshal(savedContacts{Group: n.groupID(), Addresses: addresses})
 	if err != nil {
 		return eris.Wrap(err, "encode the control hosts")
 	}
--- a/internal/controlnode/exchange.go
+++ b/internal/controlnode/exchange.go
@@ -196,6 +196,16 @@
 
 // receiveUpstreams serves MethodUpstreams.
 func (n *Node) receiveUpstreams(_ context.Context, msg *UpstreamsMessage) (*UpstreamsReply, error) {
+	reply := &UpstreamsReply{Group: n.groupID()}
+	if !n.otherGroup(msg.Group) {
+		reply.Generation = n.applyUpstreams(msg)
+	}
+	return reply, nil
+}
+
+// applyUpstreams applies a message of a control host of the same group, and returns the generation of the sender's
+// upstreams that this host has then; 0 if there is none.
+func (n *Node) applyUpstreams(msg *UpstreamsMessage) uint64 {
 	now := time.Now()
 	for i := range msg.Records {
 		n.applyReport(msg.Records[i].Upstream, msg.Records[i].Coldness(now), now.Add(-msg.Records[i].Age), now)
@@ -206,16 +216,18 @@
 		n.replicaReports.stopped[msg.StoppedReplicaID] = true
 	}
 	if msg.Sender == "" {
-		return &UpstreamsReply{}, nil
+		return 0
+	}
+	if msg.Group != "" && msg.Group == n.group {
+		n.contacts.hear(msg.Sender, now)
+		n.hearOf(msg.Contacts, now)
 	}
-	n.contacts.hear(msg.Sender, now)
-	n.hearOf(msg.Contacts, now)
 	n.controlHosts[msg.Sender] = knownControlHost{zone: msg.Zone, epoch: msg.SenderEpoch, heardAt: now}
 	n.features[msg.Sender] = msg.Features
 	n.replicaReports.heard[msg.ReplicaID] = true
 	remote, known := n.remoteUpstreams[msg.Sender].after(msg)
 	if !known {
-		return &UpstreamsReply{}, nil
+		return 0
 	}
 	n.remoteUpstreams[msg.Sender] = remote
 	if len(msg.Ages) == len(remote.processes) {
@@ -223,7 +235,7 @@
 			n.table.Refresh(p.id, p.startedMS, now.Add(-time.Duration(msg.Ages[i])*ageUnit), now)
 		}
 	}
-	return &UpstreamsReply{Generation: remote.generation}, nil
+	return remote.generation
 }
 
 // takeReplicaReports returns what was heard of other replicas since the latest call.
--- a/internal/controlnode/founding.go
+++ b/internal/controlnode/founding.go
@@ -65,6 +65,7 @@
 			id.ReplicaID = p.ID
 		}
 	}
+	id.Group = newGroupID(id.Founders)
 	return id
 }
 
--- a/internal/controlnode/identity.go
+++ b/internal/controlnode/identity.go
@@ -22,6 +22,8 @@
 	// Founders is the initial membership of a new group. It is set until the replica has
 	// written its initial state to disk.
 	Founders []replication.Peer `json:"founders,omitempty"`
+	// Group is the id of the control group, which the host keeps after its removal.
+	Group string `json:"group,omitempty"`
 	// Removed is set once the group has removed the replica. The host never founds a group again.
 	Removed bool `json:"removed,omitempty"`
 }
@@ -53,7 +55,7 @@
 // removeReplica deletes the files of a replica that the group has removed, so that the host can join
 // under a new id. The identity is marked first, so that nobody reads the files if a crash leaves some.
 func (id *identity) removeReplica(files wal.FS, directory string) error {
-	removed := &identity{ReplicaID: id.ReplicaID, Removed: true}
+	removed := &identity{ReplicaID: id.ReplicaID, Group: id.Group, Removed: true}
 	if err := removed.save(files, directory); err != nil {
 		return err
 	}
--- a/internal/controlnode/membership.go
+++ b/internal/controlnode/membership.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"syscall"
@@ -108,6 +109,9 @@
 	case id != nil:
 		n.wasMember.Store(true)
 	}
+	if id != nil {
+		n.setGroupID(id.Group)
+	}
 	if id != nil && !id.Removed {
 		return id, nil
 	}
@@ -118,6 +122,7 @@
 		return nil, err
 	}
 	n.admitted = nil
+	n.setGroupID(id.Group)
 	return id, nil
 }
 
@@ -164,15 +169,19 @@
 	for {
 		asked := n.knownControlHosts()
 		for _, address := range asked {
-			reply, err := n.callJoin(ctx, address, &JoinRequest{Address: n.options.Address, ReplicaID: id})
+			reply, err := n.callJoin(ctx, address, &JoinRequest{Address: n.options.Address, ReplicaID: id, Group: n.groupID()})
 			if err != nil {
 				continue
 			}
+			if n.otherGroup(reply.Group) {
+				n.forget(address)
+				continue
+			}
 			n.recordAddresses(reply.Members)
 			if id != 0 && reply.ReplicaID != id {
 				return nil, errNotMember
 			}
-			return &identity{ReplicaID: reply.ReplicaID}, nil
+			return &identity{ReplicaID: reply.ReplicaID, Group: cmp.Or(reply.Group, n.groupID())}, nil
 		}
 		if time.Since(loggedAt) >= leaderlessLogInterval {
 			loggedAt = time.Now()
@@ -199,7 +208,9 @@
 		if err != nil {
 			return nil, err
 		}
-		n.hear(address)
+		if n.sameGroup(reply.Group) {
+			n.hear(address)
+		}
 		if !reply.NotLeader {
 			return reply, nil
 		}
@@ -229,7 +240,7 @@
 	if len(id.Founders) > 0 {
 		// The initial state is on disk. The founders are removed from the identity, so that
 		// a replica that loses this state cannot found the group a second time.
-		founded := &identity{ReplicaID: id.ReplicaID}
+		founded := &identity{ReplicaID: id.ReplicaID, Group: id.Group}
 		if err := founded.save(n.options.FS, n.options.Directory); err != nil {
 			if stopErr := started.Stop(); stopErr != nil {
 				klog.ErrorS(stopErr, "replica stopped with an error")
@@ -328,13 +339,16 @@
 
 // join serves MethodJoin.
 func (n *Node) join(ctx context.Context, req *JoinRequest) (*JoinReply, error) {
+	if n.otherGroup(req.Group) {
+		return nil, errAnotherGroup
+	}
 	r, redirect := n.leaderOrRedirect()
 	if r == nil {
-		return &JoinReply{LeaderRedirect: redirect}, nil
+		return &JoinReply{LeaderRedirect: redirect, Group: n.groupID()}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	reply := &JoinReply{}
+	reply := &JoinReply{Group: n.groupID()}
 	var err error
 	if req.ReplicaID != 0 {
 		err = n.confirmMembership(ctx, r, req.ReplicaID, reply)
--- a/internal/controlnode/messages.go
+++ b/internal/controlnode/messages.go
@@ -40,6 +40,8 @@
 	Address string `cbor:"1,keyasint"`
 	// ReplicaID is the current id of the host, or 0 if its disk is empty.
 	ReplicaID uint64 `cbor:"2,keyasint,omitempty"`
+	// Group is the id of the group that the host belongs to or was removed from, if any.
+	Group string `cbor:"3,keyasint,omitempty"`
 }
 
 // JoinReply returns the host's replica id and the members of the group.
@@ -47,6 +49,8 @@
 	LeaderRedirect `cbor:"1,keyasint"`
 	ReplicaID      uint64             `cbor:"2,keyasint,omitempty"`
 	Members        []replication.Peer `cbor:"3,keyasint,omitempty"`
+	// Group is the id of the group.
+	Group string `cbor:"4,keyasint,omitempty"`
 }
 
 // PutRequest asks the leader to commit a document.
@@ -338,12 +342,16 @@
 	StoppedReplicaID uint64 `cbor:"11,keyasint,omitempty"`
 	// Contacts are control hosts that the sender has known and that aren't members, in an exchange.
 	Contacts []Contact `cbor:"12,keyasint,omitempty"`
+	// Group is the id of the sender's group.
+	Group string `cbor:"13,keyasint,omitempty"`
 }
 
 // UpstreamsReply acknowledges an UpstreamsMessage.
 type UpstreamsReply struct {
 	// Generation is that of the sender's latest exchange with Records; 0 if there was none.
 	Generation uint64 `cbor:"1,keyasint,omitempty"`
+	// Group is the id of the receiver's group. Messages of another group are ignored.
+	Group string `cbor:"2,keyasint,omitempty"`
 }
 
 // CloseRequest ends the session of a host that shuts down.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -131,8 +131,10 @@
 	// acknowledgedGenerations the generation of this host's that each has, by address.
 	remoteUpstreams map[string]remoteUpstreams
 	// controlHosts holds the control hosts that this one has heard from, by address.
-	controlHosts            map[string]knownControlHost
-	contacts                contacts
+	controlHosts map[string]knownControlHost
+	contacts     contacts
+	// group is the id of the control group; see groupID.
+	group                   string
 	acknowledgedGenerations map[string]uint64
 	// features holds the latest statement of each control host that this one has heard from on the
 	// log entries that it understands, by address. It outlives controlHosts, as a voter that is down
--- a/internal/controlnode/upstreams.go
+++ b/internal/controlnode/upstreams.go
@@ -128,6 +128,7 @@
 func (n *Node) sendUpstreams(ctx context.Context, address string, msg *UpstreamsMessage) *UpstreamsReply {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
+	msg.Group = n.groupID()
 	reply, err := rpc.Call[UpstreamsMessage, UpstreamsReply](ctx, n.rpc, address, MethodUpstreams, msg)
 	switch {
 	case rpc.IsUnregistered(err):
@@ -136,8 +137,12 @@
 	case err != nil:
 		klog.V(2).InfoS("upstream reports not forwarded", "control_host", address, "error", err.Error())
 		return nil
+	case n.otherGroup(reply.Group):
+		n.forget(address)
+		return nil
+	case n.sameGroup(reply.Group):
+		n.hear(address)
 	}
-	n.hear(address)
 	return reply
 }
 
