A stop ends as soon as the last requests are answered

Cause: after requests in flight were answered the stop still waited for 0.5 s without requests, so that it always lasted to its end. Change: that wait ends when they are answered; only those that are not done by then have the last 0.2 s.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -116,7 +116,9 @@
 	defer lastAnswers.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
-	s.handler.AwaitRequests(ctx, quietTime)
+	inFlight, cancelWait := context.WithDeadline(ctx, plan.Answer)
+	defer cancelWait()
+	s.handler.AwaitRequests(inFlight, quietTime)
 	if err := s.Shutdown(ctx); err != nil {
 		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
 	}
