--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -117,9 +117,9 @@
 	defer lastAnswers.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
-	answered, cancelAnswered := context.WithDeadline(ctx, plan.Answer)
-	defer cancelAnswered()
-	s.handler.AwaitRequests(answered, quietTime)
+	inFlight, cancelWait := context.WithDeadline(ctx, plan.Answer)
+	defer cancelWait()
+	s.handler.AwaitRequests(inFlight, quietTime)
 	if err := s.Shutdown(ctx); err != nil {
 		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
 	}
