A stop keeps idle connections while requests on others are refused

What callers would have seen (found by review): closed connections again, 0.5 s after the last long request of a stopping gateway, though requests on kept connections were still being refused. Cause: the wait for quiet looked every 20 ms whether a request was served, and a refusal takes microseconds. Change: the quiet counts from the end of the last request.

TestStopWaitsUntilNoRequestIsRefusedEither failed before: 0.5 s, the last refusal came 2.12 s after the start.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -172,8 +172,8 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{handler: h, arrived: time.Now()}
-	h.stop.inFlight.Add(1)
-	defer h.stop.inFlight.Add(-1)
+	h.stop.requestBegan()
+	defer h.stop.requestEnded()
 	defer q.countStopped()
 	defer q.recordWorkTime()
 	refusal := q.admit(w, r)
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -30,6 +30,8 @@
 	// plan is nil until it begins.
 	plan     atomic.Pointer[StopPlan]
 	inFlight atomic.Int64
+	// lastEnd is when a request ended last.
+	lastEnd  atomic.Pointer[time.Time]
 	answered stopCounter
 	refused  stopCounter
 	// brokenOff counts requests whose answer did not reach the caller whole.
@@ -95,14 +97,24 @@
 	}
 }
 
+func (s *stop) requestBegan() { s.inFlight.Add(1) }
+
+func (s *stop) requestEnded() {
+	now := time.Now()
+	s.lastEnd.Store(&now)
+	s.inFlight.Add(-1)
+}
+
 // AwaitRequests waits until no request has been served for a time, or ctx is done.
 func (h *Handler) AwaitRequests(ctx context.Context, quiet time.Duration) {
-	last := time.Now()
+	quietSince := time.Now()
 	timing.EveryUntil(ctx, stopPollInterval, func() bool {
 		if h.InFlight() > 0 {
-			last = time.Now()
+			quietSince = time.Now()
+		} else if ended := h.stop.lastEnd.Load(); ended != nil && ended.After(quietSince) {
+			quietSince = *ended
 		}
-		return time.Since(last) < quiet
+		return time.Since(quietSince) < quiet
 	})
 }
 
