--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,11 @@
 	SEED=$(SEED) SCHEDULES=$(or $(SCHEDULES),2000) go test -count=1 -timeout 60m -run Soak -v ./internal/replication
 	SEED=$(SEED) go test -count=1 -timeout 60m -run Soak -v ./tests/fleet
 
-# Replaces control hosts of gateway fleets and loses disks, with N schedules from SEED on, PARALLEL at a time.
+# Replaces control hosts of gateway fleets, fills and loses disks, with N schedules of each kind from SEED on, PARALLEL at a time.
 # DAEMON is another program to test than that of the source tree.
 recovery-soak:
 	SEED=$(SEED) N=$(or $(N),50) DAEMON=$(DAEMON) \
-		go test -count=1 -timeout 60m -parallel $(or $(PARALLEL),3) -run '^TestRecoverySoak$$' -v ./tests/recovery
+		go test -count=1 -timeout 60m -parallel $(or $(PARALLEL),3) -run '^Test(Recovery|FullDisk)Soak$$' -v ./tests/recovery
 
 # Stops gateways under load, N times from SEED on, PARALLEL at a time, and counts lost requests. SCENARIO is one of those
 # in tests/stops/scenario_test.go instead of all in turn, DAEMON another program to test than that of the source tree.
--- a/tests/stops/caller_test.go
+++ b/tests/stops/caller_test.go
@@ -102,7 +102,7 @@
 	c.sent++
 	e := &exchange{
 		id: fmt.Sprintf("%s-%d", c.name, c.sent), gateway: c.gateway, reused: c.reused, chunked: c.chance(0.5),
-		stream: c.chance(c.scenario.streams), timeout: c.scenario.timeout, began: time.Now(),
+		stream: c.chance(c.scenario.streams), slow: c.slow, timeout: c.scenario.timeout, began: time.Now(),
 	}
 	_ = c.conn.SetReadDeadline(e.began.Add(e.timeout + patience))
 	head := c.head(e)
@@ -122,11 +122,12 @@
 func (c *caller) head(e *exchange) string {
 	path, p := "/read/x", plan{gap: c.upTo(c.scenario.plainTime)}
 	if c.chance(0.5) {
-		path = "/book/x"
+		path, e.once = "/book/x", !e.stream
 	}
 	if e.stream {
 		path = "/chat/x"
 		p = plan{events: 1 + c.random.IntN(80), gap: c.upTo(110 * time.Millisecond), eventBytes: c.scenario.eventBytes}
+		e.wantBytes = p.bytes()
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nAuthorization: Token key-1\r\nDeadline-Ms: %d\r\n%s: %s\r\n",
--- a/tests/stops/fleet_test.go
+++ b/tests/stops/fleet_test.go
@@ -69,7 +69,7 @@
 		if i == upstreamCount-1 {
 			service = "app"
 		}
-		u, err := startUpstream(f.judge, fmt.Sprintf("i-%d", i+1), service, fmt.Sprintf("%s.%d", subnet, 200+i), seeds)
+		u, err := startUpstream(f.judge, fmt.Sprintf("i-%d", i+1), service, fmt.Sprintf("%s.%d", subnet, 200+i), s.places, seeds)
 		if err != nil {
 			return nil, err
 		}
--- a/tests/stops/judge_test.go
+++ b/tests/stops/judge_test.go
@@ -28,6 +28,8 @@
 	gateway string
 	stream  bool
 	chunked bool
+	// once reports that the request may not run twice, and slow that its caller reads slowly.
+	once, slow bool
 	// reused reports that the connection had carried a request before.
 	reused bool
 	// began is when the first byte was sent, whole when the last was; whole is zero if it was not sent.
@@ -38,14 +40,15 @@
 	// status is 0 if no answer began, and answered reports that it arrived whole.
 	status   int
 	answered bool
-	// bytes is the number of bytes of the body of the answer.
-	bytes int
-	err   string
+	// bytes is the number of bytes of the body of the answer, and wantBytes that of the whole one; 0 if it is unknown.
+	bytes, wantBytes int
+	err              string
 }
 
 // work is a request as an upstream saw it.
 type work struct {
-	received, ended time.Time
+	// began is when it got a place; zero if it waited until it ended.
+	received, began, ended time.Time
 	// finished reports that the upstream made the whole answer.
 	finished bool
 }
@@ -67,6 +70,9 @@
 	excused
 	// lost: the answer is not whole, and the rule counts it.
 	lost
+	// untrue: the caller got a part of an answer as if whole, or was told that a request was not run that an upstream
+	// got, or it ran twice, or was answered with a status that no upstream and no refusal has.
+	untrue
 )
 
 // judge decides from what callers and upstreams saw. It is safe for concurrent use.
@@ -95,6 +101,12 @@
 	return w
 }
 
+func (j *judge) workBegan(w *work) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	w.began = time.Now()
+}
+
 func (j *judge) workEnded(w *work, finished bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -130,12 +142,10 @@
 func (j *judge) judge(e *exchange) verdict {
 	work := j.work[e.id]
 	switch {
-	case e.answered && e.status < http.StatusMultipleChoices:
-		return answered
-	case e.answered && (e.status == http.StatusBadGateway || e.status == http.StatusGatewayTimeout):
-		return failed
+	case e.once && len(work) > 1:
+		return untrue
 	case e.answered:
-		return refused
+		return e.judgeAnswer(len(work) > 0)
 	case e.whole.IsZero() && len(work) == 0:
 		return incomplete
 	case !e.ended.Before(e.began.Add(e.timeout)):
@@ -149,12 +159,35 @@
 	if stop.IsZero() || e.whole.IsZero() || e.whole.After(stop.Add(excusedSending)) {
 		return lost
 	}
-	if last := work[len(work)-1]; last.ended.IsZero() || !last.ended.Before(stop.Add(excusedWork)) {
+	last := work[len(work)-1]
+	ended := last.ended
+	if !e.slow && (ended.IsZero() || e.ended.Before(ended)) {
+		ended = e.ended // an upstream notices the cut later
+	}
+	if !last.began.IsZero() && (ended.IsZero() || !ended.Before(stop.Add(excusedWork))) {
 		return excused
 	}
 	return lost
 }
 
+// judgeAnswer returns the verdict on a request whose answer arrived whole.
+func (e *exchange) judgeAnswer(reachedUpstream bool) verdict {
+	switch e.status {
+	case http.StatusOK:
+		if e.wantBytes > 0 && e.bytes != e.wantBytes {
+			return untrue
+		}
+		return answered
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		return failed
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		if !reachedUpstream {
+			return refused
+		}
+	}
+	return untrue
+}
+
 // tally is the number of exchanges by verdict.
 type tally struct {
 	exchanges, streams int
@@ -184,7 +217,7 @@
 		if v == excused && !j.lastStop(e).IsZero() && e.began.After(j.lastStop(e)) {
 			t.begunInStop++
 		}
-		if v == lost {
+		if v >= lost {
 			t.findings = append(t.findings, j.describe(e))
 		}
 	}
@@ -204,14 +237,14 @@
 	text := fmt.Sprintf("%s %s: head %s, whole %s, ended %s, status %d, %d bytes, chunked %t, reused %t, %s",
 		e.gateway, e.id, after(e.began), after(e.whole), after(e.ended), e.status, e.bytes, e.chunked, e.reused, e.err)
 	for _, w := range j.work[e.id] {
-		text += fmt.Sprintf("; upstream %s to %s, finished %t", after(w.received), after(w.ended), w.finished)
+		text += fmt.Sprintf("; upstream %s, at work %s to %s, finished %t", after(w.received), after(w.began), after(w.ended), w.finished)
 	}
 	return text
 }
 
 func (t tally) String() string {
-	return fmt.Sprintf("%d requests, %d streams: %d answered, %d refused, %d failed, %d not sent whole, %d crossed a close, %d excused (%d of them sent after SIGTERM), %d LOST (%d without status on kept connections); %d killed",
-		t.exchanges, t.streams, t.verdicts[answered], t.verdicts[refused], t.verdicts[failed], t.verdicts[incomplete], t.verdicts[crossed], t.verdicts[excused], t.begunInStop, t.verdicts[lost], t.unanswered, t.kills)
+	return fmt.Sprintf("%d requests, %d streams: %d answered, %d refused, %d failed, %d not sent whole, %d crossed a close, %d excused (%d of them sent after SIGTERM), %d LOST (%d without status on kept connections), %d untrue; %d killed",
+		t.exchanges, t.streams, t.verdicts[answered], t.verdicts[refused], t.verdicts[failed], t.verdicts[incomplete], t.verdicts[crossed], t.verdicts[excused], t.begunInStop, t.verdicts[lost], t.unanswered, t.verdicts[untrue], t.kills)
 }
 
 func TestJudgeCountsWhatTheRuleCounts(t *testing.T) {
@@ -224,14 +257,20 @@
 		}
 		return e
 	}
-	worked := func(from, to float64) []*work { return []*work{{received: at(from), ended: at(to)}} }
+	worked := func(from, to float64) []*work { return []*work{{received: at(from), began: at(from), ended: at(to)}} }
 	for name, test := range map[string]struct {
 		exchange exchange
 		work     []*work
 		want     verdict
 	}{
 		"answered":                          {exchange{id: "a", gateway: "g", status: 200, answered: true}, worked(1, 2), answered},
+		"answered in part, as if whole":     {exchange{id: "a", gateway: "g", status: 200, answered: true, bytes: 9, wantBytes: 10}, worked(1, 2), untrue},
 		"refused":                           {exchange{id: "a", gateway: "g", status: 503, answered: true}, nil, refused},
+		"refused though it ran":             {exchange{id: "a", gateway: "g", status: 503, answered: true}, worked(1, 2), untrue},
+		"status that nobody has":            {exchange{id: "a", gateway: "g", status: 404, answered: true}, nil, untrue},
+		"run twice":                         {exchange{id: "a", gateway: "g", status: 200, answered: true, once: true}, append(worked(1, 2), worked(2, 3)...), untrue},
+		"queued until the end":              {cut(2, 2.9, 7.2), []*work{{received: at(2.9), ended: at(7.2)}}, lost},
+		"cut before its upstream noticed":   {cut(1, 1, 6), worked(1, 7), lost},
 		"failed":                            {exchange{id: "a", gateway: "g", status: 504, answered: true}, worked(1, 2), failed},
 		"not sent whole":                    {cut(1, 0, 7), nil, incomplete},
 		"crossed the close":                 {cut(2.4, 2.4, 2.55), nil, crossed},
@@ -243,7 +282,7 @@
 		"cut at its deadline":               {cut(-2, -2, 6), worked(-2, 6), excused},
 		"cut without a stop":                {cut(20, 20, 21), worked(20, 21), lost},
 		"cut, and seen late":                {cut(2.4, 2.4, 9.5), worked(2.4, 7), excused},
-		"upstream at work after the answer": {cut(1, 1, 7.2), []*work{{received: at(1)}}, excused},
+		"upstream at work after the answer": {cut(1, 1, 7.2), []*work{{received: at(1), began: at(1)}}, excused},
 	} {
 		t.Run(name, func(t *testing.T) {
 			j := newJudge()
--- a/tests/stops/scenario_test.go
+++ b/tests/stops/scenario_test.go
@@ -33,6 +33,8 @@
 	// plainTime is the longest time of an answer that is not a stream.
 	plainTime time.Duration
 	timeout   time.Duration
+	// places is the number of requests that each upstream works on at a time.
+	places int
 	// duty is the time of each dutyInterval for which gateways run while they stop; 0 is all of it.
 	duty time.Duration
 	// lateSignal holds up a gateway for up to maxSignalDelay from SIGTERM on.
@@ -43,10 +45,13 @@
 	rounds int
 }
 
+// holdsUp reports whether the scenario keeps gateways from running.
+func (s *scenario) holdsUp() bool { return s.duty > 0 || s.lateSignal }
+
 func baseScenario() scenario {
 	return scenario{
 		gateways: 2, callersEach: 60, streams: 0.7, eventBytes: 20, plainTime: 600 * time.Millisecond,
-		timeout: 8 * time.Second, rounds: 1,
+		timeout: 8 * time.Second, places: upstreamSlots, rounds: 1,
 	}
 }
 
@@ -61,6 +66,7 @@
 	{"slow-readers", func(s *scenario) { s.slowReaders, s.eventBytes, s.timeout = 0.3, 4<<10, 20*time.Second }},
 	{"short-of-processor", func(s *scenario) { s.duty, s.lateBodies = 14*time.Millisecond, 0.25 }},
 	{"long-deadlines", func(s *scenario) { s.timeout, s.lateBodies = 20*time.Second, 0.25 }},
+	{"queued", func(s *scenario) { s.places = 5 }},
 	{"reloads", func(s *scenario) { s.reloads, s.lateBodies = true, 0.25 }},
 	{"all", func(s *scenario) {
 		s.gateways, s.rounds = 3, 2
--- a/tests/stops/upstream_test.go
+++ b/tests/stops/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -28,6 +29,18 @@
 	return fmt.Sprintf("%d %d %d", p.events, p.gap.Milliseconds(), p.eventBytes)
 }
 
+// bytes returns the number of bytes of a stream of p.
+func (p plan) bytes() (sum int) {
+	for i := 1; i <= p.events; i++ {
+		sum += len(p.event(i))
+	}
+	return sum
+}
+
+func (p plan) event(id int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", p.eventBytes))
+}
+
 func parsePlan(text string) (p plan) {
 	ms := 0
 	_, _ = fmt.Sscanf(text, "%d %d %d", &p.events, &ms, &p.eventBytes)
@@ -35,7 +48,8 @@
 	return p
 }
 
-// upstream is a stand-in for an upstream that does the work that requests ask for, and never fails.
+// upstream is a stand-in for an upstream that does the work that requests ask for, and never fails. Requests beyond
+// its places wait.
 type upstream struct {
 	id, service string
 	born        time.Time
@@ -43,14 +57,15 @@
 	listener    net.Listener
 	server      *http.Server
 	done        chan struct{}
+	places      chan struct{}
 }
 
-func startUpstream(j *judge, id, service, ip string, controls []string) (*upstream, error) {
+func startUpstream(j *judge, id, service, ip string, places int, controls []string) (*upstream, error) {
 	listener, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{id: id, service: service, born: time.Now(), judge: j, listener: listener, done: make(chan struct{})}
+	u := &upstream{id: id, service: service, born: time.Now(), judge: j, listener: listener, done: make(chan struct{}), places: make(chan struct{}, places)}
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = u.server.Serve(listener) }()
 	go u.keepReporting(controls)
@@ -74,7 +89,14 @@
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	w.Header().Set("Replica-Seal", "seal-"+u.id)
 	work := u.judge.received(r.Header.Get("Attempt-Id"))
-	finished := u.answer(w, r, parsePlan(r.Header.Get(headerPlan)))
+	finished := false
+	select {
+	case <-r.Context().Done():
+	case u.places <- struct{}{}:
+		u.judge.workBegan(work)
+		finished = u.answer(w, r, parsePlan(r.Header.Get(headerPlan)))
+		<-u.places
+	}
 	u.judge.workEnded(work, finished)
 	if !finished {
 		panic(http.ErrAbortHandler)
@@ -95,7 +117,7 @@
 		if !pause(r, p.gap) {
 			return false
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, bytes.Repeat([]byte("x"), p.eventBytes)); err != nil {
+		if _, err := io.WriteString(w, p.event(i)); err != nil {
 			return false
 		}
 		if http.NewResponseController(w).Flush() != nil {
