--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -36,7 +36,7 @@
 	// may have been sent and not read yet.
 	quietTime = 500 * time.Millisecond
 	// pulseInterval is the interval at which a process notes that it runs.
-	pulseInterval = 50 * time.Millisecond
+	pulseInterval = 100 * time.Millisecond
 	// catchUpTime is the time in which a process that runs again learns of the signals that were sent while it did not.
 	catchUpTime = time.Second
 )
