Stops with a timeout under 6 s leave time for the last report

The plan now never ends later than one whose signal is learned of at once. TestStopLearnedOfAtOnceEndsBeforeTheLastReport failed before.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -78,8 +78,8 @@
 // timeout after it was sent, which it forestalls unless requests in flight had less than their part of the timeout then.
 func planStop(sentAfter, now time.Time, timeout time.Duration) stopPlan {
 	delay := min(drainDelay, timeout/3)
-	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), sentAfter.Add(timeout-exitMargin))
-	answer := later(end.Add(-lastAnswersTime), now.Add(timeout-timeout/lastParts+passOnTime))
+	latest := now.Add(timeout - exitMargin - sessionCloseTime - lastAnswersTime)
+	answer := earlier(latest, later(sentAfter.Add(timeout-exitMargin-lastAnswersTime), now.Add(timeout-timeout/lastParts+passOnTime)))
 	return stopPlan{
 		StopPlan: gateway.StopPlan{Began: sentAfter, Refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)), Answer: answer},
 		end:      answer.Add(lastAnswersTime),
