A stop waits while callers of idle connections are refused

It now goes by the time at which the last request ended. TestStopWaitsWhileCallersAreRefused failed before.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -30,8 +30,10 @@
 	// plan is nil until it begins.
 	plan     atomic.Pointer[StopPlan]
 	inFlight atomic.Int64
-	answered stopCounter
-	refused  stopCounter
+	// lastEnded is when the last request ended, in nanoseconds of the wall clock.
+	lastEnded atomic.Int64
+	answered  stopCounter
+	refused   stopCounter
 	// brokenOff counts requests whose answer did not reach the caller whole.
 	brokenOff stopCounter
 }
@@ -97,12 +99,9 @@
 
 // AwaitRequests waits until no request has been served for a time, or ctx is done.
 func (h *Handler) AwaitRequests(ctx context.Context, quiet time.Duration) {
-	last := time.Now()
+	h.stop.lastEnded.Store(time.Now().UnixNano())
 	timing.EveryUntil(ctx, stopPollInterval, func() bool {
-		if h.InFlight() > 0 {
-			last = time.Now()
-		}
-		return time.Since(last) < quiet
+		return h.InFlight() > 0 || time.Now().UnixNano()-h.stop.lastEnded.Load() < int64(quiet)
 	})
 }
 
@@ -132,6 +131,7 @@
 	if s.plan.Load() == nil {
 		return
 	}
+	s.lastEnded.Store(time.Now().UnixNano())
 	switch q.outcome {
 	case gotAnswer:
 		s.answered.inc()
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -21,3 +21,21 @@
 		g.Expect(h.stop.refuses()).To(BeTrue())
 	})
 }
+
+// Guards against idle connections that are closed while callers still use them, as refusals take no time.
+func TestStopWaitsWhileCallersAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := &Handler{stop: newStop(tally.NoopScope)}
+		h.BeginStop(StopPlan{Began: time.Now(), Refuse: time.Now()})
+		began := time.Now()
+		go func() {
+			for range 10 {
+				time.Sleep(300*time.Millisecond + time.Millisecond)
+				(&request{handler: h, outcome: gotRefusal}).countStopped()
+			}
+		}()
+		h.AwaitRequests(t.Context(), 500*time.Millisecond)
+		g.Expect(time.Since(began)).To(BeNumerically("~", 3510*time.Millisecond, 2*stopPollInterval))
+	})
+}
