--- a/tests/stops/caller_test.go
+++ b/tests/stops/caller_test.go
@@ -128,6 +128,11 @@
 		path = "/chat/x"
 		p = plan{events: 1 + c.random.IntN(80), gap: c.upTo(110 * time.Millisecond), eventBytes: c.scenario.eventBytes}
 	}
+	if e.stream {
+		for i := range p.events {
+			e.wantBytes += len(fmt.Sprintf("id: %d\ndata: \n\n", i+1)) + p.eventBytes
+		}
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nAuthorization: Token key-1\r\nDeadline-Ms: %d\r\n%s: %s\r\n",
 		path, e.id, e.timeout.Milliseconds(), headerPlan, p)
--- a/tests/stops/judge_test.go
+++ b/tests/stops/judge_test.go
@@ -38,9 +38,9 @@
 	// status is 0 if no answer began, and answered reports that it arrived whole.
 	status   int
 	answered bool
-	// bytes is the number of bytes of the body of the answer.
-	bytes int
-	err   string
+	// bytes is the number of bytes of the body of the answer, and wantBytes that of the whole answer of a stream.
+	bytes, wantBytes int
+	err              string
 }
 
 // work is a request as an upstream saw it.
@@ -130,6 +130,10 @@
 func (j *judge) judge(e *exchange) verdict {
 	work := j.work[e.id]
 	switch {
+	case e.answered && e.status < http.StatusMultipleChoices && e.wantBytes > 0 && e.bytes != e.wantBytes:
+		return lost // it looks complete
+	case e.answered && e.status == http.StatusServiceUnavailable && len(work) > 0:
+		return lost // the caller was told that it did not run
 	case e.answered && e.status < http.StatusMultipleChoices:
 		return answered
 	case e.answered && (e.status == http.StatusBadGateway || e.status == http.StatusGatewayTimeout):
@@ -233,6 +237,8 @@
 		"answered":                          {exchange{id: "a", gateway: "g", status: 200, answered: true}, worked(1, 2), answered},
 		"refused":                           {exchange{id: "a", gateway: "g", status: 503, answered: true}, nil, refused},
 		"failed":                            {exchange{id: "a", gateway: "g", status: 504, answered: true}, worked(1, 2), failed},
+		"short":                             {exchange{id: "a", gateway: "g", status: 200, answered: true, bytes: 1, wantBytes: 2}, worked(1, 2), lost},
+		"refused, but run":                  {exchange{id: "a", gateway: "g", status: 503, answered: true}, worked(1, 2), lost},
 		"not sent whole":                    {cut(1, 0, 7), nil, incomplete},
 		"crossed the close":                 {cut(2.4, 2.4, 2.55), nil, crossed},
 		"held, then lost":                   {cut(2.4, 2.4, 2.7), nil, lost},
