--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -61,7 +61,7 @@
 // connections, and requests that end are counted and logged with their times.
 func (h *Handler) BeginStop(plan StopPlan) { h.stop.plan.Store(&plan) }
 
-// refuses reports whether new requests are refused. It goes by the clock, as a timer of a process that is held up may
+// refuses reports whether new requests are refused. It goes by the clock, as a timer of a stalled process may
 // fire after requests that are too late.
 func (s *stop) refuses() bool {
 	plan := s.plan.Load()
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -9,7 +9,7 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Guards against requests that a gateway takes too late in a stop, as the process was held up when they were to be refused.
+// Guards against requests that a gateway takes too late in a stop, as the process was stalled when they were to be refused.
 func TestStoppingGatewayRefusesRequestsByTheClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -106,8 +106,8 @@
 			klog.ErrorS(err, "exchange of upstream loads with other hosts failed")
 		}
 	}()
-	pulse := newPulse()
-	go pulse.run(background)
+	stalls := newStallDetector()
+	go stalls.run(background)
 	go updateGatewayGauges(background, metrics.Scope, pool)
 	done := make(chan struct{})
 	go func() {
@@ -121,7 +121,7 @@
 	case <-client.SessionLost():
 		failure = errSessionLost
 	}
-	exitBy := callers.stop(s.StopTimeout.Duration, pulse, tunnels)
+	exitBy := callers.stop(s.StopTimeout.Duration, stalls, tunnels)
 	stop()
 	<-done
 	if err := client.Close(exitBy); err != nil {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,15 +4,12 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/gateway"
-	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/tunnel"
 )
 
@@ -23,8 +20,8 @@
 	drainDelay = 2500 * time.Millisecond
 	// drainSlack is how much later than drainDelay after its signal a process that learns of it late refuses requests.
 	drainSlack = 400 * time.Millisecond
-	// lastParts is the number of parts of the stop timeout of which the last may not be left to requests in flight.
-	lastParts = 6
+	// reserveDivisor sets the part of the stop timeout (1 in N) that may be taken from requests in flight.
+	reserveDivisor = 6
 	// lastAnswersTime is the part of the stop timeout in which the requests that are still in flight are answered.
 	lastAnswersTime = 200 * time.Millisecond
 	// passOnTime is the time for what upstreams have made to reach callers.
@@ -35,10 +32,6 @@
 	// quietTime is the time without requests after which a stopping host closes idle connections. Requests on them
 	// may have been sent and not read yet.
 	quietTime = 500 * time.Millisecond
-	// pulseInterval is the interval at which a process notes that it runs.
-	pulseInterval = 100 * time.Millisecond
-	// catchUpTime is the time in which a process that runs again learns of the signals that were sent while it did not.
-	catchUpTime = time.Second
 )
 
 // callerServer is the server for callers of a gateway.
@@ -74,12 +67,13 @@
 }
 
 // planStop returns the plan of a stop whose signal was learned of now, and sent after sentAfter. The process is killed
-// timeout after it was sent, which it forestalls unless requests in flight had less than their part of the timeout then.
+// timeout after the signal. The plan ends before that, unless requests in flight would have less than their part of the
+// timeout from now on.
 func planStop(sentAfter, now time.Time, timeout time.Duration) stopPlan {
 	delay := min(drainDelay, timeout/3)
 	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), sentAfter.Add(timeout-exitMargin))
 	latest := now.Add(timeout - exitMargin - sessionCloseTime - lastAnswersTime)
-	answer := later(end.Add(-lastAnswersTime), earlier(latest, now.Add(timeout-timeout/lastParts+passOnTime)))
+	answer := later(end.Add(-lastAnswersTime), earlier(latest, now.Add(timeout-timeout/reserveDivisor+passOnTime)))
 	return stopPlan{
 		StopPlan: gateway.StopPlan{Began: sentAfter, Refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)), Answer: answer},
 		end:      answer.Add(lastAnswersTime),
@@ -100,18 +94,16 @@
 	return a
 }
 
-// stop waits until the load balancer directs callers to other hosts, then
-// refuses new requests and waits for those in flight. What is in flight shortly before the stop
-// timeout is answered without its upstream, as the connections are closed then. Answers ask callers to leave their
-// connections; those that are idle stay open until the others are done, so that requests on them are answered too.
-// Connections to upstreams that the host carries for others have until the end as well. It returns the time by which
-// the process must have exited.
-func (s *callerServer) stop(timeout time.Duration, pulse *pulse, tunnels *tunnel.Server) (exitBy time.Time) {
-	now, sentAfter := time.Now(), pulse.signalSentAfter()
+// stop waits until the load balancer directs callers to other hosts, then refuses new requests and waits for those in
+// flight, and for the tunnels of other hosts. What is in flight shortly before the end is answered without its upstream.
+// Idle connections stay open until requests on the others are done, as a request may be under way on them. It returns
+// the time by which the process must have exited.
+func (s *callerServer) stop(timeout time.Duration, stalls *stallDetector, tunnels *tunnel.Server) (exitBy time.Time) {
+	now, sentAfter := time.Now(), stalls.signalSentAfter()
 	plan := planStop(sentAfter, now, timeout)
 	tunnels.Stop()
 	s.handler.BeginStop(plan.StopPlan)
-	klog.InfoS("draining", "in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "not_run_ms", now.Sub(sentAfter).Milliseconds())
+	klog.InfoS("draining", "in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "stalled_ms", now.Sub(sentAfter).Milliseconds())
 	time.Sleep(time.Until(plan.Refuse))
 	s.logProgress("refusing new requests", sentAfter)
 	lastAnswers := time.AfterFunc(time.Until(plan.Answer), s.handler.EndRequests)
@@ -125,7 +117,7 @@
 		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
 	}
 	tunnels.Drain(ctx)
-	s.logProgress("drained", sentAfter, "carried_for_others", tunnels.Open())
+	s.logProgress("drained", sentAfter, "tunnels", tunnels.Open())
 	return later(sentAfter.Add(timeout-exitMargin), plan.end)
 }
 
@@ -133,45 +125,3 @@
 	fields := append(s.handler.StopLogFields(), "connections", s.connections.Load(), "stopping_ms", time.Since(began).Milliseconds())
 	klog.InfoS(message, append(fields, more...)...)
 }
-
-// pulse notes when the process runs, to tell how late it may have learned of a signal.
-type pulse struct {
-	mu   sync.Mutex
-	last time.Time
-	// holdUps are those that ended within catchUpTime.
-	holdUps []holdUp
-}
-
-// holdUp is a time in which the process did not run.
-type holdUp struct{ from, to time.Time }
-
-func newPulse() *pulse { return &pulse{last: time.Now()} }
-
-func (p *pulse) run(ctx context.Context) { timing.Every(ctx, pulseInterval, p.beat) }
-
-func (p *pulse) beat() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	p.forget(now)
-	if now.Sub(p.last) > 2*pulseInterval {
-		p.holdUps = append(p.holdUps, holdUp{from: p.last, to: now})
-	}
-	p.last = now
-}
-
-// signalSentAfter returns the time after which a signal was sent that the process learns of now.
-func (p *pulse) signalSentAfter() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.forget(time.Now())
-	if len(p.holdUps) > 0 {
-		return p.holdUps[0].from
-	}
-	return p.last
-}
-
-// forget removes the hold-ups after which the process has had the time to learn of all signals. The caller holds p.mu.
-func (p *pulse) forget(now time.Time) {
-	p.holdUps = slices.DeleteFunc(p.holdUps, func(h holdUp) bool { return now.Sub(h.to) >= catchUpTime })
-}
