--- a/tests/recovery/soak_test.go
+++ b/tests/recovery/soak_test.go
@@ -37,20 +37,12 @@
 }
 
 // TestRecoverySoak runs N schedules from SEED on.
-func TestRecoverySoak(t *testing.T) {
-	first, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
-	if err != nil {
-		t.Skip("SEED is not set")
-	}
-	n, err := strconv.ParseUint(os.Getenv("N"), 10, 64)
-	NewWithT(t).Expect(err).NotTo(HaveOccurred(), "N")
-	for seed := first; seed < first+n; seed++ {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { runSchedule(t, newSchedule(seed, soakLength)) })
-	}
-}
+func TestRecoverySoak(t *testing.T) { soak(t, newSchedule) }
 
 // TestFullDiskSoak runs N schedules with full disks from SEED on.
-func TestFullDiskSoak(t *testing.T) {
+func TestFullDiskSoak(t *testing.T) { soak(t, newFullDiskSchedule) }
+
+func soak(t *testing.T, newSchedule func(seed uint64, length time.Duration) schedule) {
 	first, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	if err != nil {
 		t.Skip("SEED is not set")
@@ -58,7 +50,7 @@
 	n, err := strconv.ParseUint(os.Getenv("N"), 10, 64)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred(), "N")
 	for seed := first; seed < first+n; seed++ {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { runSchedule(t, newFullDiskSchedule(seed, soakLength)) })
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { runSchedule(t, newSchedule(seed, soakLength)) })
 	}
 }
 
