--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -263,7 +263,7 @@
 	a.backlog, a.prefillRate = a.target.Backlog, a.target.PrefillRate
 	a.sentAt = time.Now()
 	a.lastSentAt = a.sentAt
-	answer, err := a.handler.upstreams.Do(a.ctx, a.target.Address, a.prepareRequest)
+	answer, err := a.handler.upstreams.Do(withVia(a.ctx, &a.via), a.target.Address, a.prepareRequest)
 	if errors.Is(err, upstreamhttp.ErrWithdrawn) {
 		a.lastFailure = failureWithdrawn
 		if a.handler.Pool.WarmsUp(a.target, time.Now()) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -71,7 +71,7 @@
 		stopped: stopped, endRequests: endRequests,
 		stop:             newStop(o.Scope),
 		Options:          o,
-		upstreams:        upstreamhttp.NewClient(o.Paths.Dial),
+		upstreams:        upstreamhttp.NewClient(recordingVia(o.Paths.Dial)),
 		startupDeadline:  time.Now().Add(startupTimeout),
 		served:           o.Scope.Counter("answers"),
 		uncharged:        o.Scope.Counter("withdrawn_uncharged"),
@@ -159,6 +159,8 @@
 	upstreamID        string
 	// upstreamVersion is the software version of the latest upstream.
 	upstreamVersion string
+	// via is the address of the host through which the latest upstream was reached; empty if by the host's own links.
+	via string
 	// backlog and prefillRate are those of the latest upstream, or of the latest refusal
 	// to choose one, in tokens and tokens per millisecond.
 	backlog     int64
@@ -294,6 +296,9 @@
 	if q.attempts > 0 {
 		fields = append(fields, "upstream", q.upstreamID, "software_version", q.upstreamVersion, "attempts", q.attempts)
 	}
+	if q.via != "" {
+		fields = append(fields, "via", q.via)
+	}
 	if q.Call != nil && q.Resumes {
 		fields = append(fields, "resumes_after", q.ResumeAfter, "stream_origin", q.StreamOrigin)
 	}
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -15,6 +15,9 @@
 // stopPollInterval is the interval at which a stop looks for requests being served.
 const stopPollInterval = 20 * time.Millisecond
 
+// silentTime is the time without an event from which on the upstream of a stream counts as silent.
+const silentTime = 500 * time.Millisecond
+
 // StopPlan holds the times of a shutdown.
 type StopPlan struct {
 	// Began is when the host was told to stop, at the earliest.
@@ -34,8 +37,10 @@
 	lastEnd  atomic.Pointer[time.Time]
 	answered stopCounter
 	refused  stopCounter
-	// brokenOff counts requests whose answer did not reach the caller whole.
-	brokenOff stopCounter
+	// brokenOff counts requests whose answer did not reach the caller whole, and brokenOffSilent those of them
+	// whose upstream was silent.
+	brokenOff       stopCounter
+	brokenOffSilent stopCounter
 }
 
 // stopCounter counts requests that ended during the shutdown.
@@ -51,9 +56,10 @@
 
 func newStop(scope tally.Scope) *stop {
 	return &stop{
-		answered:  stopCounter{counter: scope.Counter("stop_answered")},
-		refused:   stopCounter{counter: scope.Counter("stop_refused")},
-		brokenOff: stopCounter{counter: scope.Counter("stop_broken_off")},
+		answered:        stopCounter{counter: scope.Counter("stop_answered")},
+		refused:         stopCounter{counter: scope.Counter("stop_refused")},
+		brokenOff:       stopCounter{counter: scope.Counter("stop_broken_off")},
+		brokenOffSilent: stopCounter{counter: scope.Counter("stop_broken_off_silent")},
 	}
 }
 
@@ -125,7 +131,7 @@
 func (h *Handler) StopLogFields() []any {
 	return []any{
 		"answered", h.stop.answered.n.Load(), "refused", h.stop.refused.n.Load(),
-		"broken_off", h.stop.brokenOff.n.Load(), "in_flight", h.InFlight(),
+		"broken_off", h.stop.brokenOff.n.Load(), "broken_off_silent", h.stop.brokenOffSilent.n.Load(), "in_flight", h.InFlight(),
 	}
 }
 
@@ -151,6 +157,9 @@
 		s.refused.inc()
 	default:
 		s.brokenOff.inc()
+		if q.eventsSent > 0 && time.Since(q.lastEventAt) >= silentTime {
+			s.brokenOffSilent.inc()
+		}
 	}
 }
 
@@ -168,7 +177,10 @@
 	for _, step := range []struct {
 		name string
 		at   time.Time
-	}{{"head_at_ms", q.arrived}, {"body_at_ms", q.bodyReadAt}, {"sent_at_ms", q.lastSentAt}, {"last_event_at_ms", q.lastEventAt}} {
+	}{
+		{"head_at_ms", q.arrived}, {"body_at_ms", q.bodyReadAt}, {"sent_at_ms", q.lastSentAt},
+		{"last_event_at_ms", q.lastEventAt}, {"deadline_at_ms", q.deadline},
+	} {
 		if !step.at.IsZero() {
 			fields = append(fields, step.name, step.at.Sub(plan.Began).Milliseconds())
 		}
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -21,3 +21,18 @@
 		g.Expect(h.stop.refuses()).To(BeTrue())
 	})
 }
+
+// Guards against stops after which streams cut at work can't be told from those that their upstream had preempted.
+func TestStoppingGatewayCountsSilentStreamsThatItBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := &Handler{stop: newStop(tally.NoopScope)}
+		h.BeginStop(StopPlan{Began: time.Now()})
+		silent := &request{handler: h, eventsSent: 2, lastEventAt: time.Now()}
+		time.Sleep(silentTime)
+		silent.countStopped()
+		(&request{handler: h, eventsSent: 2, lastEventAt: time.Now()}).countStopped()
+		(&request{handler: h}).countStopped()
+		g.Expect(h.StopLogFields()).To(ContainElements("broken_off", int64(3), "broken_off_silent", int64(1)))
+	})
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -179,6 +179,19 @@
 		return netconn.Dial(ctx, address, tunnelDialTimeout, tunnelUnackedTimeout)
 	})
 	return func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
-		return tunnel.Dial(ctx, client, via, address, timeout)
+		conn, err := tunnel.Dial(ctx, client, via, address, timeout)
+		if err != nil {
+			return nil, err
+		}
+		return tunnelConn{ReadWriteCloser: conn, via: via}, nil
 	}
 }
+
+// tunnelConn is a connection to an upstream through another host.
+type tunnelConn struct {
+	io.ReadWriteCloser
+	via string
+}
+
+// Via returns the address of the other host.
+func (c tunnelConn) Via() string { return c.via }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -80,6 +80,14 @@
 	}
 }
 
+// logFields returns the earliest time at which the signal was sent, and the times of the steps after now.
+func (p *stopPlan) logFields(now time.Time) []any {
+	return []any{
+		"signal_sent_after", p.Began, "refuses_in_ms", p.Refuse.Sub(now).Milliseconds(),
+		"answers_in_ms", p.Answer.Sub(now).Milliseconds(), "ends_in_ms", p.end.Sub(now).Milliseconds(),
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -103,7 +111,9 @@
 	plan := planStop(sentAfter, now, timeout)
 	tunnels.Stop()
 	s.handler.BeginStop(plan.StopPlan)
-	klog.InfoS("draining", "in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "stalled_ms", now.Sub(sentAfter).Milliseconds())
+	klog.InfoS("draining", append([]any{
+		"in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "stalled_ms", now.Sub(sentAfter).Milliseconds(),
+	}, plan.logFields(now)...)...)
 	time.Sleep(time.Until(plan.Refuse))
 	s.logProgress("refusing new requests", sentAfter)
 	lastAnswers := time.AfterFunc(time.Until(plan.Answer), s.handler.EndRequests)
