A stopping host of the entry fleet answers requests under way on kept connections

Cause: at SIGTERM the server closed all idle connections at once, 2 s before the host refused anything, and again when it began to refuse. A connection counts as idle until the first byte of a request is read, so that a request under way was lost. Gateways had the same.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,7 +59,7 @@
 	leaving  atomic.Bool
 	draining atomic.Bool
 	// callers and operators are HTTP servers; callers is nil without the entry role.
-	callers   *http.Server
+	callers   *callerServer
 	operators *http.Server
 	// stopSession stops the session's heartbeats; sessionDone is closed when they have stopped.
 	stopSession context.CancelFunc
@@ -127,7 +127,6 @@
 	klog.InfoS("draining")
 	d.leaving.Store(true)
 	if d.callers != nil {
-		d.callers.SetKeepAlivesEnabled(false)
 		time.Sleep(d.settings.DrainDelay.Duration)
 	}
 	d.draining.Store(true)
@@ -135,7 +134,10 @@
 	defer cancel()
 	lastAnswers := time.AfterFunc(drainTimeout-lastAnswersTime, d.handler.EndRequests)
 	defer lastAnswers.Stop()
-	err := shutdownServer(ctx, d.callers)
+	var err error
+	if d.callers != nil {
+		err = d.callers.drain(ctx)
+	}
 	err = errors.Join(err, d.awaitRecords(ctx))
 	d.endSession()
 	err = errors.Join(err, shutdownServer(ctx, d.operators))
@@ -187,7 +189,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 	d.goRun(func() {
-		if err := srv.Serve(listener); err != http.ErrServerClosed {
+		if err := srv.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			klog.ErrorS(err, "HTTP server failed", "address", listener.Addr().String())
 		}
 	})
--- a/internal/daemon/release.go
+++ b/internal/daemon/release.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 
 	"k8s.io/klog/v2"
 )
@@ -15,10 +14,11 @@
 	if d.stopSession != nil {
 		d.endSession()
 	}
-	for _, srv := range []*http.Server{d.callers, d.operators} {
-		if srv != nil {
-			_ = srv.Close()
-		}
+	if d.callers != nil {
+		_ = d.callers.Close()
+	}
+	if d.operators != nil {
+		_ = d.operators.Close()
 	}
 	if err := d.release(stop); err != nil {
 		klog.ErrorS(err, "cleanup after failed start incomplete")
