A gateway whose session is taken goes on learning of upstreams and configurations

Cause: what the gateway knows of the fleet ended with its session. A reply that the session is unknown was dropped whole, with the upstreams, evacuated zones, document and notices that the leader had put in it.

Change: the session's end seals the allowance, and the rest of the reply is applied. The call still counts as failed, so that nothing waits for tokens that can't come.

--- a/internal/hostsync/client_test.go
+++ b/internal/hostsync/client_test.go
@@ -236,3 +236,25 @@
 	gr.g.Eventually(first.SessionLost(), eventuallyTimeout).Should(BeClosed())
 	gr.g.Expect(reserve(first, 1)).NotTo(Equal(prepaid.Granted))
 }
+
+// Guards against a gateway that goes on with upstreams that leave, and with an old configuration, while it stops because another
+// process has taken its session.
+func TestTakenOverGatewayLearnsOfChangesWhileItStops(t *testing.T) {
+	gr := newControlGroup(t)
+	gr.putDocument(1, 1_000_000)
+	u := presence.Upstream{ID: "u", Address: "10.0.0.1:80", Service: "s", State: presence.Ready, StartedMS: 1, Sequence: 1}
+	gr.node.Report(u)
+	first, pool := gr.gateway(2)
+	gr.g.Eventually(func() bool { return first.View() != nil && pool.HasReady("s", time.Now()) }, eventuallyTimeout).Should(BeTrue())
+	second := hostsync.New(hostsync.Options{
+		Host: "gateway-2", Address: gr.address(9), Decode: decode, Pool: placement.NewPool("a"), Clock: clock,
+		Seeds: func() []string { return []string{gr.address(1)} },
+	})
+	go second.Run(t.Context())
+	gr.g.Eventually(first.SessionLost(), eventuallyTimeout).Should(BeClosed())
+	u.State, u.Sequence = presence.Draining, 2
+	gr.node.Report(u)
+	gr.putDocument(2, 1_000_000)
+	gr.g.Eventually(func() bool { return pool.HasReady("s", time.Now()) }, 2*time.Second).Should(BeFalse())
+	gr.g.Eventually(func() uint64 { return first.View().Index.Document.Version }, 2*time.Second).Should(Equal(uint64(2)))
+}
--- a/internal/hostsync/reply.go
+++ b/internal/hostsync/reply.go
@@ -9,6 +9,7 @@
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/fleetstate"
+	"github.com/godwitbend/godwitbend/internal/prepaid"
 	"github.com/godwitbend/godwitbend/internal/presence"
 )
 
@@ -27,16 +28,32 @@
 // session. The process must then exit; the next one opens a session of its own.
 func (c *Client) SessionLost() <-chan struct{} { return c.sessionLost }
 
-// applyReply applies the leader's reply to req, a call that began at a time.
+// applyReply applies the leader's reply to req, a call that began at a time. Without a session it returns errSessionLost,
+// but what the host knows of upstreams and the configuration stays current while it stops.
 func (c *Client) applyReply(req *controlnode.SyncRequest, reply *controlnode.SyncReply, began time.Time) error {
-	if reply.Prepaid != nil {
-		if reply.Prepaid.UnknownSession && c.sessionOpened {
-			c.endSession()
-			return errSessionLost
-		}
-		c.sessionOpened = true
-		c.allowance.Acknowledge(reply.Prepaid, c.options.Clock())
+	sessionErr := c.applyPrepaid(reply.Prepaid)
+	if err := c.applyState(req, reply, began); err != nil {
+		return err
 	}
+	return sessionErr
+}
+
+// applyPrepaid applies what the leader replied to the report of token use, or to the opening of the session.
+func (c *Client) applyPrepaid(reply *prepaid.Reply) error {
+	switch {
+	case reply == nil:
+		return nil
+	case reply.UnknownSession && c.sessionOpened:
+		c.endSession()
+		return errSessionLost
+	}
+	c.sessionOpened = true
+	c.allowance.Acknowledge(reply, c.options.Clock())
+	return nil
+}
+
+// applyState applies the state of the fleet in the leader's reply to req.
+func (c *Client) applyState(req *controlnode.SyncRequest, reply *controlnode.SyncReply, began time.Time) error {
 	c.confirmsIdleCalls = reply.ConfirmsIdleCalls
 	c.ceilingAnswers = c.answerCeilingQueries(reply.CeilingQueries)
 	if len(reply.Members) > 0 {
