--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -20,11 +21,11 @@
 
 // StopPlan holds the times of a shutdown.
 type StopPlan struct {
-	// Began is when the host was told to stop, at the earliest.
+	// Began is when the host was told to stop, at the earliest unless it learned of that late though it ran.
 	Began time.Time
 	// Refuse is when new requests are refused, and those whose body has yet to arrive, with the error kind Draining.
 	Refuse time.Time
-	// Answer is when those in flight are answered without their upstreams.
+	// Answer is when those in flight are answered without their upstreams, and streams that have begun are broken off.
 	Answer time.Time
 }
 
@@ -75,13 +76,17 @@
 }
 
 // maxOverrunShare is the share of recent answers that would take longer than a stop lasts, above which a request is
-// refused: another host answers it whole, and its answer would be cut.
+// refused, as another host answers it whole.
 const maxOverrunShare = 0.125
 
-// checkStopTime refuses the request if the host stops, probably before the answer ends.
+// checkStopTime refuses the request if the host stops, and may do so before the answer ends. A stream is taken only if
+// its deadline comes first: one that is broken off costs its caller all of it, and a refusal the way to another host.
 func (q *request) checkStopTime() *errkind.Error {
 	plan := q.handler.stop.plan.Load()
-	if plan == nil || q.handler.workTimes.overrunShare(q.route.Name, q.OutputTokens, time.Until(plan.Answer)) <= maxOverrunShare {
+	if plan == nil || !q.deadline.After(plan.Answer) {
+		return nil
+	}
+	if q.route.Kind != catalog.Streaming && q.handler.workTimes.overrunShare(q.route.Name, q.OutputTokens, time.Until(plan.Answer)) <= maxOverrunShare {
 		return nil
 	}
 	return errkind.New(errkind.Draining, "the host is stopping, and may end before the answer").WithRetryAfter(drainingRetryAfter)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -23,12 +23,16 @@
 	// reserveDivisor sets the part of the stop timeout (1 in N) that may be taken from requests in flight.
 	reserveDivisor = 6
 	// lastAnswersTime is the part of the stop timeout in which the requests that are still in flight are answered.
-	lastAnswersTime = 200 * time.Millisecond
+	lastAnswersTime = 100 * time.Millisecond
 	// passOnTime is the time for what upstreams have made to reach callers.
 	passOnTime = 200 * time.Millisecond
 	// sessionCloseTime is the part of the stop timeout reserved for the final report to the
 	// control group.
 	sessionCloseTime = 500 * time.Millisecond
+	// maxSignalDelay is how late a process that runs may learn of a signal, and signalDelayDivisor sets the part of the
+	// stop timeout (1 in N) that bounds it.
+	maxSignalDelay     = time.Second
+	signalDelayDivisor = 8
 	// quietTime is the time without requests after which a stopping host closes idle connections. Requests on them
 	// may have been sent and not read yet.
 	quietTime = 500 * time.Millisecond
@@ -62,28 +66,33 @@
 // stopPlan holds the times of the steps of a stop.
 type stopPlan struct {
 	gateway.StopPlan
+	// sentAfter is the earliest time at which the signal may have been sent.
+	sentAfter time.Time
 	// end is when all connections are closed.
 	end time.Time
 }
 
-// planStop returns the plan of a stop whose signal was learned of now, and sent after sentAfter. The process is killed
-// timeout after the signal. The plan ends before that, unless requests in flight would have less than their part of the
-// timeout from now on.
-func planStop(sentAfter, now time.Time, timeout time.Duration) stopPlan {
+// planStop returns the plan of a stop whose signal was learned of now. The process last ran at ranAt before that, and
+// may learn of a signal late even while it runs. It is killed timeout after the signal. The plan ends before that, unless
+// requests in flight would have less than their part of the timeout from now on.
+func planStop(ranAt, now time.Time, timeout time.Duration) stopPlan {
 	delay := min(drainDelay, timeout/3)
-	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), sentAfter.Add(timeout-exitMargin))
+	sentAfter := earlier(ranAt, now.Add(-min(maxSignalDelay, timeout/signalDelayDivisor)))
+	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), ranAt.Add(timeout-exitMargin))
+	end = earlier(end, sentAfter.Add(timeout))
 	latest := now.Add(timeout - exitMargin - sessionCloseTime - lastAnswersTime)
 	answer := later(end.Add(-lastAnswersTime), earlier(latest, now.Add(timeout-timeout/reserveDivisor+passOnTime)))
 	return stopPlan{
-		StopPlan: gateway.StopPlan{Began: sentAfter, Refuse: earlier(now.Add(delay), sentAfter.Add(delay+drainSlack)), Answer: answer},
-		end:      answer.Add(lastAnswersTime),
+		StopPlan:  gateway.StopPlan{Began: ranAt, Refuse: earlier(now.Add(delay), ranAt.Add(delay+drainSlack)), Answer: answer},
+		sentAfter: sentAfter,
+		end:       answer.Add(lastAnswersTime),
 	}
 }
 
 // logFields returns the earliest time at which the signal was sent, and the times of the steps after now.
 func (p *stopPlan) logFields(now time.Time) []any {
 	return []any{
-		"signal_sent_after", p.Began, "refuses_in_ms", p.Refuse.Sub(now).Milliseconds(),
+		"signal_sent_after", p.sentAfter, "refuses_in_ms", p.Refuse.Sub(now).Milliseconds(),
 		"answers_in_ms", p.Answer.Sub(now).Milliseconds(), "ends_in_ms", p.end.Sub(now).Milliseconds(),
 	}
 }
@@ -107,15 +116,15 @@
 // Idle connections stay open until requests on the others are done, as a request may be under way on them. It returns
 // the time by which the process must have exited.
 func (s *callerServer) stop(timeout time.Duration, stalls *stallDetector, tunnels *tunnel.Server) (exitBy time.Time) {
-	now, sentAfter := time.Now(), stalls.signalSentAfter()
-	plan := planStop(sentAfter, now, timeout)
+	now, ranAt := time.Now(), stalls.signalSentAfter()
+	plan := planStop(ranAt, now, timeout)
 	tunnels.Stop()
 	s.handler.BeginStop(plan.StopPlan)
 	klog.InfoS("draining", append([]any{
-		"in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "stalled_ms", now.Sub(sentAfter).Milliseconds(),
+		"in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "stalled_ms", now.Sub(ranAt).Milliseconds(),
 	}, plan.logFields(now)...)...)
 	time.Sleep(time.Until(plan.Refuse))
-	s.logProgress("refusing new requests", sentAfter)
+	s.logProgress("refusing new requests", plan.Began)
 	lastAnswers := time.AfterFunc(time.Until(plan.Answer), s.handler.EndRequests)
 	defer lastAnswers.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
@@ -127,8 +136,8 @@
 		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
 	}
 	tunnels.Drain(ctx)
-	s.logProgress("drained", sentAfter, "tunnels", tunnels.Open())
-	return later(sentAfter.Add(timeout-exitMargin), plan.end)
+	s.logProgress("drained", plan.Began, "tunnels", tunnels.Open())
+	return later(plan.Began.Add(timeout-exitMargin), plan.end)
 }
 
 func (s *callerServer) logProgress(message string, began time.Time, more ...any) {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -15,18 +15,36 @@
 	now := time.Now()
 	const least = timeout - timeout/6 + 200*time.Millisecond
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	for name, test := range map[string]struct{ late, refuse, answer, end time.Duration }{
-		"at once":            {ms(0), ms(2500), ms(7000), ms(7200)},
-		"0.4 s late":         {ms(400), ms(2500), ms(7000), ms(7200)},
-		"0.6 s late":         {ms(600), ms(2300), ms(6900), ms(7100)},
-		"1.2 s late":         {ms(1200), ms(1700), least, least + ms(200)},
-		"later than refused": {ms(3000), -ms(100), least, least + ms(200)},
+	for name, test := range map[string]struct{ stalled, sentBefore, refuse, answer time.Duration }{
+		"at once":            {ms(0), ms(1000), ms(2500), ms(6900)},
+		"0.4 s late":         {ms(400), ms(1000), ms(2500), ms(6900)},
+		"0.6 s late":         {ms(600), ms(1000), ms(2300), ms(6900)},
+		"0.8 s late":         {ms(800), ms(1000), ms(2100), least},
+		"1.2 s late":         {ms(1200), ms(1200), ms(1700), least},
+		"later than refused": {ms(3000), ms(3000), -ms(100), least},
 	} {
 		t.Run(name, func(t *testing.T) {
-			NewWithT(t).Expect(planStop(now.Add(-test.late), now, timeout)).To(Equal(stopPlan{
-				StopPlan: gateway.StopPlan{Began: now.Add(-test.late), Refuse: now.Add(test.refuse), Answer: now.Add(test.answer)},
-				end:      now.Add(test.end),
+			NewWithT(t).Expect(planStop(now.Add(-test.stalled), now, timeout)).To(Equal(stopPlan{
+				StopPlan:  gateway.StopPlan{Began: now.Add(-test.stalled), Refuse: now.Add(test.refuse), Answer: now.Add(test.answer)},
+				sentAfter: now.Add(-test.sentBefore),
+				end:       now.Add(test.answer + ms(100)),
 			}))
 		})
 	}
 }
+
+// Guards against a process that is killed while requests are in flight, as it learned of its signal late though it ran.
+func TestStopOfARunningProcessEndsBeforeTheTimeoutThoughItsSignalIsLate(t *testing.T) {
+	now := time.Now()
+	for _, timeout := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second, 30 * time.Second, 2 * time.Minute} {
+		t.Run(timeout.String(), func(t *testing.T) {
+			late := min(time.Second, timeout/8)
+			plan := planStop(now, now, timeout)
+			g := NewWithT(t)
+			g.Expect(plan.sentAfter).To(Equal(now.Add(-late)))
+			g.Expect(plan.Answer.Sub(now)).To(BeNumerically("<", timeout-late))
+			g.Expect(plan.end.Sub(now)).To(BeNumerically("<=", timeout-late))
+			g.Expect(plan.Refuse.Sub(now)).To(Equal(min(2500*time.Millisecond, timeout/3)))
+		})
+	}
+}
