Requests that used all of their time count in the recent times of a route

Callers of a stopping gateway got 504 at the end of the stop on routes whose requests often time out: the share of recent answers that would outlast the stop is what decides whether a request is taken, and only whole answers were counted, so that a route on which nothing ends in time looked as quick as its few answers. A request that was sent and has no answer at its deadline now counts as all of its time.

Streams are left out: since they are taken only if their deadline comes before the end of the stop, their times decide nothing. With them the time per token goes, which was 0 for an answer that is sent whole.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -86,19 +86,21 @@
 	if plan == nil || !q.deadline.After(plan.Answer) {
 		return nil
 	}
-	if q.route.Kind != catalog.Streaming && q.handler.workTimes.overrunShare(q.route.Name, q.OutputTokens, time.Until(plan.Answer)) <= maxOverrunShare {
+	if q.route.Kind != catalog.Streaming && q.handler.workTimes.overrunShare(q.route.Name, time.Until(plan.Answer)) <= maxOverrunShare {
 		return nil
 	}
 	return errkind.New(errkind.Draining, "the host is stopping, and may end before the answer").WithRetryAfter(drainingRetryAfter)
 }
 
-// recordWorkTime records how long the answer took once the body was read.
+// recordWorkTime records how long the answer took once the body was read, or that it did not come in all of the time that
+// the request had.
 func (q *request) recordWorkTime() {
-	if q.outcome != gotAnswer {
+	if q.lastSentAt.IsZero() || q.route.Kind == catalog.Streaming {
 		return
 	}
-	start := q.timeToFirstEvent - q.bodyReadAt.Sub(q.arrived)
-	q.handler.workTimes.add(q.route.Name, newWorkTime(start, time.Since(q.bodyReadAt), q.OutputTokens))
+	if q.outcome == gotAnswer || q.timeRemaining() < minAttemptTime {
+		q.handler.workTimes.add(q.route.Name, time.Since(q.bodyReadAt))
+	}
 }
 
 // closeIfStopping asks the caller to send no other request on its connection, if the host stops.
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -62,7 +62,7 @@
 				h := &Handler{stop: newStop(tally.NoopScope)}
 				q := &request{handler: h, Call: &Call{}, route: &catalog.Route{Name: "r", Kind: test.kind}, deadline: time.Now().Add(test.left)}
 				for range minWorkTimeSamples {
-					h.workTimes.add("r", newWorkTime(test.usually, test.usually, 0))
+					h.workTimes.add("r", test.usually)
 				}
 				g.Expect(q.checkStopTime()).To(BeNil(), "the host does not stop")
 				h.BeginStop(StopPlan{Began: time.Now(), Answer: time.Now().Add(answers)})
--- a/internal/gateway/worktime.go
+++ b/internal/gateway/worktime.go
@@ -14,38 +14,19 @@
 	maxWorkTimeRoutes = 256
 )
 
-// workTime is how long an answer took: the time to its start, and from there on the time per token that the request
-// allowed. It is all time to the start if the request states no tokens.
-type workTime struct{ start, perToken time.Duration }
-
-func newWorkTime(start, total time.Duration, tokens int64) workTime {
-	if tokens <= 0 {
-		return workTime{start: total}
-	}
-	return workTime{start: start, perToken: (total - start) / time.Duration(tokens)}
-}
-
-// of returns how long the answer takes to a request that allows tokens.
-func (w workTime) of(tokens int64) time.Duration {
-	if w.perToken > 0 && tokens > int64(time.Hour/w.perToken) {
-		return time.Hour
-	}
-	return w.start + w.perToken*time.Duration(max(tokens, 0))
-}
-
-// workTimes holds the times of recent answers by route. It is safe for concurrent use.
+// workTimes holds the times that recent answers of routes without streams took. It is safe for concurrent use.
 type workTimes struct {
 	mu     sync.Mutex
 	routes map[string]*routeWorkTimes
 }
 
 type routeWorkTimes struct {
-	samples []workTime
+	samples []time.Duration
 	next    int
 }
 
-// add records an answer of a route.
-func (t *workTimes) add(route string, w workTime) {
+// add records that an answer of a route took so long.
+func (t *workTimes) add(route string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.routes[route]
@@ -57,16 +38,15 @@
 		t.routes[route] = r
 	}
 	if len(r.samples) < workTimeSamples {
-		r.samples = append(r.samples, w)
+		r.samples = append(r.samples, took)
 		return
 	}
-	r.samples[r.next] = w
+	r.samples[r.next] = took
 	r.next = (r.next + 1) % workTimeSamples
 }
 
-// overrunShare returns the share of recent answers of a route that would take longer than left for a request that
-// allows tokens; 0 if too few are known.
-func (t *workTimes) overrunShare(route string, tokens int64, left time.Duration) float64 {
+// overrunShare returns the share of recent answers of a route that took longer than left; 0 if too few are known.
+func (t *workTimes) overrunShare(route string, left time.Duration) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.routes[route]
@@ -74,8 +54,8 @@
 		return 0
 	}
 	longer := 0
-	for _, w := range r.samples {
-		if w.of(tokens) > left {
+	for _, took := range r.samples {
+		if took > left {
 			longer++
 		}
 	}
