A stopping gateway sends no stream that waited to an upstream, if it may have to break it off

Callers whose streams waited for tokens or for a place when their gateway was told to stop had them begun during the stop, and cut at its end. The check whether a request can end in time was made as it was admitted, and not again after a wait. It is made again before a request is first sent; one that is refused then is refused as not run, and its place is free again.

The test fails before: the stream is sent to the upstream.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -110,6 +110,11 @@
 			return q.finalError(refusal)
 		}
 		a := &attempt{request: q, target: assignment}
+		if refusal := q.checkStopTime(); refusal != nil && !q.mayHaveRun { // it may have waited since it was admitted
+			a.reportOutcome(placement.Abandoned)
+			a.releasePlace(resultNotRun)
+			return refusal
+		}
 		result := a.run(w)
 		a.releasePlace(result)
 		if result == resultAnswered {
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +14,9 @@
 
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/hostsync"
+	"github.com/godwitbend/godwitbend/internal/retrylimit"
+	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
 // Guards against requests that a gateway takes too late in a stop, as the process was stalled when they were to be refused.
@@ -76,3 +83,31 @@
 		})
 	}
 }
+
+// Guards against streams that waited when the host was told to stop, and are sent to an upstream later than others are taken.
+func TestStoppingGatewaySendsNoWaitingStreamThatMayOutlastTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newWaitingHandler(true)
+		h.stop, h.Retries = newStop(tally.NoopScope), retrylimit.New(retrylimit.Settings{Window: time.Second}, time.Now())
+		h.Sync = hostsync.New(hostsync.Options{Pool: h.Pool, Clock: func() int64 { return 0 }})
+		dialled := 0
+		h.upstreams = upstreamhttp.NewClient(func(context.Context, string) (io.ReadWriteCloser, error) {
+			dialled++
+			return nil, errors.New("refused")
+		})
+		occupied := occupy(g, h)
+		q := plainTestRequest(h, 0)
+		q.route.Kind = catalog.Streaming
+		refusals := make(chan *errkind.Error, 1)
+		go func() { refusals <- q.dispatch(httptest.NewRecorder()) }()
+		synctest.Wait()
+		h.BeginStop(StopPlan{Began: time.Now(), Answer: time.Now().Add(time.Second / 2)})
+		occupied[0].releasePlace(resultNotRun)
+		synctest.Wait()
+		g.Expect(refusals).To(Receive(HaveField("Kind", errkind.Draining)))
+		g.Expect(dialled).To(BeZero())
+		_, refusal := plainTestRequest(h, 0).chooseUpstream("s")
+		g.Expect(refusal).To(BeNil(), "the place is free again")
+	})
+}
