--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -1,12 +1,22 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/godwitbend/godwitbend/internal/catalog"
+	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/hostsync"
+	"github.com/godwitbend/godwitbend/internal/retrylimit"
+	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
 // Guards against requests that a gateway takes too late in a stop, as the process was stalled when they were to be refused.
@@ -36,3 +46,68 @@
 		g.Expect(h.StopLogFields()).To(ContainElements("broken_off", int64(3), "broken_off_silent", int64(1)))
 	})
 }
+
+// Guards against streams that a stopping gateway takes though it may break them off.
+func TestStoppingGatewayTakesOnlyStreamsWhoseDeadlineComesFirst(t *testing.T) {
+	const answers = 7 * time.Second
+	for name, test := range map[string]struct {
+		kind    catalog.Kind
+		usually time.Duration
+		left    time.Duration
+		refused bool
+	}{
+		"stream whose deadline comes first":            {catalog.Streaming, time.Second, answers, false},
+		"stream that may outlast the stop":             {catalog.Streaming, time.Second, answers + time.Millisecond, true},
+		"request on a route that is quick":             {catalog.NonIdempotent, time.Second, answers + time.Second, false},
+		"request on a route that is slow":              {catalog.NonIdempotent, 8 * time.Second, answers + time.Second, true},
+		"slow request whose deadline comes first":      {catalog.Idempotent, 8 * time.Second, answers, false},
+		"stream of a slow route, deadline comes first": {catalog.Streaming, 8 * time.Second, answers, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := &Handler{stop: newStop(tally.NoopScope)}
+				q := &request{handler: h, Call: &Call{}, route: &catalog.Route{Name: "r", Kind: test.kind}, deadline: time.Now().Add(test.left)}
+				for range minWorkTimeSamples {
+					h.workTimes.add("r", test.usually)
+				}
+				g.Expect(q.checkStopTime()).To(BeNil(), "the host does not stop")
+				h.BeginStop(StopPlan{Began: time.Now(), Answer: time.Now().Add(answers)})
+				refusal := q.checkStopTime()
+				if !test.refused {
+					g.Expect(refusal).To(BeNil())
+					return
+				}
+				g.Expect(refusal.Kind).To(Equal(errkind.Draining))
+			})
+		})
+	}
+}
+
+// Guards against streams that waited when the host was told to stop, and are sent to an upstream later than others are taken.
+func TestStoppingGatewaySendsNoWaitingStreamThatMayOutlastTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newWaitingHandler(true)
+		h.stop, h.Retries = newStop(tally.NoopScope), retrylimit.New(retrylimit.Settings{Window: time.Second}, time.Now())
+		h.Sync = hostsync.New(hostsync.Options{Pool: h.Pool, Clock: func() int64 { return 0 }})
+		dialled := 0
+		h.upstreams = upstreamhttp.NewClient(func(context.Context, string) (io.ReadWriteCloser, error) {
+			dialled++
+			return nil, errors.New("refused")
+		})
+		occupied := occupy(g, h)
+		q := plainTestRequest(h, 0)
+		q.route.Kind = catalog.Streaming
+		refusals := make(chan *errkind.Error, 1)
+		go func() { refusals <- q.dispatch(httptest.NewRecorder()) }()
+		synctest.Wait()
+		h.BeginStop(StopPlan{Began: time.Now(), Answer: time.Now().Add(time.Second / 2)})
+		occupied[0].releasePlace(resultNotRun)
+		synctest.Wait()
+		g.Expect(refusals).To(Receive(HaveField("Kind", errkind.Draining)))
+		g.Expect(dialled).To(BeZero())
+		_, refusal := plainTestRequest(h, 0).chooseUpstream("s")
+		g.Expect(refusal).To(BeNil(), "the place is free again")
+	})
+}
