A sealed host asks for no tokens and returns all that no request has reserved

Organisations lost tokens when a stopping gateway was killed before its last report: it was charged the burst and the rate that its last report had asked for. A sealed allowance now reports no burst, rate or want, and returns what is free, so that a kill after that report writes off what requests in flight have reserved at most. Client.Seal calls the leader at once.

TestSealedHostThatIsKilledIsChargedWhatItUsedAndReserved.

--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -195,6 +195,12 @@
 	}
 }
 
+// Seal ends the spending of this host, and returns what no request has reserved with a call that begins at once.
+func (c *Client) Seal() {
+	c.allowance.Seal()
+	c.requestSync()
+}
+
 // requestSync requests an immediate call to the leader.
 func (c *Client) requestSync() {
 	select {
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -222,7 +222,8 @@
 // committed returns the tokens that are used, reserved or transferred to other hosts.
 func (t *allotment) committed() int64 { return t.used + t.reserved + t.sentTotal }
 
-// Seal forbids all further spending; a host calls it before it closes its session.
+// Seal forbids all further spending, but for requests that have reserved their tokens. A host calls it before it closes
+// its session. From the next report on, little is written off if the host is killed first.
 func (a *Allowance) Seal() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -300,7 +301,8 @@
 // Report returns the report to send, which names the witnesses. An unacknowledged report
 // is returned again unchanged, as the control group may have it. Organisations that a
 // report omits keep their envelopes, counted from the new report. A brief report omits all
-// without a shortfall, unless the host may have spent beyond its bursts or is sealed.
+// without a shortfall, unless the host may have spent beyond its bursts. A sealed host asks for nothing and returns
+// all that is not reserved.
 func (a *Allowance) Report(at Instant, witnesses []uint64, brief bool) *Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -310,13 +312,16 @@
 	a.seq++
 	now := at.BootTime
 	r := &Report{Session: a.session, Seq: a.seq, BootTime: now, WallTime: at.WallTime, Witnesses: witnesses}
-	brief = brief && a.acked != nil && time.Duration(now-a.acked.BootTime) <= ReserveOpenDelay && !a.sealed
+	brief = brief && a.acked != nil && time.Duration(now-a.acked.BootTime) <= ReserveOpenDelay
 	for name, t := range a.allotments {
-		if t.unchanged() || brief && t.shortfall == 0 {
+		switch {
+		case a.sealed:
+			r.Uses = append(r.Uses, t.reportLastUse(name, now))
+		case t.unchanged() || brief && t.shortfall == 0:
 			t.pending = t.acked.rebased(now)
-			continue
+		default:
+			r.Uses = append(r.Uses, t.reportUse(name, now))
 		}
-		r.Uses = append(r.Uses, t.reportUse(name, now))
 	}
 	// The witnesses of this report have not recorded an opening.
 	a.unacked = r
@@ -353,15 +358,27 @@
 		Organisation: name, Used: t.used, Reserved: t.reserved, Want: size.want + t.shortfall,
 		Rate: size.rate, Burst: size.burst + t.shortfall,
 	}
-	t.returned += max(t.excess(), 0)
-	u.Returned, u.Transfers, u.Received = t.returned, slices.Clone(t.transfers), t.receivedTotal()
-	t.pending = &envelope{base: t.committed() + u.Burst, rate: u.Rate, reportTime: now, received: u.Received}
+	t.completeReport(&u, t.excess(), now)
 	// A borrower whose request was meanwhile served otherwise returns what it was granted.
 	t.changed = t.role == roleBorrower && t.shortfall > 0
 	t.shortfall = int64(float64(t.shortfall) * shortfallDecay)
 	return u
 }
 
+// reportLastUse returns the allotment's part of a report of a sealed host.
+func (t *allotment) reportLastUse(name string, now int64) Use {
+	u := Use{Organisation: name, Used: t.used, Reserved: t.reserved}
+	t.completeReport(&u, t.held()-t.committed(), now)
+	return u
+}
+
+// completeReport adds the tokens that are returned and transferred, and sets the pending envelope.
+func (t *allotment) completeReport(u *Use, excess, now int64) {
+	t.returned += max(excess, 0)
+	u.Returned, u.Transfers, u.Received = t.returned, slices.Clone(t.transfers), t.receivedTotal()
+	t.pending = &envelope{base: t.committed() + u.Burst, rate: u.Rate, reportTime: now, received: u.Received}
+}
+
 // Acknowledge applies the reply to the last report that was sent.
 func (a *Allowance) Acknowledge(reply *Reply, now int64) {
 	a.mu.Lock()
--- a/internal/prepaid/book_test.go
+++ b/internal/prepaid/book_test.go
@@ -223,6 +223,21 @@
 	g.Expect(b.ApplyReport("h", &Report{Session: 1, Seq: 99}, h.now).UnknownSession).To(BeTrue())
 }
 
+// Guards against tokens that are written off as a stopping host is killed before it has closed its session.
+func TestSealedHostThatIsKilledIsChargedWhatItUsedAndReserved(t *testing.T) {
+	g := NewWithT(t)
+	b, h := openHostWithBudget(g)
+	h.syncFor(2 * time.Second)
+	used := h.spendAll("north")
+	h.sync()
+	g.Expect(h.allowance.Reserve("north", 100, h.now).Verdict).To(Equal(Granted))
+	h.allowance.Seal()
+	h.sync()
+	h.now += int64(time.Second)
+	settlement := b.OpenSession(SessionOpening{Host: "h", Session: 2, BootTime: h.now, WallTime: h.now, ArrivalTime: h.now})
+	g.Expect(settlement.Charged).To(Equal(used + 100))
+}
+
 // A report names the host's witnesses from then on. If the control group may know two
 // reports as the latest, the witnesses of both must record the opening.
 func TestReserveNeedsWitnessesOfEveryReport(t *testing.T) {
