Streams that have begun go on until just before the kill; requests that are read in a stop are answered

Causes: one time ended all that was in flight, as the report that follows it needed 0.5 s, and a late signal brings the kill forward. net/http closes a connection without an answer if it reads a request once Shutdown was called.

Change: requests without an answer are answered 1.1 s before the end of the stop timeout, as before, and the allowance is sealed then. Streams that have begun go on until 0.3 s before it; a kill costs their callers no more than an orderly end, and with a deadline of 8 s only those that were sent in the last 0.3 s before SIGTERM can be cut. Connections stay open until the process exits, and requests on them are refused; it exits once no connection carries one.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -92,7 +92,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(q.deadline) // if unsupported, the body may arrive late; the request's deadline still applies
-	stopReading := context.AfterFunc(q.handler.stopped, func() { _ = control.SetReadDeadline(time.Now()) })
+	stopReading := context.AfterFunc(q.handler.requestsEnded, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	stopReading()
 	_ = control.SetReadDeadline(time.Time{})
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -43,7 +43,7 @@
 		case errors.Is(err, io.EOF):
 			a.reportOutcome(placement.Served)
 			a.recordComplete()
-			a.writeHeader(w, answer)
+			a.writeHeader(w, answer) // also if the host has just stopped, as nothing more is awaited
 			a.outcome = gotAnswer
 			a.handler.served.Inc(1)
 			klog.InfoS("request answered", append(a.logFields(), "status", answer.StatusCode, "events", a.eventsSent)...)
@@ -60,6 +60,9 @@
 			a.recordOrigin()
 		}
 		a.reviewOrigin()
+		if !a.beginStream() {
+			return a.exchangeBroken(failureBroken)
+		}
 		a.writeHeader(w, answer)
 		if !a.writeEvent(w, event) {
 			return resultAnswered
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -48,9 +49,12 @@
 	upstreams *upstreamhttp.Client
 	// startupDeadline is the time until which requests wait for the first configuration.
 	startupDeadline time.Time
-	// stopped is done once the requests in flight must be answered without waiting for their upstreams.
-	stopped          context.Context
+	// requestsEnded is done once the requests in flight must be answered without waiting for their upstreams, unless
+	// their answer has begun, and streamsEnded once streams that have begun must end.
+	requestsEnded    context.Context
 	endRequests      context.CancelFunc
+	streamsEnded     context.Context
+	endStreams       context.CancelFunc
 	stop             *stop
 	workTimes        workTimes
 	served           tally.Counter
@@ -66,9 +70,11 @@
 
 // NewHandler returns a handler that serves requests with the given dependencies.
 func NewHandler(o Options) *Handler {
-	stopped, endRequests := context.WithCancel(context.Background())
+	requestsEnded, endRequests := context.WithCancel(context.Background())
+	streamsEnded, endStreams := context.WithCancel(context.Background())
 	h := &Handler{
-		stopped: stopped, endRequests: endRequests,
+		requestsEnded: requestsEnded, endRequests: endRequests,
+		streamsEnded: streamsEnded, endStreams: endStreams,
 		stop:             newStop(o.Scope),
 		Options:          o,
 		upstreams:        upstreamhttp.NewClient(recordingVia(o.Paths.Dial)),
@@ -87,9 +93,12 @@
 	return h
 }
 
-// EndRequests answers all requests in flight at once, without their upstreams.
+// EndRequests answers the requests in flight at once, without their upstreams. Streams that have begun go on.
 func (h *Handler) EndRequests() { h.endRequests() }
 
+// EndStreams breaks off the streams that have begun.
+func (h *Handler) EndStreams() { h.endStreams() }
+
 // Ready returns nil if the host can accept new connections, or an error that states why not.
 func (h *Handler) Ready() error {
 	if h.stop.refuses() {
@@ -118,6 +127,8 @@
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 	ctx      context.Context
+	// phase is an answerPhase.
+	phase atomic.Int32
 	// reservedTokens is the number of tokens reserved from the allowance.
 	reservedTokens int64
 	// budgetDecision is the result of the latest reservation, or nil, and tokenSearch that of
@@ -234,11 +245,6 @@
 	return errkind.New(errkind.Draining, "the host is stopping").WithRetryAfter(drainingRetryAfter)
 }
 
-// hostStopped reports whether the request has to be answered because the host stops.
-func (q *request) hostStopped() bool {
-	return q.handler.stopped != nil && q.handler.stopped.Err() != nil
-}
-
 func (q *request) setService(name string) {
 	q.serviceName, q.service = name, q.view.Index.Service(name)
 }
@@ -247,7 +253,7 @@
 func (q *request) serve(w http.ResponseWriter, r *http.Request) *errkind.Error {
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	defer context.AfterFunc(q.handler.stopped, cancel)()
+	defer q.followStop(cancel)()
 	q.ctx = ctx
 	if refusal := q.findOrigin(); refusal != nil {
 		return refusal
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -25,8 +25,10 @@
 	Began time.Time
 	// Refuse is when new requests are refused, and those whose body has yet to arrive, with the error kind Draining.
 	Refuse time.Time
-	// Answer is when those in flight are answered without their upstreams, and streams that have begun are broken off.
+	// Answer is when those in flight are answered without their upstreams, unless their answer has begun.
 	Answer time.Time
+	// End is when streams that have begun are broken off.
+	End time.Time
 }
 
 // stop is the record of a shutdown.
@@ -110,6 +112,45 @@
 	}
 }
 
+// answerPhase tells whether a stop ends a request before its answer begins.
+type answerPhase int32
+
+const (
+	phaseWaiting answerPhase = iota
+	// phaseStreaming: the caller has got the beginning of a stream, and the request goes on until EndStreams.
+	phaseStreaming
+	// phaseEnded: EndRequests came first.
+	phaseEnded
+)
+
+// followStop calls cancel when the stop ends the request. It no longer does so after release was called.
+func (q *request) followStop(cancel context.CancelFunc) (release func()) {
+	unanswered := context.AfterFunc(q.handler.requestsEnded, func() {
+		if q.phase.CompareAndSwap(int32(phaseWaiting), int32(phaseEnded)) {
+			cancel()
+		}
+	})
+	begun := context.AfterFunc(q.handler.streamsEnded, cancel)
+	return func() {
+		unanswered()
+		begun()
+	}
+}
+
+// beginStream reports whether the first event may be sent to the caller. The request has to be answered otherwise.
+func (q *request) beginStream() bool {
+	return q.phase.CompareAndSwap(int32(phaseWaiting), int32(phaseStreaming)) || answerPhase(q.phase.Load()) == phaseStreaming
+}
+
+// hostStopped reports whether the request has to end because the host stops.
+func (q *request) hostStopped() bool {
+	ended := q.handler.requestsEnded
+	if answerPhase(q.phase.Load()) == phaseStreaming {
+		ended = q.handler.streamsEnded
+	}
+	return ended != nil && ended.Err() != nil
+}
+
 func (s *stop) requestBegan() { s.inFlight.Add(1) }
 
 func (s *stop) requestEnded() {
@@ -127,7 +168,7 @@
 		} else if ended := h.stop.lastEnd.Load(); ended != nil && ended.After(quietSince) {
 			quietSince = *ended
 		}
-		return time.Since(quietSince) < quiet
+		return h.InFlight() > 0 || time.Since(quietSince) < quiet
 	})
 }
 
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -111,3 +111,34 @@
 		g.Expect(refusal).To(BeNil(), "the place is free again")
 	})
 }
+
+// Guards against streams that are broken off earlier in a stop than the requests without an answer have to be answered.
+func TestStreamsThatHaveBegunGoOnAsOtherRequestsAreAnsweredInAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := &Handler{}
+		h.requestsEnded, h.endRequests = context.WithCancel(t.Context())
+		h.streamsEnded, h.endStreams = context.WithCancel(t.Context())
+		follow := func() (*request, context.Context) {
+			q := &request{handler: h}
+			ctx, cancel := context.WithCancel(t.Context())
+			t.Cleanup(q.followStop(cancel))
+			return q, ctx
+		}
+		begun, streaming := follow()
+		waiting, unanswered := follow()
+		g.Expect(begun.beginStream()).To(BeTrue())
+		h.EndRequests()
+		synctest.Wait()
+		g.Expect(unanswered.Err()).To(HaveOccurred())
+		g.Expect(waiting.beginStream()).To(BeFalse(), "it is being answered")
+		g.Expect(waiting.hostStopped()).To(BeTrue())
+		g.Expect(streaming.Err()).NotTo(HaveOccurred())
+		g.Expect(begun.beginStream()).To(BeTrue(), "it goes on at another upstream")
+		g.Expect(begun.hostStopped()).To(BeFalse())
+		h.EndStreams()
+		synctest.Wait()
+		g.Expect(streaming.Err()).To(HaveOccurred())
+		g.Expect(begun.hostStopped()).To(BeTrue())
+	})
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -121,12 +121,13 @@
 	case <-client.SessionLost():
 		failure = errSessionLost
 	}
-	exitBy := callers.stop(s.StopTimeout.Duration, stalls, tunnels)
+	exitBy := callers.stop(s.StopTimeout.Duration, stalls, tunnels, client.Seal)
 	stop()
 	<-done
 	if err := client.Close(exitBy); err != nil {
 		klog.InfoS("session not closed", "error", err.Error())
 	}
+	callers.awaitWritten()
 	return failure
 }
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,12 +4,13 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/godwitbend/godwitbend/internal/gateway"
+	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/tunnel"
 )
 
@@ -26,9 +27,11 @@
 	lastAnswersTime = 100 * time.Millisecond
 	// passOnTime is the time for what upstreams have made to reach callers.
 	passOnTime = 200 * time.Millisecond
-	// sessionCloseTime is the part of the stop timeout reserved for the final report to the
-	// control group.
+	// sessionCloseTime is the part of the stop timeout reserved for the report of what no request has reserved, after which
+	// a kill writes off little.
 	sessionCloseTime = 500 * time.Millisecond
+	// writtenPollInterval is the interval at which a stop looks for answers that are being written.
+	writtenPollInterval = 5 * time.Millisecond
 	// maxSignalDelay is how late a process that runs may learn of a signal, and signalDelayDivisor sets the part of the
 	// stop timeout (1 in N) that bounds it.
 	maxSignalDelay     = time.Second
@@ -41,26 +44,55 @@
 // callerServer is the server for callers of a gateway.
 type callerServer struct {
 	*http.Server
-	handler     *gateway.Handler
-	connections atomic.Int64
+	handler *gateway.Handler
+
+	mu sync.Mutex
+	// connections holds the connections of callers, and active is the number of those that carry a request.
+	connections map[net.Conn]http.ConnState
+	active      int
 }
 
 func newCallerServer(handler *gateway.Handler) *callerServer {
-	s := &callerServer{handler: handler}
+	s := &callerServer{handler: handler, connections: map[net.Conn]http.ConnState{}}
 	s.Server = &http.Server{
-		Handler: handler, IdleTimeout: callerIdleTimeout, ConnState: s.countConnection,
+		Handler: handler, IdleTimeout: callerIdleTimeout, ConnState: s.trackConnection,
 		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerHeaderBytes,
 	}
 	return s
 }
 
-func (s *callerServer) countConnection(_ net.Conn, state http.ConnState) {
+func (s *callerServer) trackConnection(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connections[c] == http.StateActive {
+		s.active--
+	}
 	switch state {
-	case http.StateNew:
-		s.connections.Add(1)
 	case http.StateClosed, http.StateHijacked:
-		s.connections.Add(-1)
+		delete(s.connections, c)
+		return
+	case http.StateActive:
+		s.active++
 	}
+	s.connections[c] = state
+}
+
+func (s *callerServer) openConnections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.connections)
+}
+
+// awaitWritten waits until no connection carries a request, as the last bytes of an answer are written after its request
+// has ended. It takes lastAnswersTime at most.
+func (s *callerServer) awaitWritten() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
+	defer cancel()
+	timing.EveryUntil(ctx, writtenPollInterval, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.active > 0
+	})
 }
 
 // stopPlan holds the times of the steps of a stop.
@@ -68,24 +100,24 @@
 	gateway.StopPlan
 	// sentAfter is the earliest time at which the signal may have been sent.
 	sentAfter time.Time
-	// end is when all connections are closed.
-	end time.Time
 }
 
 // planStop returns the plan of a stop whose signal was learned of now. The process last ran at ranAt before that, and
-// may learn of a signal late even while it runs. It is killed timeout after the signal. The plan ends before that, unless
-// requests in flight would have less than their part of the timeout from now on.
+// may learn of a signal late even while it runs. It is killed timeout after the signal. Requests without an answer get
+// one before that, unless they would have less than their part of the timeout from now on. Streams that have begun go on
+// for as long as the process may run, as a kill costs their callers no more than an orderly end.
 func planStop(ranAt, now time.Time, timeout time.Duration) stopPlan {
 	delay := min(drainDelay, timeout/3)
 	sentAfter := earlier(ranAt, now.Add(-min(maxSignalDelay, timeout/signalDelayDivisor)))
-	end := earlier(now.Add(timeout-exitMargin-sessionCloseTime), ranAt.Add(timeout-exitMargin))
-	end = earlier(end, sentAfter.Add(timeout))
 	latest := now.Add(timeout - exitMargin - sessionCloseTime - lastAnswersTime)
-	answer := later(end.Add(-lastAnswersTime), earlier(latest, now.Add(timeout-timeout/reserveDivisor+passOnTime)))
+	beforeKill := earlier(earlier(latest, ranAt.Add(timeout-exitMargin-lastAnswersTime)), sentAfter.Add(timeout-lastAnswersTime))
+	answer := later(beforeKill, earlier(latest, now.Add(timeout-timeout/reserveDivisor+passOnTime)))
 	return stopPlan{
-		StopPlan:  gateway.StopPlan{Began: ranAt, Refuse: earlier(now.Add(delay), ranAt.Add(delay+drainSlack)), Answer: answer},
+		StopPlan: gateway.StopPlan{
+			Began: ranAt, Refuse: earlier(now.Add(delay), ranAt.Add(delay+drainSlack)),
+			Answer: answer, End: later(answer, now.Add(timeout-exitMargin)),
+		},
 		sentAfter: sentAfter,
-		end:       answer.Add(lastAnswersTime),
 	}
 }
 
@@ -93,7 +125,7 @@
 func (p *stopPlan) logFields(now time.Time) []any {
 	return []any{
 		"signal_sent_after", p.sentAfter, "refuses_in_ms", p.Refuse.Sub(now).Milliseconds(),
-		"answers_in_ms", p.Answer.Sub(now).Milliseconds(), "ends_in_ms", p.end.Sub(now).Milliseconds(),
+		"answers_in_ms", p.Answer.Sub(now).Milliseconds(), "ends_in_ms", p.End.Sub(now).Milliseconds(),
 	}
 }
 
@@ -112,35 +144,45 @@
 }
 
 // stop waits until the load balancer directs callers to other hosts, then refuses new requests and waits for those in
-// flight, and for the tunnels of other hosts. What is in flight shortly before the end is answered without its upstream.
-// Idle connections stay open until requests on the others are done, as a request may be under way on them. It returns
+// flight, and for the tunnels of other hosts. Requests that come until the process exits are refused, so that none that
+// was read ends without an answer: connections stay open. seal is called once no request begins any more. stop returns
 // the time by which the process must have exited.
-func (s *callerServer) stop(timeout time.Duration, stalls *stallDetector, tunnels *tunnel.Server) (exitBy time.Time) {
+func (s *callerServer) stop(timeout time.Duration, stalls *stallDetector, tunnels *tunnel.Server, seal func()) (exitBy time.Time) {
 	now, ranAt := time.Now(), stalls.signalSentAfter()
 	plan := planStop(ranAt, now, timeout)
 	tunnels.Stop()
 	s.handler.BeginStop(plan.StopPlan)
 	klog.InfoS("draining", append([]any{
-		"in_flight", s.handler.InFlight(), "connections", s.connections.Load(), "stalled_ms", now.Sub(ranAt).Milliseconds(),
+		"in_flight", s.handler.InFlight(), "connections", s.openConnections(), "stalled_ms", now.Sub(ranAt).Milliseconds(),
 	}, plan.logFields(now)...)...)
 	time.Sleep(time.Until(plan.Refuse))
 	s.logProgress("refusing new requests", plan.Began)
-	lastAnswers := time.AfterFunc(time.Until(plan.Answer), s.handler.EndRequests)
-	defer lastAnswers.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
-	inFlight, cancelWait := context.WithDeadline(ctx, plan.Answer)
-	defer cancelWait()
-	s.handler.AwaitRequests(inFlight, quietTime)
-	if err := s.Shutdown(ctx); err != nil {
-		klog.InfoS("stop timeout reached with requests in flight", "error", err.Error())
-	}
+	s.awaitAnswers(ctx, plan, seal)
 	tunnels.Drain(ctx)
 	s.logProgress("drained", plan.Began, "tunnels", tunnels.Open())
-	return later(plan.Began.Add(timeout-exitMargin), plan.end)
+	return later(plan.Began.Add(timeout-exitMargin), plan.End)
+}
+
+// awaitAnswers waits until the requests that were taken are answered, and ends them by the plan.
+func (s *callerServer) awaitAnswers(ctx context.Context, plan stopPlan, seal func()) {
+	beforeAnswer, cancel := context.WithDeadline(ctx, plan.Answer)
+	defer cancel()
+	s.handler.AwaitRequests(beforeAnswer, quietTime)
+	s.handler.EndRequests()
+	seal()
+	s.handler.AwaitRequests(ctx, 0)
+	if ctx.Err() != nil {
+		klog.InfoS("stop timeout reached with requests in flight", "in_flight", s.handler.InFlight())
+	}
+	s.handler.EndStreams()
+	settled, cancelSettled := context.WithTimeout(context.Background(), lastAnswersTime)
+	defer cancelSettled()
+	s.handler.AwaitRequests(settled, 0)
 }
 
 func (s *callerServer) logProgress(message string, began time.Time, more ...any) {
-	fields := append(s.handler.StopLogFields(), "connections", s.connections.Load(), "stopping_ms", time.Since(began).Milliseconds())
+	fields := append(s.handler.StopLogFields(), "connections", s.openConnections(), "stopping_ms", time.Since(began).Milliseconds())
 	klog.InfoS(message, append(fields, more...)...)
 }
