A gateway that stalls for a moment doesn't take its links to upstreams for lost

A stream that goes through another gateway is cut as that one's stop ends (TestStreamOutlivesTheStopOfTheGatewayThatCarriesIt), so that such a moment makes streams depend on the stops of hosts that have nothing to do with them.

Cause: the timeout of a connection attempt passes while the process doesn't run. When it runs again, the timer may fire before the established connection is seen. Two such attempts in a row, and one other gateway that reaches an upstream, cut the host off from all upstreams by its own judgement; a longer timeout of the attempts followed, too.

Change: an attempt that times out more than 50 ms after its timeout tells nothing of the upstream, and is repeated once.

An upstream that is really lost costs a stalled process one more timeout.

--- a/internal/upstreamhttp/dial.go
+++ b/internal/upstreamhttp/dial.go
@@ -20,6 +20,9 @@
 	// unackedTimeout is how long sent bytes or keep-alive probes may remain unacknowledged. A sound
 	// upstream may be silent for over a second.
 	unackedTimeout = 3 * time.Second
+	// maxTimerDelay is how late the timeout of an attempt may fire. The process did not run if it is later, and the
+	// connection may have been established in time.
+	maxTimerDelay = 50 * time.Millisecond
 )
 
 // TimedDialFunc connects to address within timeout.
@@ -41,17 +44,32 @@
 	return &Dialer{dial: dial, timeout: rto.NewEstimator(minDialTimeout, maxDialTimeout)}
 }
 
-// Dial implements DialFunc.
+// Dial implements DialFunc. An attempt that timed out while the process did not run is repeated once.
 func (d *Dialer) Dial(ctx context.Context, address string) (io.ReadWriteCloser, error) {
-	started := time.Now()
-	conn, err := d.dial(ctx, address, d.timeout.Timeout())
+	conn, stalled, err := d.attempt(ctx, address)
+	if stalled {
+		conn, _, err = d.attempt(ctx, address)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+// attempt tries to connect once. stalled reports that it timed out without telling anything of the upstream.
+func (d *Dialer) attempt(ctx context.Context, address string) (conn net.Conn, stalled bool, err error) {
+	started, timeout := time.Now(), d.timeout.Timeout()
+	conn, err = d.dial(ctx, address, timeout)
+	took := time.Since(started)
 	var netErr net.Error
 	switch {
 	case err == nil:
-		d.timeout.Succeeded(time.Since(started))
-		return conn, nil
-	case errors.As(err, &netErr) && netErr.Timeout() && ctx.Err() == nil:
+		d.timeout.Succeeded(took)
+	case !errors.As(err, &netErr) || !netErr.Timeout() || ctx.Err() != nil:
+	case took > timeout+maxTimerDelay:
+		stalled = true
+	default:
 		d.timeout.TimedOut()
 	}
-	return nil, err
+	return conn, stalled, err
 }
