A stopping host of the entry fleet answers operators' calls under way on kept connections

Cause: as for callers before: the last steps of a stop close idle connections, and one counts as idle until the first byte of a call is read. Change: the server for operators stops in the same way: from SIGTERM on answers ask to leave the connection; at its end it accepts no new ones, and closes idle ones once no call has been served for 0.5 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -59,8 +58,8 @@
 	leaving  atomic.Bool
 	draining atomic.Bool
 	// callers and operators are HTTP servers; callers is nil without the entry role.
-	callers   *callerServer
-	operators *http.Server
+	callers   *httpServer
+	operators *httpServer
 	// stopSession stops the session's heartbeats; sessionDone is closed when they have stopped.
 	stopSession context.CancelFunc
 	// stopStandby stops the maintenance of the standby grants and waits for its end.
@@ -140,7 +139,7 @@
 	}
 	err = errors.Join(err, d.awaitRecords(ctx))
 	d.endSession()
-	err = errors.Join(err, shutdownServer(ctx, d.operators))
+	err = errors.Join(err, d.operators.drain(ctx))
 	if d.replica != nil {
 		d.replica.stop()
 	}
@@ -149,14 +148,6 @@
 	return err
 }
 
-// shutdownServer shuts srv down and waits for its requests in flight; srv may be nil.
-func shutdownServer(ctx context.Context, srv *http.Server) error {
-	if srv == nil {
-		return nil
-	}
-	return eris.Wrap(srv.Shutdown(ctx), "drain requests in flight")
-}
-
 // awaitRecords waits until the records of all answered requests are closed.
 func (d *Daemon) awaitRecords(ctx context.Context) error {
 	for d.handler.InFlightRequests() > 0 {
@@ -180,18 +171,3 @@
 		klog.InfoS("session not closed", "error", err.Error())
 	}
 }
-
-// serveHTTP serves handler on listener until the shutdown.
-func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) *http.Server {
-	srv := &http.Server{
-		Handler:           handler,
-		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
-	d.goRun(func() {
-		if err := srv.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			klog.ErrorS(err, "HTTP server failed", "address", listener.Addr().String())
-		}
-	})
-	return srv
-}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/httpserver.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
@@ -18,8 +22,8 @@
 	quietPollInterval = 20 * time.Millisecond
 )
 
-// callerServer is the HTTP server for callers and upstreams.
-type callerServer struct {
+// httpServer serves callers and upstreams, or operators.
+type httpServer struct {
 	*http.Server
 	listener net.Listener
 	handler  http.Handler
@@ -31,8 +35,20 @@
 	lastEnd  time.Time
 }
 
+// serveHTTP serves handler on listener until the shutdown.
+func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) *httpServer {
+	s := &httpServer{listener: listener, handler: handler, leaving: d.leaving.Load}
+	s.Server = &http.Server{Handler: s, MaxHeaderBytes: d.settings.Limits.HeaderBytes, ReadHeaderTimeout: readHeaderTimeout}
+	d.goRun(func() {
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			klog.ErrorS(err, "HTTP server failed", "address", listener.Addr().String())
+		}
+	})
+	return s
+}
+
 // ServeHTTP implements http.Handler.
-func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *httpServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.begin()
 	defer s.end()
 	if s.leaving() {
@@ -41,13 +57,13 @@
 	s.handler.ServeHTTP(w, r)
 }
 
-func (s *callerServer) begin() {
+func (s *httpServer) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight++
 }
 
-func (s *callerServer) end() {
+func (s *httpServer) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
@@ -55,7 +71,7 @@
 }
 
 // quietSince reports whether no request has been served since t.
-func (s *callerServer) quietSince(t time.Time) bool {
+func (s *httpServer) quietSince(t time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.inFlight == 0 && !s.lastEnd.After(t)
@@ -63,10 +79,10 @@
 
 // drain accepts no new connections and waits until the requests in flight have ended. Idle connections stay open until
 // no request has come for quietTime.
-func (s *callerServer) drain(ctx context.Context) error {
+func (s *httpServer) drain(ctx context.Context) error {
 	_ = s.listener.Close()
 	if timing.Sleep(ctx, quietTime) {
 		timing.EveryUntil(ctx, quietPollInterval, func() bool { return !s.quietSince(time.Now().Add(-quietTime)) })
 	}
-	return shutdownServer(ctx, s.Server)
+	return eris.Wrap(s.Shutdown(ctx), "drain requests in flight")
 }
--- a/internal/daemon/release.go
+++ b/internal/daemon/release.go
@@ -14,11 +14,10 @@
 	if d.stopSession != nil {
 		d.endSession()
 	}
-	if d.callers != nil {
-		_ = d.callers.Close()
-	}
-	if d.operators != nil {
-		_ = d.operators.Close()
+	for _, srv := range []*httpServer{d.callers, d.operators} {
+		if srv != nil {
+			_ = srv.Close()
+		}
 	}
 	if err := d.release(stop); err != nil {
 		klog.ErrorS(err, "cleanup after failed start incomplete")
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -241,8 +241,7 @@
 	callerMux.Handle(announce.PathAnnounce, announcements)
 	callerMux.HandleFunc("GET "+telemetry.PathReady, telemetry.ReadyHandler(d.ready))
 	callerMux.Handle("/", handler)
-	d.callers = &callerServer{listener: callers, handler: callerMux, leaving: d.leaving.Load}
-	d.callers.Server = d.serveHTTP(callers, d.callers)
+	d.callers = d.serveHTTP(callers, callerMux)
 	return nil
 }
 
--- a/tests/fleet/kept_connection_test.go
+++ b/tests/fleet/kept_connection_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/operatorapi"
 	"github.com/godwitbend/godwitbend/internal/settings"
 )
 
@@ -80,3 +81,34 @@
 		})
 	}
 }
+
+// Guards against a stop that closes kept connections of operators on which calls are under way.
+func TestStoppingHostAnswersCallsOfOperatorsUnderWay(t *testing.T) {
+	run(t, siteOptions{hosts: 4, control: 3}, func(s *site) {
+		stopping := s.hosts[3]
+		time.AfterFunc(time.Second, stopping.cancel)
+		answered := 0
+		for {
+			conn, err := s.net.Node(operatorsNode).DialHost(context.Background(), stopping.settings.Listen.Operators)
+			if err != nil {
+				break // the host accepts no more
+			}
+			reader := bufio.NewReader(conn)
+			for leave := false; !leave; answered++ {
+				s.net.Cut(operatorsNode, stopping.name)
+				time.AfterFunc(20*time.Millisecond, func() { s.net.Heal(operatorsNode, stopping.name) })
+				_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", operatorapi.PathUsage, operatorKey)
+				s.Expect(err).NotTo(HaveOccurred(), "call %d", answered)
+				resp, err := http.ReadResponse(reader, nil)
+				s.Expect(err).NotTo(HaveOccurred(), "call %d", answered)
+				_, err = io.Copy(io.Discard, resp.Body)
+				s.Expect(err).NotTo(HaveOccurred())
+				leave = resp.Close
+			}
+			_ = conn.Close()
+		}
+		s.Expect(answered).To(BeNumerically(">", 50))
+		s.drain(stopping)
+		stopping.done <- nil
+	})
+}
