--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -21,7 +21,7 @@
 
 // StopPlan holds the times of a shutdown.
 type StopPlan struct {
-	// Began is when the host was told to stop, at the earliest unless it learned of that late though it ran.
+	// Began is the earliest time at which the host was told to stop, if it learned of that at once while it ran.
 	Began time.Time
 	// Refuse is when new requests are refused, and those whose body has yet to arrive, with the error kind Draining.
 	Refuse time.Time
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,7 @@
 	gcPercent = 50
 	// unackedTimeout is how long bytes sent on a connection may stay unacknowledged.
 	unackedTimeout = 5 * time.Second
-	// exitMargin is how long before the end of the stop timeout the process exits.
+	// exitMargin is the part of the stop timeout that is left when a host has ended its last requests.
 	exitMargin = 300 * time.Millisecond
 )
 
--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -42,8 +42,9 @@
 	d.lastRan = now
 }
 
-// signalSentAfter returns the time after which a signal was sent that the process learns of now.
-func (d *stallDetector) signalSentAfter() time.Time {
+// ranBeforeSignal returns the time after which a signal was sent that the process learns of now, but for delays while
+// the process ran.
+func (d *stallDetector) ranBeforeSignal() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forget(time.Now())
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -21,12 +21,8 @@
 	drainDelay = 2500 * time.Millisecond
 	// drainSlack is how much later than drainDelay after its signal a process that learns of it late refuses requests.
 	drainSlack = 400 * time.Millisecond
-	// reserveDivisor sets the part of the stop timeout (1 in N) that may be taken from requests in flight.
-	reserveDivisor = 6
 	// lastAnswersTime is the part of the stop timeout in which the requests that are still in flight are answered.
 	lastAnswersTime = 100 * time.Millisecond
-	// passOnTime is the time for what upstreams have made to reach callers.
-	passOnTime = 200 * time.Millisecond
 	// sessionCloseTime is the part of the stop timeout reserved for the report of what no request has reserved, after which
 	// a kill writes off little.
 	sessionCloseTime = 500 * time.Millisecond
@@ -36,8 +32,8 @@
 	// stop timeout (1 in N) that bounds it.
 	maxSignalDelay     = time.Second
 	signalDelayDivisor = 8
-	// quietTime is the time without requests after which a stopping host closes idle connections. Requests on them
-	// may have been sent and not read yet.
+	// quietTime is the time without requests after which a stopping host exits. Requests may have been sent and not
+	// read yet.
 	quietTime = 500 * time.Millisecond
 )
 
@@ -104,18 +100,17 @@
 
 // planStop returns the plan of a stop whose signal was learned of now. The process last ran at ranAt before that, and
 // may learn of a signal late even while it runs. It is killed timeout after the signal. Requests without an answer get
-// one before that, unless they would have less than their part of the timeout from now on. Streams that have begun go on
-// for as long as the process may run, as a kill costs their callers no more than an orderly end.
+// one before that, early enough to report the tokens that are free. Streams that have begun go on for as long as the
+// process may run, as a kill costs their callers no more than an orderly end.
 func planStop(ranAt, now time.Time, timeout time.Duration) stopPlan {
 	delay := min(drainDelay, timeout/3)
 	sentAfter := earlier(ranAt, now.Add(-min(maxSignalDelay, timeout/signalDelayDivisor)))
-	latest := now.Add(timeout - exitMargin - sessionCloseTime - lastAnswersTime)
-	beforeKill := earlier(earlier(latest, ranAt.Add(timeout-exitMargin-lastAnswersTime)), sentAfter.Add(timeout-lastAnswersTime))
-	answer := later(beforeKill, earlier(latest, now.Add(timeout-timeout/reserveDivisor+passOnTime)))
+	beforeReport := now.Add(timeout - exitMargin - sessionCloseTime)
+	beforeKill := earlier(sentAfter.Add(timeout), ranAt.Add(timeout-exitMargin))
 	return stopPlan{
 		StopPlan: gateway.StopPlan{
 			Began: ranAt, Refuse: earlier(now.Add(delay), ranAt.Add(delay+drainSlack)),
-			Answer: answer, End: later(answer, now.Add(timeout-exitMargin)),
+			Answer: later(now, earlier(beforeReport, beforeKill).Add(-lastAnswersTime)), End: now.Add(timeout - exitMargin),
 		},
 		sentAfter: sentAfter,
 	}
@@ -148,7 +143,7 @@
 // was read ends without an answer: connections stay open. seal is called once no request begins any more. stop returns
 // the time by which the process must have exited.
 func (s *callerServer) stop(timeout time.Duration, stalls *stallDetector, tunnels *tunnel.Server, seal func()) (exitBy time.Time) {
-	now, ranAt := time.Now(), stalls.signalSentAfter()
+	now, ranAt := time.Now(), stalls.ranBeforeSignal()
 	plan := planStop(ranAt, now, timeout)
 	tunnels.Stop()
 	s.handler.BeginStop(plan.StopPlan)
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -13,15 +13,14 @@
 func TestStopThatIsLearnedOfLateIsTimedFromItsSignal(t *testing.T) {
 	const timeout = 8 * time.Second
 	now := time.Now()
-	const least = timeout - timeout/6 + 200*time.Millisecond
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	for name, test := range map[string]struct{ stalled, sentBefore, refuse, answer time.Duration }{
 		"at once":            {ms(0), ms(1000), ms(2500), ms(6900)},
 		"0.4 s late":         {ms(400), ms(1000), ms(2500), ms(6900)},
 		"0.6 s late":         {ms(600), ms(1000), ms(2300), ms(6900)},
-		"0.8 s late":         {ms(800), ms(1000), ms(2100), least},
-		"1.2 s late":         {ms(1200), ms(1200), ms(1700), least},
-		"later than refused": {ms(3000), ms(3000), -ms(100), least},
+		"0.8 s late":         {ms(800), ms(1000), ms(2100), ms(6800)},
+		"1.2 s late":         {ms(1200), ms(1200), ms(1700), ms(6400)},
+		"later than refused": {ms(3000), ms(3000), -ms(100), ms(4600)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			NewWithT(t).Expect(planStop(now.Add(-test.stalled), now, timeout)).To(Equal(stopPlan{
