--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -110,6 +110,11 @@
 			return q.finalError(refusal)
 		}
 		a := &attempt{request: q, target: assignment}
+		if refusal := q.checkStopTime(); refusal != nil && !q.mayHaveRun { // it may have waited since it was admitted
+			a.reportOutcome(placement.Abandoned)
+			a.releasePlace(resultNotRun)
+			return refusal
+		}
 		result := a.run(w)
 		a.releasePlace(result)
 		if result == resultAnswered {
@@ -263,7 +268,7 @@
 	a.backlog, a.prefillRate = a.target.Backlog, a.target.PrefillRate
 	a.sentAt = time.Now()
 	a.lastSentAt = a.sentAt
-	answer, err := a.handler.upstreams.Do(a.ctx, a.target.Address, a.prepareRequest)
+	answer, err := a.handler.upstreams.Do(withVia(a.ctx, &a.via), a.target.Address, a.prepareRequest)
 	if errors.Is(err, upstreamhttp.ErrWithdrawn) {
 		a.lastFailure = failureWithdrawn
 		if a.handler.Pool.WarmsUp(a.target, time.Now()) {
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -15,13 +16,16 @@
 // stopPollInterval is the interval at which a stop looks for requests being served.
 const stopPollInterval = 20 * time.Millisecond
 
+// silentTime is the time without an event from which on the upstream of a stream counts as silent.
+const silentTime = 500 * time.Millisecond
+
 // StopPlan holds the times of a shutdown.
 type StopPlan struct {
-	// Began is when the host was told to stop, at the earliest.
+	// Began is when the host was told to stop, at the earliest unless it learned of that late though it ran.
 	Began time.Time
 	// Refuse is when new requests are refused, and those whose body has yet to arrive, with the error kind Draining.
 	Refuse time.Time
-	// Answer is when those in flight are answered without their upstreams.
+	// Answer is when those in flight are answered without their upstreams, and streams that have begun are broken off.
 	Answer time.Time
 }
 
@@ -34,8 +38,10 @@
 	lastEnd  atomic.Pointer[time.Time]
 	answered stopCounter
 	refused  stopCounter
-	// brokenOff counts requests whose answer did not reach the caller whole.
-	brokenOff stopCounter
+	// brokenOff counts requests whose answer did not reach the caller whole, and brokenOffSilent those of them
+	// whose upstream was silent.
+	brokenOff       stopCounter
+	brokenOffSilent stopCounter
 }
 
 // stopCounter counts requests that ended during the shutdown.
@@ -51,9 +57,10 @@
 
 func newStop(scope tally.Scope) *stop {
 	return &stop{
-		answered:  stopCounter{counter: scope.Counter("stop_answered")},
-		refused:   stopCounter{counter: scope.Counter("stop_refused")},
-		brokenOff: stopCounter{counter: scope.Counter("stop_broken_off")},
+		answered:        stopCounter{counter: scope.Counter("stop_answered")},
+		refused:         stopCounter{counter: scope.Counter("stop_refused")},
+		brokenOff:       stopCounter{counter: scope.Counter("stop_broken_off")},
+		brokenOffSilent: stopCounter{counter: scope.Counter("stop_broken_off_silent")},
 	}
 }
 
@@ -69,25 +76,31 @@
 }
 
 // maxOverrunShare is the share of recent answers that would take longer than a stop lasts, above which a request is
-// refused: another host answers it whole, and its answer would be cut.
+// refused, as another host answers it whole.
 const maxOverrunShare = 0.125
 
-// checkStopTime refuses the request if the host stops, probably before the answer ends.
+// checkStopTime refuses the request if the host stops, and may do so before the answer ends. A stream is taken only if
+// its deadline comes first: one that is broken off costs its caller all of it, and a refusal the way to another host.
 func (q *request) checkStopTime() *errkind.Error {
 	plan := q.handler.stop.plan.Load()
-	if plan == nil || q.handler.workTimes.overrunShare(q.route.Name, q.OutputTokens, time.Until(plan.Answer)) <= maxOverrunShare {
+	if plan == nil || !q.deadline.After(plan.Answer) {
+		return nil
+	}
+	if q.route.Kind != catalog.Streaming && q.handler.workTimes.overrunShare(q.route.Name, time.Until(plan.Answer)) <= maxOverrunShare {
 		return nil
 	}
 	return errkind.New(errkind.Draining, "the host is stopping, and may end before the answer").WithRetryAfter(drainingRetryAfter)
 }
 
-// recordWorkTime records how long the answer took once the body was read.
+// recordWorkTime records how long the answer took once the body was read, or that it did not come in all of the time that
+// the request had.
 func (q *request) recordWorkTime() {
-	if q.outcome != gotAnswer {
+	if q.lastSentAt.IsZero() || q.route.Kind == catalog.Streaming {
 		return
 	}
-	start := q.timeToFirstEvent - q.bodyReadAt.Sub(q.arrived)
-	q.handler.workTimes.add(q.route.Name, newWorkTime(start, time.Since(q.bodyReadAt), q.OutputTokens))
+	if q.outcome == gotAnswer || q.timeRemaining() < minAttemptTime {
+		q.handler.workTimes.add(q.route.Name, time.Since(q.bodyReadAt))
+	}
 }
 
 // closeIfStopping asks the caller to send no other request on its connection, if the host stops.
@@ -125,7 +138,7 @@
 func (h *Handler) StopLogFields() []any {
 	return []any{
 		"answered", h.stop.answered.n.Load(), "refused", h.stop.refused.n.Load(),
-		"broken_off", h.stop.brokenOff.n.Load(), "in_flight", h.InFlight(),
+		"broken_off", h.stop.brokenOff.n.Load(), "broken_off_silent", h.stop.brokenOffSilent.n.Load(), "in_flight", h.InFlight(),
 	}
 }
 
@@ -151,6 +164,9 @@
 		s.refused.inc()
 	default:
 		s.brokenOff.inc()
+		if q.eventsSent > 0 && time.Since(q.lastEventAt) >= silentTime {
+			s.brokenOffSilent.inc()
+		}
 	}
 }
 
@@ -168,7 +184,10 @@
 	for _, step := range []struct {
 		name string
 		at   time.Time
-	}{{"head_at_ms", q.arrived}, {"body_at_ms", q.bodyReadAt}, {"sent_at_ms", q.lastSentAt}, {"last_event_at_ms", q.lastEventAt}} {
+	}{
+		{"head_at_ms", q.arrived}, {"body_at_ms", q.bodyReadAt}, {"sent_at_ms", q.lastSentAt},
+		{"last_event_at_ms", q.lastEventAt}, {"deadline_at_ms", q.deadline},
+	} {
 		if !step.at.IsZero() {
 			fields = append(fields, step.name, step.at.Sub(plan.Began).Milliseconds())
 		}
