--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/errkind"
@@ -99,7 +101,7 @@
 	switch {
 	case err != nil && q.hostStopped():
 		return errDraining()
-	case err != nil && r.Context().Err() != nil:
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil: // net/http cancels it on each failed read
 		return errkind.New(errkind.InvalidRequest, "the caller disconnected before the body was read")
 	case err != nil:
 		w.Header().Set("Connection", "close")
