--- a/internal/hostsync/client.go
+++ b/internal/hostsync/client.go
@@ -38,10 +38,6 @@
 	// dialTimeout and unackedTimeout bound the time lost on an unreachable host.
 	dialTimeout    = 120 * time.Millisecond
 	unackedTimeout = time.Second
-	// minCloseTime is the least time taken to report the last use and close the session, and closeRetryInterval the
-	// delay before that is tried again.
-	minCloseTime       = 500 * time.Millisecond
-	closeRetryInterval = 50 * time.Millisecond
 )
 
 // Options are the settings of a Client.
@@ -195,12 +191,6 @@
 	}
 }
 
-// Seal ends the spending of this host, and returns what no request has reserved with a call that begins at once.
-func (c *Client) Seal() {
-	c.allowance.Seal()
-	c.requestSync()
-}
-
 // requestSync requests an immediate call to the leader.
 func (c *Client) requestSync() {
 	select {
@@ -362,47 +352,3 @@
 	req.Report = c.allowance.Report(prepaid.Instant{BootTime: c.options.Clock(), WallTime: time.Now().UnixNano()}, c.witnesses(), req.Brief)
 	return req
 }
-
-// Close reports the final use and closes the session, so that no tokens are written off. While no leader answers it
-// tries again until the given time, but for minCloseTime in any case.
-// It must be called after Run has returned and the last request has ended.
-func (c *Client) Close(until time.Time) error {
-	c.allowance.Seal()
-	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(until), minCloseTime))
-	defer cancel()
-	for {
-		err := c.closeSession(ctx)
-		if err == nil || c.sessionEnded() || !timing.Sleep(ctx, closeRetryInterval) {
-			return err
-		}
-	}
-}
-
-// sessionEnded reports whether there is no session to close.
-func (c *Client) sessionEnded() bool {
-	select {
-	case <-c.sessionLost:
-		return true
-	default:
-		return !c.sessionOpened
-	}
-}
-
-func (c *Client) closeSession(ctx context.Context) error {
-	// The first call may have to resend an unacknowledged report; the second one sends the
-	// use since that report.
-	for range 2 {
-		if err := c.syncWithLeader(ctx); err != nil {
-			return eris.Wrap(err, "report the final use")
-		}
-	}
-	req := &controlnode.CloseRequest{Host: c.options.Host, Session: c.opening.Session}
-	reply, err := rpc.Call[controlnode.CloseRequest, controlnode.CloseReply](ctx, c.rpc, c.servedBy, controlnode.MethodClose, req)
-	if err != nil {
-		return err
-	}
-	if reply.NotLeader {
-		return eris.New("the leader has changed")
-	}
-	return nil
-}
--- a/internal/prepaid/allowance.go
+++ b/internal/prepaid/allowance.go
@@ -222,14 +222,6 @@
 // committed returns the tokens that are used, reserved or transferred to other hosts.
 func (t *allotment) committed() int64 { return t.used + t.reserved + t.sentTotal }
 
-// Seal forbids all further spending, but for requests that have reserved their tokens. A host calls it before it closes
-// its session. From the next report on, little is written off if the host is killed first.
-func (a *Allowance) Seal() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.sealed = true
-}
-
 // spendLimit returns the bound on committed tokens at time now. It is 0 until the first
 // report is acknowledged.
 func (a *Allowance) spendLimit(t *allotment, now int64) int64 {
@@ -365,13 +357,6 @@
 	return u
 }
 
-// reportLastUse returns the allotment's part of a report of a sealed host.
-func (t *allotment) reportLastUse(name string, now int64) Use {
-	u := Use{Organisation: name, Used: t.used, Reserved: t.reserved}
-	t.completeReport(&u, t.held()-t.committed(), now)
-	return u
-}
-
 // completeReport adds the tokens that are returned and transferred, and sets the pending envelope.
 func (t *allotment) completeReport(u *Use, excess, now int64) {
 	t.returned += max(excess, 0)
