--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -48,3 +50,29 @@
 		})
 	}
 }
+
+// Guards against a process that exits while the last bytes of an answer are being written.
+func TestServerKnowsTheConnectionsThatCarryARequest(t *testing.T) {
+	g := NewWithT(t)
+	s := newCallerServer(nil)
+	one, two := net.Pipe()
+	for _, step := range []struct {
+		conn         net.Conn
+		state        http.ConnState
+		open, active int
+	}{
+		{one, http.StateNew, 1, 0}, {one, http.StateActive, 1, 1}, {two, http.StateNew, 2, 1}, {two, http.StateActive, 2, 2},
+		{one, http.StateIdle, 2, 1}, {one, http.StateActive, 2, 2}, {one, http.StateClosed, 1, 1}, {two, http.StateIdle, 1, 0},
+		{two, http.StateClosed, 0, 0},
+	} {
+		s.trackConnection(step.conn, step.state)
+		g.Expect(s.openConnections()).To(Equal(step.open))
+		g.Expect(s.active).To(Equal(step.active))
+	}
+	s.trackConnection(one, http.StateActive)
+	time.AfterFunc(lastAnswersTime/2, func() { s.trackConnection(one, http.StateClosed) })
+	began := time.Now()
+	s.awaitWritten()
+	g.Expect(time.Since(began)).To(BeNumerically(">=", lastAnswersTime/2))
+	g.Expect(s.openConnections()).To(BeZero())
+}
