Logs and counters tell who ended a stream early

The lines of such streams did not tell by whom: last_failure named the caller whenever the context of the request was cancelled, and broken_answer stood for the gateway's own deadline, an upstream that broke off, a lost link and a closed tunnel alike. No counter told how many there are.

Change: "stream aborted" and "caller disconnected" have ended_by out of one closed list, taken from the cause of the end of the context, and silent_ms; all lines of requests have deadline_left_ms and body_ms. The counter streams_ended_early has the same list as a tag, apart while the host stops.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -39,7 +39,7 @@
 		event, err := events.Next()
 		switch {
 		case errors.Is(err, io.EOF) && answer.Unframed() && !a.begun:
-			return a.exchangeBroken(failureBroken) // a crash ends the connection too
+			return a.exchangeBroken(failureBroken, err) // a crash ends the connection too
 		case errors.Is(err, io.EOF):
 			a.reportOutcome(placement.Served)
 			a.recordComplete()
@@ -49,7 +49,7 @@
 			klog.InfoS("request answered", append(a.logFields(), "status", answer.StatusCode, "events", a.eventsSent)...)
 			return resultAnswered
 		case err != nil:
-			return a.exchangeBroken(failureBroken)
+			return a.exchangeBroken(failureBroken, err)
 		}
 		a.handler.Pool.MarkPrefilled(a.target, time.Now())
 		a.recordBegun()
@@ -62,7 +62,7 @@
 		a.reviewOrigin()
 		if !a.beginStream() {
 			<-a.ctx.Done() // the stop has ended the request, and cancels it next
-			return a.exchangeBroken(failureBroken)
+			return a.exchangeBroken(failureBroken, nil)
 		}
 		a.writeHeader(w, answer)
 		if !a.writeEvent(w, event) {
@@ -109,7 +109,8 @@
 	})
 	if err != nil {
 		a.reportOutcome(placement.Abandoned)
-		klog.InfoS("caller disconnected", append(a.logFields(), "events", a.eventsSent, "error", err.Error())...)
+		a.endedBy = a.writeEnd()
+		klog.InfoS("caller disconnected", append(append(a.logFields(), "error", err.Error()), a.countEndedEarly()...)...)
 		return false
 	}
 	return true
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -292,7 +291,7 @@
 	if err != nil {
 		a.mayHaveRun = true
 		a.mayHaveBegun = a.mayHaveBegun || !errors.Is(err, upstreamhttp.ErrNotBegun)
-		return a.exchangeBroken(failureNoAnswer)
+		return a.exchangeBroken(failureNoAnswer, err)
 	}
 	defer answer.Close()
 	return a.handleAnswer(w, answer)
@@ -341,18 +340,17 @@
 	a.handler.Pool.Observe(a.target, o, time.Now())
 }
 
-// exchangeBroken records that the exchange with the upstream broke, and returns the
+// exchangeBroken records that the exchange with the upstream broke with err, and returns the
 // result. If the caller has disconnected or the deadline has passed, the gateway itself
 // ended the exchange, and if it has lost its link to the upstream that did, so that it does not count
 // as a failure of the upstream.
-func (a *attempt) exchangeBroken(failure string) attemptResult {
+func (a *attempt) exchangeBroken(failure string, err error) attemptResult {
 	a.reviewOrigin()
-	a.lastFailure = failure
-	switch {
-	case !errors.Is(a.ctx.Err(), context.Canceled):
-	case a.hostStopped():
+	a.lastFailure, a.endedBy = failure, a.exchangeEnd(err)
+	switch a.endedBy {
+	case endedByHostStop:
 		a.lastFailure = failureHostStopped
-	default:
+	case endedByCaller:
 		a.lastFailure = failureCallerDisconnected
 	}
 	switch {
@@ -388,7 +386,7 @@
 	case class.Mismatched:
 		a.mayHaveRun, a.mayHaveBegun = true, true
 		a.reportOutcome(placement.Failed)
-		a.lastFailure = failureMismatched
+		a.lastFailure, a.endedBy = failureMismatched, endedByInvalidAnswer
 		return a.brokenResult()
 	}
 	a.mayHaveRun, a.mayHaveBegun = true, true
@@ -404,7 +402,7 @@
 	a.handler.Pool.MarkPrefilled(a.target, time.Now())
 	body, err := answer.ReadBody(maxBufferedAnswerBytes)
 	if err != nil {
-		return a.exchangeBroken(failureBroken)
+		return a.exchangeBroken(failureBroken, err)
 	}
 	buffered := &bufferedAnswer{status: answer.StatusCode, header: a.handler.Dialect.AnswerHeader(answer.Header), body: body}
 	a.reportOutcome(placement.Served)
@@ -413,7 +411,7 @@
 		a.recordComplete()
 	}
 	if a.eventsSent > 0 {
-		a.lastFailure = failureStatus
+		a.lastFailure, a.endedBy = failureStatus, endedByUpstream
 		return resultStreamInterrupted
 	}
 	if answer.StatusCode >= http.StatusInternalServerError && a.route.Repeatable() {
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/presence"
@@ -31,7 +32,7 @@
 		},
 		target: &placement.Assignment{Upstream: &placement.Upstream{}},
 	}
-	result := a.exchangeBroken(failureBroken)
+	result := a.exchangeBroken(failureBroken, io.ErrUnexpectedEOF)
 	g.Expect(result).To(Equal(resultStreamInterrupted))
 	g.Expect(a.lastFailure).To(Equal(failureCallerDisconnected))
 	refusal := a.finish(httptest.NewRecorder(), result)
@@ -67,11 +68,11 @@
 		g.Expect(refused).To(BeNil())
 		chosen[target.ID]++
 		a := &attempt{
-			request: &request{handler: &Handler{Options: Options{Pool: pool, Paths: paths}}, ctx: t.Context(), deadline: time.Now().Add(time.Minute)},
+			request: &request{handler: &Handler{Options: Options{Pool: pool, Paths: paths}}, ctx: t.Context(), route: &catalog.Route{}, deadline: time.Now().Add(time.Minute)},
 			target:  target,
 		}
 		if target.ID == "u0" {
-			a.exchangeBroken(failureBroken)
+			a.exchangeBroken(failureBroken, io.ErrUnexpectedEOF)
 		}
 		pool.Release(target)
 	}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -17,6 +17,7 @@
 // finalError returns the error that ends a request when no upstream can be tried.
 // refusal is the reason why none was chosen, or nil if the deadline has passed.
 func (q *request) finalError(refusal *errkind.Error) *errkind.Error {
+	q.noteContextEnd()
 	switch {
 	case q.hostStopped() && !q.mayHaveRun:
 		return errDraining()
@@ -39,6 +40,7 @@
 		a.writeAnswer(w, a.bufferedFailure)
 		return nil
 	case resultNotRun:
+		a.noteContextEnd()
 		if !a.mayHaveRun {
 			return errkind.New(errkind.Overloaded, "no upstream accepted the request: %s", a.lastFailure).
 				WithRetryAfter(spread(max(a.handler.Pool.Wait(a.serviceName, time.Now()), fullRetryAfter)))
@@ -58,7 +60,7 @@
 // abort closes the caller's connection, so that the caller can tell that the stream is
 // truncated.
 func (q *request) abort(e *errkind.Error) {
-	klog.InfoS("stream aborted", append(q.logFields(), "kind", string(e.Kind), "reason", e.Message, "events", q.eventsSent)...)
+	klog.InfoS("stream aborted", append(append(q.logFields(), "kind", string(e.Kind), "reason", e.Message), q.countEndedEarly()...)...)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -178,8 +178,9 @@
 	prefillRate float64
 	// valuation is how the request was valued when it found too little capacity; nil if it did not.
 	valuation *valuation
-	// lastFailure is the reason of the latest failed attempt.
+	// lastFailure is the reason of the latest failed attempt, and endedBy who ended that.
 	lastFailure string
+	endedBy     streamEnd
 }
 
 // ServeHTTP implements http.Handler.
@@ -251,9 +252,11 @@
 
 // serve reserves tokens, sends the request to upstreams, and settles the reservation.
 func (q *request) serve(w http.ResponseWriter, r *http.Request) *errkind.Error {
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	stopped, stop := context.WithCancelCause(r.Context())
+	defer stop(nil)
+	ctx, cancel := context.WithDeadlineCause(stopped, q.deadline, errDeadlinePassed)
 	defer cancel()
-	defer q.followStop(cancel)()
+	defer q.followStop(func() { stop(errHostStopped) })()
 	q.ctx = ctx
 	if refusal := q.findOrigin(); refusal != nil {
 		return refusal
@@ -320,5 +323,6 @@
 	if q.lastFailure != "" {
 		fields = append(fields, "last_failure", q.lastFailure)
 	}
+	fields = append(fields, q.timeLogFields()...)
 	return append(fields, q.stopLogFields()...)
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
@@ -27,8 +28,12 @@
 	CounterRetries  = "retries"
 	// CounterStreamsNotResumed counts the resumed streams that were refused.
 	CounterStreamsNotResumed = "streams_not_resumed"
+	// CounterStreamsEndedEarly counts the streams that had begun and were not delivered whole.
+	CounterStreamsEndedEarly = "streams_ended_early"
 	TagKind                  = "kind"
 	TagReason                = "reason"
+	TagEndedBy               = "ended_by"
+	TagStopping              = "stopping"
 )
 
 // Metrics holds the root scope of a process's metrics and the handler that exports them.
@@ -97,3 +102,9 @@
 func StreamNotResumed(scope tally.Scope, reason string) tally.Counter {
 	return scope.Tagged(map[string]string{TagReason: reason}).Counter(CounterStreamsNotResumed)
 }
+
+// StreamEndedEarly returns the counter of streams that had begun and were not delivered whole, by who ended them and whether
+// the host was stopping.
+func StreamEndedEarly(scope tally.Scope, endedBy string, stopping bool) tally.Counter {
+	return scope.Tagged(map[string]string{TagEndedBy: endedBy, TagStopping: strconv.FormatBool(stopping)}).Counter(CounterStreamsEndedEarly)
+}
