Streams that have begun end with their callers, not at the gateway's deadline

Cause: one deadline, counted from when the gateway learned of the request, bound both the wait for an answer and a stream that the caller was reading, and was handed on to the upstream. The caller and the upstream know when to stop; the gateway ended the stream ahead of both.

Change: the deadline from the head goes on binding a request until a stream has begun (tokens, places, attempts, refusals, 504). From the first event on the caller leaves by itself, and the upstream stops at the time that it was sent, which counts from the last byte of the body for streams. The gateway ends a stream 200 ms after its deadline by that reckoning. The context of a request has the deadline that binds it now; the first event and the deadline meet in the compare-and-swap that EndRequests uses already. An upstream that ends a stream at the deadline that it was sent has not failed: no ejection, no look for a crash, no doubt about its version. A stop takes streams by the later reckoning.

Why it works: by no reckoning that counts from a byte of the request, to 200 ms after the last, does the gateway end a stream before its caller's time is up; at the latest it ends 200 ms after the deadline, so that callers who stay hold an upstream no longer than that.

--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,13 +32,12 @@
 // streamUpstream is an upstream of streams without end.
 type streamUpstream struct {
 	Dialect
-	// waits is the time until the first event, obeys makes it end streams at the deadline that it is sent, and breaksAfter the number of events after
-	// which it ends each.
-	waits       time.Duration
-	obeys       bool
-	breaksAfter int
-	// given holds the times that it was sent, and left receives an element when the connection of a stream is closed.
+	// waits is the time until the first event, and obeys makes it end streams at the deadline that it is sent.
+	waits time.Duration
+	obeys bool
+	// given holds the times that it was sent, dials is the number of connections, and left receives the time when that of a stream is closed.
 	given []time.Duration
+	dials atomic.Int32
 	left  chan time.Time
 }
 
@@ -49,6 +50,7 @@
 func (*streamUpstream) AnswerHeader(h http.Header) http.Header           { return h.Clone() }
 
 func (u *streamUpstream) dial(context.Context, string) (io.ReadWriteCloser, error) {
+	u.dials.Add(1)
 	conn, end := net.Pipe()
 	go u.serve(end)
 	return conn, nil
@@ -63,9 +65,6 @@
 	time.Sleep(u.waits)
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for i := 1; !u.obeys || time.Now().Before(deadline); i++ {
-		if u.breaksAfter > 0 && i > u.breaksAfter {
-			return
-		}
 		event := fmt.Sprintf("id: %d\ndata: token\n\n", i)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			u.left <- time.Now()
@@ -98,6 +97,8 @@
 type streamCall struct {
 	// timeout is how long the caller waits, and routeTimeout that of the route.
 	timeout, routeTimeout time.Duration
+	// kind is the kind of the route if it is not that of streams.
+	kind catalog.Kind
 	// body is the time that the body takes, and clock how late the caller's reckoning is, which counts from the end of the body.
 	body, clock time.Duration
 }
@@ -110,16 +111,22 @@
 	early time.Duration
 }
 
-// play sends the stream through the handler. A caller that leaves does so when its time is up.
-func (c streamCall) play(t *testing.T, h *Handler, leaves bool) *streamResult {
+// request returns the request at the end of its body.
+func (c streamCall) request(h *Handler) *request {
 	q := &request{
 		handler: h, arrived: time.Now(), serviceName: "s", view: &hostsync.View{Index: catalog.NewIndex(&catalog.Document{}), Hosts: 1},
 		Call:  &Call{ID: "call", Method: http.MethodPost, URI: "/", Authority: "s", CallerTimeout: c.timeout},
-		route: &catalog.Route{Name: "r", Kind: catalog.Streaming, Timeout: c.routeTimeout, MaxAttempts: 2, Resumable: true},
+		route: &catalog.Route{Name: "r", Kind: cmp.Or(c.kind, catalog.Streaming), Timeout: c.routeTimeout, MaxAttempts: 2, Resumable: true},
 	}
 	q.setDeadline()
 	time.Sleep(c.body)
 	q.bodyReadAt = time.Now()
+	return q
+}
+
+// play sends the stream through the handler. A caller that leaves does so when its time is up.
+func (c streamCall) play(t *testing.T, h *Handler, leaves bool) *streamResult {
+	q := c.request(h)
 	callersDeadline := time.Now().Add(min(c.timeout, c.routeTimeout) + c.clock)
 	ctx, leave := context.WithCancel(t.Context())
 	defer leave()
@@ -174,3 +181,177 @@
 		g.Expect(upstream.given).To(Equal([]time.Duration{time.Second}))
 	})
 }
+
+// Guards against streams without end whose callers do not leave, and against upstreams that work on for them.
+func TestBegunStreamOfACallerWhoStaysEndsShortlyAfterItsDeadline(t *testing.T) {
+	for name, call := range map[string]streamCall{
+		"prompt":                     {timeout: time.Second, routeTimeout: 2 * time.Second},
+		"late body":                  {timeout: time.Second, routeTimeout: time.Second, body: 300 * time.Millisecond},
+		"timeout of the route first": {timeout: time.Minute, routeTimeout: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				upstream := &streamUpstream{}
+				result := call.play(t, newStreamHandler(upstream, "u"), false)
+				g.Expect(result.early).To(Equal(-deadlineTolerance))
+				g.Expect(result.endedBy).To(Equal(endedByDeadline))
+				g.Expect(result.refusal.Kind).To(Equal(errkind.OutcomeUnknown))
+				g.Expect(<-upstream.left).To(BeTemporally("~", result.arrived.Add(call.body+time.Second+deadlineTolerance), eventInterval))
+				g.Expect(upstream.dials.Load()).To(BeEquivalentTo(1))
+			})
+		})
+	}
+}
+
+// Guards against streams of callers who state no deadline that are cut before the timeout of their route.
+func TestStreamWithoutAStatedDeadlineLastsForTheTimeoutOfItsRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		upstream := &streamUpstream{}
+		result := streamCall{routeTimeout: time.Second, body: 300 * time.Millisecond}.play(t, newStreamHandler(upstream, "u"), false)
+		g.Expect(time.Until(result.arrived.Add(1300*time.Millisecond + deadlineTolerance))).To(Equal(-2 * eventInterval))
+		g.Expect(upstream.given).To(Equal([]time.Duration{time.Second}))
+	})
+}
+
+// Guards against requests without an answer that are held longer than the deadline from their head.
+func TestRequestWithoutAnAnswerIsAnsweredAtItsDeadline(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind  catalog.Kind
+		given time.Duration
+	}{
+		"stream":              {catalog.Streaming, time.Second},
+		"answer in one piece": {catalog.NonIdempotent, 700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				upstream := &streamUpstream{waits: 2 * time.Second}
+				call := streamCall{timeout: time.Second, routeTimeout: time.Second, kind: test.kind, body: 300 * time.Millisecond}
+				result := call.play(t, newStreamHandler(upstream, "u"), false)
+				g.Expect(result.early).To(Equal(300 * time.Millisecond))
+				g.Expect(result.refusal.Kind).To(Equal(errkind.OutcomeUnknown))
+				g.Expect(result.eventsSent).To(BeZero())
+				g.Expect(upstream.given).To(Equal([]time.Duration{test.given}))
+				time.Sleep(upstream.waits)
+			})
+		})
+	}
+}
+
+// Guards against an answer whose body is still arriving at the deadline, and that is held longer than one that has not begun.
+func TestAnswerInOnePieceThatIsStillArrivingEndsAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		call := streamCall{timeout: time.Second, routeTimeout: time.Second, kind: catalog.NonIdempotent, body: 300 * time.Millisecond}
+		result := call.play(t, newStreamHandler(&streamUpstream{}, "u"), false)
+		g.Expect(result.early).To(Equal(300 * time.Millisecond))
+		g.Expect(result.refusal.Kind).To(Equal(errkind.OutcomeUnknown))
+	})
+}
+
+// Guards against streams whose first event comes at the deadline, and that are both refused and begun.
+func TestFirstEventAtTheDeadlineBeginsAStreamOrComesTooLate(t *testing.T) {
+	for range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newStreamHandler(&streamUpstream{waits: time.Second}, "u")
+			result := streamCall{timeout: time.Second, routeTimeout: time.Second}.play(t, h, false)
+			if result.eventsSent == 0 {
+				g.Expect(result.early).To(BeZero())
+				g.Expect(result.refusal.Message).To(ContainSubstring("before an answer arrived"))
+				return
+			}
+			g.Expect(result.early).To(Equal(-deadlineTolerance))
+		})
+	}
+}
+
+// Guards against upstreams that are ejected or taken to have crashed as they end streams at the deadline that they were sent.
+func TestUpstreamThatEndsAStreamAtItsDeadlineHasNotFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		upstream := &streamUpstream{obeys: true}
+		h := newStreamHandler(upstream, "u")
+		const streams = 10
+		for range streams {
+			result := streamCall{timeout: time.Second, routeTimeout: time.Second}.play(t, h, false)
+			g.Expect(result.endedBy).To(Equal(endedByUpstreamDeadline))
+			g.Expect(result.attempts).To(Equal(1))
+		}
+		g.Expect(upstream.dials.Load()).To(BeEquivalentTo(streams), "none to see whether it has crashed")
+		g.Expect(h.Pool.HasReady("s", time.Now())).To(BeTrue())
+	})
+}
+
+// Guards against streams that go on at another upstream for longer than at the first, or not at all after the deadline from the head.
+func TestStreamThatGoesOnElsewhereEndsWhenItWouldHave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		upstream := &streamUpstream{}
+		h := newStreamHandler(upstream, "u")
+		q := streamCall{timeout: time.Second, routeTimeout: time.Second, body: 300 * time.Millisecond}.request(h)
+		defer q.bindContext(t.Context())()
+		target, refused := h.Pool.Choose(&placement.Request{Service: "s"}, time.Now())
+		g.Expect(refused).To(BeNil())
+		a := &attempt{request: q, target: target}
+		a.prepareRequest()
+		g.Expect(q.beginStream()).To(BeTrue())
+		q.eventsSent, q.resumable = 1, true
+		for range 2 {
+			time.Sleep(400 * time.Millisecond)
+			g.Expect(q.mayRetry("s", resultStreamInterrupted)).To(BeTrue())
+			a.prepareRequest()
+		}
+		g.Expect(upstream.given).To(Equal([]time.Duration{time.Second, 600 * time.Millisecond, 200 * time.Millisecond}))
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(q.mayRetry("s", resultStreamInterrupted)).To(BeFalse(), "its caller's time is up")
+	})
+}
+
+// Guards against dials that are counted as failed as their caller has left, and not counted as the deadline passed.
+func TestContextOfARequestTellsItsDeadlineFromItsCallersLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newStreamHandler(&streamUpstream{}, "u")
+		begin := func(parent context.Context) *request {
+			q := &request{handler: h, arrived: time.Now(), deadline: time.Now().Add(time.Second)}
+			t.Cleanup(q.bindContext(parent))
+			return q
+		}
+		parent, leave := context.WithCancel(t.Context())
+		late, begun, left, stopped := begin(t.Context()), begin(t.Context()), begin(parent), begin(t.Context())
+		g.Expect(begun.beginStream()).To(BeTrue())
+		leave()
+		g.Expect(left.ctx.Err()).To(MatchError(context.Canceled))
+		g.Expect(stopped.beginStream()).To(BeTrue())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		g.Expect(withVia(late.ctx, new(string)).Err()).To(MatchError(context.DeadlineExceeded))
+		g.Expect(late.beginStream()).To(BeFalse())
+		g.Expect(begun.ctx.Err()).NotTo(HaveOccurred())
+		deadline, _ := begun.ctx.Deadline()
+		g.Expect(time.Until(deadline)).To(Equal(deadlineTolerance))
+		h.EndStreams()
+		synctest.Wait()
+		g.Expect(stopped.ctx.Err()).To(MatchError(context.Canceled))
+		g.Expect(contextEnd(stopped.ctx)).To(Equal(endedByHostStop))
+		g.Expect(contextEnd(late.ctx)).To(Equal(endedByDeadline))
+		g.Expect(contextEnd(left.ctx)).To(Equal(endedByCaller))
+	})
+}
+
+// Guards against streams with a late body that a stopping gateway takes though they may outlast the stop.
+func TestStoppingGatewayReckonsTheDeadlineOfAStreamFromTheEndOfItsBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newStreamHandler(&streamUpstream{}, "u")
+		h.BeginStop(StopPlan{Began: time.Now(), Refuse: time.Now().Add(time.Second), Answer: time.Now().Add(time.Second)})
+		q := &request{handler: h, route: &catalog.Route{Kind: catalog.Streaming}, arrived: time.Now(), deadline: time.Now().Add(900 * time.Millisecond)}
+		q.bodyReadAt = q.arrived.Add(100 * time.Millisecond)
+		g.Expect(q.checkStopTime()).To(BeNil())
+		q.bodyReadAt = q.arrived.Add(101 * time.Millisecond)
+		g.Expect(q.checkStopTime()).To(HaveField("Kind", errkind.Draining))
+	})
+}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -61,7 +61,7 @@
 		}
 		a.reviewOrigin()
 		if !a.beginStream() {
-			<-a.ctx.Done() // the stop has ended the request, and cancels it next
+			<-a.ctx.Done() // the deadline or the stop has ended the request, and cancels it next
 			return a.exchangeBroken(failureBroken, nil)
 		}
 		a.writeHeader(w, answer)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -59,7 +59,7 @@
 	Upstream string
 	// Organisation is empty for anonymous requests.
 	Organisation string
-	// TimeRemaining is the time until the request's deadline.
+	// TimeRemaining is the time after which the upstream is to stop work, at most what the caller stated.
 	TimeRemaining time.Duration
 	// Rank orders requests at the upstream when capacity is short; 0 is served first.
 	Rank int
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -305,7 +305,7 @@
 	}
 	a.version = a.handler.Pool.VersionAt(a.target, time.Now())
 	metadata := &UpstreamMetadata{
-		Upstream: a.target.ID, TimeRemaining: a.timeRemaining(), Rank: a.rank(), CacheSource: a.target.PrefixSource,
+		Upstream: a.target.ID, TimeRemaining: a.upstreamTime(), Rank: a.rank(), CacheSource: a.target.PrefixSource,
 		ResumeAfter: a.ResumeAfter, Resumes: a.Resumes,
 	}
 	if a.organisation != nil {
@@ -343,7 +343,7 @@
 // exchangeBroken records that the exchange with the upstream broke with err, and returns the
 // result. If the caller has disconnected or the deadline has passed, the gateway itself
 // ended the exchange, and if it has lost its link to the upstream that did, so that it does not count
-// as a failure of the upstream.
+// as a failure of the upstream, nor does the end of a stream whose time is up.
 func (a *attempt) exchangeBroken(failure string, err error) attemptResult {
 	a.reviewOrigin()
 	a.lastFailure, a.endedBy = failure, a.exchangeEnd(err)
@@ -353,18 +353,18 @@
 	case endedByCaller:
 		a.lastFailure = failureCallerDisconnected
 	}
+	abandoned := a.ctx.Err() != nil || a.endedBy == endedByUpstreamDeadline
 	switch {
-	case a.ctx.Err() != nil:
+	case abandoned:
 		a.reportOutcome(placement.Abandoned)
 	case a.handler.Paths.Lost(a.target.Address):
 		a.reportOutcome(placement.LinkLost)
 	default:
 		a.reportOutcome(placement.Failed)
 	}
-	if a.ctx.Err() != nil {
-		return a.brokenResult()
+	if !abandoned {
+		go a.reportCrash(time.Now())
 	}
-	go a.reportCrash(time.Now())
 	return a.brokenResult()
 }
 
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -46,7 +46,7 @@
 		return ""
 	case errors.Is(cause, errHostStopped):
 		return endedByHostStop
-	case errors.Is(cause, errDeadlinePassed), errors.Is(cause, context.DeadlineExceeded):
+	case errors.Is(cause, errDeadlinePassed):
 		return endedByDeadline
 	}
 	return endedByCaller
@@ -72,7 +72,7 @@
 
 // upstreamTimeIsUp reports whether the time that was sent to the upstream of a stream has passed.
 func (a *attempt) upstreamTimeIsUp() bool {
-	return a.route.Kind == catalog.Streaming && a.timeRemaining() < minAttemptTime
+	return a.route.Kind == catalog.Streaming && a.upstreamTime() < minAttemptTime
 }
 
 // brokenOff reports whether err means that the connection to the upstream ended before the answer did.
@@ -109,7 +109,7 @@
 func (q *request) timeLogFields() []any {
 	var fields []any
 	if !q.deadline.IsZero() {
-		fields = append(fields, "deadline_left_ms", time.Until(q.deadline).Milliseconds())
+		fields = append(fields, "deadline_left_ms", q.timeRemaining().Milliseconds())
 	}
 	if !q.bodyReadAt.IsZero() {
 		fields = append(fields, "body_ms", q.bodyReadAt.Sub(q.arrived).Milliseconds())
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -124,9 +124,11 @@
 	// bodyReadAt is when the body was read, and lastSentAt when the request was last sent to an upstream.
 	bodyReadAt time.Time
 	lastSentAt time.Time
-	// deadline is the earlier of the caller's deadline and the route's timeout.
+	// deadline is the earlier of the caller's deadline and the route's timeout, counted from the head of the request. It binds
+	// until a stream has begun, see streamDeadline.
 	deadline time.Time
-	ctx      context.Context
+	// ctx is a requestContext.
+	ctx context.Context
 	// phase is an answerPhase.
 	phase atomic.Int32
 	// reservedTokens is the number of tokens reserved from the allowance.
@@ -252,12 +254,7 @@
 
 // serve reserves tokens, sends the request to upstreams, and settles the reservation.
 func (q *request) serve(w http.ResponseWriter, r *http.Request) *errkind.Error {
-	stopped, stop := context.WithCancelCause(r.Context())
-	defer stop(nil)
-	ctx, cancel := context.WithDeadlineCause(stopped, q.deadline, errDeadlinePassed)
-	defer cancel()
-	defer q.followStop(func() { stop(errHostStopped) })()
-	q.ctx = ctx
+	defer q.bindContext(r.Context())()
 	if refusal := q.findOrigin(); refusal != nil {
 		return refusal
 	}
@@ -268,8 +265,6 @@
 	return q.dispatch(w)
 }
 
-func (q *request) timeRemaining() time.Duration { return time.Until(q.deadline) }
-
 // refuse answers with e, logs it and counts it by kind.
 func (h *Handler) refuse(w http.ResponseWriter, q *request, e *errkind.Error) {
 	telemetry.Refusal(h.Scope, e.Kind).Inc(1)
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -85,7 +85,7 @@
 // its deadline comes first: one that is broken off costs its caller all of it, and a refusal the way to another host.
 func (q *request) checkStopTime() *errkind.Error {
 	plan := q.handler.stop.plan.Load()
-	if plan == nil || !q.deadline.After(plan.Answer) {
+	if plan == nil || !q.latestDeadline().After(plan.Answer) {
 		return nil
 	}
 	if q.route.Kind != catalog.Streaming && q.handler.workTimes.overrunShare(q.route.Name, time.Until(plan.Answer)) <= maxOverrunShare {
@@ -112,24 +112,20 @@
 	}
 }
 
-// answerPhase tells whether a stop ends a request before its answer begins.
+// answerPhase tells whether the deadline or a stop ends a request before its answer begins.
 type answerPhase int32
 
 const (
 	phaseWaiting answerPhase = iota
-	// phaseStreaming: the caller has got the beginning of a stream, and the request goes on until EndStreams.
+	// phaseStreaming: the caller has got the beginning of a stream, and the request goes on until streamEnd or EndStreams.
 	phaseStreaming
-	// phaseEnded: EndRequests came first.
+	// phaseEnded: the deadline or EndRequests came first.
 	phaseEnded
 )
 
 // followStop calls cancel when the stop ends the request. It no longer does so after release was called.
 func (q *request) followStop(cancel context.CancelFunc) (release func()) {
-	unanswered := context.AfterFunc(q.handler.requestsEnded, func() {
-		if q.phase.CompareAndSwap(int32(phaseWaiting), int32(phaseEnded)) {
-			cancel()
-		}
-	})
+	unanswered := context.AfterFunc(q.handler.requestsEnded, func() { q.endUnanswered(cancel) })
 	begun := context.AfterFunc(q.handler.streamsEnded, cancel)
 	return func() {
 		unanswered()
@@ -137,15 +133,25 @@
 	}
 }
 
+// endUnanswered calls cancel unless a stream has begun.
+func (q *request) endUnanswered(cancel func()) {
+	if q.phase.CompareAndSwap(int32(phaseWaiting), int32(phaseEnded)) {
+		cancel()
+	}
+}
+
+// streaming reports whether the caller has got the beginning of a stream.
+func (q *request) streaming() bool { return answerPhase(q.phase.Load()) == phaseStreaming }
+
 // beginStream reports whether the first event may be sent to the caller. The request has to be answered otherwise.
 func (q *request) beginStream() bool {
-	return q.phase.CompareAndSwap(int32(phaseWaiting), int32(phaseStreaming)) || answerPhase(q.phase.Load()) == phaseStreaming
+	return q.phase.CompareAndSwap(int32(phaseWaiting), int32(phaseStreaming)) || q.streaming()
 }
 
 // hostStopped reports whether the request has to end because the host stops.
 func (q *request) hostStopped() bool {
 	ended := q.handler.requestsEnded
-	if answerPhase(q.phase.Load()) == phaseStreaming {
+	if q.streaming() {
 		ended = q.handler.streamsEnded
 	}
 	return ended != nil && ended.Err() != nil
@@ -227,7 +233,7 @@
 		at   time.Time
 	}{
 		{"head_at_ms", q.arrived}, {"body_at_ms", q.bodyReadAt}, {"sent_at_ms", q.lastSentAt},
-		{"last_event_at_ms", q.lastEventAt}, {"deadline_at_ms", q.deadline},
+		{"last_event_at_ms", q.lastEventAt}, {"deadline_at_ms", q.currentDeadline()},
 	} {
 		if !step.at.IsZero() {
 			fields = append(fields, step.name, step.at.Sub(plan.Began).Milliseconds())
