Interrupted streams are sent to no other upstream after their time is up

Since a stream that has begun ends 200 ms after its deadline, the connection to the upstream at which it is to go on may be established in between; the request would have been sent there with 1 ms. Seen by reading, no caller has met it. TestStreamThatGoesOnElsewhereEndsWhenItWouldHave has the case, failed before and passes now.

--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -307,6 +307,7 @@
 		g.Expect(upstream.given).To(Equal([]time.Duration{time.Second, 600 * time.Millisecond, 200 * time.Millisecond}))
 		time.Sleep(200 * time.Millisecond)
 		g.Expect(q.mayRetry("s", resultStreamInterrupted)).To(BeFalse(), "its caller's time is up")
+		g.Expect(a.prepareRequest()).To(BeNil(), "connecting has taken too long")
 	})
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -297,10 +297,10 @@
 	return a.handleAnswer(w, answer)
 }
 
-// prepareRequest returns the request as it is to be sent now, or nil if the caller has left or the
+// prepareRequest returns the request as it is to be sent now, or nil if the caller has left, its time is up or the
 // upstream has ceased to take requests while the connection was established.
 func (a *attempt) prepareRequest() *upstreamhttp.Request {
-	if a.ctx.Err() != nil || !a.handler.Pool.Takes(a.target, time.Now()) {
+	if a.ctx.Err() != nil || a.upstreamTime() <= 0 || !a.handler.Pool.Takes(a.target, time.Now()) {
 		return nil
 	}
 	a.version = a.handler.Pool.VersionAt(a.target, time.Now())
