Origins of streams are kept by the deadline from the end of the body

What callers saw: nothing reported; the same cause as the streams cut at their deadline, found by reading. A caller that counts from the end of a body that took longer than a second could not take its stream up at the end of its time.

TestOriginOfAStreamIsKeptUntilItsCallersTimeIsUp failed before (5 s kept of 8 s) and passes now.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -73,11 +73,15 @@
 
 // setDeadline sets the deadline to the earlier of the caller's deadline and the route's timeout.
 func (q *request) setDeadline() {
-	timeout := q.CallerTimeout
-	if timeout <= 0 {
-		timeout = defaultCallerTimeout
+	q.deadline = q.arrived.Add(min(q.callerTimeout(), q.route.Timeout))
+}
+
+// callerTimeout returns how long the caller waits for the answer.
+func (q *request) callerTimeout() time.Duration {
+	if q.CallerTimeout <= 0 {
+		return defaultCallerTimeout
 	}
-	q.deadline = q.arrived.Add(min(timeout, q.route.Timeout))
+	return q.CallerTimeout
 }
 
 // readBody reads the whole body, so that the request can be retried on another upstream
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -311,6 +311,16 @@
 	})
 }
 
+// Guards against streams that their callers can't take up in the time that they have left from the end of the body.
+func TestOriginOfAStreamIsKeptUntilItsCallersTimeIsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		q := streamCall{timeout: 8 * time.Second, routeTimeout: 8 * time.Second, body: 3 * time.Second}.request(newStreamHandler(&streamUpstream{}, "u"))
+		time.Sleep(time.Second)
+		g.Expect(q.originLifetime()).To(Equal(7*time.Second + originSlack))
+	})
+}
+
 // Guards against dials that are counted as failed as their caller has left, and not counted as the deadline passed.
 func TestContextOfARequestTellsItsDeadlineFromItsCallersLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -51,16 +51,18 @@
 	if !a.route.Resumable {
 		return
 	}
-	timeout := a.CallerTimeout
-	if timeout <= 0 {
-		timeout = defaultCallerTimeout
-	}
 	a.handler.Sync.RecordStreamOrigin(streamorigin.Record{
 		Fingerprint: a.fingerprint(), CallID: a.ID, Origin: streamorigin.Origin{Service: a.serviceName, Version: a.streamVersion},
-		Lifetime: time.Until(a.arrived.Add(timeout)) + originSlack,
+		Lifetime: a.originLifetime(),
 	})
 }
 
+// originLifetime returns the time for which the origin of the stream is kept from now on. Its caller may count its time from the end of
+// the body.
+func (q *request) originLifetime() time.Duration {
+	return time.Until(q.bodyReadAt.Add(q.callerTimeout())) + originSlack
+}
+
 // findOrigin finds out which software version began the stream that the caller resumes, and
 // refuses the request if that is not known or the route no longer leads to its service.
 func (q *request) findOrigin() *errkind.Error {
