--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -292,21 +291,21 @@
 	if err != nil {
 		a.mayHaveRun = true
 		a.mayHaveBegun = a.mayHaveBegun || !errors.Is(err, upstreamhttp.ErrNotBegun)
-		return a.exchangeBroken(failureNoAnswer)
+		return a.exchangeBroken(failureNoAnswer, err)
 	}
 	defer answer.Close()
 	return a.handleAnswer(w, answer)
 }
 
-// prepareRequest returns the request as it is to be sent now, or nil if the caller has left or the
+// prepareRequest returns the request as it is to be sent now, or nil if the caller has left, its time is up or the
 // upstream has ceased to take requests while the connection was established.
 func (a *attempt) prepareRequest() *upstreamhttp.Request {
-	if a.ctx.Err() != nil || !a.handler.Pool.Takes(a.target, time.Now()) {
+	if a.ctx.Err() != nil || a.upstreamTime() <= 0 || !a.handler.Pool.Takes(a.target, time.Now()) {
 		return nil
 	}
 	a.version = a.handler.Pool.VersionAt(a.target, time.Now())
 	metadata := &UpstreamMetadata{
-		Upstream: a.target.ID, TimeRemaining: a.timeRemaining(), Rank: a.rank(), CacheSource: a.target.PrefixSource,
+		Upstream: a.target.ID, TimeRemaining: a.upstreamTime(), Rank: a.rank(), CacheSource: a.target.PrefixSource,
 		ResumeAfter: a.ResumeAfter, Resumes: a.Resumes,
 	}
 	if a.organisation != nil {
@@ -341,32 +340,31 @@
 	a.handler.Pool.Observe(a.target, o, time.Now())
 }
 
-// exchangeBroken records that the exchange with the upstream broke, and returns the
+// exchangeBroken records that the exchange with the upstream broke with err, and returns the
 // result. If the caller has disconnected or the deadline has passed, the gateway itself
 // ended the exchange, and if it has lost its link to the upstream that did, so that it does not count
-// as a failure of the upstream.
-func (a *attempt) exchangeBroken(failure string) attemptResult {
+// as a failure of the upstream, nor does the end of a stream whose time is up.
+func (a *attempt) exchangeBroken(failure string, err error) attemptResult {
 	a.reviewOrigin()
-	a.lastFailure = failure
-	switch {
-	case !errors.Is(a.ctx.Err(), context.Canceled):
-	case a.hostStopped():
+	a.lastFailure, a.endedBy = failure, a.exchangeEnd(err)
+	switch a.endedBy {
+	case endedByHostStop:
 		a.lastFailure = failureHostStopped
-	default:
+	case endedByCaller:
 		a.lastFailure = failureCallerDisconnected
 	}
+	abandoned := a.ctx.Err() != nil || a.endedBy == endedByUpstreamDeadline
 	switch {
-	case a.ctx.Err() != nil:
+	case abandoned:
 		a.reportOutcome(placement.Abandoned)
 	case a.handler.Paths.Lost(a.target.Address):
 		a.reportOutcome(placement.LinkLost)
 	default:
 		a.reportOutcome(placement.Failed)
 	}
-	if a.ctx.Err() != nil {
-		return a.brokenResult()
+	if !abandoned {
+		go a.reportCrash(time.Now())
 	}
-	go a.reportCrash(time.Now())
 	return a.brokenResult()
 }
 
@@ -388,7 +386,7 @@
 	case class.Mismatched:
 		a.mayHaveRun, a.mayHaveBegun = true, true
 		a.reportOutcome(placement.Failed)
-		a.lastFailure = failureMismatched
+		a.lastFailure, a.endedBy = failureMismatched, endedByInvalidAnswer
 		return a.brokenResult()
 	}
 	a.mayHaveRun, a.mayHaveBegun = true, true
@@ -404,7 +402,7 @@
 	a.handler.Pool.MarkPrefilled(a.target, time.Now())
 	body, err := answer.ReadBody(maxBufferedAnswerBytes)
 	if err != nil {
-		return a.exchangeBroken(failureBroken)
+		return a.exchangeBroken(failureBroken, err)
 	}
 	buffered := &bufferedAnswer{status: answer.StatusCode, header: a.handler.Dialect.AnswerHeader(answer.Header), body: body}
 	a.reportOutcome(placement.Served)
@@ -413,7 +411,7 @@
 		a.recordComplete()
 	}
 	if a.eventsSent > 0 {
-		a.lastFailure = failureStatus
+		a.lastFailure, a.endedBy = failureStatus, endedByUpstream
 		return resultStreamInterrupted
 	}
 	if answer.StatusCode >= http.StatusInternalServerError && a.route.Repeatable() {
