Streams without framing that end at their deadline are not passed on as complete

Found by reading. An answer without a length ends with its connection, and an upstream that stops at the deadline that it was sent closes the connection too. Since the gateway no longer ends the stream first, it passed such a stream on with a regular end. Now it breaks the stream off, as it does for a connection that ends before the first event. TestUnframedStreamThatEndsAtItsDeadlineIsNotComplete failed before and passes now.

--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -32,9 +32,11 @@
 // streamUpstream is an upstream of streams without end.
 type streamUpstream struct {
 	Dialect
-	// waits is the time until the first event, and obeys makes it end streams at the deadline that it is sent.
-	waits time.Duration
-	obeys bool
+	// waits is the time until the first event, and obeys makes it end streams at the deadline that it is sent. unframed makes the end of the
+	// connection that of the stream.
+	waits    time.Duration
+	obeys    bool
+	unframed bool
 	// given holds the times that it was sent, dials is the number of connections, and left receives the time when that of a stream is closed.
 	given []time.Duration
 	dials atomic.Int32
@@ -63,10 +65,17 @@
 	}
 	deadline := time.Now().Add(u.given[len(u.given)-1])
 	time.Sleep(u.waits)
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	framing := "Transfer-Encoding: chunked\r\n"
+	if u.unframed {
+		framing = ""
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+framing+"\r\n")
 	for i := 1; !u.obeys || time.Now().Before(deadline); i++ {
 		event := fmt.Sprintf("id: %d\ndata: token\n\n", i)
-		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if !u.unframed {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(conn, event); err != nil {
 			u.left <- time.Now()
 			return
 		}
@@ -268,6 +277,18 @@
 	}
 }
 
+// Guards against streams that end with their connection at the deadline, and reach their callers as complete.
+func TestUnframedStreamThatEndsAtItsDeadlineIsNotComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newStreamHandler(&streamUpstream{obeys: true, unframed: true}, "u")
+		result := streamCall{timeout: time.Second, routeTimeout: time.Second}.play(t, h, false)
+		g.Expect(result.refusal).NotTo(BeNil())
+		g.Expect(result.endedBy).To(Equal(endedByUpstreamDeadline))
+		g.Expect(result.outcome).To(Equal(gotNothing))
+	})
+}
+
 // Guards against upstreams that are ejected or taken to have crashed as they end streams at the deadline that they were sent.
 func TestUpstreamThatEndsAStreamAtItsDeadlineHasNotFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -38,8 +38,8 @@
 	for {
 		event, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && answer.Unframed() && !a.begun:
-			return a.exchangeBroken(failureBroken, err) // a crash ends the connection too
+		case errors.Is(err, io.EOF) && answer.Unframed() && (!a.begun || a.upstreamTimeIsUp()):
+			return a.exchangeBroken(failureBroken, err) // a crash and the deadline end the connection too
 		case errors.Is(err, io.EOF):
 			a.reportOutcome(placement.Served)
 			a.recordComplete()
