An answer without a length that was reset is not complete

Callers got 200 and the first part of an answer as if it were whole, where the answer had no length and its upstream reset the connection while it was still being sent a long body. Cause: the system reports a reset or a timeout of a connection once, to the read or the write that comes first. If the write got it, the read saw the end of the connection, which ends an answer without a length. Change: a connection for one exchange looks at how its write ended before it reports io.EOF. EPIPE means that the peer had closed the connection in order before.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -131,15 +131,16 @@
 	return failure
 }
 
-// measuringDialer returns dial, whose connections are recorded by meter.
+// measuringDialer returns dial, whose connections are recorded by meter and carry one exchange each.
 func measuringDialer(dial upstreamhttp.TimedDialFunc, meter *linkadmission.Meter) upstreamhttp.TimedDialFunc {
 	return func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 		started := time.Now()
 		conn, err := dial(ctx, address, timeout)
-		if err == nil {
-			meter.Connected(time.Since(started), time.Now())
+		if err != nil {
+			return nil, err
 		}
-		return conn, err
+		meter.Connected(time.Since(started), time.Now())
+		return netconn.ForExchange(conn), nil
 	}
 }
 
