An upstream that answers may leave a long body unread

Streams were cut 3.4 s after their upstream's receive window had closed, though their events arrived all the while: an upstream may answer before it has read a long body, and read on later. Cause: TCP_USER_TIMEOUT, which detects unreachable peers, also counts the time for which a peer's window is closed, even if it acknowledges each probe.

--- a/internal/netconn/exchange_test.go
+++ b/internal/netconn/exchange_test.go
@@ -58,6 +58,22 @@
 	}
 }
 
+// Guards against a connection that is cut because its peer answers before it reads the request.
+func TestPeerThatAnswersMayLeaveTheRequestUnread(t *testing.T) {
+	const unackedTimeout, parts, pause = time.Second, 30, 100 * time.Millisecond
+	received, err := exchange(t, unackedTimeout, func(peer *net.TCPConn) {
+		for range parts {
+			_, _ = io.WriteString(peer, "x")
+			time.Sleep(pause)
+		}
+		_ = peer.CloseWrite()
+		time.Sleep(pause)
+	})
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received).To(HaveLen(parts))
+}
+
 // Guards against taking the end of an answer for a failure, as its peer reads the request no further or goes on reading it.
 func TestAnswerThatEndsInOrderWhileTheRequestIsSentIsWhole(t *testing.T) {
 	for name, after := range map[string]func(*net.TCPConn){
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -26,25 +27,25 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: max(int(probes), 1)}
 }
 
-// setUserTimeout returns a function that sets TCP_USER_TIMEOUT on a socket: the time for
-// which sent bytes may stay unacknowledged.
-func setUserTimeout(unackedTimeout time.Duration) func(string, string, syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var optionErr error
-		err := c.Control(func(fd uintptr) {
-			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-		})
-		if err != nil {
-			return eris.Wrap(err, "set TCP_USER_TIMEOUT")
-		}
-		return eris.Wrap(optionErr, "set TCP_USER_TIMEOUT")
-	}
+// setUserTimeout sets TCP_USER_TIMEOUT on a socket: the time for which sent bytes may stay unacknowledged, or
+// unsent as the window of the peer is closed. 0 is the system's default.
+func setUserTimeout(c syscall.RawConn, unackedTimeout time.Duration) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return eris.Wrap(errors.Join(err, optionErr), "set TCP_USER_TIMEOUT")
+}
+
+// withUserTimeout returns a function that sets the timeout on a new socket.
+func withUserTimeout(unackedTimeout time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, unackedTimeout) }
 }
 
 // Dial connects to address. The connection fails when sent bytes stay unacknowledged
 // for unackedTimeout.
 func Dial(ctx context.Context, address string, timeout, unackedTimeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, Control: setUserTimeout(unackedTimeout), KeepAliveConfig: keepAlive(unackedTimeout)}
+	d := net.Dialer{Timeout: timeout, Control: withUserTimeout(unackedTimeout), KeepAliveConfig: keepAlive(unackedTimeout)}
 	conn, err := d.DialContext(ctx, "tcp4", address)
 	return conn, eris.Wrap(err, "connect")
 }
@@ -52,7 +53,7 @@
 // Listen listens on address. An accepted connection fails when sent bytes stay
 // unacknowledged for unackedTimeout.
 func Listen(address string, unackedTimeout time.Duration) (net.Listener, error) {
-	c := net.ListenConfig{Control: setUserTimeout(unackedTimeout), KeepAliveConfig: keepAlive(unackedTimeout)}
+	c := net.ListenConfig{Control: withUserTimeout(unackedTimeout), KeepAliveConfig: keepAlive(unackedTimeout)}
 	l, err := c.Listen(context.Background(), "tcp4", address)
 	return l, eris.Wrap(err, "listen")
 }
