Broken tunnels are counted and logged with who broke them

A stream through another host that broke had no line at that host, and none that told whether that host or the upstream behind it ended the connection. Gateways now count tunnels_broken by host or upstream and log "tunnel to an upstream broke"; the carrying host counts tunnels_carried and tunnels_carried_broken, and logs why the connection to the upstream broke. One line a tunnel; tunnels that their own host closes make none.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -17,7 +16,6 @@
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/retrylimit"
-	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/settings"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
 	"github.com/godwitbend/godwitbend/internal/tunnel"
@@ -35,10 +33,6 @@
 	// callerUnackedTimeout is how long bytes sent to a caller may stay unacknowledged, or wait for room at a caller
 	// that reads slowly. It exceeds the time of most requests.
 	callerUnackedTimeout = time.Minute
-	// tunnelDialTimeout bounds the connection to another host that carries one to an upstream, and
-	// tunnelUnackedTimeout is how long bytes sent on it may stay unacknowledged.
-	tunnelDialTimeout    = 120 * time.Millisecond
-	tunnelUnackedTimeout = 2 * time.Second
 )
 
 // errSessionLost means that this process has to stop, as its successor has started.
@@ -57,7 +51,7 @@
 	})
 	meter := &linkadmission.Meter{}
 	paths := upstreampath.NewDialer(upstreampath.Options{
-		Direct: upstreamhttp.NewDialer(measuringDialer(adapter.Dial, meter)).Dial, Tunnel: tunnelDialer(), Hosts: client.OtherHosts, CutOff: pool.ForgiveFailures,
+		Direct: upstreamhttp.NewDialer(measuringDialer(adapter.Dial, meter)).Dial, Tunnel: tunnelDialer(metrics.Scope), Hosts: client.OtherHosts, CutOff: pool.ForgiveFailures,
 		Scope: metrics.Scope,
 	})
 	limit := retrylimit.Settings{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration}
@@ -93,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	tunnels := &tunnel.Server{Dial: paths.DialForOther, Serves: pool.ServesAt}
+	tunnels := &tunnel.Server{Dial: paths.DialForOther, Serves: pool.ServesAt, Scope: metrics.Scope}
 	go func() {
 		srv := client.NewServer()
 		tunnels.Register(srv)
@@ -174,26 +168,3 @@
 	serveOn(listener, callers)
 	return nil
 }
-
-// tunnelDialer returns a function that opens tunnels through other hosts.
-func tunnelDialer() func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
-	client := rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
-		return netconn.Dial(ctx, address, tunnelDialTimeout, tunnelUnackedTimeout)
-	})
-	return func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
-		conn, err := tunnel.Dial(ctx, client, via, address, timeout)
-		if err != nil {
-			return nil, err
-		}
-		return tunnelConn{ReadWriteCloser: conn, via: via}, nil
-	}
-}
-
-// tunnelConn is a connection to an upstream through another host.
-type tunnelConn struct {
-	io.ReadWriteCloser
-	via string
-}
-
-// Via returns the address of the other host.
-func (c tunnelConn) Via() string { return c.via }
--- /dev/null
+++ b/internal/node/tunnel.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/godwitbend/godwitbend/internal/netconn"
+	"github.com/godwitbend/godwitbend/internal/rpc"
+	"github.com/godwitbend/godwitbend/internal/tunnel"
+)
+
+const (
+	// tunnelDialTimeout bounds the connection to another host that carries one to an upstream, and
+	// tunnelUnackedTimeout is how long bytes sent on it may stay unacknowledged.
+	tunnelDialTimeout    = 120 * time.Millisecond
+	tunnelUnackedTimeout = 2 * time.Second
+)
+
+// tunnelDialer returns a function that opens tunnels through other hosts.
+func tunnelDialer(scope tally.Scope) func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
+	client := rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		return netconn.Dial(ctx, address, tunnelDialTimeout, tunnelUnackedTimeout)
+	})
+	return func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
+		conn, err := tunnel.Dial(ctx, client, via, address, timeout)
+		if err != nil {
+			return nil, err
+		}
+		return &tunnelConn{ReadWriteCloser: conn, via: via, upstream: address, opened: time.Now(), scope: scope}, nil
+	}
+}
+
+// tunnelConn is a connection to an upstream through another host.
+type tunnelConn struct {
+	io.ReadWriteCloser
+	via, upstream string
+	opened        time.Time
+	scope         tally.Scope
+	// ended reports that this host has closed the tunnel, or that its end is logged.
+	ended atomic.Bool
+}
+
+// Via returns the address of the other host.
+func (c *tunnelConn) Via() string { return c.via }
+
+// Read implements io.Reader. It counts and logs why the tunnel broke, unless this host closed it.
+func (c *tunnelConn) Read(p []byte) (int, error) {
+	n, err := c.ReadWriteCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && c.ended.CompareAndSwap(false, true) {
+		c.countBroken(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (c *tunnelConn) Close() error {
+	c.ended.Store(true)
+	return c.ReadWriteCloser.Close()
+}
+
+func (c *tunnelConn) countBroken(err error) {
+	by := "host"
+	if errors.Is(err, tunnel.ErrUpstreamBroke) {
+		by = "upstream"
+	}
+	c.scope.Tagged(map[string]string{"by": by}).Counter("tunnels_broken").Inc(1)
+	klog.InfoS("tunnel to an upstream broke", "upstream_address", c.upstream, "via", c.via, "by", by,
+		"open_ms", time.Since(c.opened).Milliseconds(), "error", err.Error())
+}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -32,6 +35,8 @@
 	Dial func(ctx context.Context, address string) (io.ReadWriteCloser, error)
 	// Serves reports whether an upstream is known at an address. Others are not connected to.
 	Serves func(address string) bool
+	// Scope has the counters of tunnels.
+	Scope tally.Scope
 
 	stopping atomic.Bool
 	tunnels  atomic.Int64
@@ -76,7 +81,15 @@
 		return err
 	}
 	go forwardToUpstream(stream, upstream)
-	return forwardFromUpstream(stream, upstream)
+	s.Scope.Counter("tunnels_carried").Inc(1)
+	began := time.Now()
+	sent, broken, err := forwardFromUpstream(stream, upstream)
+	if broken != nil {
+		s.Scope.Counter("tunnels_carried_broken").Inc(1)
+		klog.InfoS("connection to an upstream broke that is carried for another host", "upstream_address", req.Address,
+			"bytes", sent, "open_ms", time.Since(began).Milliseconds(), "stopping", s.stopping.Load(), "error", broken.Error())
+	}
+	return err
 }
 
 // refusal returns why no tunnel to address is opened, or "". The number of open ones includes it.
@@ -109,22 +122,24 @@
 	}
 }
 
-// forwardFromUpstream forwards data until the upstream ends the connection or the tunnel breaks.
-func forwardFromUpstream(stream *rpc.Stream, upstream io.Reader) error {
+// forwardFromUpstream forwards data until the upstream ends the connection or the tunnel breaks. It returns the number of
+// bytes received, and why the connection to the upstream broke; nil if that ended in order or with the tunnel.
+func forwardFromUpstream(stream *rpc.Stream, upstream io.Reader) (received int64, broken, err error) {
 	buffer := make([]byte, readBufferBytes)
 	for {
-		n, err := upstream.Read(buffer)
+		n, readErr := upstream.Read(buffer)
+		received += int64(n)
 		next := &chunk{Data: buffer[:n]}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(readErr, io.EOF):
 			next.End = true
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(readErr, net.ErrClosed):
 			next.Broken = "closed by the tunnel"
-		case err != nil:
-			next.Broken = err.Error()
+		case readErr != nil:
+			broken, next.Broken = readErr, readErr.Error()
 		}
-		if sendErr := stream.Send(next); sendErr != nil || err != nil {
-			return sendErr
+		if err := stream.Send(next); err != nil || readErr != nil {
+			return received, broken, err
 		}
 	}
 }
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -50,6 +50,10 @@
 	Broken string `cbor:"3,keyasint,omitempty"`
 }
 
+// ErrUpstreamBroke is wrapped by errors of reads: the connection from the other host to the upstream broke. Other errors
+// of reads mean that the other host ended the tunnel, or is lost.
+var ErrUpstreamBroke = errors.New("the connection behind the tunnel broke")
+
 // UnreachableError reports that the upstream accepted no connection of the other host.
 type UnreachableError struct{ Reason string }
 
@@ -127,7 +131,7 @@
 		case err != nil:
 			c.ended = eris.Wrap(err, "read from a tunnel")
 		case next.Broken != "":
-			c.ended = eris.Errorf("the connection behind the tunnel broke: %s", next.Broken)
+			c.ended = eris.Wrap(ErrUpstreamBroke, next.Broken)
 		case next.End:
 			c.ended = io.EOF
 		}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/rpc"
@@ -28,10 +29,22 @@
 	server  *tunnel.Server
 	address string
 	dialErr error
+	scope   tally.TestScope
+	cancel  context.CancelFunc
+}
+
+// counter returns the value of a counter of the host.
+func (h *testHost) counter(name string) (value int64) {
+	for _, c := range h.scope.Snapshot().Counters() {
+		if c.Name() == name {
+			value += c.Value()
+		}
+	}
+	return value
 }
 
 func newTestHost(t *testing.T, fn func(net.Conn)) *testHost {
-	h := &testHost{g: NewWithT(t)}
+	h := &testHost{g: NewWithT(t), scope: tally.NewTestScope("", nil)}
 	upstream, err := net.Listen("tcp4", "127.0.0.1:0")
 	h.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = upstream.Close() })
@@ -53,11 +66,14 @@
 			return new(net.Dialer).DialContext(ctx, "tcp4", upstream.Addr().String())
 		},
 		Serves: func(address string) bool { return address == known },
+		Scope:  h.scope,
 	}
 	h.server.Register(srv)
 	hosts, err := net.Listen("tcp4", "127.0.0.1:0")
 	h.g.Expect(err).NotTo(HaveOccurred())
-	go func() { _ = srv.Serve(t.Context(), hosts) }()
+	ctx, cancel := context.WithCancel(t.Context())
+	h.cancel = cancel
+	go func() { _ = srv.Serve(ctx, hosts) }()
 	h.address = hosts.Addr().String()
 	h.client = rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp4", address)
@@ -110,6 +126,26 @@
 	_, err = conn.Read(data)
 	h.g.Expect(err).To(HaveOccurred())
 	h.g.Expect(errors.Is(err, io.EOF)).To(BeFalse())
+	h.g.Expect(errors.Is(err, tunnel.ErrUpstreamBroke)).To(BeTrue())
+	h.g.Eventually(func() int64 { return h.counter("tunnels_carried_broken") }).Should(BeEquivalentTo(1))
+}
+
+// Guards against blaming an upstream for the end of the host that carries the connection to it, and the reverse.
+func TestEndOfTheCarryingHostIsNotThatOfTheUpstream(t *testing.T) {
+	h := newTestHost(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	conn := h.mustDial(t)
+	_, err := io.WriteString(conn, "part")
+	h.g.Expect(err).NotTo(HaveOccurred())
+	data := make([]byte, 4)
+	_, err = io.ReadFull(conn, data)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.cancel()
+	_, err = conn.Read(data)
+	h.g.Expect(err).To(HaveOccurred())
+	h.g.Expect(errors.Is(err, io.EOF)).To(BeFalse())
+	h.g.Expect(errors.Is(err, tunnel.ErrUpstreamBroke)).To(BeFalse())
+	h.g.Expect(h.counter("tunnels_carried")).To(BeEquivalentTo(1))
+	h.g.Expect(h.counter("tunnels_carried_broken")).To(BeZero())
 }
 
 // Guards against taking what an upstream writes after its answer for the answer to the next request through a host.
