Gateways: bound the memory of all answers together

Cause: limits of one answer stood for a limit of the process. Class: a bound for each that is no bound for all.

Change: internal/membudget shares an amount of memory among holds. The answers in flight of a client take a sixth of the soft memory limit together, besides 128 KB each, so that small answers (bodies up to 64 KB) never wait for large ones. An answer for which there is no room is not read on until others have ended, or its request's deadline: sound answers come a little later, where the process would have ended. Holds that grow can't deadlock: what is left always lets the largest one grow to its limit. A header counts by what it takes once parsed. The body of a failure (500 and above) is at most 64 KB, as a gateway keeps it while it tries again. A buffer of a declared length is taken at once after 64 KB of it. Answers over a limit and answers that waited are logged and counted (Client.Instrument).

--- a/internal/upstreamhttp/events.go
+++ b/internal/upstreamhttp/events.go
@@ -30,11 +30,17 @@
 // EventReader splits an event stream into events.
 type EventReader struct {
 	reader *bufio.Reader
+	memory *answerMemory
 }
 
-// NewEventReader returns a reader of the events in the body of an answer.
+// NewEventReader returns a reader of the events in body. If that is the body of an Answer, the latest event counts as
+// memory in use.
 func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(body, readBufferSize)}
+	memory := &answerMemory{}
+	if b, ok := body.(*answerBody); ok {
+		memory = b.memory
+	}
+	return &EventReader{reader: bufio.NewReaderSize(body, readBufferSize), memory: memory}
 }
 
 // ErrTruncatedEvent reports that the stream ended in the middle of an event.
@@ -43,14 +49,19 @@
 // errEventTooLarge reports that an event exceeds maxEventBytes or maxFillerBytes.
 var errEventTooLarge = eris.New("stream event exceeds the size limit")
 
-// Next returns the next complete event, or io.EOF after the last one.
+// Next returns the next complete event, or io.EOF after the last one. The event before it must not be used any more.
 func (r *EventReader) Next() (*Event, error) {
 	event := &Event{}
+	r.memory.keep(0)
 	// line may be the rest of a line that is longer than the buffer.
 	hasField, atLineStart := false, true
 	for {
 		line, err := r.reader.ReadSlice('\n')
-		event.Raw = append(event.Raw, line...)
+		raw, memoryErr := r.memory.append(event.Raw, line, maxEventBytes+readBufferSize)
+		if memoryErr != nil {
+			return nil, memoryErr
+		}
+		event.Raw = raw
 		content := bytes.TrimRight(line, "\r\n")
 		filler := len(content) == 0 || content[0] == ':'
 		startsLine := atLineStart
@@ -63,7 +74,11 @@
 			return nil, ErrTruncatedEvent
 		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
 			return nil, eris.Wrap(err, "read stream event")
-		case len(event.Raw) > maxEventBytes, !hasField && len(event.Raw) > maxFillerBytes:
+		case len(event.Raw) > maxEventBytes:
+			r.memory.exceeded(limitEvent, maxEventBytes)
+			return nil, errEventTooLarge
+		case !hasField && len(event.Raw) > maxFillerBytes:
+			r.memory.exceeded(limitFiller, maxFillerBytes)
 			return nil, errEventTooLarge
 		case err != nil:
 			continue
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -9,16 +9,21 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 
 	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/godwitbend/godwitbend/internal/membudget"
 )
 
 const (
 	// maxHeadBytes bounds the header of an answer, including those of interim answers.
 	maxHeadBytes = 64 << 10
+	// maxFailureBytes bounds the body of an answer with a status of 500 or more. It needs no memory of the budget, as
+	// such answers may be kept while the request is tried again.
+	maxFailureBytes = 64 << 10
 	// readBufferSize fits the header of an answer and typical events of a stream.
 	readBufferSize = 4 << 10
 )
@@ -42,15 +47,17 @@
 // Answer is the answer of an upstream. It must be closed.
 type Answer struct {
 	*http.Response
-	conn io.Closer
-	stop func() bool
+	conn   io.Closer
+	stop   func() bool
+	memory *answerMemory
 }
 
 // Close ends the exchange by closing the connection, which lets an upstream that is still
-// working on the request stop.
+// working on the request stop. What was read counts as memory in use until then.
 func (a *Answer) Close() {
 	a.stop()
 	_ = a.conn.Close()
+	a.memory.release()
 }
 
 // Unframed reports whether nothing but the end of the connection marks the end of the body.
@@ -70,11 +77,17 @@
 
 // Client sends requests to upstreams. It is safe for concurrent use.
 type Client struct {
-	dial DialFunc
+	dial    DialFunc
+	memory  *membudget.Budget
+	metrics *metrics
 }
 
-// NewClient returns a client that connects with dial.
-func NewClient(dial DialFunc) *Client { return &Client{dial: dial} }
+// NewClient returns a client that connects with dial. Its answers take at most membudget.ProcessShare together, besides
+// answerAllowance for each. An answer for which there is no room is read when others have ended.
+func NewClient(dial DialFunc) *Client {
+	budget := membudget.New(membudget.ProcessShare(), maxAnswerMemory, answerAllowance)
+	return &Client{dial: dial, memory: budget, metrics: newMetrics(tally.NoopScope)}
+}
 
 // ErrWithdrawn reports that the request was no longer wanted when the connection was established.
 var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
@@ -103,13 +116,15 @@
 	}
 	withdrawal := &withdrawableConn{ReadWriteCloser: conn, closesAtOnce: !r.ReportsWithdrawal}
 	stop := context.AfterFunc(ctx, withdrawal.withdraw)
-	answer, err := roundTrip(withdrawal, r)
+	memory := &answerMemory{hold: c.memory.Hold(), cancelled: ctx.Done(), address: address, metrics: c.metrics}
+	answer, err := roundTrip(withdrawal, r, memory)
 	withdrawn := !stop()
 	if err == nil && withdrawn {
 		err = ctx.Err()
 	}
 	if err != nil {
 		_ = conn.Close()
+		memory.release()
 		if withdrawn && withdrawal.endedUnanswered(err) {
 			err = errors.Join(ErrNotBegun, err)
 		}
@@ -121,18 +136,20 @@
 
 // roundTrip reads the answer while it sends the request, as an upstream may answer before it has read the whole
 // body. The sending ends with the connection at the latest.
-func roundTrip(conn *withdrawableConn, r *Request) (*Answer, error) {
+func roundTrip(conn *withdrawableConn, r *Request, memory *answerMemory) (*Answer, error) {
 	go conn.send(r.encode())
-	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
-	reader := bufio.NewReaderSize(limited, readBufferSize)
+	head := &headReader{conn: conn, memory: memory}
+	reader := bufio.NewReaderSize(head, readBufferSize)
 	for {
 		resp, err := http.ReadResponse(reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			limited.N = math.MaxInt64 // the body has limits of its own
-			return &Answer{Response: resp, conn: conn}, nil
+			head.ended = true // the body has limits of its own
+			memory.keepHeader(resp.Header)
+			resp.Body = &answerBody{ReadCloser: resp.Body, memory: memory}
+			return &Answer{Response: resp, conn: conn, memory: memory}, nil
 		}
 	}
 }
@@ -162,13 +179,18 @@
 // ErrBodyTooLarge reports an answer whose body exceeds the limit.
 var ErrBodyTooLarge = errors.New("answer body exceeds the size limit")
 
-// ReadBody reads the whole body of an answer, up to limit bytes.
+// ReadBody reads the whole body of an answer, up to limit bytes, or maxFailureBytes of a failure if that is less. The
+// body counts as memory in use until the answer is closed.
 func (a *Answer) ReadBody(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	if a.StatusCode >= http.StatusInternalServerError {
+		limit = min(limit, maxFailureBytes)
+	}
+	body, err := a.memory.readAll(a.Body, a.ContentLength, limit)
 	if err != nil {
 		return nil, eris.Wrap(err, "read answer body")
 	}
 	if int64(len(body)) > limit {
+		a.memory.exceeded(limitBody, limit)
 		return nil, ErrBodyTooLarge
 	}
 	return body, nil
