Entry hosts: bound the memory of all answers together

What callers saw: as for gateways: a faulty upstream's answers take all memory of an entry host, whose other requests end with it.

Cause: an answer's head was bounded by net/http's 10 MB, a body by 8 MB, a reply to a query by 16 MB, each times the calls in flight; the final events of a stream, which are held back until the charge is committed, by nothing; and short list elements and fields take many times their size once decoded.

Change: as in upstreamhttp, the answers in flight share a budget (internal/membudget): bodies, events with what decoding them takes, final events, replies to queries. Heads are at most 16 KB, filler before an event 16 KB, final events 4 MB; choices of a whole answer and fields of an event are not kept, and an event has at most 1,024 choices. Orders of the control group are sent with the same bound on heads.

Known: net/http reports a head that is too large like a broken connection, so that it is looked into as a crash.

--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/godwitbend/godwitbend/internal/entry"
 	"github.com/godwitbend/godwitbend/internal/hosttls"
 	"github.com/godwitbend/godwitbend/internal/settings"
 )
@@ -61,5 +62,7 @@
 		DialContext:        dialer.DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: entry.MaxAnswerHeadBytes,
 	}}
 }
--- a/internal/entry/decode_test.go
+++ b/internal/entry/decode_test.go
@@ -27,7 +27,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			r := newEventReader(strings.NewReader(test.stream))
+			r := newEventReader(strings.NewReader(test.stream), nil)
 			var events []string
 			for {
 				data, err := r.next()
@@ -45,7 +45,7 @@
 func FuzzEventReader(f *testing.F) {
 	f.Add("data: a\n\ndata: [DONE]\n\n")
 	f.Fuzz(func(t *testing.T, stream string) {
-		r := newEventReader(strings.NewReader(stream))
+		r := newEventReader(strings.NewReader(stream), nil)
 		read := 0
 		for {
 			data, err := r.next()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -118,6 +118,7 @@
 func (x *exchange) dispatch(t target) *failure {
 	untrack := x.h.crashReporter.track(t, x.requestID, x.bodyHash)
 	defer untrack()
+	defer x.releaseMemory()
 	x.dispatchedAt, x.timeToFirstEvent, x.begun = x.h.Now(), 0, false
 	f := x.send(t)
 	if f != nil && f.connectionBroken {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/membudget"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
 	"github.com/godwitbend/godwitbend/internal/timing"
@@ -113,6 +114,8 @@
 	responseStarted bool
 	// failedUpstreams holds the ids of upstreams that failed in this exchange.
 	failedUpstreams map[string]bool
+	// memory is the memory in use for the answer to the current dispatch, or nil.
+	memory *membudget.Hold
 	// fencedUpstreams holds the ids of upstreams that cancelled the call in advance and must not get it again.
 	fencedUpstreams map[string]bool
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -19,6 +19,7 @@
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/controlapi"
 	"github.com/godwitbend/godwitbend/internal/crashcause"
+	"github.com/godwitbend/godwitbend/internal/membudget"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
 )
@@ -81,6 +82,7 @@
 	Options
 	mux           *http.ServeMux
 	upstreams     *upstreamClient
+	memory        *membudget.Budget
 	callerLimiter *callerLimiter
 	inFlight      *inFlightRequests
 	retryBudgets  *retryBudgets
@@ -114,11 +116,13 @@
 	}
 	o.Limits = o.Limits.withDefaults()
 	stopped, endRequests := context.WithCancel(context.Background())
+	memory := newMemoryBudget(o.Limits)
 	h := &Handler{
 		Options: o,
 		stopped: stopped, endRequests: endRequests,
 		mux:           http.NewServeMux(),
-		upstreams:     newUpstreamClient(o.HTTPClient),
+		upstreams:     newUpstreamClient(o.HTTPClient, memory, o.Limits.AnswerBytes),
+		memory:        memory,
 		callerLimiter: newCallerLimiter(),
 		inFlight:      newInFlightRequests(),
 		retryBudgets:  newRetryBudgets(),
--- a/internal/entry/nonstreaming.go
+++ b/internal/entry/nonstreaming.go
@@ -31,8 +31,8 @@
 	if f != nil {
 		return f
 	}
-	var c chunk
-	if err := json.Unmarshal(body, &c); err != nil || len(c.Choices) == 0 {
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil || !bool(c.Choices) {
 		return &failure{reason: reasonTruncated, detail: "the answer is not a complete chat completion"}
 	}
 	used := int64(0)
@@ -48,13 +48,18 @@
 
 // readAnswer reads a response body up to Limits.AnswerBytes. A truncated body is a failure.
 func (x *exchange) readAnswer(resp *http.Response) ([]byte, *failure) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, x.h.Limits.AnswerBytes+1))
-	if err != nil {
-		return nil, x.classifyTransportError(resp.Request.Context(), err, false)
-	}
-	if int64(len(body)) > x.h.Limits.AnswerBytes {
+	ctx, limit := resp.Request.Context(), x.h.Limits.AnswerBytes
+	body, err := x.hold().ReadAll(ctx.Done(), resp.Body, 0, resp.ContentLength, limit)
+	if err == nil && int64(len(body)) > limit {
+		x.h.counters.event("answers_over_limit")
 		return nil, &failure{reason: reasonError, detail: "the answer exceeds the size limit"}
 	}
+	if err == nil {
+		err = x.hold().Resize(ctx.Done(), int64(answerCopies*len(body)))
+	}
+	if err != nil {
+		return nil, x.classifyTransportError(ctx, err, false)
+	}
 	return body, nil
 }
 
--- a/internal/entry/simulation_test.go
+++ b/internal/entry/simulation_test.go
@@ -278,19 +278,21 @@
 // text returns the concatenated content of a stream.
 func (a answer) text() string {
 	var b strings.Builder
-	events := newEventReader(strings.NewReader(a.body))
+	events := newEventReader(strings.NewReader(a.body), nil)
 	for {
 		data, err := events.next()
 		if err != nil {
 			return b.String()
 		}
-		var c chunk
+		var c struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
 		if json.Unmarshal(data, &c) != nil || len(c.Choices) == 0 {
 			continue
 		}
-		var content string
-		_ = json.Unmarshal(c.Choices[0].Delta["content"], &content)
-		b.WriteString(content)
+		b.WriteString(c.Choices[0].Delta.Content)
 	}
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -27,6 +27,8 @@
 	answerID string
 	// heldEvents are the final events, which are held back until the charge is committed.
 	heldEvents [][]byte
+	// heldMemory is the memory of heldEvents, in bytes.
+	heldMemory int64
 }
 
 // dispatchStream sends the call to t and streams the answer to the caller.
@@ -86,7 +88,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return x.classifyChatStatus(resp)
 	}
-	events := newEventReader(resp.Body)
+	events := newEventReader(resp.Body, x.reserveEvent(ctx, state))
 	for {
 		data, err := events.next()
 		if err != nil {
@@ -131,12 +133,22 @@
 		return false, nil
 	}
 	if len(state.heldEvents) > 0 || c.hasFinishReason() || len(c.Choices) == 0 {
-		state.heldEvents = append(state.heldEvents, data)
-		return false, nil
+		return false, x.holdEvent(data, state)
 	}
 	return false, x.writeEvent(data)
 }
 
+// holdEvent holds a final event back.
+func (x *exchange) holdEvent(data []byte, state *relayState) *failure {
+	state.heldMemory += int64(len(data) + heldEventMemory)
+	if state.heldMemory > maxHeldBytes {
+		x.h.counters.event("answers_over_limit")
+		return &failure{reason: reasonError, detail: "the final events exceed the size limit"}
+	}
+	state.heldEvents = append(state.heldEvents, data)
+	return nil
+}
+
 // completeStream settles a complete answer and then relays the held events.
 func (x *exchange) completeStream(t target, state *relayState) *failure {
 	used := max(state.usedTokens, state.outputTokens)
@@ -229,6 +241,7 @@
 func (x *exchange) classifyReadError(ctx context.Context, err error) *failure {
 	switch {
 	case errors.Is(err, errEventTooLarge):
+		x.h.counters.event("answers_over_limit")
 		return &failure{reason: reasonError, detail: err.Error()}
 	case errors.Is(err, io.EOF):
 		return &failure{reason: reasonTruncated, detail: "the stream ended without its end marker"}
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -52,6 +52,7 @@
 func (x *exchange) resumeTakenOver(earlier target) *failure {
 	untrack := x.h.crashReporter.track(earlier, x.requestID, x.bodyHash)
 	defer untrack()
+	defer x.releaseMemory()
 	ctx, wd := newWatchdog(x.workCtx, x.timeToDeadline())
 	defer wd.stop()
 	resp, f := x.resume(ctx, earlier, 0)
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,30 +20,34 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/membudget"
 )
 
 const (
 	dialTimeout = time.Second
 	// queryTimeout bounds a query to an upstream other than the call itself.
 	queryTimeout = time.Second
-	// maxStateBytes bounds the response to a query.
-	maxStateBytes = 16 << 20
+	// maxReplyBytes bounds the response to a query, besides the text of an answer in it.
+	maxReplyBytes = 64 << 10
 )
 
 // upstreamClient sends requests to upstreams, each on a connection of its own: what arrives on a connection
 // belongs to no other request, and a failed dial proves that nothing was sent.
 type upstreamClient struct {
-	http *http.Client
+	http   *http.Client
+	memory *membudget.Budget
+	// answerBytes bounds the answer in a reply to a query.
+	answerBytes int64
 }
 
-func newUpstreamClient(c *http.Client) *upstreamClient {
+func newUpstreamClient(c *http.Client, memory *membudget.Budget, answerBytes int64) *upstreamClient {
 	if c == nil {
 		c = &http.Client{Transport: &http.Transport{
 			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableCompression: true,
 		}}
 	}
-	return &upstreamClient{http: withoutKeepAlive(withoutRedirects(c))}
+	return &upstreamClient{http: withoutKeepAlive(withoutRedirects(c)), memory: memory, answerBytes: answerBytes}
 }
 
 // withoutRedirects returns a copy of c that returns redirects as responses, because
@@ -61,6 +66,7 @@
 	next := *c
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
+	fresh.MaxResponseHeaderBytes = MaxAnswerHeadBytes
 	next.Transport = fresh
 	return &next
 }
@@ -156,6 +162,13 @@
 
 // requestState queries (GET) or cancels (DELETE) a request and returns the state that the upstream reports.
 func (c *upstreamClient) requestState(ctx context.Context, method, address, requestID string) (announce.RequestState, error) {
+	hold := c.memory.Hold()
+	defer func() { _ = hold.Resize(nil, 0) }() // never waits
+	return c.readState(ctx, hold, method, address, requestID)
+}
+
+// readState is requestState, and makes the reply the memory in use of a hold.
+func (c *upstreamClient) readState(ctx context.Context, hold *membudget.Hold, method, address, requestID string) (announce.RequestState, error) {
 	var state announce.RequestState
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
@@ -164,7 +177,7 @@
 		return state, eris.Wrap(err, "query upstream")
 	}
 	req.Header.Set(announce.HeaderRequestID, requestID)
-	return state, c.doJSON(req, &state)
+	return state, c.doJSON(req, hold, maxReplyBytes+int64(base64.StdEncoding.EncodedLen(int(c.answerBytes))), &state)
 }
 
 // tokenize returns the exact number of prompt tokens of a chat request.
@@ -177,7 +190,9 @@
 		return 0, eris.Wrap(err, "tokenize")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	if err := c.doJSON(req, &count); err != nil {
+	hold := c.memory.Hold()
+	defer func() { _ = hold.Resize(nil, 0) }() // never waits
+	if err := c.doJSON(req, hold, maxReplyBytes, &count); err != nil {
 		return 0, err
 	}
 	if count.Tokens <= 0 {
@@ -186,7 +201,8 @@
 	return count.Tokens, nil
 }
 
-func (c *upstreamClient) doJSON(req *http.Request, into any) error {
+// doJSON sends a query and decodes the reply, of at most limit bytes, which becomes the memory in use of hold.
+func (c *upstreamClient) doJSON(req *http.Request, hold *membudget.Hold, limit int64, into any) error {
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "query upstream")
@@ -199,7 +215,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("query upstream: status %d", resp.StatusCode)
 	}
-	return eris.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(into), "decode answer")
+	cancelled := req.Context().Done()
+	reply, err := hold.ReadAll(cancelled, resp.Body, 0, resp.ContentLength, limit)
+	if err == nil && int64(len(reply)) > limit {
+		err = eris.Errorf("the reply exceeds %d bytes", limit)
+	}
+	if err == nil {
+		err = hold.Resize(cancelled, int64(2*len(reply))) // the texts in it are copied
+	}
+	if err != nil {
+		return eris.Wrap(err, "query upstream")
+	}
+	return eris.Wrap(json.Unmarshal(reply, into), "decode answer")
 }
 
 // resume requests the events of a stream starting at event number from.
--- a/internal/entry/upstreamoutcome.go
+++ b/internal/entry/upstreamoutcome.go
@@ -24,6 +24,7 @@
 func (x *exchange) awaitUpstreamOutcome(t target) error {
 	ctx, cancel := context.WithTimeout(x.workCtx, max(x.timeToDeadline(), minOutcomeWait))
 	defer cancel()
+	defer x.releaseMemory()
 	for t.servesRequestState {
 		state, err := x.queryOrFence(ctx, t)
 		switch {
@@ -55,7 +56,10 @@
 // unknown there is cancelled, which keeps it from running if it arrives later.
 func (x *exchange) queryOrFence(ctx context.Context, t target) (announce.RequestState, error) {
 	address := t.entry.State().Address
-	state, err := x.h.upstreams.requestState(ctx, http.MethodGet, address, x.requestID)
+	state, err := x.h.upstreams.readState(ctx, x.hold(), http.MethodGet, address, x.requestID)
+	if err == nil {
+		err = x.hold().Resize(ctx.Done(), int64(answerCopies*len(state.Body)))
+	}
 	if err != nil || state.State != "unknown" || state.Incarnation != t.incarnation {
 		return state, err
 	}
--- a/internal/upstreamhttp/endless_test.go
+++ b/internal/upstreamhttp/endless_test.go
@@ -6,13 +6,13 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
@@ -74,28 +74,6 @@
 	}
 }
 
-// peakHeap calls fn and returns the largest growth of the heap meanwhile, in bytes.
-func peakHeap(fn func()) uint64 {
-	runtime.GC()
-	var before, now runtime.MemStats
-	runtime.ReadMemStats(&before)
-	peak := uint64(0)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		fn()
-	}()
-	for {
-		runtime.ReadMemStats(&now)
-		peak = max(peak, now.HeapAlloc-min(before.HeapAlloc, now.HeapAlloc))
-		select {
-		case <-done:
-			return peak
-		case <-time.After(time.Millisecond):
-		}
-	}
-}
-
 // Bytes that are no answer may come without end.
 func TestEndlessAnswersAreGivenUp(t *testing.T) {
 	const ok, chunked = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -126,7 +104,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), endlessTimeout)
 			defer cancel()
 			var err error
-			peak := peakHeap(func() { err = readAnswer(ctx, address, test.stream) })
+			peak := fake.PeakHeap(func() { err = readAnswer(ctx, address, test.stream) })
 			g.Expect(err).To(HaveOccurred())
 			g.Expect(err).NotTo(MatchError(io.EOF), "an endless stream must not look complete")
 			g.Expect(ctx.Err()).NotTo(HaveOccurred(), "it is given up before the deadline")
--- a/internal/upstreamhttp/many_endless_test.go
+++ b/internal/upstreamhttp/many_endless_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
@@ -61,8 +62,11 @@
 	})
 }
 
+// newClient returns a client whose attempts to connect have no timeout but that of the request.
 func newClient() *upstreamhttp.Client {
-	return upstreamhttp.NewClient(upstreamhttp.NewDialer(upstreamhttp.DialTCP).Dial)
+	return upstreamhttp.NewClient(func(ctx context.Context, address string) (io.ReadWriteCloser, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp4", address)
+	})
 }
 
 // readWith sends a request with client and reads the answer as a gateway does.
@@ -118,7 +122,7 @@
 			limitMemory(t)
 			address, client := serveBytes(t, test.parts...), newClient()
 			var took time.Duration
-			peak := peakHeap(func() {
+			peak := fake.PeakHeap(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), heldTimeout)
 				defer cancel()
 				started := time.Now()
@@ -151,7 +155,7 @@
 			g := NewWithT(t)
 			limitMemory(t)
 			address, client := serveBytes(t, parts...), newClient()
-			peak := peakHeap(func() {
+			peak := fake.PeakHeap(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), soundTimeout)
 				defer cancel()
 				var exchanges sync.WaitGroup
