Entry hosts: end streams that send events without output

What callers saw: by reading, no report: a stream whose upstream sends an event without output now and then (no choices, only the role, or one final event after another) never ends, and holds its caller's place, an upstream's place and memory.

Cause: each event restarted the watchdog of the stream, and the output limit counts only events with output.

Change: after the first event only output, the first of the final events and the end marker restart it.

--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -150,6 +150,8 @@
 const (
 	events       = "Content-Type: text/event-stream\r\n\r\n"
 	finalEvent   = `data: {"id":"a","choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+	emptyEvent   = `data: {"id":"a","choices":[]}` + "\n\n"
+	roleEvent    = `data: {"id":"a","choices":[{"delta":{"role":"assistant"}}]}` + "\n\n"
 	interimReply = "HTTP/1.1 102 Processing\r\n\r\n"
 )
 
@@ -168,6 +170,12 @@
 	"m, final events":        {head: okWith(events), repeated: strings.Replace(finalEvent, "{", `{"padding":"`+strings.Repeat("x", 4<<10)+`",`, 1)},
 }
 
+// eventsWithoutOutput are streams that never tell anything.
+var eventsWithoutOutput = map[string]faultyAnswer{
+	"m, events without choice": {head: okWith(events), repeated: emptyEvent},
+	"m, events without output": {head: okWith(events), repeated: roleEvent},
+}
+
 func kindOf(name string) string {
 	kind, _, _ := strings.Cut(name, ",")
 	return kind
@@ -184,6 +192,18 @@
 	}
 }
 
+// Guards against calls that an upstream holds for ever by sending a byte now and then.
+func TestTricklingAnswersOfUpstreamsEnd(t *testing.T) {
+	for _, answers := range []map[string]faultyAnswer{endlessAnswers, eventsWithoutOutput} {
+		for name, f := range answers {
+			t.Run(name, func(t *testing.T) {
+				f.pause = time.Second
+				callManyTimes(t, kindOf(name), 1, f)
+			})
+		}
+	}
+}
+
 // Guards against running out of memory by many answers that are each within their limits.
 func TestManyAnswersOfUpstreamsFitIntoMemory(t *testing.T) {
 	body := []byte(strings.Repeat("x", defaultAnswerBytes-1))
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -89,18 +89,21 @@
 		return x.classifyChatStatus(resp)
 	}
 	events := newEventReader(resp.Body, x.reserveEvent(ctx, state))
-	for {
+	for first := true; ; first = false {
 		data, err := events.next()
 		if err != nil {
 			return x.classifyReadError(ctx, err)
 		}
-		wd.reset()
+		if first {
+			wd.reset()
+		}
 		state.eventsRead++
 		x.recordBegun()
 		if bytes.Equal(data, doneMarker) {
+			wd.reset()
 			return x.completeStream(t, state)
 		}
-		done, f := x.relayEvent(t, data, state)
+		done, f := x.relayEvent(wd, t, data, state)
 		if done || f != nil {
 			return f
 		}
@@ -108,7 +111,7 @@
 }
 
 // relayEvent relays one event, or holds it back from the first finish reason or usage event on.
-func (x *exchange) relayEvent(t target, data []byte, state *relayState) (done bool, f *failure) {
+func (x *exchange) relayEvent(wd *watchdog, t target, data []byte, state *relayState) (done bool, f *failure) {
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return false, &failure{reason: reasonError, detail: "an event is not valid JSON"}
@@ -128,11 +131,16 @@
 	if state.outputTokens+c.minOutputTokens() > x.outputLimit || !x.isRerun && state.usedTokens > x.maxCharge+x.alreadyCharged {
 		return true, x.cutStream(t, &c, state)
 	}
-	state.outputTokens += c.minOutputTokens()
+	output := c.minOutputTokens()
+	state.outputTokens += output
+	isFirstFinal := len(state.heldEvents) == 0 && (c.hasFinishReason() || len(c.Choices) == 0 && x.includeUsage)
+	if output > 0 || isFirstFinal {
+		wd.reset() // others must not keep the call for ever
+	}
 	if len(c.Choices) == 0 && !x.includeUsage {
 		return false, nil
 	}
-	if len(state.heldEvents) > 0 || c.hasFinishReason() || len(c.Choices) == 0 {
+	if isFirstFinal || len(state.heldEvents) > 0 {
 		return false, x.holdEvent(data, state)
 	}
 	return false, x.writeEvent(data)
