--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -27,6 +27,8 @@
 	answerID string
 	// heldEvents are the final events, which are held back until the charge is committed.
 	heldEvents [][]byte
+	// heldMemory is the memory of heldEvents, in bytes.
+	heldMemory int64
 }
 
 // dispatchStream sends the call to t and streams the answer to the caller.
@@ -86,19 +88,22 @@
 	if resp.StatusCode != http.StatusOK {
 		return x.classifyChatStatus(resp)
 	}
-	events := newEventReader(resp.Body)
-	for {
+	events := newEventReader(resp.Body, x.reserveEvent(ctx, state))
+	for first := true; ; first = false {
 		data, err := events.next()
 		if err != nil {
 			return x.classifyReadError(ctx, err)
 		}
-		wd.reset()
+		if first {
+			wd.reset()
+		}
 		state.eventsRead++
 		x.recordBegun()
 		if bytes.Equal(data, doneMarker) {
+			wd.reset()
 			return x.completeStream(t, state)
 		}
-		done, f := x.relayEvent(t, data, state)
+		done, f := x.relayEvent(wd, t, data, state)
 		if done || f != nil {
 			return f
 		}
@@ -106,7 +111,7 @@
 }
 
 // relayEvent relays one event, or holds it back from the first finish reason or usage event on.
-func (x *exchange) relayEvent(t target, data []byte, state *relayState) (done bool, f *failure) {
+func (x *exchange) relayEvent(wd *watchdog, t target, data []byte, state *relayState) (done bool, f *failure) {
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return false, &failure{reason: reasonError, detail: "an event is not valid JSON"}
@@ -126,17 +131,32 @@
 	if state.outputTokens+c.minOutputTokens() > x.outputLimit || !x.isRerun && state.usedTokens > x.maxCharge+x.alreadyCharged {
 		return true, x.cutStream(t, &c, state)
 	}
-	state.outputTokens += c.minOutputTokens()
+	output := c.minOutputTokens()
+	state.outputTokens += output
+	isFirstFinal := len(state.heldEvents) == 0 && (c.hasFinishReason() || len(c.Choices) == 0 && x.includeUsage)
+	if output > 0 || isFirstFinal {
+		wd.reset() // others must not keep the call for ever
+	}
 	if len(c.Choices) == 0 && !x.includeUsage {
 		return false, nil
 	}
-	if len(state.heldEvents) > 0 || c.hasFinishReason() || len(c.Choices) == 0 {
-		state.heldEvents = append(state.heldEvents, data)
-		return false, nil
+	if isFirstFinal || len(state.heldEvents) > 0 {
+		return false, x.holdEvent(data, state)
 	}
 	return false, x.writeEvent(data)
 }
 
+// holdEvent holds a final event back.
+func (x *exchange) holdEvent(data []byte, state *relayState) *failure {
+	state.heldMemory += int64(len(data) + heldEventMemory)
+	if state.heldMemory > maxHeldBytes {
+		x.h.counters.event("answers_over_limit")
+		return &failure{reason: reasonError, detail: "the final events exceed the size limit"}
+	}
+	state.heldEvents = append(state.heldEvents, data)
+	return nil
+}
+
 // completeStream settles a complete answer and then relays the held events.
 func (x *exchange) completeStream(t target, state *relayState) *failure {
 	used := max(state.usedTokens, state.outputTokens)
@@ -229,6 +249,7 @@
 func (x *exchange) classifyReadError(ctx context.Context, err error) *failure {
 	switch {
 	case errors.Is(err, errEventTooLarge):
+		x.h.counters.event("answers_over_limit")
 		return &failure{reason: reasonError, detail: err.Error()}
 	case errors.Is(err, io.EOF):
 		return &failure{reason: reasonTruncated, detail: "the stream ended without its end marker"}
