Panics of requests are counted and logged

A fault of the gateway that ends a request ends the caller's connection too. Its only trace was text on standard error. Now request_panics counts it, and a structured line has the value and the stack.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -71,6 +71,7 @@
 		}
 	}
 	callers := newCallerServer(handler)
+	callers.Handler = countPanics(handler, metrics.Scope)
 	readiness := &http.Server{Handler: adapter.Ready(ready), ReadHeaderTimeout: time.Second}
 	if err := serveMetrics(s.Node, metrics, ready, nil); err != nil {
 		return err
