A gateway that stops as it has lost its session says so

"draining" has no reason, and the reason was logged only as the process ended, up to 8 s later: streams that it ends look like those of a planned stop. One line, no change of behaviour.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -115,6 +115,7 @@
 	case <-ctx.Done():
 	case <-client.SessionLost():
 		failure = errSessionLost
+		klog.InfoS("session lost: stopping as in a planned stop", "reason", failure.Error())
 	}
 	exitBy := callers.stop(s.StopTimeout.Duration, stalls, tunnels, client.Seal)
 	stop()
