--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -71,6 +71,7 @@
 		}
 	}
 	callers := newCallerServer(handler)
+	callers.Handler = countPanics(handler, metrics.Scope)
 	readiness := &http.Server{Handler: adapter.Ready(ready), ReadHeaderTimeout: time.Second}
 	if err := serveMetrics(s.Node, metrics, ready, nil); err != nil {
 		return err
@@ -114,6 +115,7 @@
 	case <-ctx.Done():
 	case <-client.SessionLost():
 		failure = errSessionLost
+		klog.InfoS("session lost: stopping as in a planned stop", "reason", failure.Error())
 	}
 	exitBy := callers.stop(s.StopTimeout.Duration, stalls, tunnels, client.Seal)
 	stop()
