--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,8 @@
 		go test -count=1 -timeout 60m -parallel $(or $(PARALLEL),3) -run '^Test(Recovery|FullDisk)Soak$$' -v ./tests/recovery
 
 # Stops gateways under load, N times from SEED on, PARALLEL at a time, and counts lost requests. SCENARIO is one of those
-# in platform/stops/scenario_test.go instead of all in turn but "hundred" (100 processes), DAEMON another program to test than that
-# of the source tree.
+# in platform/stops/scenario_test.go instead of all in turn but "hundred" (100 processes; those named neighbourhoods have 33 each),
+# DAEMON another program to test than that of the source tree.
 stop-soak:
 	SEED=$(SEED) N=$(or $(N),50) SCENARIO=$(SCENARIO) DAEMON=$(DAEMON) \
 		go test -count=1 -timeout 60m -parallel $(or $(PARALLEL),3) -run '^TestStopSoak$$' -v ./platform/stops
