Calls between hosts: end connections whose bytes are no message

What callers saw: nothing yet; found by looking for bytes without end elsewhere: whatever listens at a host's address, or connects to the port for hosts, could send one message, or one frame of a message, of 256 MB, which the reader of messages keeps and copies as it grows. 20 connections to the port came to over 16 GB.

Change: frames are at most 1 MB (hosts send 64 KB), messages a sixth of the soft memory limit, or 256 MB without one. The connection ends with a log line as soon as a header says more.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -42,7 +42,7 @@
 		return nil, eris.Wrapf(err, "connect to host %s", address)
 	}
 	options := drpcconn.Options{Manager: managerOptions()}
-	return drpcconn.NewWithOptions(&onceCloser{Conn: conn}, options), nil
+	return drpcconn.NewWithOptions(newLimitedConn(conn), options), nil
 }
 
 // Call makes a unary call. An error returned by the method is an *errkind.Error. Any
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"strings"
-	"sync"
 
 	"github.com/rotisserie/eris"
 	"storj.io/drpc"
@@ -18,9 +17,6 @@
 	"github.com/godwitbend/godwitbend/internal/errkind"
 )
 
-// maxMessageBytes bounds the size of one message between hosts.
-const maxMessageBytes = 256 << 20
-
 // reply is the answer to a unary call: an error of a listed kind, or a value.
 type reply[T any] struct {
 	Err   *errkind.Error `cbor:"1,keyasint,omitempty"`
@@ -78,7 +74,7 @@
 		Manager: managerOptions(),
 		Log:     func(error) {},
 	})
-	err := srv.Serve(ctx, listener)
+	err := srv.Serve(ctx, limitedListener{listener})
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -93,15 +89,3 @@
 
 // Dialer opens a connection to the host at address.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
-
-// onceCloser is a connection whose Close may be called more than once.
-type onceCloser struct {
-	net.Conn
-	once sync.Once
-}
-
-// Close implements net.Conn.
-func (c *onceCloser) Close() (err error) {
-	c.once.Do(func() { err = c.Conn.Close() })
-	return err
-}
