Counters of answers over a limit: each answer is counted once

A head over its limit was counted and logged twice, as its reader asks again after the error (test: 2 where 1 was sent). Instrument returns the client.

--- a/internal/upstreamhttp/many_endless_test.go
+++ b/internal/upstreamhttp/many_endless_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/godwitbend/godwitbend/internal/fake"
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
@@ -267,3 +268,30 @@
 		})
 	}
 }
+
+// Guards against limits that take effect without a trace.
+func TestAnswersOverALimitAreCounted(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for limit, test := range map[string]struct {
+		first, repeated string
+		stream          bool
+	}{
+		"head":   {first: ok + "X: ", repeated: "x"},
+		"body":   {first: ok + "\r\n", repeated: "x"},
+		"event":  {first: ok + "\r\ndata: ", repeated: "x", stream: true},
+		"filler": {first: ok + "\r\n", repeated: ": x\n\n", stream: true},
+	} {
+		t.Run(limit, func(t *testing.T) {
+			scope := tally.NewTestScope("", nil)
+			address, _ := serveEndless(t, test.first, test.repeated)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
+			defer cancel()
+			_, err := readWith(ctx, newClient().Instrument(scope), address, test.stream)
+			g := NewWithT(t)
+			g.Expect(err).To(HaveOccurred())
+			counter := scope.Snapshot().Counters()["answers_over_limit+limit="+limit]
+			g.Expect(counter).NotTo(BeNil())
+			g.Expect(counter.Value()).To(BeEquivalentTo(1))
+		})
+	}
+}
--- a/internal/upstreamhttp/memory.go
+++ b/internal/upstreamhttp/memory.go
@@ -45,9 +45,12 @@
 	return m
 }
 
-// Instrument makes the client count in scope the answers that exceed a limit and those that wait for memory. It must be
-// called before Do.
-func (c *Client) Instrument(scope tally.Scope) { c.metrics = newMetrics(scope) }
+// Instrument makes the client count in scope the answers that exceed a limit and those that wait for memory, and returns
+// it. It must be called before Do.
+func (c *Client) Instrument(scope tally.Scope) *Client {
+	c.metrics = newMetrics(scope)
+	return c
+}
 
 // answerMemory is the memory in use for one answer. Its zero value is not bounded.
 type answerMemory struct {
@@ -125,6 +128,7 @@
 	memory *answerMemory
 	read   int64
 	ended  bool
+	failed bool
 }
 
 // Read implements io.Reader.
@@ -132,7 +136,11 @@
 	if r.ended {
 		return r.conn.Read(p)
 	}
+	if r.failed {
+		return 0, errHeadTooLarge // it was reported
+	}
 	if r.read >= maxHeadBytes {
+		r.failed = true
 		r.memory.exceeded(limitHead, maxHeadBytes)
 		return 0, errHeadTooLarge
 	}
