A request waits for memory for its answer's header no longer than until its deadline

The header counts for more once parsed than was held while it was read, and the wait for the rest could not be cancelled.

--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -147,7 +147,9 @@
 		}
 		if resp.StatusCode >= http.StatusOK {
 			head.ended = true // the body has limits of its own
-			memory.keepHeader(resp.Header)
+			if err := memory.keepHeader(resp.Header); err != nil {
+				return nil, err
+			}
 			resp.Body = &answerBody{ReadCloser: resp.Body, memory: memory}
 			return &Answer{Response: resp, conn: conn, memory: memory}, nil
 		}
--- a/internal/upstreamhttp/memory.go
+++ b/internal/upstreamhttp/memory.go
@@ -78,14 +78,15 @@
 	}
 }
 
-// keepHeader makes the header the memory in use. It counts twice, as it is copied for the caller.
-func (m *answerMemory) keepHeader(header http.Header) {
+// keepHeader makes the header the memory in use. It counts twice, as it is copied for the caller, so that it may take more
+// than was held while it was read.
+func (m *answerMemory) keepHeader(header http.Header) error {
 	for name, values := range header {
 		for _, value := range values {
 			m.header += 2 * int64(len(name)+len(value)+fieldMemory)
 		}
 	}
-	m.keep(0)
+	return m.hold.Resize(m.cancelled, m.header)
 }
 
 // append appends more to data, whose capacity is at most limit bytes.
