Control hosts bound the heads and the time of calls; gateways the heads of readiness checks

What was seen: 40 connections to a control host, each with a head of 1 MB in short fields, took 216 MB (limit 128 MB), and a report whose body trickles held its connection for ever. The servers had net/http's limit of a head, 1 MB, and no time limit of a body.

TestTricklingReportsAreGivenUp failed before; heads and bodies that trickle end after 15 s.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -43,7 +43,9 @@
 		failed <- control.Run(runCtx)
 	}()
 	go updateControlGauges(runCtx, metrics.Scope, control)
-	callers := &http.Server{Handler: adapter.Control(control), ReadHeaderTimeout: callerHeaderTimeout}
+	callers := &http.Server{
+		Handler: adapter.Control(control), ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: callReadTimeout, MaxHeaderBytes: callHeaderBytes,
+	}
 	if err := serve(s.Listen.Control, callers); err != nil {
 		return err
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -72,7 +72,7 @@
 	}
 	callers := newCallerServer(handler)
 	callers.Handler = countPanics(handler, metrics.Scope)
-	readiness := &http.Server{Handler: adapter.Ready(ready), ReadHeaderTimeout: time.Second}
+	readiness := &http.Server{Handler: adapter.Ready(ready), ReadHeaderTimeout: time.Second, MaxHeaderBytes: callHeaderBytes}
 	if err := serveMetrics(s.Node, metrics, ready, nil); err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,10 @@
 	gcPercent = 50
 	// unackedTimeout is how long bytes sent on a connection may stay unacknowledged.
 	unackedTimeout = 5 * time.Second
+	// callHeaderBytes and callReadTimeout bound the header of a call by an operator, an upstream or the load balancer, and
+	// the time in which a call to a control host must arrive.
+	callHeaderBytes = 16 << 10
+	callReadTimeout = 15 * time.Second
 	// exitMargin is the part of the stop timeout that is left when a host has ended its last requests.
 	exitMargin = 300 * time.Millisecond
 )
@@ -130,5 +134,5 @@
 	for pattern, handler := range more {
 		mux.Handle(pattern, handler)
 	}
-	return eris.Wrap(serve(s.Listen.Metrics, &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}), "serve metrics")
+	return eris.Wrap(serve(s.Listen.Metrics, &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: callHeaderBytes}), "serve metrics")
 }
