An upstream behind another host that answers may leave a long body unread

Streams that a gateway gets through another one were cut about 3 s after the receive window of their upstream had closed, though events arrived: as, for the connection between the hosts, whose TCP_USER_TIMEOUT is 2 s. The connection that the other host makes also looked only at the size of the last part of the request. Change: the timeout of the connection that carries a tunnel is lifted once the answer has begun, and parts of a request are added up.

--- a/internal/netconn/exchange.go
+++ b/internal/netconn/exchange.go
@@ -19,19 +19,19 @@
 	brokenWriteTime = 500 * time.Millisecond
 )
 
-// exchangeConn is a TCP connection that carries one request and its answer. The request is sent with one write.
+// exchangeConn is a TCP connection that carries one request and its answer. No write follows one that failed.
 type exchangeConn struct {
 	net.Conn
 	tcp *net.TCPConn
-	// request is the write of the request; nil until it begins.
-	request atomic.Pointer[write]
+	// latest is the write that was begun last; nil before the request. requestBytes is the size of all.
+	latest       atomic.Pointer[write]
+	requestBytes atomic.Int64
 	// answerBegun reports that a byte was read after the request was begun. Only the reader uses it.
 	answerBegun bool
 }
 
 // write is a call of Write.
 type write struct {
-	size int
 	// done is closed when it has ended with err.
 	done chan struct{}
 	err  error
@@ -53,38 +53,43 @@
 
 // Write implements net.Conn.
 func (c *exchangeConn) Write(p []byte) (n int, err error) {
-	request := &write{size: len(p), done: make(chan struct{})}
-	c.request.Store(request)
-	n, request.err = c.Conn.Write(p)
-	close(request.done)
-	return n, request.err
+	current := &write{done: make(chan struct{})}
+	c.requestBytes.Add(int64(len(p)))
+	c.latest.Store(current)
+	n, current.err = c.Conn.Write(p)
+	close(current.done)
+	return n, current.err
 }
 
 // Read implements net.Conn.
 func (c *exchangeConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	request := c.request.Load()
-	if request == nil {
+	latest := c.latest.Load()
+	if latest == nil {
 		return n, err
 	}
 	if n > 0 && !c.answerBegun {
 		c.answerBegun = true
-		c.allowClosedWindow(request)
+		if c.requestBytes.Load() > minWindowBytes {
+			AllowClosedWindow(c.tcp)
+		}
 	}
 	if errors.Is(err, io.EOF) {
-		if broken := request.breakage(); broken != nil {
+		if broken := latest.breakage(); broken != nil {
 			err = broken
 		}
 	}
 	return n, err
 }
 
-// allowClosedWindow lets the peer leave what it was sent unread.
-func (c *exchangeConn) allowClosedWindow(request *write) {
-	if request.size <= minWindowBytes {
+// AllowClosedWindow lets the peer leave what it was sent unread. The timeout of unacknowledged bytes no longer applies;
+// keep-alive probes still detect a peer that is unreachable.
+func AllowClosedWindow(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
 		return
 	}
-	raw, err := c.tcp.SyscallConn()
+	raw, err := tcp.SyscallConn()
 	if err == nil {
 		err = setUserTimeout(raw, 0)
 	}
--- a/internal/node/tunnel.go
+++ b/internal/node/tunnel.go
@@ -23,23 +23,35 @@
 	tunnelUnackedTimeout = 2 * time.Second
 )
 
+// carrierKey is the key of a *net.Conn in which the connection to the other host is stored.
+type carrierKey struct{}
+
 // tunnelDialer returns a function that opens tunnels through other hosts.
 func tunnelDialer(scope tally.Scope) func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
 	client := rpc.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
-		return netconn.Dial(ctx, address, tunnelDialTimeout, tunnelUnackedTimeout)
+		conn, err := netconn.Dial(ctx, address, tunnelDialTimeout, tunnelUnackedTimeout)
+		if carrier, ok := ctx.Value(carrierKey{}).(*net.Conn); ok && err == nil {
+			*carrier = conn
+		}
+		return conn, err
 	})
 	return func(ctx context.Context, via, address string, timeout time.Duration) (io.ReadWriteCloser, error) {
-		conn, err := tunnel.Dial(ctx, client, via, address, timeout)
+		var carrier net.Conn
+		conn, err := tunnel.Dial(context.WithValue(ctx, carrierKey{}, &carrier), client, via, address, timeout)
 		if err != nil {
 			return nil, err
 		}
-		return &tunnelConn{ReadWriteCloser: conn, via: via, upstream: address, opened: time.Now(), scope: scope}, nil
+		return &tunnelConn{ReadWriteCloser: conn, carrier: carrier, via: via, upstream: address, opened: time.Now(), scope: scope}, nil
 	}
 }
 
 // tunnelConn is a connection to an upstream through another host.
 type tunnelConn struct {
 	io.ReadWriteCloser
+	// carrier is the connection to that host, and answerBegun reports that a byte of the answer was read. Only the
+	// reader uses it.
+	carrier       net.Conn
+	answerBegun   bool
 	via, upstream string
 	opened        time.Time
 	scope         tally.Scope
@@ -50,9 +62,14 @@
 // Via returns the address of the other host.
 func (c *tunnelConn) Via() string { return c.via }
 
-// Read implements io.Reader. It counts and logs why the tunnel broke, unless this host closed it.
+// Read implements io.Reader. It counts and logs why the tunnel broke, unless this host closed it. Once the answer has
+// begun, the upstream may leave the rest of the request unread.
 func (c *tunnelConn) Read(p []byte) (int, error) {
 	n, err := c.ReadWriteCloser.Read(p)
+	if n > 0 && !c.answerBegun {
+		c.answerBegun = true
+		netconn.AllowClosedWindow(c.carrier)
+	}
 	if err != nil && !errors.Is(err, io.EOF) && c.ended.CompareAndSwap(false, true) {
 		c.countBroken(err)
 	}
