--- a/internal/upstreamhttp/memory.go
+++ b/internal/upstreamhttp/memory.go
@@ -19,6 +19,9 @@
 	// headMemoryFactor is the memory that a parsed header takes for each byte, at most. It is the largest if the fields
 	// are as short as possible.
 	headMemoryFactor = 32
+	// headReadBytes bounds one read of a header, so that a short one that arrives in two parts stays within answerAllowance,
+	// with what is read of the body.
+	headReadBytes = 2 << 10
 	// fieldMemory is the memory that a field of a parsed header takes besides its text, in bytes.
 	fieldMemory = 96
 )
@@ -145,7 +148,7 @@
 		r.memory.exceeded(limitHead, maxHeadBytes)
 		return 0, errHeadTooLarge
 	}
-	n, err := r.conn.Read(p[:min(int64(len(p)), maxHeadBytes-r.read)])
+	n, err := r.conn.Read(p[:min(int64(len(p)), headReadBytes, maxHeadBytes-r.read)])
 	r.read += int64(n)
 	if memoryErr := r.memory.hold.Resize(r.memory.cancelled, r.read*headMemoryFactor); memoryErr != nil {
 		return n, memoryErr
