--- a/internal/upstreamhttp/memory.go
+++ b/internal/upstreamhttp/memory.go
@@ -19,6 +19,9 @@
 	// headMemoryFactor is the memory that a parsed header takes for each byte, at most. It is the largest if the fields
 	// are as short as possible.
 	headMemoryFactor = 32
+	// headReadBytes bounds one read of a header, so that a short one that arrives in two parts stays within answerAllowance,
+	// with what is read of the body.
+	headReadBytes = 2 << 10
 	// fieldMemory is the memory that a field of a parsed header takes besides its text, in bytes.
 	fieldMemory = 96
 )
@@ -45,9 +48,12 @@
 	return m
 }
 
-// Instrument makes the client count in scope the answers that exceed a limit and those that wait for memory. It must be
-// called before Do.
-func (c *Client) Instrument(scope tally.Scope) { c.metrics = newMetrics(scope) }
+// Instrument makes the client count in scope the answers that exceed a limit and those that wait for memory, and returns
+// it. It must be called before Do.
+func (c *Client) Instrument(scope tally.Scope) *Client {
+	c.metrics = newMetrics(scope)
+	return c
+}
 
 // answerMemory is the memory in use for one answer. Its zero value is not bounded.
 type answerMemory struct {
@@ -75,14 +81,15 @@
 	}
 }
 
-// keepHeader makes the header the memory in use. It counts twice, as it is copied for the caller.
-func (m *answerMemory) keepHeader(header http.Header) {
+// keepHeader makes the header the memory in use. It counts twice, as it is copied for the caller, so that it may take more
+// than was held while it was read.
+func (m *answerMemory) keepHeader(header http.Header) error {
 	for name, values := range header {
 		for _, value := range values {
 			m.header += 2 * int64(len(name)+len(value)+fieldMemory)
 		}
 	}
-	m.keep(0)
+	return m.hold.Resize(m.cancelled, m.header)
 }
 
 // append appends more to data, whose capacity is at most limit bytes.
@@ -125,6 +132,7 @@
 	memory *answerMemory
 	read   int64
 	ended  bool
+	failed bool
 }
 
 // Read implements io.Reader.
@@ -132,11 +140,15 @@
 	if r.ended {
 		return r.conn.Read(p)
 	}
+	if r.failed {
+		return 0, errHeadTooLarge // it was reported
+	}
 	if r.read >= maxHeadBytes {
+		r.failed = true
 		r.memory.exceeded(limitHead, maxHeadBytes)
 		return 0, errHeadTooLarge
 	}
-	n, err := r.conn.Read(p[:min(int64(len(p)), maxHeadBytes-r.read)])
+	n, err := r.conn.Read(p[:min(int64(len(p)), headReadBytes, maxHeadBytes-r.read)])
 	r.read += int64(n)
 	if memoryErr := r.memory.hold.Resize(r.memory.cancelled, r.read*headMemoryFactor); memoryErr != nil {
 		return n, memoryErr
