A reset connection is told from one that ended in order while its write has not returned

Truncated answers without a length look complete (MIXED) if the writer of the request, to which the system reported the reset, gets no processor time for 500 ms: the wait for it runs out, and the end counted as in order. Suspected behind a failure seen once of TestResetWhileTheRequestIsSentIsNoEnd.

The state of the connection tells the two apart: after a reset or a timeout both directions are closed.

--- a/internal/netconn/exchange.go
+++ b/internal/netconn/exchange.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 )
 
@@ -75,7 +76,7 @@
 		}
 	}
 	if errors.Is(err, io.EOF) {
-		if broken := latest.breakage(); broken != nil {
+		if broken := c.breakage(latest); broken != nil {
 			err = broken
 		}
 	}
@@ -100,10 +101,13 @@
 
 // breakage returns why the connection, which has ended, broke during the write, or nil if it did not. The system reports a
 // reset or a timeout once, to whichever of a read and a write is first, and the end of the connection afterwards.
-func (w *write) breakage() error {
+func (c *exchangeConn) breakage(w *write) error {
 	select {
 	case <-w.done:
 	case <-time.After(brokenWriteTime):
+		if isClosed(c.tcp) {
+			return syscall.ECONNRESET
+		}
 		return nil
 	}
 	if errors.Is(w.err, syscall.EPIPE) { // the peer had closed the connection in order before
@@ -111,3 +115,17 @@
 	}
 	return w.err
 }
+
+// isClosed reports whether both directions of a connection that this process has not closed are closed, as after a reset
+// or a timeout.
+func isClosed(conn *net.TCPConn) (closed bool) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return closed && err == nil
+}
