--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -44,7 +44,8 @@
 	}()
 	go updateControlGauges(runCtx, metrics.Scope, control)
 	callers := &http.Server{
-		Handler: adapter.Control(control), ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: callReadTimeout, MaxHeaderBytes: callHeaderBytes,
+		Handler: adapter.Control(control), ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: callReadTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: callHeaderBytes,
 	}
 	if err := serve(s.Listen.Control, callers); err != nil {
 		return err
