--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -13,23 +13,23 @@
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 )
 
-// streamEnd tells who ended a stream that had begun before it was complete, as used in metrics and logs.
-type streamEnd string
+// endReason tells who ended a stream that had begun, before it was complete. Its values are used in metrics and logs.
+type endReason string
 
 const (
-	endedByCaller   streamEnd = "caller"
-	endedByDeadline streamEnd = "deadline"
-	endedByHostStop streamEnd = "host_stop"
+	endedByCaller   endReason = "caller"
+	endedByDeadline endReason = "deadline"
+	endedByHostStop endReason = "host_stop"
 	// endedByUpstream: the upstream broke off, or another at which the stream was to go on failed.
-	endedByUpstream streamEnd = "upstream"
+	endedByUpstream endReason = "upstream"
 	// endedByUpstreamDeadline: the upstream broke off once the time that it was sent was up.
-	endedByUpstreamDeadline streamEnd = "upstream_deadline"
+	endedByUpstreamDeadline endReason = "upstream_deadline"
 	// endedByLink: this host has lost its link to the upstream.
-	endedByLink streamEnd = "link"
+	endedByLink endReason = "link"
 	// endedByOtherHost: the connection through another host broke, there or behind it.
-	endedByOtherHost streamEnd = "other_host"
+	endedByOtherHost endReason = "other_host"
 	// endedByInvalidAnswer: the upstream sent what is no answer to the request, or too much.
-	endedByInvalidAnswer streamEnd = "invalid_answer"
+	endedByInvalidAnswer endReason = "invalid_answer"
 )
 
 // Causes of the end of a request's context. Without one of them the caller has left.
@@ -39,7 +39,7 @@
 )
 
 // contextEnd returns who ended the context of a request; empty if it has not ended.
-func contextEnd(ctx context.Context) streamEnd {
+func contextEnd(ctx context.Context) endReason {
 	cause := context.Cause(ctx)
 	switch {
 	case cause == nil:
@@ -53,7 +53,7 @@
 }
 
 // exchangeEnd returns who ended an exchange that failed with err.
-func (a *attempt) exchangeEnd(err error) streamEnd {
+func (a *attempt) exchangeEnd(err error) endReason {
 	if end := contextEnd(a.ctx); end != "" {
 		return end
 	}
@@ -85,7 +85,7 @@
 }
 
 // writeEnd returns who ended a stream whose next event could not be written.
-func (q *request) writeEnd() streamEnd {
+func (q *request) writeEnd() endReason {
 	if q.hostStopped() {
 		return endedByHostStop
 	}
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -29,7 +29,7 @@
 		after time.Duration
 		err   error
 		via   string
-		want  streamEnd
+		want  endReason
 	}{
 		"caller":                                  {cause: context.Canceled, err: io.ErrClosedPipe, want: endedByCaller},
 		"caller, at the deadline":                 {cause: context.Canceled, after: left, err: io.ErrClosedPipe, want: endedByCaller},
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -183,7 +183,7 @@
 	valuation *valuation
 	// lastFailure is the reason of the latest failed attempt, and endedBy who ended that.
 	lastFailure string
-	endedBy     streamEnd
+	endedBy     endReason
 }
 
 // ServeHTTP implements http.Handler.
