--- a/internal/netconn/exchange_test.go
+++ b/internal/netconn/exchange_test.go
@@ -18,6 +18,11 @@
 // exchange sends a long request to a peer that has read its first byte when it goes on with fn, and returns what was
 // received and how that ended.
 func exchange(t *testing.T, unackedTimeout time.Duration, fn func(*net.TCPConn)) (received string, err error) {
+	return exchangeWrites(t, unackedTimeout, []int{longRequestBytes}, fn)
+}
+
+// exchangeWrites is exchange with a request of several writes of the given sizes.
+func exchangeWrites(t *testing.T, unackedTimeout time.Duration, sizes []int, fn func(*net.TCPConn)) (received string, err error) {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -38,7 +43,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	conn := netconn.ForExchange(dialled)
 	defer func() { _ = conn.Close() }()
-	go func() { _, _ = conn.Write(make([]byte, longRequestBytes)) }()
+	go func() {
+		for _, size := range sizes {
+			if _, err := conn.Write(make([]byte, size)); err != nil {
+				return
+			}
+		}
+	}()
 	data, err := io.ReadAll(conn)
 	return string(data), err
 }
@@ -74,6 +85,24 @@
 	g.Expect(received).To(HaveLen(parts))
 }
 
+// Guards against a connection that is cut because its peer leaves a request unread that came in several writes, as
+// through a tunnel, the last of them short.
+func TestPeerThatAnswersMayLeaveARequestOfSeveralWritesUnread(t *testing.T) {
+	const unackedTimeout, parts, pause = time.Second, 30, 100 * time.Millisecond
+	received, err := exchangeWrites(t, unackedTimeout, []int{256 << 10, 1 << 10}, func(peer *net.TCPConn) {
+		time.Sleep(pause) // both writes are over
+		for range parts {
+			_, _ = io.WriteString(peer, "x")
+			time.Sleep(pause)
+		}
+		_ = peer.CloseWrite()
+		time.Sleep(pause)
+	})
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received).To(HaveLen(parts))
+}
+
 // Guards against taking the end of an answer for a failure, as its peer reads the request no further or goes on reading it.
 func TestAnswerThatEndsInOrderWhileTheRequestIsSentIsWhole(t *testing.T) {
 	for name, after := range map[string]func(*net.TCPConn){
