--- a/internal/upstreamhttp/head_parts_test.go
+++ b/internal/upstreamhttp/head_parts_test.go
@@ -41,17 +41,10 @@
 	g.Expect(time.Since(began)).To(BeNumerically("<", heldTimeout/2))
 }
 
-// serveParts answers one request with parts that arrive apart.
+// serveParts answers a request on each connection with parts that arrive apart.
 func serveParts(t *testing.T, parts ...string) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
+	return serveConnections(t, func(conn net.Conn) {
 		defer func() { _ = conn.Close() }()
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 			return
@@ -60,6 +53,5 @@
 			_, _ = io.WriteString(conn, part)
 			time.Sleep(50 * time.Millisecond)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
