Logs tell a silent upstream from a path that carries nothing

"stream cut in stop" with ended_by upstream stood for each broken connection: a reset, an end of the upstream, and this host's own timeout of unacknowledged bytes and probes. The last is ended_by unacknowledged now. The rows of the table of ends and of the stop's warnings are tested.

--- a/internal/controlnode/stopreport.go
+++ b/internal/controlnode/stopreport.go
@@ -59,6 +59,9 @@
 		message, fields = "stream open in stop", nil
 	}
 	fields = append(fields, "sent_at_ms", s.Sent.Milliseconds(), "at_ms", s.At.Milliseconds(), "silent_ms", s.Silent.Milliseconds())
+	if s.IsOpen() {
+		fields = append(fields, "unacked_ms", s.Unacked.Milliseconds())
+	}
 	if s.Full {
 		fields = append(fields, "full", true)
 	}
--- a/internal/controlnode/stopreport_test.go
+++ b/internal/controlnode/stopreport_test.go
@@ -26,7 +26,7 @@
 				RequestID: "cut", EndedBy: "host_stop", Sent: -230 * time.Millisecond, Deadline: 7770 * time.Millisecond, At: 7690 * time.Millisecond,
 				Silent: 2 * time.Second, Upstream: "u", Via: "10.0.0.9:7", Full: true, InFlight: 70, KVTokens: 90, KVCapacity: 100,
 			},
-			{RequestID: "open", EndedBy: stopreport.EndNone, At: 7700 * time.Millisecond, Upstream: "u"},
+			{RequestID: "open", EndedBy: stopreport.EndNone, At: 7700 * time.Millisecond, Upstream: "u", Unacked: 2500 * time.Millisecond},
 			{RequestID: "expired", EndedBy: "upstream_deadline", At: 5 * time.Second, Deadline: 5 * time.Second, Upstream: "u"},
 		},
 	})
@@ -38,7 +38,7 @@
 			HaveKeyWithValue("kv_percent", 90.0), HaveKeyWithValue("via", "10.0.0.9:7"), HaveKeyWithValue("upstream", "u"),
 			HaveKeyWithValue("gateway", "gateway-1"), HaveKeyWithValue("stalled_ms", 30.0)),
 		And(HaveKeyWithValue("msg", "stream open in stop"), HaveKeyWithValue("level", "WARN"), HaveKeyWithValue("request_id", "open"),
-			Not(HaveKey("full")), Not(HaveKey("via")), Not(HaveKey("ended_by")), Not(HaveKey("kv_percent"))),
+			HaveKeyWithValue("unacked_ms", 2500.0), Not(HaveKey("full")), Not(HaveKey("via")), Not(HaveKey("ended_by")), Not(HaveKey("kv_percent"))),
 		And(HaveKeyWithValue("msg", "stream cut in stop"), HaveKeyWithValue("level", "INFO"), HaveKeyWithValue("request_id", "expired")),
 		And(HaveKeyWithValue("msg", "streams in the stop of a gateway"), HaveKeyWithValue("open", 3.0), HaveKeyWithValue("listed", 3.0)),
 	))
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -37,6 +37,7 @@
 func (a *attempt) streamAnswer(w http.ResponseWriter, answer *upstreamhttp.Answer) attemptResult {
 	events := upstreamhttp.NewEventReader(answer.Body)
 	a.releaseContinued()
+	a.unacked = answer.Unacknowledged
 	a.moveOpenStream()
 	defer a.leaveRun()
 	for {
--- a/internal/gateway/endreason.go
+++ b/internal/gateway/endreason.go
@@ -22,6 +22,8 @@
 	endedByHostStop endReason = "host_stop"
 	// endedByUpstream: the upstream broke off, or another at which the stream was to go on failed.
 	endedByUpstream endReason = "upstream"
+	// endedByUnacknowledged: this host gave up the connection, as the upstream acknowledged nothing for a time.
+	endedByUnacknowledged endReason = "unacknowledged"
 	// endedByUpstreamDeadline: the upstream broke off once the time that it was sent was up.
 	endedByUpstreamDeadline endReason = "upstream_deadline"
 	// endedByLink: this host has lost its link to the upstream.
@@ -66,6 +68,8 @@
 		return endedByInvalidAnswer
 	case a.handler.Paths.Lost(a.target.Address):
 		return endedByLink
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return endedByUnacknowledged
 	}
 	return endedByUpstream
 }
--- a/internal/gateway/endreason_test.go
+++ b/internal/gateway/endreason_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -38,6 +39,7 @@
 		"stop, through another host":              {cause: errHostStopped, err: io.ErrClosedPipe, via: "b", want: endedByHostStop},
 		"upstream closes":                         {err: io.ErrUnexpectedEOF, want: endedByUpstream},
 		"upstream resets":                         {err: syscall.ECONNRESET, want: endedByUpstream},
+		"upstream acknowledges nothing":           {err: &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}, want: endedByUnacknowledged},
 		"upstream closes inside an event":         {err: upstreamhttp.ErrTruncatedEvent, want: endedByUpstream},
 		"upstream closes once its time is up":     {after: left, err: io.ErrUnexpectedEOF, want: endedByUpstreamDeadline},
 		"other host breaks":                       {err: io.ErrUnexpectedEOF, via: "b", want: endedByOtherHost},
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -188,6 +188,8 @@
 	endedBy     endReason
 	// runWasMoved reports that a run of the request was asked to stop, so as to go on elsewhere, which is done once at most.
 	runWasMoved bool
+	// unacked returns the time since the latest upstream last sent data or an acknowledgement; nil until one answers with a stream.
+	unacked func() time.Duration
 	// openStream is nil until the caller gets the beginning of a stream.
 	openStream *openStream
 }
--- a/internal/gateway/openstreams.go
+++ b/internal/gateway/openstreams.go
@@ -35,6 +35,15 @@
 type streamExchange struct {
 	sentAt        time.Time
 	upstream, via string
+	// unacked returns the time since the upstream last sent data or an acknowledgement; nil if the stream has no answer yet.
+	unacked func() time.Duration
+}
+
+func (x *streamExchange) unackedFor() time.Duration {
+	if x.unacked == nil {
+		return 0
+	}
+	return x.unacked()
 }
 
 // openStreams holds the streams that callers receive now, and those that ended early since the host stops. It is safe for concurrent
@@ -70,7 +79,7 @@
 }
 
 func (q *request) streamExchange() streamExchange {
-	return streamExchange{sentAt: q.lastSentAt, upstream: q.upstreamID, via: q.via}
+	return streamExchange{sentAt: q.lastSentAt, upstream: q.upstreamID, via: q.via, unacked: q.unacked}
 }
 
 // moveOpenStream records that another upstream goes on with the stream, if the caller has the beginning.
@@ -131,6 +140,7 @@
 		Sent: x.sentAt.Sub(plan.Began), Deadline: s.deadline.Sub(plan.Began), At: at.Sub(plan.Began),
 		Silent: at.Sub(time.Unix(0, s.lastEventAt.Load())), Upstream: x.upstream, Via: x.via,
 		Full: occupancy.Full, InFlight: occupancy.InFlight, KVTokens: occupancy.KVTokens, KVCapacity: s.limits.KVCapacity,
+		Unacked: x.unackedFor(),
 	}
 }
 
--- a/internal/netconn/exchange.go
+++ b/internal/netconn/exchange.go
@@ -49,6 +49,12 @@
 	return &exchangeConn{Conn: conn, tcp: tcp}
 }
 
+// KeepOpen is the function KeepOpen for the connection.
+func (c *exchangeConn) KeepOpen() { KeepOpen(c.tcp) }
+
+// Unacknowledged is the function Unacknowledged for the connection.
+func (c *exchangeConn) Unacknowledged() time.Duration { return Unacknowledged(c.tcp) }
+
 // CloseWrite ends the sending direction.
 func (c *exchangeConn) CloseWrite() error { return c.tcp.CloseWrite() }
 
--- a/internal/stopreport/stopreport.go
+++ b/internal/stopreport/stopreport.go
@@ -73,6 +73,8 @@
 	InFlight   int   `cbor:"11,keyasint,omitempty"`
 	KVTokens   int64 `cbor:"12,keyasint,omitempty"`
 	KVCapacity int64 `cbor:"13,keyasint,omitempty"`
+	// Unacked is the time since the upstream of an open stream last sent data or an acknowledgement; 0 if it is not known.
+	Unacked time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
 // IsOpen reports whether the stream is open.
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
@@ -47,7 +48,7 @@
 // Answer is the answer of an upstream. It must be closed.
 type Answer struct {
 	*http.Response
-	conn   io.Closer
+	conn   *withdrawableConn
 	stop   func() bool
 	memory *answerMemory
 }
@@ -63,6 +64,9 @@
 // Abort closes the connection, so that reading the body fails. Unlike Close it may be called while the body is read.
 func (a *Answer) Abort() { _ = a.conn.Close() }
 
+// Unacknowledged returns the time since the upstream last sent data or an acknowledgement; 0 if it is not known.
+func (a *Answer) Unacknowledged() time.Duration { return a.conn.unacknowledged() }
+
 // Unframed reports whether nothing but the end of the connection marks the end of the body.
 func (a *Answer) Unframed() bool { return a.ContentLength < 0 && len(a.TransferEncoding) == 0 }
 
