A request that no other upstream may take waits while a link holds packets

Callers saw begun streams closed without their end, around a SIGTERM and at other times.

Cause: connections to upstreams failed once bytes or keep-alive probes were unacknowledged for 3 s, so that another upstream could be tried. A stream that can't be resumed has no other: the timeout only took its answer from the caller, 3 to 5 s before the deadline. Five streams in the record were cut after 3,054 to 3,071 ms of silence; those of the test after 3,064 and 3,066.

Change: the exchange of an attempt that no other may follow (the kind of the request, its number of attempts, events without ids) has no such timeout; its caller, its upstream, its deadline or the kill ends it. Probes go on, so that an upstream that has restarted ends it. The call that stops a run to move it has none either: without its answer the run goes on nowhere. Repeatable requests with attempts left still leave after 3 s.

Ruled out: upstreams that break off and ends of this host's own other than the timeout (the reason is ETIMEDOUT).

Before: TestBegunStreamsOutliveALinkThatHoldsPackets cut at 3,064 ms, TestRequestsThatMayRunOnceOutliveALinkThatHoldsPackets failed with 502 at 3.1 s.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -79,6 +79,9 @@
 		}
 		a.writeHeader(w, answer)
 		a.noteRun(answer, event.HasID)
+		if !event.HasID {
+			answer.KeepOpen() // the stream can't go on elsewhere
+		}
 		if !a.writeEvent(w, event) {
 			return resultAnswered
 		}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -343,9 +343,15 @@
 	return &upstreamhttp.Request{
 		Method: a.Method, URI: a.URI, Host: a.Authority, Header: a.handler.Dialect.Encode(a.Call, metadata),
 		Body: a.Body, HasBody: a.HasBody, ReportsWithdrawal: a.reservedTokens > 0,
+		KeepsOpen: a.isLast(),
 	}
 }
 
+// isLast reports whether no other attempt may follow this one, which has not been counted yet, once an upstream has it.
+func (a *attempt) isLast() bool {
+	return !a.route.Repeatable() || a.attempts+1 >= max(a.route.MaxAttempts, 1)
+}
+
 // rank returns the organisation's rank if it is set, and the route's rank otherwise.
 func (q *request) rank() int {
 	if q.organisation != nil && q.organisation.Rank != nil {
--- a/internal/gateway/runmove.go
+++ b/internal/gateway/runmove.go
@@ -194,7 +194,9 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(m.ctx), timeout)
 	defer cancel()
 	answer, err := a.handler.upstreams.Do(ctx, a.target.Address, func() *upstreamhttp.Request {
-		return a.handler.Dialect.EncodeRunMove(&RunMove{RequestID: a.ID, Target: target, Stops: stops})
+		r := a.handler.Dialect.EncodeRunMove(&RunMove{RequestID: a.ID, Target: target, Stops: stops})
+		r.KeepsOpen = stops // without the answer the run goes on nowhere
+		return r
 	})
 	var unreachable *upstreamhttp.UnreachableError
 	if errors.As(err, &unreachable) {
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -43,6 +43,9 @@
 	// ReportsWithdrawal asks for ErrNotBegun where it applies. A withdrawn exchange then takes up to
 	// withdrawTimeout longer.
 	ReportsWithdrawal bool
+	// KeepsOpen makes the exchange last until the upstream or the context ends it, for a request that no other upstream may
+	// take. Otherwise it fails when the upstream acknowledges nothing for unackedTimeout.
+	KeepsOpen bool
 }
 
 // Answer is the answer of an upstream. It must be closed.
@@ -64,6 +67,9 @@
 // Abort closes the connection, so that reading the body fails. Unlike Close it may be called while the body is read.
 func (a *Answer) Abort() { _ = a.conn.Close() }
 
+// KeepOpen makes the exchange last from now on as Request.KeepsOpen does.
+func (a *Answer) KeepOpen() { a.conn.keepOpen() }
+
 // Unacknowledged returns the time since the upstream last sent data or an acknowledgement; 0 if it is not known.
 func (a *Answer) Unacknowledged() time.Duration { return a.conn.unacknowledged() }
 
@@ -122,6 +128,9 @@
 		return nil, &UnreachableError{Cause: ErrWithdrawn}
 	}
 	withdrawal := &withdrawableConn{ReadWriteCloser: conn, closesAtOnce: !r.ReportsWithdrawal}
+	if r.KeepsOpen {
+		withdrawal.keepOpen()
+	}
 	stop := context.AfterFunc(ctx, withdrawal.withdraw)
 	memory := &answerMemory{hold: c.memory.Hold(), cancelled: ctx.Done(), address: address, metrics: c.metrics}
 	answer, err := roundTrip(withdrawal, r, memory)
--- a/internal/upstreamhttp/withdraw.go
+++ b/internal/upstreamhttp/withdraw.go
@@ -26,6 +26,8 @@
 	// sent reports that the whole request was written, and received that a byte arrived.
 	sent     atomic.Bool
 	received bool
+	// keptOpen reports that the timeouts of the connection are lifted.
+	keptOpen atomic.Bool
 	// closesAtOnce makes a withdrawal close the connection.
 	closesAtOnce bool
 }
