Tunnels for requests that no other upstream may take outlast a link that holds packets

Callers of a gateway without links of its own saw begun streams cut: the host that carried the tunnel ended its connection to the upstream after 3 s without acknowledgements, the taker the one to the carrier after 2 s, and the carrier's listener that to the taker after 5 s.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -33,6 +33,9 @@
 	// callerUnackedTimeout is how long bytes sent to a caller may stay unacknowledged, or wait for room at a caller
 	// that reads slowly. It exceeds the time of most requests.
 	callerUnackedTimeout = time.Minute
+	// hostsUnackedTimeout is how long bytes sent to another gateway may stay unacknowledged. It exceeds the time of most streams
+	// that are carried for that host.
+	hostsUnackedTimeout = time.Minute
 )
 
 // errSessionLost means that this process has to stop, as its successor has started.
@@ -88,7 +91,7 @@
 	if err := serveCallers(background, s, callers, meter, metrics.Scope); err != nil {
 		return err
 	}
-	hosts, err := netconn.Listen(s.Listen.Hosts, unackedTimeout)
+	hosts, err := netconn.Listen(s.Listen.Hosts, hostsUnackedTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -27,6 +27,9 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
+// keptConn is a connection that fails when nothing is acknowledged, unless it is kept open.
+type keptConn interface{ KeepOpen() }
+
 // ErrUnavailable is wrapped by errors of Server.Dial that tell nothing of the upstream.
 var ErrUnavailable = errors.New("this host can't reach any upstream")
 
@@ -168,7 +171,10 @@
 		if stream.Receive(&next) != nil {
 			return
 		}
-		if writable {
+		if conn, ok := upstream.(keptConn); ok && next.KeepOpen {
+			conn.KeepOpen()
+		}
+		if writable && len(next.Data) > 0 {
 			_, err := upstream.Write(next.Data)
 			writable = err == nil
 		}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,8 @@
 	Broken string `cbor:"3,keyasint,omitempty"`
 	// Kill tells, in a message without data, when the host that carries the tunnel ends; nil in others.
 	Kill *kill `cbor:"4,keyasint,omitempty"`
+	// KeepOpen asks, in a message without data, for a connection to the upstream that lasts though nothing is acknowledged.
+	KeepOpen bool `cbor:"5,keyasint,omitempty"`
 }
 
 // kill holds the times, from when they were sent, between which a host is killed.
@@ -124,10 +127,12 @@
 // conn is the connection to an upstream, at the host that opened the tunnel.
 type conn struct {
 	stream *rpc.Stream
-	cancel context.CancelFunc
-	unread []byte
-	ended  error
-	kill   atomic.Pointer[KillTimes]
+	// sending is held while a message is sent.
+	sending sync.Mutex
+	cancel  context.CancelFunc
+	unread  []byte
+	ended   error
+	kill    atomic.Pointer[KillTimes]
 }
 
 // CarrierKill returns when the other host is killed; nil unless it has said so.
@@ -165,7 +170,7 @@
 func (c *conn) Write(p []byte) (written int, err error) {
 	for len(p) > 0 {
 		n := min(len(p), maxChunkBytes)
-		if err := c.stream.Send(&chunk{Data: p[:n]}); err != nil {
+		if err := c.send(&chunk{Data: p[:n]}); err != nil {
 			return written, eris.Wrap(err, "write to a tunnel")
 		}
 		written, p = written+n, p[n:]
@@ -173,6 +178,18 @@
 	return written, nil
 }
 
+// KeepOpen makes the connection from the other host to the upstream last until one of its ends, or the tunnel, is closed. The
+// connection between the hosts has a timeout of its own.
+func (c *conn) KeepOpen() {
+	go func() { _ = c.send(&chunk{KeepOpen: true}) }() // the reader learns of a broken tunnel
+}
+
+func (c *conn) send(message *chunk) error {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	return c.stream.Send(message)
+}
+
 // Close implements io.Closer. The other host closes the connection to the upstream.
 func (c *conn) Close() error {
 	c.cancel()
