Resumable streams leave a silent path only for an upstream that may take them

A resumable stream whose upstream acknowledged nothing for 3 s lost its connection, and was cut if no retry was left or no other upstream could take it. A link that holds packets does this to all streams of a host at once, more than its share of the retry budget.

Change: while a resumable stream is read, the time since the upstream's latest acknowledgement (TCP_INFO) is looked at. Where the system does not tell that time, and through another host, the timeout of 3 s stays as it was.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -40,6 +40,8 @@
 	a.unacked = answer.Unacknowledged
 	a.moveOpenStream()
 	defer a.leaveRun()
+	var watch *silenceWatch
+	defer func() { watch.stop() }()
 	for {
 		event, err := events.Next()
 		if err != nil && (answer.Unframed() || !errors.Is(err, io.EOF)) {
@@ -79,8 +81,11 @@
 		}
 		a.writeHeader(w, answer)
 		a.noteRun(answer, event.HasID)
-		if !event.HasID {
+		switch {
+		case !event.HasID:
 			answer.KeepOpen() // the stream can't go on elsewhere
+		case watch == nil:
+			watch = a.watchSilence(answer)
 		}
 		if !a.writeEvent(w, event) {
 			return resultAnswered
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -109,6 +109,7 @@
 func (q *request) dispatch(w http.ResponseWriter) *errkind.Error {
 	service := q.serviceName
 	q.handler.Retries.CountRequest(service, q.arrived)
+	defer q.releaseSubstitute()
 	for {
 		if q.ctx.Err() != nil || q.timeRemaining() < minAttemptTime {
 			return q.finalError(nil)
@@ -182,6 +183,9 @@
 }
 
 func (q *request) chooseUpstream(service string) (*placement.Assignment, *errkind.Error) {
+	if s := q.substitute.Swap(nil); s != nil {
+		return s.target, nil
+	}
 	if q.waitsForPlace() {
 		return q.awaitPlace(service)
 	}
@@ -284,7 +288,7 @@
 	if q.attempts >= max(q.route.MaxAttempts, 1) {
 		return false
 	}
-	return q.handler.Retries.AllowRetry(service, q.view.Hosts, time.Now())
+	return q.substitute.Load() != nil || q.handler.Retries.AllowRetry(service, q.view.Hosts, time.Now())
 }
 
 // run sends the request to the upstream and handles its answer.
--- a/internal/gateway/endreason.go
+++ b/internal/gateway/endreason.go
@@ -68,7 +68,7 @@
 		return endedByInvalidAnswer
 	case a.handler.Paths.Lost(a.target.Address):
 		return endedByLink
-	case errors.Is(err, syscall.ETIMEDOUT):
+	case errors.Is(err, syscall.ETIMEDOUT) || a.substitute.Load() != nil:
 		return endedByUnacknowledged
 	}
 	return endedByUpstream
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -190,6 +190,8 @@
 	runWasMoved bool
 	// unacked returns the time since the latest upstream last sent data or an acknowledgement; nil until one answers with a stream.
 	unacked func() time.Duration
+	// substitute is where the stream goes on next, as its upstream acknowledges nothing; nil if that is not so.
+	substitute atomic.Pointer[substitute]
 	// openStream is nil until the caller gets the beginning of a stream.
 	openStream *openStream
 }
--- a/internal/upstreamhttp/dial.go
+++ b/internal/upstreamhttp/dial.go
@@ -17,20 +17,21 @@
 	// time. It takes longer if this host's own link is congested.
 	minDialTimeout = 250 * time.Millisecond
 	maxDialTimeout = time.Second
-	// unackedTimeout is how long sent bytes or keep-alive probes may remain unacknowledged. A sound
-	// upstream may be silent for over a second.
-	unackedTimeout = 3 * time.Second
 	// maxTimerDelay is how late the timeout of an attempt may fire. The process did not run if it is later, and the
 	// connection may have been established in time.
 	maxTimerDelay = 50 * time.Millisecond
 )
 
+// UnackedTimeout is how long sent bytes or keep-alive probes may remain unacknowledged, unless the connection is kept open. A sound
+// upstream may be silent for over a second.
+const UnackedTimeout = 3 * time.Second
+
 // TimedDialFunc connects to address within timeout.
 type TimedDialFunc func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 
 // DialTCP is the TimedDialFunc for TCP connections.
 func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	return netconn.Dial(ctx, address, timeout, unackedTimeout)
+	return netconn.Dial(ctx, address, timeout, UnackedTimeout)
 }
 
 // Dialer connects with timeouts by the duration of recent attempts. It is safe for concurrent use.
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -44,7 +44,7 @@
 	// withdrawTimeout longer.
 	ReportsWithdrawal bool
 	// KeepsOpen makes the exchange last until the upstream or the context ends it, for a request that no other upstream may
-	// take. Otherwise it fails when the upstream acknowledges nothing for unackedTimeout.
+	// take. Otherwise it fails when the upstream acknowledges nothing for UnackedTimeout.
 	KeepsOpen bool
 }
 
