An answer with an invalid status is none

An upstream in trouble answered with the status 000. Statuses below 200 counted as interim answers, so that what followed on the connection was taken for the answer: the body of that one, if it looked like one, and otherwise the caller waited until its deadline. Statuses above 599 reached callers as answers, and 101 counted as interim though no request asks for another protocol.

Change: a status outside 100 to 599, or 101, ends the exchange: the request has no answer, and is repeated or fails as after any broken one.

--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -161,6 +161,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if !validStatus(resp.StatusCode) {
+			return nil, eris.Wrapf(errInvalidStatus, "status %d", resp.StatusCode)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			head.ended = true // the body has limits of its own
 			if err := memory.keepHeader(resp.Header); err != nil {
@@ -172,6 +175,16 @@
 	}
 }
 
+// errInvalidStatus reports an answer with a status that HTTP does not allow, or that switches to a protocol that no request asks for.
+var errInvalidStatus = errors.New("invalid status of an answer")
+
+// maxStatus is the highest status that HTTP allows.
+const maxStatus = 599
+
+func validStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // encode returns the wire format of the request.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
