One function keeps a connection open, whatever its type

No change of behaviour, from a second reading. Three interfaces named the method KeepOpen (upstreamhttp, tunnel, node), tunnels had an Unacknowledged that knew nothing to satisfy one of them, and netconn read TCP_INFO and set TCP options in two places each.

--- a/internal/gateway/silentupstream_test.go
+++ b/internal/gateway/silentupstream_test.go
@@ -25,8 +25,6 @@
 
 func (c *keepableConn) KeepOpen() { c.kept = true }
 
-func (*keepableConn) Unacknowledged() time.Duration { return 0 }
-
 // Guards against a run that stops and goes on nowhere, as the answer to the call that stops it is given up while a link holds packets.
 func TestOnlyTheCallThatStopsARunWaitsForASilentUpstream(t *testing.T) {
 	for _, stops := range []bool{false, true} {
--- a/internal/netconn/exchange.go
+++ b/internal/netconn/exchange.go
@@ -124,14 +124,7 @@
 
 // isClosed reports whether both directions of a connection that this process has not closed are closed, as after a reset
 // or a timeout.
-func isClosed(conn *net.TCPConn) (closed bool) {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
-	})
-	return closed && err == nil
+func isClosed(conn *net.TCPConn) bool {
+	info, err := tcpInfo(conn)
+	return err == nil && info.State == unix.BPF_TCP_CLOSE
 }
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -30,11 +30,25 @@
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket: the time for which sent bytes may stay unacknowledged, or
 // unsent as the window of the peer is closed. 0 is the system's default.
 func setUserTimeout(c syscall.RawConn, unackedTimeout time.Duration) error {
+	return eris.Wrap(setOption(c, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds())), "set TCP_USER_TIMEOUT")
+}
+
+// setOption sets a TCP option of a socket.
+func setOption(c syscall.RawConn, option, value int) error {
 	var optionErr error
-	err := c.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return eris.Wrap(errors.Join(err, optionErr), "set TCP_USER_TIMEOUT")
+	err := c.Control(func(fd uintptr) { optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, value) })
+	return errors.Join(err, optionErr)
+}
+
+// tcpInfo returns what the system knows of a connection that this process has not closed.
+func tcpInfo(conn *net.TCPConn) (info *unix.TCPInfo, err error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, eris.Wrap(err, "get TCP_INFO")
+	}
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, eris.Wrap(errors.Join(err, infoErr), "get TCP_INFO")
 }
 
 // withUserTimeout returns a function that sets the timeout on a new socket.
--- a/internal/node/tunnel.go
+++ b/internal/node/tunnel.go
@@ -74,14 +74,9 @@
 // KeepOpen makes the connections to the other host and from there to the upstream last though nothing is acknowledged.
 func (c *tunnelConn) KeepOpen() {
 	netconn.KeepOpen(c.carrier)
-	if conn, ok := c.ReadWriteCloser.(interface{ KeepOpen() }); ok {
-		conn.KeepOpen()
-	}
+	netconn.KeepOpen(c.ReadWriteCloser)
 }
 
-// Unacknowledged returns 0: what the upstream acknowledges is known to the other host.
-func (c *tunnelConn) Unacknowledged() time.Duration { return 0 }
-
 // Read implements io.Reader. It counts and logs why the tunnel broke, unless this host closed it. Once the answer has
 // begun, the upstream may leave the rest of the request unread.
 func (c *tunnelConn) Read(p []byte) (int, error) {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -27,9 +28,6 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
-// keptConn is a connection that fails when nothing is acknowledged, unless it is kept open.
-type keptConn interface{ KeepOpen() }
-
 // ErrUnavailable is wrapped by errors of Server.Dial that tell nothing of the upstream.
 var ErrUnavailable = errors.New("this host can't reach any upstream")
 
@@ -171,8 +169,8 @@
 		if stream.Receive(&next) != nil {
 			return
 		}
-		if conn, ok := upstream.(keptConn); ok && next.KeepOpen {
-			conn.KeepOpen()
+		if next.KeepOpen {
+			netconn.KeepOpen(upstream)
 		}
 		if writable && len(next.Data) > 0 {
 			_, err := upstream.Write(next.Data)
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/godwitbend/godwitbend/internal/membudget"
+	"github.com/godwitbend/godwitbend/internal/netconn"
 )
 
 const (
@@ -71,7 +72,9 @@
 func (a *Answer) KeepOpen() { a.conn.keepOpen() }
 
 // Unacknowledged returns the time since the upstream last sent data or an acknowledgement; 0 if it is not known.
-func (a *Answer) Unacknowledged() time.Duration { return a.conn.unacknowledged() }
+func (a *Answer) Unacknowledged() time.Duration {
+	return netconn.Unacknowledged(a.conn.ReadWriteCloser)
+}
 
 // Unframed reports whether nothing but the end of the connection marks the end of the body.
 func (a *Answer) Unframed() bool { return a.ContentLength < 0 && len(a.TransferEncoding) == 0 }
--- a/internal/upstreamhttp/withdraw.go
+++ b/internal/upstreamhttp/withdraw.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/godwitbend/godwitbend/internal/netconn"
 )
 
 // withdrawTimeout bounds the time for which a withdrawn exchange waits for the end of the
@@ -41,6 +43,13 @@
 	}
 }
 
+// keepOpen lets the upstream acknowledge nothing for any time.
+func (c *withdrawableConn) keepOpen() {
+	if c.keptOpen.CompareAndSwap(false, true) {
+		netconn.KeepOpen(c.ReadWriteCloser)
+	}
+}
+
 func (c *withdrawableConn) send(data []byte) {
 	_, err := c.Write(data)
 	c.sent.Store(err == nil)
