--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,15 +28,15 @@
 	born     int64
 	mu       sync.Mutex
 	sequence int
-	draining bool
 	listener net.Listener
 	conns    map[net.Conn]bool
-	stopped  chan struct{}
+	// left is closed when the process is to leave, silent when it has sent its last heartbeat, and stopped when it has ended.
+	left, silent, stopped chan struct{}
 }
 
 // StartReplica starts a process of a replica, which reports to the control hosts.
 func (f *Fleet) StartReplica(r *Replica) *Replica {
-	r.f, r.born, r.stopped, r.conns = f, time.Now().UnixMilli(), make(chan struct{}), map[net.Conn]bool{}
+	r.f, r.born, r.left, r.silent, r.stopped, r.conns = f, time.Now().UnixMilli(), make(chan struct{}), make(chan struct{}), make(chan struct{}), map[net.Conn]bool{}
 	var err error
 	for range 50 {
 		if r.listener, err = net.Listen("tcp4", r.Address); err == nil {
@@ -84,6 +85,11 @@
 
 func (r *Replica) handle(w http.ResponseWriter, req *http.Request) {
 	w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
+	select {
+	case <-r.left:
+		w.Header().Set("Server-Leaving", "1")
+	default:
+	}
 	if want := req.Header.Get("Expect-Replica"); want != "" && want != r.ID {
 		w.Header().Set("Replica-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -99,24 +105,27 @@
 
 // beat sends heartbeats to control hosts, to the next one after a failure.
 func (r *Replica) beat() {
+	defer close(r.silent)
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for n := 0; ; {
 		r.mu.Lock()
 		r.sequence++
-		state := "ready"
-		if r.draining {
-			state = "draining"
-		}
 		body, _ := json.Marshal(map[string]any{
-			"service": r.Service, "address": r.Address, "zone": "a", "version": r.Version, "slots": r.Slots, "state": state,
+			"service": r.Service, "address": r.Address, "zone": "a", "version": r.Version, "slots": r.Slots, "state": "ready",
 			"cold_left_ms": 0, "sequence": r.sequence, "born": r.born,
 		})
 		sequence, delay := r.sequence, r.HeartbeatDelay
 		r.mu.Unlock()
 		first := n
 		n++
-		time.AfterFunc(delay, func() { r.report(first, sequence, body, delay) })
+		select {
+		case <-r.left:
+			r.report(first, sequence, body, delay)
+			return
+		default:
+			time.AfterFunc(delay, func() { r.report(first, sequence, body, delay) })
+		}
 		select {
 		case <-r.stopped:
 			return
@@ -125,6 +134,38 @@
 	}
 }
 
+// Leave ends the heartbeats and tells a control host, on a connection that is open already, that the replica leaves. It calls
+// acknowledged as soon as the acknowledgement arrives. The process serves on, and says in its answers that it leaves.
+func (r *Replica) Leave(control int, acknowledged func()) error {
+	close(r.left)
+	<-r.silent
+	conn, err := net.DialTimeout("tcp4", r.f.Control(control), time.Second)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	answer := make([]byte, 4<<10)
+	call := func(path, body string) (status string, err error) {
+		if _, err := fmt.Fprintf(conn, "POST /godwitbend/%s HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body); err != nil {
+			return "", err
+		}
+		n, err := conn.Read(answer)
+		return string(answer[:n]), err
+	}
+	if _, err := call("Replicas.Heartbeat/none", "{}"); err != nil { // refused, as it names no replica
+		return err
+	}
+	status, err := call("Replicas.Deregister/"+r.ID, fmt.Sprintf(`{"born":%d}`, r.born))
+	if err == nil && !strings.HasPrefix(status, "HTTP/1.1 200 ") {
+		err = fmt.Errorf("not acknowledged: %q", status)
+	}
+	if err == nil {
+		acknowledged()
+	}
+	return err
+}
+
 // report delivers a heartbeat. What was sent before a crash may arrive after it.
 func (r *Replica) report(first, sequence int, body []byte, delay time.Duration) {
 	client := &http.Client{Timeout: time.Second}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -175,6 +175,13 @@
 	return started
 }
 
+// RestartControl starts the control host with a number from 1 again, with its disk.
+func (f *Fleet) RestartControl(n int) *Process {
+	s := f.settings(n, "control", filepath.Join(f.dir, fmt.Sprintf("data-%d", n)))
+	s["bootstrap"] = false
+	return f.Start(s)
+}
+
 // StartGateways starts gateways.
 func (f *Fleet) StartGateways(n int) []*Process {
 	var started []*Process
