--- a/review/9/main.go
+++ b/review/9/main.go
@@ -26,8 +26,11 @@
 	drainTime   = 2 * time.Second
 	contactTime = 3 * time.Second
 	slack       = 150 * time.Millisecond
-	// quietTime is the time after the acknowledgement in which no client sends a request.
-	quietTime = contactTime + slack
+	// restartDelay is the time after which the platform starts a process again that was killed.
+	restartDelay = 300 * time.Millisecond
+	// quietTime is the time after the acknowledgement in which no client sends a request: the core is stable, and the others are
+	// in touch, contactTime after the start of the process that was killed.
+	quietTime = restartDelay + contactTime + 2*slack
 	// servesOn is the time for which a replica that leaves serves on.
 	servesOn = 6 * time.Second
 	// catchUpTime is catch_up_s, for a control host that was started again.
@@ -142,7 +145,7 @@
 		running = running[1:]
 		quiet.Store(true)
 		time.Sleep(slack) // for the requests on their way
-		var acknowledged time.Time
+		var acknowledged, restarted time.Time
 		err := leaving.Leave(control, func() {
 			if c.Trouble {
 				hosts[control-1].Signal(syscall.SIGKILL)
@@ -154,7 +157,18 @@
 			return rig.NotRun
 		}
 		c.Record("control host %d acknowledged that %s leaves; killed: %v", control, leaving.ID, c.Trouble)
+		if c.Trouble {
+			<-hosts[control-1].Ended()
+			time.Sleep(time.Until(acknowledged.Add(restartDelay)))
+			hosts[control-1] = f.RestartControl(control)
+			restarted = time.Now()
+			c.Record("control host %d starts again %.3f s after the acknowledgement", control, restarted.Sub(acknowledged).Seconds())
+		}
 		time.Sleep(time.Until(acknowledged.Add(quietTime)))
+		if time.Since(restarted) < contactTime {
+			c.Record("control host %d was started too late", control)
+			return rig.NotRun
+		}
 		quiet.Store(false)
 		time.Sleep(time.Until(acknowledged.Add(servesOn)))
 		late, last := a.after(leaving.ID, acknowledged.Add(quietTime))
@@ -166,7 +180,6 @@
 			break
 		}
 		if c.Trouble {
-			hosts[control-1] = f.RestartControl(control)
 			time.Sleep(catchUpTime)
 		}
 	}
