Records of streams outlive a kill of all hosts

After all processes were killed and started again no caller's stream went on: 503 stream_not_resumable (origin_unknown), while new streams began. The record of the version that began a stream was in the memory of processes only.

Ruled out by the refusals' fields: hosts that did not answer (all did), upstreams in doubt (the reason would be version_unconfirmed).

A restored record decides only for a named call, and once all hosts have answered.

--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -27,6 +27,7 @@
 	"github.com/godwitbend/godwitbend/internal/replication"
 	"github.com/godwitbend/godwitbend/internal/rpc"
 	"github.com/godwitbend/godwitbend/internal/streamorigin"
+	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/wal"
 )
 
@@ -77,6 +78,8 @@
 	Decode func(content []byte) (*catalog.Document, error)
 	// Scope receives the metrics; nil means that there are none.
 	Scope tally.Scope
+	// Boot identifies the boot of the machine. If it is 0, records of streams are not restored after a restart.
+	Boot uint64
 }
 
 // Network opens connections between hosts.
@@ -161,12 +164,13 @@
 	// generations holds the latest sets of upstreams that report to this host.
 	generations []directUpstreams
 	// origins holds the records of streams that gateway hosts sent to this host.
-	origins      *streamorigin.Table
-	hosts        *hostTable
-	peerLists    peerLists
-	upstreamFeed *upstreamFeed
-	loadFeed     loadFeed
-	crashes      crashcause.Tracker
+	origins       *streamorigin.Table
+	originJournal *streamorigin.Journal
+	hosts         *hostTable
+	peerLists     peerLists
+	upstreamFeed  *upstreamFeed
+	loadFeed      loadFeed
+	crashes       crashcause.Tracker
 	// crashPositions holds what this host has of the evidence of other control hosts, by address.
 	crashPositions map[string]crashPosition
 	notices        notice.Table
@@ -206,6 +210,9 @@
 	n.reports = newReportBatcher(n)
 	n.relay = newRelay(n)
 	n.server = n.newServer()
+	n.originJournal = streamorigin.NewJournal(streamorigin.JournalOptions{
+		FS: o.FS, Directory: o.Directory, Boot: o.Boot, BootTime: timing.BootTime, Scope: o.Scope,
+	})
 	return n
 }
 
@@ -241,6 +248,8 @@
 			klog.ErrorS(err, "serving other hosts failed")
 		}
 	})
+	n.restoreStreamOrigins()
+	n.goRun(func() { n.originJournal.Run(background) })
 	n.goRun(func() {
 		// The gateway hosts and the other control hosts keep records too, so that this one can do without.
 		if err := n.receiveStreamOrigins(background); err != nil {
--- a/internal/controlnode/streamorigins.go
+++ b/internal/controlnode/streamorigins.go
@@ -16,8 +16,17 @@
 // maxOriginDatagramBytes bounds a datagram with records of streams.
 const maxOriginDatagramBytes = 8 << 10
 
+// restoreStreamOrigins restores the records of streams that this host kept before it was killed.
+func (n *Node) restoreStreamOrigins() {
+	restored, err := n.originJournal.Restore(n.origins, time.Now())
+	if err != nil {
+		klog.ErrorS(err, "origins of streams not restored")
+		return
+	}
+	klog.InfoS("origins of streams restored", "records", restored)
+}
+
 // receiveStreamOrigins keeps the records of streams that gateway hosts send in datagrams, until ctx ends.
-// It holds them in memory only.
 func (n *Node) receiveStreamOrigins(ctx context.Context) error {
 	address, err := netip.ParseAddrPort(n.options.Address)
 	if err != nil {
@@ -45,7 +54,9 @@
 		}
 		now := time.Now()
 		for i := range msg.Records {
-			n.origins.Keep(msg.Records[i], now)
+			if n.origins.Keep(msg.Records[i], now) && n.options.Boot != 0 {
+				n.originJournal.Add(msg.Records[i])
+			}
 		}
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -23,7 +23,7 @@
 	control := controlnode.New(controlnode.Options{
 		Host: s.Host, Address: s.Listen.Hosts, ListenAddress: s.Listen.HostsBind, Zone: s.Zone, Directory: s.DataDir, Bootstrap: s.Bootstrap, BootClocks: s.BootClocks, ClockAgreement: s.ClockAgreement,
 		Seeds:  s.hostSeeds,
-		Decode: adapter.DecodeDocument, Scope: metrics.Scope,
+		Decode: adapter.DecodeDocument, Scope: metrics.Scope, Boot: bootID(),
 	})
 	ready := func() error {
 		if _, running := control.Status(); !running {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,7 +103,7 @@
 func bootID() uint64 {
 	id, err := timing.BootID()
 	if err != nil {
-		klog.ErrorS(err, "the boot of the machine is not known; the control group charges more if this process is terminated")
+		klog.ErrorS(err, "the boot of the machine is not known: if this process is killed, more is charged and origins of streams are lost")
 	}
 	return id
 }
--- a/internal/streamorigin/query.go
+++ b/internal/streamorigin/query.go
@@ -35,6 +35,9 @@
 	Ambiguous bool `cbor:"3,keyasint,omitempty"`
 	// More are the replies to Query.More.
 	More []Reply `cbor:"4,keyasint,omitempty"`
+	// Restored reports that Origin is only known from what an earlier process of the host received. Known
+	// is false then unless the query names the call.
+	Restored bool `cbor:"5,keyasint,omitempty"`
 }
 
 // String implements fmt.Stringer, for logs.
@@ -42,6 +45,8 @@
 	switch {
 	case r.Ambiguous:
 		return "ambiguous"
+	case r.Restored:
+		return fmt.Sprintf("%s at %s, restored", r.Origin.Service, r.Origin.Version)
 	case r.Known:
 		return fmt.Sprintf("%s at %s", r.Origin.Service, r.Origin.Version)
 	}
--- a/internal/streamorigin/search.go
+++ b/internal/streamorigin/search.go
@@ -50,7 +50,11 @@
 	answers           []string
 	origin            Origin
 	known, conflicted bool
-	ended             bool
+	// received reports that a host knows the origin since it started, not only from an earlier process. earlier is an
+	// origin that is not known to be the latest of the request.
+	received bool
+	earlier  *Origin
+	ended    bool
 }
 
 // askedGroup are the hosts of one kind that are asked. Each record is on some of them.
@@ -92,6 +96,14 @@
 		s.conflicted = true
 	case r.Known:
 		s.origin, s.known = r.Origin, true
+		s.received = s.received || !r.Restored
+	case r.Restored && s.earlier != nil && r.Origin != *s.earlier:
+		s.conflicted = true
+	case r.Restored:
+		s.earlier = &r.Origin
+	}
+	if s.known && s.earlier != nil && *s.earlier != s.origin {
+		s.conflicted = true
 	}
 }
 
@@ -106,17 +118,20 @@
 func (s *Search) End() { s.ended = true }
 
 // Verdict returns the state of the search. The first host that knows a named call decides, because the
-// id of a call has one origin. Without a name all hosts must agree, because the records of equal
+// id of a call has one origin; but a restored record may have been one of two, of which another host may have the
+// second, so that such hosts wait for the others. Without a name all hosts must agree, because the records of equal
 // requests can't be told apart, and the hosts of one kind must have answered: the asking host itself may
 // have missed a later record while it was suspended or cut off.
 func (s *Search) Verdict() Verdict {
 	switch {
 	case s.conflicted:
 		return Ambiguous
-	case s.named && s.known:
+	case s.named && s.received:
 		return Found
 	case len(s.answers) < s.asked && !s.ended:
 		return Undecided
+	case s.named && s.known:
+		return Found
 	case s.known && (s.gateways.complete() || s.controls.complete()):
 		return Found
 	case s.known:
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -64,6 +64,8 @@
 	callID    string
 	origin    Origin
 	expiresAt time.Time
+	// restored reports that an earlier process received the record, and this one has not.
+	restored bool
 }
 
 // NewTable returns an empty table.
@@ -72,7 +74,12 @@
 // Put keeps a record for its lifetime, at most MaxLifetime. One that is known already, because the host
 // that began the stream sent it again, takes no further room. Put returns false if the table is full or
 // the id of the call too long.
-func (t *Table) Put(r Record, now time.Time) bool {
+func (t *Table) Put(r Record, now time.Time) bool { return t.put(r, false, now) }
+
+// restore keeps a record that an earlier process received.
+func (t *Table) restore(r Record, now time.Time) bool { return t.put(r, true, now) }
+
+func (t *Table) put(r Record, restored bool, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.purgedAt) >= purgeInterval {
@@ -87,6 +94,7 @@
 		if expiresAt.After(list[i].expiresAt) {
 			list[i].expiresAt = expiresAt
 		}
+		list[i].restored = list[i].restored && restored
 		return true
 	}
 	if t.count >= maxRecords {
@@ -96,7 +104,7 @@
 		list = slices.Delete(list, 0, 1)
 		t.count--
 	}
-	t.records[r.Fingerprint] = append(list, entry{r.CallID, r.Origin, expiresAt})
+	t.records[r.Fingerprint] = append(list, entry{r.CallID, r.Origin, expiresAt, restored})
 	t.count++
 	return true
 }
@@ -129,15 +137,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var reply Reply
+	found := false
 	for _, e := range t.records[fingerprint] {
 		if callID != "" && e.callID != callID || !now.Before(e.expiresAt) {
 			continue
 		}
-		if reply.Known && e.origin != reply.Origin {
+		if found && e.origin != reply.Origin {
 			return Reply{Ambiguous: true}
 		}
-		reply = Reply{Origin: e.origin, Known: true}
+		reply.Origin = e.origin
+		reply.Restored = e.restored && (reply.Restored || !found)
+		found = true
 	}
+	// A later stream of the fingerprint may have begun while this host was down.
+	reply.Known = found && (callID != "" || !reply.Restored)
 	return reply
 }
 
