Tests of crowds that exhaust memory and descriptors, which fail

Small crowds against real processes with low limits, at each address that a gateway, a control host and a host of the product listen on. Crowd and bounds are fixed here, before the product changes. A test checks that the process lives, that its resident memory and the bytes that its connections have not read stay under its limit, and that an ordinary request is answered while the crowd stays and once it has left.

--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,15 @@
 TEST_TMPDIR ?= $(shell test -w /dev/shm && ! grep -q '/dev/shm.*noexec' /proc/mounts && \
 	df -Pk /dev/shm | awk 'NR == 2 { exit $$4 < 4000000 }' && echo /dev/shm || echo "$${TMPDIR:-/tmp}")
 
+# The tests of this package measure the memory of processes, and run apart from the others.
+CROWDS := ./platform/crowds
+
 # SKIP holds names of tests to pass over, separated by |.
 test:
-	GOTMPDIR=$${TMPDIR:-/tmp} TMPDIR=$(TEST_TMPDIR) go test -count=1 -timeout 8m $(if $(SKIP),-skip '^($(SKIP))$$') ./...
+	@export GOTMPDIR=$${TMPDIR:-/tmp} TMPDIR=$(TEST_TMPDIR); status=0; \
+	go test -count=1 -timeout 8m $(if $(SKIP),-skip '^($(SKIP))$$') $$(go list ./... | grep -v '/platform/crowds$$') || status=1; \
+	go test -count=1 -timeout 8m $(if $(SKIP),-skip '^($(SKIP))$$') $(CROWDS) || status=1; \
+	exit $$status
 
 lint:
 	@out="$$(gofmt -l cmd internal platform tests)"; if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -181,6 +181,9 @@
 	return nil
 }
 
+// OperatorKey returns the key of operators.
+func (f *Fleet) OperatorKey() string { return f.operatorKey }
+
 // AwaitReady waits until all daemons are ready. It returns an error if one has terminated.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	for _, h := range f.Hosts {
