--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -91,6 +91,9 @@
 // tcpNetwork implements Network.
 type tcpNetwork struct{}
 
+// TCP is the network of hosts.
+var TCP Network = tcpNetwork{}
+
 // ListenHosts implements Network.
 func (tcpNetwork) ListenHosts(address string) (net.Listener, error) {
 	return netconn.Listen(address, unacknowledgedTimeout)
@@ -164,7 +167,8 @@
 	// generations holds the latest sets of upstreams that report to this host.
 	generations []directUpstreams
 	// origins holds the records of streams that gateway hosts sent to this host.
-	origins       *streamorigin.Table
+	origins *streamorigin.Table
+	// originJournal is nil if the boot of the machine is not known.
 	originJournal *streamorigin.Journal
 	hosts         *hostTable
 	peerLists     peerLists
@@ -187,7 +191,7 @@
 		o.FS = wal.OS{}
 	}
 	if o.Network == nil {
-		o.Network = tcpNetwork{}
+		o.Network = TCP
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
@@ -210,9 +214,11 @@
 	n.reports = newReportBatcher(n)
 	n.relay = newRelay(n)
 	n.server = n.newServer()
-	n.originJournal = streamorigin.NewJournal(streamorigin.JournalOptions{
-		FS: o.FS, Directory: o.Directory, Boot: o.Boot, BootTime: timing.BootTime, Scope: o.Scope,
-	})
+	if o.Boot != 0 {
+		n.originJournal = streamorigin.NewJournal(streamorigin.JournalOptions{
+			FS: o.FS, Directory: o.Directory, Boot: o.Boot, BootTime: timing.BootTime, Scope: o.Scope,
+		})
+	}
 	return n
 }
 
@@ -248,8 +254,10 @@
 			klog.ErrorS(err, "serving other hosts failed")
 		}
 	})
-	n.restoreStreamOrigins()
-	n.goRun(func() { n.originJournal.Run(background) })
+	if n.originJournal != nil {
+		n.restoreStreamOrigins()
+		n.goRun(func() { n.originJournal.Run(background) })
+	}
 	n.goRun(func() {
 		// The gateway hosts and the other control hosts keep records too, so that this one can do without.
 		if err := n.receiveStreamOrigins(background); err != nil {
--- a/internal/controlnode/streamorigins.go
+++ b/internal/controlnode/streamorigins.go
@@ -54,7 +54,7 @@
 		}
 		now := time.Now()
 		for i := range msg.Records {
-			if n.origins.Keep(msg.Records[i], now) && n.options.Boot != 0 {
+			if n.origins.Keep(msg.Records[i], now) && n.originJournal != nil {
 				n.originJournal.Add(msg.Records[i])
 			}
 		}
--- a/internal/streamorigin/journal.go
+++ b/internal/streamorigin/journal.go
@@ -41,8 +41,7 @@
 type JournalOptions struct {
 	FS        wal.FS
 	Directory string
-	// Boot identifies the boot of the machine; 0 if it is not known. BootTime returns the time since then,
-	// including suspended time.
+	// Boot identifies the boot of the machine, and BootTime returns the time since then, including suspended time.
 	Boot     uint64
 	BootTime func() time.Duration
 	Scope    tally.Scope
@@ -91,9 +90,6 @@
 // Restore puts the records that earlier processes of the same boot wrote into the table, and returns how many. It must be
 // called before Run, which writes them again.
 func (j *Journal) Restore(t *Table, now time.Time) (int, error) {
-	if j.options.Boot == 0 {
-		return 0, nil
-	}
 	bootTime := j.options.BootTime()
 	frames, err := j.readFrames(bootTime)
 	if err != nil || len(frames) == 0 {
