One budget for what the clients of a process hold together

Kept connections left no descriptor for new callers.

Cause: limits bounded one request, each at its place; nothing bounded what all clients hold. max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration were decoded and used nowhere.

internal/ingress counts connections, heads as parsed, bodies, receive buffers and descriptors of all addresses against one budget: 0.4 of the process' memory, half of its descriptors, with guaranteed parts for callers, operators, probes and hosts. Who makes no progress yields first, then the organisation or address that holds most. Attempts send the body itself instead of a copy.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/godwitbend/godwitbend/internal/controlgroup"
 	"github.com/godwitbend/godwitbend/internal/crashcause"
 	"github.com/godwitbend/godwitbend/internal/entry"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
 	"github.com/godwitbend/godwitbend/internal/rpc"
@@ -42,6 +43,8 @@
 	settings *settings.Settings
 	network  Network
 	metrics  *telemetry.Metrics
+	// clients is what clients hold together.
+	clients  *ingress.Budget
 	rpc      *rpc.Client
 	group    *controlgroup.Client
 	session  *session.Session
--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/godwitbend/godwitbend/internal/ingress"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
 
@@ -35,10 +36,11 @@
 	lastEnd  time.Time
 }
 
-// serveHTTP serves handler on listener until the shutdown.
-func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) *httpServer {
+// serveHTTP serves handler on listener, whose connections are those of bounded or lead through them, until the shutdown.
+func (d *Daemon) serveHTTP(bounded *ingress.Listener, listener net.Listener, handler http.Handler) *httpServer {
 	s := &httpServer{listener: listener, handler: handler, leaving: d.leaving.Load}
-	s.Server = &http.Server{Handler: s, MaxHeaderBytes: d.settings.Limits.HeaderBytes, ReadHeaderTimeout: readHeaderTimeout}
+	s.Server = &http.Server{Handler: s}
+	bounded.Instrument(s.Server)
 	d.goRun(func() {
 		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			klog.ErrorS(err, "HTTP server failed", "address", listener.Addr().String())
--- a/internal/daemon/maintain.go
+++ b/internal/daemon/maintain.go
@@ -45,6 +45,7 @@
 		d.registry.Expire(time.Now())
 		d.setHostGauges(g)
 		d.setReplicaGauges(g)
+		d.clients.UpdateGauges()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -14,6 +14,7 @@
 	"github.com/godwitbend/godwitbend/internal/entry"
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/hosttls"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 	"github.com/godwitbend/godwitbend/internal/operatorapi"
 	"github.com/godwitbend/godwitbend/internal/registry"
 	"github.com/godwitbend/godwitbend/internal/routing"
@@ -26,6 +27,8 @@
 const (
 	// readHeaderTimeout bounds the reading of a request's header.
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout bounds the time for which a client keeps a connection without a request.
+	idleTimeout = 2 * time.Minute
 )
 
 // start opens the listeners and starts the roles of the host.
@@ -34,6 +37,7 @@
 	if d.metrics, err = telemetry.NewMetrics(); err != nil {
 		return err
 	}
+	d.clients = newClientBudget(d.settings, ingress.Options{Scope: d.metrics.Scope})
 	d.rpc = rpc.NewClient(d.network.DialHost)
 	d.upstreamHTTP = d.network.UpstreamClient()
 	d.registry = registry.New(d.settings.UpstreamTimeout.Duration)
@@ -65,7 +69,9 @@
 	handler := d.callerHandler()
 	d.handler = handler
 	d.registerHostMethods(srv, announcements, handler)
-	d.goRun(func() { _ = srv.Serve(ctx, hostsListener) })
+	d.clients.CountAsUsed(handler.AnswerMemory)
+	d.clients.CountAsUsed(srv.MemoryInUse)
+	d.goRun(func() { _ = srv.Serve(ctx, d.clients.Listen(hostsListener, ingress.Hosts, nil)) })
 	d.goRun(func() { d.maintain(ctx) })
 	if err := d.startHTTP(handler, announcements); err != nil {
 		return err
@@ -210,13 +216,17 @@
 
 // startHTTP starts the HTTP servers for callers, upstreams and operators.
 func (d *Daemon) startHTTP(handler http.Handler, announcements http.Handler) error {
-	operators, err := d.network.Listen(d.settings.Listen.Operators)
+	bounded, err := d.listenHTTP(d.settings.Listen.Operators, ingress.Operators)
 	if err != nil {
 		return err
 	}
-	if operators, err = hosttls.WrapOperatorListener(operators, d.settings.TLS); err != nil {
+	operators, err := hosttls.WrapOperatorListener(bounded, d.settings.TLS)
+	if err != nil {
 		return err
 	}
+	if operators != net.Listener(bounded) {
+		bounded.Opaque()
+	}
 	mux := http.NewServeMux()
 	telemetry.Register(mux, d.metrics.Handler, d.ready)
 	mux.Handle("/", operatorapi.New(operatorapi.Options{
@@ -229,11 +239,11 @@
 		SendOrder:     d.order,
 		OnRefusal:     func(kind errkind.Kind) { telemetry.Refusal(d.metrics.Scope, kind).Inc(1) },
 	}))
-	d.operators = d.serveHTTP(operators, mux)
+	d.operators = d.serveHTTP(bounded, operators, mux)
 	if !d.settings.HasRole(settings.RoleEntry) {
 		return nil
 	}
-	callers, err := d.network.Listen(d.settings.Listen.Callers)
+	callers, err := d.listenHTTP(d.settings.Listen.Callers, ingress.Callers)
 	if err != nil {
 		return err
 	}
@@ -241,10 +251,20 @@
 	callerMux.Handle(announce.PathAnnounce, announcements)
 	callerMux.HandleFunc("GET "+telemetry.PathReady, telemetry.ReadyHandler(d.ready))
 	callerMux.Handle("/", handler)
-	d.callers = d.serveHTTP(callers, callerMux)
+	d.callers = d.serveHTTP(callers, callers, callerMux)
 	return nil
 }
 
+// listenHTTP listens for a class of clients.
+func (d *Daemon) listenHTTP(address string, class ingress.Class) (*ingress.Listener, error) {
+	listener, err := d.network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	limits := ingress.Limits{HeaderBytes: int64(d.settings.Limits.HeaderBytes), HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return d.clients.Listen(listener, class, func() ingress.Limits { return limits }), nil
+}
+
 // ready returns nil, or the reason why the host refuses new requests.
 func (d *Daemon) ready() error {
 	switch {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"math"
 	"net/http"
 	"slices"
@@ -28,20 +30,51 @@
 
 // chatRequest holds the fields of a chat completion request that this package reads.
 type chatRequest struct {
-	Model    string `json:"model"`
-	Messages []struct {
-		Role    string          `json:"role"`
-		Content json.RawMessage `json:"content"`
-	} `json:"messages"`
-	Stream              bool   `json:"stream"`
-	MaxTokens           *int64 `json:"max_tokens"`
-	MaxCompletionTokens *int64 `json:"max_completion_tokens"`
-	N                   *int64 `json:"n"`
+	Model               string   `json:"model"`
+	Messages            messages `json:"messages"`
+	Stream              bool     `json:"stream"`
+	MaxTokens           *int64   `json:"max_tokens"`
+	MaxCompletionTokens *int64   `json:"max_completion_tokens"`
+	N                   *int64   `json:"n"`
 	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
 }
 
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// messages are decoded one by one, so that a list of messages without content, which take many times their text, is refused at
+// the first of them.
+type messages []message
+
+var errNoRole = errors.New("a message has no role")
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *messages) UnmarshalJSON(data []byte) error {
+	*l = nil
+	if string(data) == "null" {
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if first, err := decoder.Token(); err != nil || first != json.Delim('[') {
+		return errors.New("messages must be a list")
+	}
+	for decoder.More() {
+		var m message
+		if err := decoder.Decode(&m); err != nil {
+			return err
+		}
+		if m.Role == "" {
+			return errNoRole
+		}
+		*l = append(*l, m)
+	}
+	return nil
+}
+
 // chatRequestFields are the JSON names of chatRequest's fields. Case variants of
 // them are rejected, because encoding/json matches names without regard to case
 // while an engine may not, so the two could read different values.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -143,6 +143,9 @@
 // before they take over a request whose session has not ended.
 func (h *Handler) Serving(requestID string) bool { return h.inFlight.contains(requestID) }
 
+// AnswerMemory returns the memory that answers of upstreams take, in bytes.
+func (h *Handler) AnswerMemory() int64 { return h.memory.InUse() }
+
 // EndRequests answers all requests in flight at once, without their upstreams. The host must be draining.
 func (h *Handler) EndRequests() { h.endRequests() }
 
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 )
 
 // Limits bounds the requests of callers and the size of answers.
@@ -80,20 +80,24 @@
 
 // readBody reads the request body, up to BodyBytes.
 func (l Limits) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength > l.BodyBytes {
-		return nil, errkind.New(errkind.BodyTooLarge, "the body exceeds %d bytes", l.BodyBytes)
+	body, err := ingress.ReadBody(r, l.BodyBytes, bodyCopies)
+	if err == nil {
+		return body, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	w.Header().Set("Connection", "close")
+	var known *errkind.Error
+	switch {
+	case errors.As(err, &known):
+		return nil, known
+	case errors.Is(err, ingress.ErrBodyTooLarge):
 		return nil, errkind.New(errkind.BodyTooLarge, "the body exceeds %d bytes", l.BodyBytes)
 	}
-	if err != nil {
-		return nil, errkind.New(errkind.InvalidRequest, "read the body: %v", err)
-	}
-	return body, nil
+	return nil, errkind.New(errkind.InvalidRequest, "read the body: %v", err)
 }
 
+// bodyCopies is the number of copies of a body, as decoded and as sent to an upstream.
+const bodyCopies = 2
+
 // callerLimiter limits the in-flight requests of each caller on this host.
 type callerLimiter struct {
 	mu       sync.Mutex
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -190,13 +190,17 @@
 // Retry-After is rounded up to whole seconds.
 func (e *Error) WriteHeader(w http.ResponseWriter) {
 	if e.RetryAfterMS > 0 {
-		seconds := (e.RetryAfterMS + msPerSecond - 1) / msPerSecond
-		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+		SetRetryAfter(w.Header(), time.Duration(e.RetryAfterMS)*time.Millisecond)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(Lookup(e.Kind).Status)
 }
 
+// SetRetryAfter asks a caller to retry after d, rounded up to whole seconds.
+func SetRetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", strconv.FormatInt((d.Milliseconds()+msPerSecond-1)/msPerSecond, 10))
+}
+
 // From returns the *Error that err wraps, or an Internal error with err's text.
 func From(err error) *Error {
 	var e *Error
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/hostsync"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 )
 
 const (
@@ -99,20 +99,28 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(q.deadline) // if unsupported, the body may arrive late; the request's deadline still applies
 	stopReading := context.AfterFunc(q.handler.requestsEnded, func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if q.organisation != nil {
+		ingress.Identify(r.Context(), q.organisation.Name)
+	}
+	body, err := ingress.ReadBody(r, limit, 0)
 	stopReading()
-	_ = control.SetReadDeadline(time.Time{})
+	var refusal *errkind.Error
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	} else {
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case err != nil && q.hostStopped():
 		return errDraining()
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.Is(err, ingress.ErrBodyTooLarge):
+		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil: // net/http cancels it on each failed read
 		return errkind.New(errkind.InvalidRequest, "the caller disconnected before the body was read")
 	case err != nil:
-		w.Header().Set("Connection", "close")
 		return errkind.New(errkind.DeadlineUnmet, "reading the body failed: %v", err)
-	case int64(len(body)) > limit:
-		w.Header().Set("Connection", "close")
-		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
 	}
 	q.Body, q.bodyReadAt = body, time.Now()
 	return nil
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -96,6 +96,9 @@
 	return h
 }
 
+// AnswerMemory returns the memory that answers of upstreams take, in bytes.
+func (h *Handler) AnswerMemory() int64 { return h.upstreams.MemoryInUse() }
+
 // EndRequests answers the requests in flight at once, without their upstreams. Streams that have begun go on.
 func (h *Handler) EndRequests() { h.endRequests() }
 
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -49,6 +49,7 @@
 // Budget is an amount of memory that is shared by holds. Holds wait for memory that others have; they can't deadlock, as
 // the largest hold always finds room to grow to the largest size allowed. It is safe for concurrent use.
 type Budget struct {
+	size      int64
 	largest   int64
 	allowance int64
 
@@ -64,11 +65,18 @@
 // small holds never wait.
 func New(size, largest, allowance int64) *Budget {
 	return &Budget{
-		largest: min(largest, size), allowance: allowance,
+		size: size, largest: min(largest, size), allowance: allowance,
 		free: size, holds: map[*Hold]struct{}{}, freed: make(chan struct{}),
 	}
 }
 
+// InUse returns what the holds take beyond their allowances, in bytes.
+func (b *Budget) InUse() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.size - b.free
+}
+
 // Hold is a part of a budget. Its methods but Release must not be called concurrently.
 type Hold struct {
 	budget *Budget
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
 	"github.com/godwitbend/godwitbend/internal/timing"
 )
@@ -19,10 +20,10 @@
 
 // runControl runs a control host until ctx ends. Calls in flight are then answered before it leaves the control
 // group, as what it acknowledges has to reach the others.
-func runControl(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics) error {
+func runControl(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics, clients *clientBudget) error {
 	control := controlnode.New(controlnode.Options{
 		Host: s.Host, Address: s.Listen.Hosts, ListenAddress: s.Listen.HostsBind, Zone: s.Zone, Directory: s.DataDir, Bootstrap: s.Bootstrap, BootClocks: s.BootClocks, ClockAgreement: s.ClockAgreement,
-		Seeds:  s.hostSeeds,
+		Seeds: s.hostSeeds, Network: controlNetwork{clients},
 		Decode: adapter.DecodeDocument, Scope: metrics.Scope, Boot: bootID(),
 	})
 	ready := func() error {
@@ -32,7 +33,7 @@
 		return ctx.Err()
 	}
 	more := map[string]http.Handler{"GET " + pathEvacuations: evacuationsHandler(control)}
-	if err := serveMetrics(s.Node, metrics, ready, more); err != nil {
+	if err := clients.serveMetrics(s.Node, metrics, ready, more); err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
@@ -44,11 +45,10 @@
 		failed <- control.Run(runCtx)
 	}()
 	go updateControlGauges(runCtx, metrics.Scope, control)
-	callers := &http.Server{
-		Handler: adapter.Control(control), ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: callReadTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: callHeaderBytes,
-	}
-	if err := serve(s.Listen.Control, callers); err != nil {
+	go timing.Every(runCtx, gaugeInterval, clients.UpdateGauges)
+	callers := &http.Server{Handler: adapter.Control(control), ReadTimeout: callReadTimeout}
+	limits := ingress.Limits{HeaderBytes: callHeaderBytes, HeaderTimeout: callerHeaderTimeout, IdleTimeout: callIdleTimeout}
+	if err := clients.serve(s.Listen.Control, ingress.Operators, limits, callers); err != nil {
 		return err
 	}
 	klog.InfoS("host started")
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -12,22 +12,23 @@
 
 	"github.com/godwitbend/godwitbend/internal/gateway"
 	"github.com/godwitbend/godwitbend/internal/hostsync"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 	"github.com/godwitbend/godwitbend/internal/linkadmission"
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/placement"
 	"github.com/godwitbend/godwitbend/internal/retrylimit"
 	"github.com/godwitbend/godwitbend/internal/settings"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
+	"github.com/godwitbend/godwitbend/internal/timing"
 	"github.com/godwitbend/godwitbend/internal/tunnel"
 	"github.com/godwitbend/godwitbend/internal/upstreamhttp"
 	"github.com/godwitbend/godwitbend/internal/upstreampath"
 )
 
 const (
-	// callerIdleTimeout exceeds every idle timeout that a configuration allows callers,
-	// so that no caller sends a request on a connection that is being closed.
-	callerIdleTimeout = 2 * time.Minute
-	// callerHeaderTimeout and callerHeaderBytes bound the reading of a request's header.
+	// callerIdleTimeout bounds the time for which a caller keeps a connection, and callerHeaderTimeout and callerHeaderBytes the
+	// reading of a request's header, where the configuration sets no limit.
+	callerIdleTimeout   = 2 * time.Minute
 	callerHeaderTimeout = 15 * time.Second
 	callerHeaderBytes   = 64 << 10
 	// callerUnackedTimeout is how long bytes sent to a caller may stay unacknowledged, or wait for room at a caller
@@ -42,7 +43,7 @@
 var errSessionLost = eris.New("another process has opened a session for this host")
 
 // runGateway serves callers until ctx ends.
-func runGateway(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics, stalls *stallDetector) error {
+func runGateway(ctx context.Context, s *watchedSettings, adapter Adapter, metrics *telemetry.Metrics, stalls *stallDetector, clients *clientBudget) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	go stalls.run(background)
@@ -69,6 +70,7 @@
 		Paths: paths, Scope: metrics.Scope, Clock: bootTime,
 		OrderByValue: orderByValue,
 	})
+	clients.CountAsUsed(handler.AnswerMemory)
 	ready := func() error {
 		select {
 		case <-ctx.Done():
@@ -81,14 +83,14 @@
 	}
 	callers := newCallerServer(handler)
 	callers.Handler = countPanics(handler, metrics.Scope)
-	readiness := &http.Server{Handler: adapter.Ready(ready), ReadHeaderTimeout: time.Second, MaxHeaderBytes: callHeaderBytes}
-	if err := serveMetrics(s.Node, metrics, ready, nil); err != nil {
+	readiness := &http.Server{Handler: adapter.Ready(ready)}
+	if err := clients.serveMetrics(s.Node, metrics, ready, nil); err != nil {
 		return err
 	}
-	if err := serve(s.Listen.Readiness, readiness); err != nil {
+	if err := clients.serve(s.Listen.Readiness, ingress.Probes, probeLimits, readiness); err != nil {
 		return err
 	}
-	if err := serveCallers(background, s, callers, meter, metrics.Scope); err != nil {
+	if err := serveCallers(background, s, callers, meter, metrics.Scope, clients, func() ingress.Limits { return callerLimits(client.View()) }); err != nil {
 		return err
 	}
 	hosts, err := netconn.Listen(s.Listen.Hosts, hostsUnackedTimeout)
@@ -99,7 +101,8 @@
 	go func() {
 		srv := client.NewServer()
 		tunnels.Register(srv)
-		if err := srv.Serve(background, hosts); err != nil {
+		clients.CountAsUsed(srv.MemoryInUse)
+		if err := srv.Serve(background, clients.Listen(hosts, ingress.Hosts, nil)); err != nil {
 			klog.ErrorS(err, "RPC server for hosts failed")
 		}
 	}()
@@ -109,6 +112,7 @@
 		}
 	}()
 	go updateGatewayGauges(background, metrics.Scope, pool)
+	go timing.Every(background, gaugeInterval, clients.UpdateGauges)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -148,16 +152,24 @@
 
 // serveCallers starts the server for callers. If the settings say so, it refuses their connections
 // while the link of this host is congested.
-func serveCallers(ctx context.Context, s *watchedSettings, callers *callerServer, meter *linkadmission.Meter, scope tally.Scope) error {
+func serveCallers(ctx context.Context, s *watchedSettings, callers *callerServer, meter *linkadmission.Meter, scope tally.Scope, clients *clientBudget, limits func() ingress.Limits) error {
 	listener, err := linkadmission.NewListener(linkadmission.Options{
 		MaxDelay: s.Link.MaxDelay.Duration, Meter: meter, Scope: scope,
-		Listen: func() (*netconn.Listener, error) { return netconn.Listen(s.Listen.Callers, callerUnackedTimeout) },
+		Listen: func() (*netconn.Listener, error) {
+			socket, err := netconn.Listen(s.Listen.Callers, callerUnackedTimeout)
+			if err == nil {
+				ingress.BoundReceiveBuffer(socket)
+			}
+			return socket, err
+		},
 	})
 	if err != nil {
 		return err
 	}
+	bounded := clients.Listen(listener, ingress.Callers, limits)
 	if s.Link.MaxDelay.Duration == 0 {
-		callers.serve(listener)
+		bounded.Instrument(callers.Server)
+		callers.serve(bounded)
 		return nil
 	}
 	go listener.Run(ctx)
@@ -168,6 +180,26 @@
 		}
 		handler.ServeHTTP(w, r)
 	})
-	callers.serve(listener)
+	bounded.Instrument(callers.Server)
+	callers.serve(bounded)
 	return nil
 }
+
+// callerLimits returns the limits of the configuration, which may be nil, and the defaults for those that it does not set.
+func callerLimits(view *hostsync.View) ingress.Limits {
+	limits := ingress.Limits{HeaderBytes: callerHeaderBytes, HeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	if view == nil {
+		return limits
+	}
+	configured := view.Index.Document.Limits
+	if configured.HeaderBytes > 0 {
+		limits.HeaderBytes = configured.HeaderBytes
+	}
+	if configured.HeaderTimeout > 0 {
+		limits.HeaderTimeout = configured.HeaderTimeout
+	}
+	if configured.IdleTimeout > 0 {
+		limits.IdleTimeout = configured.IdleTimeout
+	}
+	return limits
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/godwitbend/godwitbend/internal/catalog"
 	"github.com/godwitbend/godwitbend/internal/controlnode"
 	"github.com/godwitbend/godwitbend/internal/gateway"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 	"github.com/godwitbend/godwitbend/internal/netconn"
 	"github.com/godwitbend/godwitbend/internal/settings"
 	"github.com/godwitbend/godwitbend/internal/telemetry"
@@ -39,10 +40,17 @@
 	// the time in which a call to a control host must arrive.
 	callHeaderBytes = 16 << 10
 	callReadTimeout = 15 * time.Second
+	// probeHeaderTimeout and callIdleTimeout bound the time for which a probe sends its head, and for which it or a call keeps a
+	// connection.
+	probeHeaderTimeout = time.Second
+	callIdleTimeout    = 2 * time.Minute
 	// exitMargin is the part of the stop timeout that is left when a host has ended its last requests.
 	exitMargin = 300 * time.Millisecond
 )
 
+// probeLimits bounds what reads readiness and metrics.
+var probeLimits = ingress.Limits{HeaderBytes: callHeaderBytes, HeaderTimeout: probeHeaderTimeout, IdleTimeout: callIdleTimeout}
+
 // Adapter implements the protocols towards callers, operators and upstreams.
 type Adapter struct {
 	Dialect        gateway.Dialect
@@ -68,12 +76,13 @@
 	defer func() { _ = metrics.Close() }()
 	watched := newWatchedSettings(path, s)
 	go watched.watch(ctx)
+	clients := newClientBudget(s, metrics.Scope)
 	klog.InfoS("host starting", "role", string(s.Role), "zone", s.Zone, "seeds", s.Seeds, "bootstrap", s.Bootstrap)
 	switch s.Role {
 	case settings.NodeGateway:
-		err = runGateway(ctx, watched, adapter, metrics, stalls)
+		err = runGateway(ctx, watched, adapter, metrics, stalls, clients)
 	case settings.NodeControl:
-		err = runControl(ctx, watched, adapter, metrics)
+		err = runControl(ctx, watched, adapter, metrics, clients)
 	}
 	klog.InfoS("host stopped")
 	return err
@@ -108,13 +117,15 @@
 	return id
 }
 
-// serve starts srv on address; it runs until it is shut down.
-func serve(address string, srv *http.Server) error {
+// serve starts srv on address for a class of clients; it runs until it is shut down.
+func (b *clientBudget) serve(address string, class ingress.Class, limits ingress.Limits, srv *http.Server) error {
 	listener, err := netconn.Listen(address, unackedTimeout)
 	if err != nil {
 		return err
 	}
-	serveOn(listener, srv)
+	bounded := b.Listen(listener, class, func() ingress.Limits { return limits })
+	bounded.Instrument(srv)
+	serveOn(bounded, srv)
 	return nil
 }
 
@@ -129,7 +140,7 @@
 
 // serveMetrics serves the metrics and health endpoints and additional ones, by pattern, if the
 // settings have an address for them.
-func serveMetrics(s *settings.Node, metrics *telemetry.Metrics, ready func() error, more map[string]http.Handler) error {
+func (b *clientBudget) serveMetrics(s *settings.Node, metrics *telemetry.Metrics, ready func() error, more map[string]http.Handler) error {
 	if s.Listen.Metrics == "" {
 		return nil
 	}
@@ -138,5 +149,5 @@
 	for pattern, handler := range more {
 		mux.Handle(pattern, handler)
 	}
-	return eris.Wrap(serve(s.Listen.Metrics, &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: callHeaderBytes}), "serve metrics")
+	return eris.Wrap(b.serve(s.Listen.Metrics, ingress.Probes, probeLimits, &http.Server{Handler: mux}), "serve metrics")
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -69,8 +69,7 @@
 func newCallerServer(handler *gateway.Handler) *callerServer {
 	s := &callerServer{handler: handler, connections: map[net.Conn]http.ConnState{}}
 	s.Server = &http.Server{
-		Handler: handler, IdleTimeout: callerIdleTimeout, ConnState: s.trackConnection,
-		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerHeaderBytes,
+		Handler: handler, ConnState: s.trackConnection,
 	}
 	return s
 }
--- a/internal/operatorapi/encoding.go
+++ b/internal/operatorapi/encoding.go
@@ -1,6 +1,7 @@
 package operatorapi
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -11,6 +12,7 @@
 
 	"github.com/godwitbend/godwitbend/internal/config"
 	"github.com/godwitbend/godwitbend/internal/errkind"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 )
 
 // Limits on input.
@@ -60,9 +62,20 @@
 // decode reads the JSON body of a call into v. It refuses unknown fields and data
 // after the JSON value.
 func decode(r *call, v any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(r.writer, r.Body, maxBodyBytes))
+	body, err := ingress.ReadBody(r.Request, maxBodyBytes, 0)
+	if errors.Is(err, ingress.ErrBodyTooLarge) {
+		return errkind.New(errkind.BodyTooLarge, "the request body exceeds %d bytes", maxBodyBytes)
+	}
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	if err != nil {
+		return errkind.New(errkind.InvalidRequest, "read the request body: %v", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(v)
+	err = decoder.Decode(v)
 	if err == nil {
 		_, err = decoder.Token()
 		if errors.Is(err, io.EOF) {
@@ -72,10 +85,6 @@
 			err = errors.New("unexpected data after the JSON value")
 		}
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return errkind.New(errkind.BodyTooLarge, "the request body exceeds %d bytes", tooLarge.Limit)
-	}
 	return errkind.New(errkind.InvalidRequest, "invalid request body: %v", err)
 }
 
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -1,8 +1,10 @@
 package registry
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,15 +14,19 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/godwitbend/godwitbend/internal/announce"
+	"github.com/godwitbend/godwitbend/internal/errkind"
 	"github.com/godwitbend/godwitbend/internal/hostaddr"
+	"github.com/godwitbend/godwitbend/internal/ingress"
 )
 
 // Limits on the size and values of an announcement.
 const (
 	maxAnnouncementBytes = 256 << 10
-	maxNameBytes         = 128
-	maxServices          = 256
-	maxCapacity          = 100_000
+	// decodedFactor is the memory of each byte of an announcement once decoded, at most.
+	decodedFactor = 16
+	maxNameBytes  = 128
+	maxServices   = 256
+	maxCapacity   = 100_000
 	// maxLoad bounds each of the announced loads, so that their sum doesn't overflow.
 	maxLoad = 1 << 30
 )
@@ -48,7 +54,16 @@
 		http.Error(w, "only POST is served here", http.StatusMethodNotAllowed)
 		return
 	}
-	a, err := Decode(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	body, err := ingress.ReadBody(r, maxAnnouncementBytes, decodedFactor)
+	var refusal *errkind.Error
+	if errors.As(err, &refusal) {
+		refusal.WriteHeader(w)
+		return
+	}
+	var a announce.Announcement
+	if err == nil {
+		a, err = Decode(bytes.NewReader(body))
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/rpc/limit.go
+++ b/internal/rpc/limit.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/godwitbend/godwitbend/internal/ingress"
 	"github.com/godwitbend/godwitbend/internal/membudget"
 )
 
@@ -50,14 +51,25 @@
 
 // newConn returns a connection whose messages are limited.
 func (m *messageMemory) newConn(conn net.Conn) *limitedConn {
+	m.prepare()
+	c := &limitedConn{Conn: conn, meter: frameMeter{limit: m.limit}, allowed: ingress.HoldingOf(conn), closed: make(chan struct{})}
+	c.hold = m.budget.EvictableHold(c.evict)
+	return c
+}
+
+// inUse returns the memory that messages take beyond the allowance of each, in bytes.
+func (m *messageMemory) inUse() int64 {
+	m.prepare()
+	return m.budget.InUse()
+}
+
+// prepare sets the limits.
+func (m *messageMemory) prepare() {
 	m.once.Do(func() {
 		m.limit = messageLimit()
 		largest := whileJoined(m.limit)
 		m.budget = membudget.New(largest+m.limit/otherMessages, largest, whileJoined(smallMessageBytes))
 	})
-	c := &limitedConn{Conn: conn, meter: frameMeter{limit: m.limit}, closed: make(chan struct{})}
-	c.hold = m.budget.EvictableHold(c.evict)
-	return c
 }
 
 // limitedListener accepts connections whose messages are limited.
@@ -99,8 +111,10 @@
 	passedOn int
 	whole    bool
 	hold     *membudget.Hold
-	closed   chan struct{}
-	once     sync.Once
+	// allowed is the memory of small messages, which hold does not count.
+	allowed ingress.Holding
+	closed  chan struct{}
+	once    sync.Once
 }
 
 // Read implements net.Conn. While a large message finds no memory it waits.
@@ -168,11 +182,18 @@
 	}
 	c.hold.Received(n)
 	c.hold.SetBusy(c.meter.joined > 0)
+	if c.meter.joined > 0 {
+		c.allowed.Complete()
+	}
 	return n, c.takeMemory() // a connection returns its own error again
 }
 
 func (c *limitedConn) takeMemory() error {
-	return eris.Wrap(c.hold.Resize(c.closed, c.meter.memory()), "memory for a message")
+	memory := c.meter.memory()
+	if !c.allowed.Set(min(memory, whileJoined(smallMessageBytes))) {
+		return errNoMemory
+	}
+	return eris.Wrap(c.hold.Resize(c.closed, memory), "memory for a message")
 }
 
 // evict closes the connection, whose message keeps memory that others wait for.
@@ -192,6 +213,7 @@
 }
 
 var (
+	errNoMemory        = eris.New("the connections of hosts hold all of the memory for them")
 	errFrameTooLarge   = eris.New("a part of a message exceeds the size limit")
 	errMessageTooLarge = eris.New("a message exceeds the size limit")
 	errInvalidFrame    = eris.New("the header of a part of a message is invalid")
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -59,6 +59,9 @@
 // earlier build does.
 func IsUnregistered(err error) bool { return err != nil && strings.Contains(err.Error(), unregistered) }
 
+// MemoryInUse returns the memory that large messages take, in bytes.
+func (s *Server) MemoryInUse() int64 { return s.memory.inUse() }
+
 // HandleRPC implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, method string) error {
 	h, ok := s.methods[method]
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -47,6 +47,10 @@
 	c.checkOperatorKeys(s.OperatorKeyHashes)
 	c.checkTimes(s)
 	c.checkLimits(s.Limits)
+	if s.MemoryMB != 0 {
+		c.checkFraction("memory_mb", s.MemoryMB, minNodeMemoryMB, maxNodeMemoryMB)
+	}
+	c.checkClients(&s.Clients)
 	c.checkNumber("schema_max", int64(s.SchemaMax), config.MinSchema, config.MaxSchema)
 	c.checkDuration("orders.lease", s.Orders.Lease, minLease, maxDuration)
 	c.checkDuration("orders.load_interval", s.Orders.LoadInterval, 0, maxDuration)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -47,6 +47,8 @@
 	Listen NodeListen `json:"listen"`
 	// MemoryMB is the memory limit of the process, in MB. Default: 128.
 	MemoryMB float64 `json:"memory_mb"`
+	// Clients bounds what clients hold together.
+	Clients Clients `json:"clients"`
 	// StopTimeout is the time after SIGTERM at which the process is killed. Default: 8s.
 	StopTimeout Duration `json:"stop_timeout"`
 	// Retries limits the requests that are sent to a second upstream.
@@ -141,6 +143,7 @@
 	return &Node{
 		ClockAgreement: true,
 		MemoryMB:       128,
+		Clients:        defaultClients(),
 		StopTimeout:    Duration{8 * time.Second},
 		Retries:        Retries{Ratio: 0.1, Slack: 20, Window: Duration{10 * time.Second}},
 		WarmUp:         WarmUp{Burst: 3},
@@ -204,6 +207,7 @@
 		c.checkAddress("seeds", seed)
 	}
 	c.checkFraction("memory_mb", n.MemoryMB, minNodeMemoryMB, maxNodeMemoryMB)
+	c.checkClients(&n.Clients)
 	c.checkDuration("stop_timeout", n.StopTimeout, minStopTimeout, maxDuration)
 	c.checkFraction("retries.ratio", n.Retries.Ratio, 0, 1)
 	c.checkFraction("retries.slack", n.Retries.Slack, 0, maxRetrySlack)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,11 @@
 	SnapshotEntries int `json:"snapshot_entries"`
 	// Limits are the limits on requests of callers.
 	Limits Limits `json:"limits"`
+	// MemoryMB is the memory of the host, in MB. Default: 0, which is the limit of the Go runtime if GOMEMLIMIT sets one, and
+	// otherwise half of the machine's memory.
+	MemoryMB float64 `json:"memory_mb"`
+	// Clients bounds what clients hold together.
+	Clients Clients `json:"clients"`
 	// UpstreamTimeout is the time after its last announcement for which an upstream
 	// receives requests. Default: 3s.
 	UpstreamTimeout Duration `json:"upstream_timeout"`
@@ -166,6 +171,7 @@
 			IdempotencyKeyBytes: 255,
 			CallerConcurrency:   256,
 		},
+		Clients:         defaultClients(),
 		UpstreamTimeout: Duration{3 * time.Second},
 		DrainDelay:      Duration{2 * time.Second},
 		SchemaMax:       config.MaxSchema,
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -26,6 +26,8 @@
 	// maxFailureBytes bounds the body of an answer with a status of 500 or more. It needs no memory of the budget, as
 	// such answers may be kept while the request is tried again.
 	maxFailureBytes = 64 << 10
+	// maxJoinedBody is the size up to which a body is copied behind the head, so that both are sent in one write.
+	maxJoinedBody = 64 << 10
 	// readBufferSize fits the header of an answer and typical events of a stream.
 	readBufferSize = 4 << 10
 )
@@ -105,6 +107,9 @@
 	return &Client{dial: dial, memory: budget, metrics: newMetrics(tally.NoopScope)}
 }
 
+// MemoryInUse returns the memory that answers take beyond the allowance of each, in bytes.
+func (c *Client) MemoryInUse() int64 { return c.memory.InUse() }
+
 // ErrWithdrawn reports that the request was no longer wanted when the connection was established.
 var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
 
@@ -156,7 +161,7 @@
 // roundTrip reads the answer while it sends the request, as an upstream may answer before it has read the whole
 // body. The sending ends with the connection at the latest.
 func roundTrip(conn *withdrawableConn, r *Request, memory *answerMemory) (*Answer, error) {
-	go conn.send(r.encode())
+	go conn.send(r.encode()...)
 	head := &headReader{conn: conn, memory: memory}
 	reader := bufio.NewReaderSize(head, readBufferSize)
 	for {
@@ -188,10 +193,13 @@
 	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
 }
 
-// encode returns the wire format of the request.
-func (r *Request) encode() []byte {
+// encode returns the wire format of the request, a large body as a part of its own.
+func (r *Request) encode() [][]byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	joined := len(r.Body) <= maxJoinedBody
+	if joined {
+		b.Grow(512 + len(r.Body))
+	}
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
@@ -206,8 +214,11 @@
 	b.WriteString("Connection: close\r\n")
 	_ = r.Header.Write(&b) // writing to a bytes.Buffer never fails
 	b.WriteString("\r\n")
+	if !joined {
+		return [][]byte{b.Bytes(), r.Body}
+	}
 	b.Write(r.Body)
-	return b.Bytes()
+	return [][]byte{b.Bytes()}
 }
 
 // ErrBodyTooLarge reports an answer whose body exceeds the limit.
--- a/internal/upstreamhttp/withdraw.go
+++ b/internal/upstreamhttp/withdraw.go
@@ -50,9 +50,13 @@
 	}
 }
 
-func (c *withdrawableConn) send(data []byte) {
-	_, err := c.Write(data)
-	c.sent.Store(err == nil)
+func (c *withdrawableConn) send(parts ...[]byte) {
+	for _, part := range parts {
+		if _, err := c.Write(part); err != nil {
+			return
+		}
+	}
+	c.sent.Store(true)
 }
 
 // Read implements io.Reader.
