A body that breaks the framing rules is the caller's error

Callers whose chunked body was not framed as its head states got 503 deadline_unmet, "reading the body failed", and came back with the same body. Any failed read but a disconnect counted as one that took too long. Now only a deadline does; the rest is 400 invalid_request.

TestBodyThatBreaksTheFramingIsTheCallersError failed with 503 before and passes. The case of an endless chunk extension in TestEndlessRequestsAreGivenUp asked for the 503; it asks for the 400 now, and as strictly that the connection is closed and nothing reaches an upstream.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -118,9 +118,11 @@
 	case errors.Is(err, ingress.ErrBodyTooLarge):
 		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil: // net/http cancels it on each failed read
-		return errkind.New(errkind.InvalidRequest, "the caller disconnected before the body was read")
+		return errkind.New(errkind.InvalidRequest, "the body was cut off or is not framed as the head states: %v", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.New(errkind.DeadlineUnmet, "the body did not arrive in time")
 	case err != nil:
-		return errkind.New(errkind.DeadlineUnmet, "reading the body failed: %v", err)
+		return errkind.New(errkind.InvalidRequest, "the body is not framed as the head states: %v", err)
 	}
 	q.Body, q.bodyReadAt = body, time.Now()
 	return nil
