Closing an idle connection is no refusal; a refusal before the handler has a body

A request refused as its parsed head does not fit was answered without the JSON body of other refusals.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -100,7 +100,7 @@
 func (b *bodyReader) noMemory() error {
 	b.conn.account.budget.report.refused(b.conn.account.class, reasonMemory)
 	_ = b.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	return errkind.New(errkind.Overloaded, "the clients of this host hold all of its memory for them").
+	return errkind.New(errkind.Overloaded, noMemoryMessage).
 		WithRetryAfter(b.conn.account.budget.retryAfter())
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -258,15 +258,12 @@
 		return nil
 	}
 	switch {
-	case c.evicted.Load() && c.phase == phaseHead:
-		return c.refuseForMemory()
-	case c.evicted.Load():
+	case c.phase != phaseHead:
 		return nil
-	case c.phase == phaseHead:
-		return &refusal{reasonHeaderTimeout, http.StatusRequestTimeout, errkind.InvalidRequest, "the head of the request did not arrive in time", 0}
+	case c.evicted.Load():
+		return c.refuseForMemory()
 	}
-	c.account.budget.report.refused(c.account.class, reasonIdleTimeout)
-	return nil
+	return &refusal{reasonHeaderTimeout, http.StatusRequestTimeout, "the head of the request did not arrive in time", 0}
 }
 
 // takeHead accounts for a part of the head, and keeps what follows it.
@@ -280,7 +277,7 @@
 	}
 	own := c.head.feed(p[:*n])
 	if limit := c.listener.limits().HeaderBytes; limit > 0 && c.head.bytes > limit+headSlack {
-		return &refusal{reasonHeaderBytes, http.StatusRequestHeaderFieldsTooLarge, errkind.InvalidRequest, "the head of the request is too large", 0}
+		return &refusal{reasonHeaderBytes, http.StatusRequestHeaderFieldsTooLarge, "the head of the request is too large", 0}
 	}
 	if own < *n {
 		c.pending = append(append([]byte(nil), p[own:*n]...), c.pending...)
@@ -301,16 +298,16 @@
 
 func (c *conn) refuseForMemory() *refusal {
 	return &refusal{
-		reasonMemory, http.StatusServiceUnavailable, errkind.Overloaded, "the clients of this host hold all of its memory for them",
-		c.account.budget.retryAfter(),
+		reasonMemory, http.StatusServiceUnavailable, noMemoryMessage, c.account.budget.retryAfter(),
 	}
 }
 
+const noMemoryMessage = "the clients of this host hold all of its memory for them"
+
 // refusal is an answer to a request whose head is not read.
 type refusal struct {
 	reason  string
 	status  int
-	kind    errkind.Kind
 	message string
 	after   time.Duration
 }
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -127,7 +128,11 @@
 		if !c.beginRequest(r) {
 			l.budget.report.refused(l.class, reasonMemory)
 			w.Header().Set("Connection", "close")
-			errkind.New(errkind.Overloaded, "").WithRetryAfter(l.budget.retryAfter()).WriteHeader(w)
+			refusal := errkind.New(errkind.Overloaded, noMemoryMessage).WithRetryAfter(l.budget.retryAfter())
+			refusal.WriteHeader(w)
+			if err := json.NewEncoder(w).Encode(refusal.Body()); err != nil {
+				klog.V(2).InfoS("refusal not sent", "error", err.Error()) // the client has gone
+			}
 			return
 		}
 		handler.ServeHTTP(w, r)
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -14,7 +14,6 @@
 	reasonMemory        = "memory"
 	reasonHeaderBytes   = "header_bytes"
 	reasonHeaderTimeout = "header_timeout"
-	reasonIdleTimeout   = "idle_timeout"
 )
 
 // logInterval is the time between two lines for one reason.
