A departure is known to another control host before it is acknowledged

Callers' requests reached an upstream 3.6 s after a control host had acknowledged that it left (bound 2 s): the host was killed at once, and only its process knew. The report was queued for the other control hosts and the answer sent without waiting for them. It waits for one of them now, 300 ms at most; a host that reaches none acknowledges all the same.

--- a/internal/controlnode/export_test.go
+++ b/internal/controlnode/export_test.go
@@ -1,5 +1,7 @@
 package controlnode
 
+import "github.com/godwitbend/godwitbend/internal/presence"
+
 // SetFeatures makes a host that is not started play a build that understands the log entries of the given features.
 func (n *Node) SetFeatures(features int) { n.understands = features }
 
@@ -14,3 +16,13 @@
 	m := n.machine.Load()
 	return m != nil && m.BootClocks()
 }
+
+// KnownState returns the state of an upstream that the host knows; 0 if it knows none.
+func (n *Node) KnownState(id string) presence.State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.table.Record(id); r != nil {
+		return r.State
+	}
+	return 0
+}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -178,7 +178,7 @@
 	// crashPositions holds what this host has of the evidence of other control hosts, by address.
 	crashPositions map[string]crashPosition
 	notices        notice.Table
-	forwardQueues  map[string]chan UpstreamRecord
+	forwardQueues  map[string]chan queuedReport
 	// unforwarded counts the reports that are queued or on their way to other control hosts.
 	unforwarded atomic.Int64
 	wg          sync.WaitGroup
@@ -199,7 +199,7 @@
 	n := &Node{
 		options: o, epoch: rand.Uint64(), stopStreams: stopStreams{scope: o.Scope, ends: map[string]tally.Counter{}},
 		addresses: map[uint64]string{}, table: presence.NewTable(),
-		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan UpstreamRecord{},
+		directReports: map[string]time.Time{}, hosts: newHostTable(), forwardQueues: map[string]chan queuedReport{},
 		remoteUpstreams: map[string]remoteUpstreams{}, controlHosts: map[string]knownControlHost{}, acknowledgedGenerations: map[string]uint64{},
 		features: map[string]int{}, understands: fleetstate.Features, replicaReports: newReplicaReports(),
 		crashPositions: map[string]crashPosition{},
--- a/internal/controlnode/upstreams.go
+++ b/internal/controlnode/upstreams.go
@@ -18,6 +18,9 @@
 	forwardTimeout = 600 * time.Millisecond
 	// maxForwardQueue is the maximum number of reports queued for one control host.
 	maxForwardQueue = 1024
+	// departureForwardTimeout bounds how long the answer to a departure waits for another control host. Upstreams call the next
+	// host after a second.
+	departureForwardTimeout = 300 * time.Millisecond
 	// forwardPollInterval is the interval at which awaitForwards looks for reports.
 	forwardPollInterval = 5 * time.Millisecond
 )
@@ -40,15 +43,40 @@
 		return
 	}
 	record := newUpstreamRecord(&presence.Record{Upstream: u, Cold: cold, ReceivedAt: now}, now)
-	for _, address := range n.otherControlHosts() {
+	others := n.otherControlHosts()
+	forwarded := make(chan bool, len(others))
+	queued := 0
+	for _, address := range others {
 		n.unforwarded.Add(1)
 		select {
-		case n.forwardQueueTo(address) <- record:
+		case n.forwardQueueTo(address) <- queuedReport{record, forwarded}:
+			queued++
 		default:
 			n.unforwarded.Add(-1)
 			klog.InfoS("upstream report not forwarded: queue full", "upstream", u.ID, "control_host", address)
 		}
 	}
+	if u.State != presence.Ready {
+		awaitForwarded(u.ID, forwarded, queued)
+	}
+}
+
+// awaitForwarded waits until another control host has a departure, as the upstream may not repeat one that is acknowledged
+// and this host may be killed. If none of them answers in time the departure is acknowledged all the same: an upstream that
+// leaves finds no other host that knows more.
+func awaitForwarded(id string, forwarded <-chan bool, queued int) {
+	timeout := time.After(departureForwardTimeout)
+	for range queued {
+		select {
+		case ok := <-forwarded:
+			if ok {
+				return
+			}
+		case <-timeout:
+			klog.InfoS("departure acknowledged though no other control host has it", "upstream", id)
+			return
+		}
+	}
 }
 
 // applyReport applies a report and returns whether it changed the table.
@@ -80,12 +108,12 @@
 
 // forwardQueueTo returns the queue of reports for a control host. It creates the queue, and
 // starts the goroutine that empties it, if needed.
-func (n *Node) forwardQueueTo(address string) chan UpstreamRecord {
+func (n *Node) forwardQueueTo(address string) chan queuedReport {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	q := n.forwardQueues[address]
 	if q == nil {
-		q = make(chan UpstreamRecord, maxForwardQueue)
+		q = make(chan queuedReport, maxForwardQueue)
 		n.forwardQueues[address] = q
 		n.goRun(func() { n.forward(n.ctx, address, q) })
 	}
@@ -93,14 +121,21 @@
 }
 
 // forward sends the queued reports to one control host, all that are queued in one call.
-func (n *Node) forward(ctx context.Context, address string, q chan UpstreamRecord) {
+func (n *Node) forward(ctx context.Context, address string, q chan queuedReport) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case first := <-q:
-			records := collectRecords(first, q)
-			n.sendUpstreams(ctx, address, &UpstreamsMessage{Records: records})
+			reports := collectReports(first, q)
+			records := make([]UpstreamRecord, len(reports))
+			for i := range reports {
+				records[i] = reports[i].record
+			}
+			ok := n.sendUpstreams(ctx, address, &UpstreamsMessage{Records: records}) != nil
+			for i := range reports {
+				reports[i].forwarded <- ok
+			}
 			n.unforwarded.Add(-int64(len(records)))
 		}
 	}
@@ -114,14 +149,20 @@
 	}
 }
 
-func collectRecords(first UpstreamRecord, q chan UpstreamRecord) []UpstreamRecord {
-	records := []UpstreamRecord{first}
+// queuedReport is a report that is to be forwarded. forwarded has room for the result.
+type queuedReport struct {
+	record    UpstreamRecord
+	forwarded chan<- bool
+}
+
+func collectReports(first queuedReport, q chan queuedReport) []queuedReport {
+	reports := []queuedReport{first}
 	for {
 		select {
 		case r := <-q:
-			records = append(records, r)
+			reports = append(reports, r)
 		default:
-			return records
+			return reports
 		}
 	}
 }
--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -107,7 +107,7 @@
 			left -= max(used[other], guaranteed[other].of(capacity))
 		}
 	}
-	return min(left, mostly[c].of(capacity))
+	return min(left, maximum[c].of(capacity))
 }
 
 // memoryLimit returns the most that a class may hold, in bytes. What others of the process hold counts, but for the guaranteed parts.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -37,15 +37,13 @@
 
 func (s share) of(n int64) int64 { return n * int64(s) / shareUnit }
 
-// guaranteed is the part of the budget that each class can always use, and mostly the largest that it may use.
+// guaranteed is the part of the budget that each class can always use, and maximum the largest that it may use.
 var (
 	guaranteed = [classes]share{Callers: 8, Operators: 8, Probes: 1, Hosts: 4}
-	mostly     = [classes]share{Callers: 32, Operators: 32, Probes: 4, Hosts: 16}
+	maximum    = [classes]share{Callers: 32, Operators: 32, Probes: 4, Hosts: 16}
 )
 
 const (
-	// DefaultMemoryShare is the part of the memory of a process that its clients may hold together.
-	DefaultMemoryShare = 0.4
 	// DefaultReceiveBuffer is the size of the receive buffer of a connection on which a large body or message is sent.
 	DefaultReceiveBuffer = 32 << 10
 	// DefaultStallTime is the time without progress after which a client yields to others.
