A body that is sent after its head may be left unread as well

If the answer begins between the two, the connection had sent less than a window, and the timeout of unacknowledged bytes stayed in force for the body. Messages that a tunnel carries in several writes had the same gap. It is lifted by whichever comes last now, the answer or a write beyond the window.

--- a/internal/netconn/exchange.go
+++ b/internal/netconn/exchange.go
@@ -27,8 +27,8 @@
 	// latest is the write that was begun last; nil before the request. requestBytes is the size of all.
 	latest       atomic.Pointer[write]
 	requestBytes atomic.Int64
-	// answerBegun reports that a byte was read after the request was begun. Only the reader uses it.
-	answerBegun bool
+	// answerBegun reports that a byte was read after the request was begun, and windowMayClose that AllowClosedWindow was called.
+	answerBegun, windowMayClose atomic.Bool
 }
 
 // write is a call of Write.
@@ -63,6 +63,7 @@
 	current := &write{done: make(chan struct{})}
 	c.requestBytes.Add(int64(len(p)))
 	c.latest.Store(current)
+	c.allowClosedWindow() // the answer may have begun between two writes
 	n, current.err = c.Conn.Write(p)
 	close(current.done)
 	return n, current.err
@@ -75,11 +76,9 @@
 	if latest == nil {
 		return n, err
 	}
-	if n > 0 && !c.answerBegun {
-		c.answerBegun = true
-		if c.requestBytes.Load() > minWindowBytes {
-			AllowClosedWindow(c.tcp)
-		}
+	if n > 0 && !c.answerBegun.Load() {
+		c.answerBegun.Store(true)
+		c.allowClosedWindow()
 	}
 	if errors.Is(err, io.EOF) {
 		if broken := c.breakage(latest); broken != nil {
@@ -89,6 +88,13 @@
 	return n, err
 }
 
+// allowClosedWindow lets the peer leave the request unread once the answer has begun. A shorter request fits into its window.
+func (c *exchangeConn) allowClosedWindow() {
+	if c.answerBegun.Load() && c.requestBytes.Load() > minWindowBytes && c.windowMayClose.CompareAndSwap(false, true) {
+		AllowClosedWindow(c.tcp)
+	}
+}
+
 // AllowClosedWindow lets the peer leave what it was sent unread. The timeout of unacknowledged bytes no longer applies;
 // keep-alive probes still detect a peer that is unreachable.
 func AllowClosedWindow(conn net.Conn) {
--- a/internal/netconn/exchange_test.go
+++ b/internal/netconn/exchange_test.go
@@ -103,6 +103,42 @@
 	g.Expect(received).To(HaveLen(parts))
 }
 
+// Guards against a connection that is cut because its peer answered between the writes of the head and the body.
+func TestPeerThatAnswersTheHeadMayLeaveTheBodyUnread(t *testing.T) {
+	const unackedTimeout, parts, pause = time.Second, 30, 100 * time.Millisecond
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	go func() {
+		peer, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = peer.Close() }()
+		_ = peer.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, _ = peer.Read(make([]byte, 1<<10))
+		for range parts {
+			_, _ = io.WriteString(peer, "x")
+			time.Sleep(pause)
+		}
+		_ = peer.(*net.TCPConn).CloseWrite()
+		time.Sleep(pause)
+	}()
+	dialled, err := netconn.Dial(t.Context(), listener.Addr().String(), time.Second, unackedTimeout)
+	g.Expect(err).NotTo(HaveOccurred())
+	conn := netconn.ForExchange(dialled)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write(make([]byte, 1<<10))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _, _ = conn.Write(make([]byte, longRequestBytes)) }()
+	rest, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(rest).To(HaveLen(parts - 1))
+}
+
 // Guards against taking the end of an answer for a failure, as its peer reads the request no further or goes on reading it.
 func TestAnswerThatEndsInOrderWhileTheRequestIsSentIsWhole(t *testing.T) {
 	for name, after := range map[string]func(*net.TCPConn){
