--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -191,15 +191,15 @@
 	if view == nil {
 		return limits
 	}
-	configured := view.Index.Document.Limits
-	if configured.HeaderBytes > 0 {
-		limits.HeaderBytes = configured.HeaderBytes
+	document := view.Index.Document
+	if document.Limits.HeaderBytes > 0 {
+		limits.HeaderBytes = document.Limits.HeaderBytes
 	}
-	if configured.HeaderTimeout > 0 {
-		limits.HeaderTimeout = configured.HeaderTimeout
+	if document.Limits.HeaderTimeout > 0 {
+		limits.HeaderTimeout = document.Limits.HeaderTimeout
 	}
-	if configured.IdleTimeout > 0 {
-		limits.IdleTimeout = configured.IdleTimeout
+	if document.Limits.IdleTimeout > 0 {
+		limits.IdleTimeout = document.Limits.IdleTimeout
 	}
 	return limits
 }
