Heads on encrypted connections are bounded by their limit again

Operators with TLS could send heads of up to 1 MB since: the bytes on such a connection can't be looked into, and the HTTP server's own limit had been lifted. It is the configured one there.

--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -38,7 +38,8 @@
 	return &Listener{Listener: l, budget: b, class: c, limits: limits}
 }
 
-// Opaque makes the listener treat what arrives as encrypted, and returns it.
+// Opaque makes the listener treat what arrives as encrypted, and returns it. The HTTP server then bounds heads, by the limits as
+// of Instrument.
 func (l *Listener) Opaque() *Listener {
 	l.opaque = true
 	return l
@@ -102,6 +103,9 @@
 // Serve, once the handler and the other hooks of the server are set.
 func (l *Listener) Instrument(srv *http.Server) {
 	srv.MaxHeaderBytes = serverHeaderBytes
+	if limit := l.limits().HeaderBytes; l.opaque && limit > 0 {
+		srv.MaxHeaderBytes = int(limit)
+	}
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if own, ok := unwrap(c); ok {
 			return withConn(ctx, own)
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -106,3 +107,42 @@
 		return answers(g, address, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 1)[0]
 	}, "10s").Should(Equal("200 /a0"))
 }
+
+// Guards against encrypted connections whose heads are not bounded, or that are read wrong as they can't be looked into.
+func TestEncryptedConnectionsAreBoundedAndServed(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	limits := ingress.Limits{HeaderBytes: 4000, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	bounded := ingress.NewBudget(ingress.Options{Memory: 16 << 20}).Listen(listener, ingress.Operators, func() ingress.Limits { return limits }).Opaque()
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := ingress.ReadBody(r, bodyLimit, 0)
+		if err != nil {
+			errkind.From(err).WriteHeader(w)
+			return
+		}
+		_, _ = fmt.Fprint(w, len(body))
+	}))
+	srv.Listener = bounded
+	bounded.Instrument(srv.Config)
+	srv.StartTLS()
+	defer srv.Close()
+	post := func(header string, body int) (int, string) {
+		req, err := http.NewRequest(http.MethodPost, srv.URL, strings.NewReader(strings.Repeat("x", body)))
+		g.Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("A", header)
+		answer, err := srv.Client().Do(req)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = answer.Body.Close() }()
+		data, err := io.ReadAll(answer.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		return answer.StatusCode, string(data)
+	}
+	for _, size := range []int{0, 10, 100_000, 900_000, 10} {
+		status, body := post("a", size)
+		g.Expect(status).To(Equal(http.StatusOK))
+		g.Expect(body).To(Equal(fmt.Sprint(size)))
+	}
+	status, _ := post(strings.Repeat("a", 20_000), 10)
+	g.Expect(status).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+}
